--- a/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
@@ -226,7 +226,7 @@
         if (chosen.isEmpty()) {
             return false;
         }
-        lines.take(line, waiting, times.expectedNanos(arrival.target()));
+        lines.take(line, waiting, (double) times.expectedNanos(arrival.target()));
         waiting.sent(chosen.get(), now);
         router.sent(chosen.get());
         String address = router.announcement(chosen.get()).orElseThrow().address();
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/LeastRecentlyUsedPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/LeastRecentlyUsedPolicy.java
@@ -39,7 +39,7 @@
         planning.view().seats().stream()
                 .filter(planning::available)
                 .filter(seat -> planning.baseReady(seat, want))
-                .filter(seat -> seat.freeMib() + heldMib(planning, seat, want) >= want.memoryMib())
+                .filter(seat -> seat.freeMib() + heldMib(seat, want) >= want.memoryMib())
                 .min(Comparator.comparingLong(seat -> oldestUse(planning, seat, want)))
                 .ifPresent(
                         seat ->
@@ -47,8 +47,7 @@
                                         .ifPresent(held -> planning.unload(seat, held.artifact())));
     }
 
-    private static long heldMib(
-            Planning planning, PlacementView.Seat seat, PlacementView.Want want) {
+    private static long heldMib(PlacementView.Seat seat, PlacementView.Want want) {
         return seat.held().stream()
                 .filter(held -> !isBase(held, want))
                 .mapToLong(PlacementView.Held::memoryMib)
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
@@ -10,11 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import sun.misc.Signal;
 
 /** Runs a process of the system until it is told to stop. */
 final class ServeCommand {
@@ -32,10 +30,12 @@
             settings.getLeft().forEach(finding -> System.err.println(finding));
             return ExitCode.INVALID;
         }
-        CountDownLatch stop = new CountDownLatch(1);
-        Signal.handle(new Signal("TERM"), ignored -> stop.countDown());
-        Signal.handle(new Signal("INT"), ignored -> stop.countDown());
-        try (Daemon daemon = new Daemon(settings.get(), Main.VERSION)) {
+        StopSignal stop = StopSignal.install();
+        return stop.finish(serve(settings.get(), stop));
+    }
+
+    private static ExitCode serve(Settings settings, StopSignal stop) {
+        try (Daemon daemon = new Daemon(settings, Main.VERSION)) {
             daemon.start();
             stop.await();
             daemon.drain();
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/StandInCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/StandInCommand.java
@@ -4,13 +4,11 @@
 import io.stackhall.server.standin.StandIn;
 import io.stackhall.server.standin.StandInOptions;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.eclipse.jetty.client.HttpClient;
-import sun.misc.Signal;
 
 /** Runs a stand-in upstream until it is told to stop. */
 final class StandInCommand {
@@ -42,9 +40,7 @@
     }
 
     static ExitCode run(Namespace arguments) {
-        CountDownLatch stop = new CountDownLatch(1);
-        Signal.handle(new Signal("TERM"), ignored -> stop.countDown());
-        Signal.handle(new Signal("INT"), ignored -> stop.countDown());
+        StopSignal stop = StopSignal.install();
         HttpClient client = new HttpClient();
         try {
             client.start();
@@ -54,10 +50,10 @@
                 standIn.leave();
             }
             client.stop();
-            return ExitCode.OK;
+            return stop.finish(ExitCode.OK);
         } catch (Exception e) {
             System.err.println("stackhall: " + e.getMessage());
-            return ExitCode.FAILED;
+            return stop.finish(ExitCode.FAILED);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
@@ -25,7 +25,7 @@
  */
 public final class GroupClient {
 
-    private static final Duration ATTEMPT = Duration.ofMillis(1000);
+    private static final Duration ATTEMPT = Duration.ofSeconds(1);
     private static final long PAUSE_MILLIS = 25;
 
     private final Settings settings;
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/NodeMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/NodeMetrics.java
@@ -67,8 +67,8 @@
     }
 
     /** Sets a value of the process's state. */
-    public void state(String name, String group, double value) {
-        values.labelValues(name, group).set(value);
+    public void state(String name, String group, long value) {
+        values.labelValues(name, group).set((double) value);
     }
 
     /** Returns everything in the text format. */
--- a/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
@@ -30,7 +30,6 @@
  */
 public final class UpstreamExchange {
 
-    private final Settings settings;
     private final PeerTransport transport;
     private final Map<ZoneId, UpstreamTable> tables = new HashMap<>();
     private final Map<ZoneId, Set<HostId>> peers = new HashMap<>();
@@ -47,7 +46,6 @@
 
     /** Creates an exchange for the host's own zone and the zones whose groups it is in. */
     public UpstreamExchange(Settings settings, PeerTransport transport) {
-        this.settings = settings;
         this.transport = transport;
         settings.groups()
                 .zones()
--- a/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
@@ -12,6 +12,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -149,7 +150,7 @@
     private void load() throws IOException {
         SavedSnapshot saved = readSnapshot();
         snapshot = saved.snapshot();
-        TreeMap<Long, Path> segments = segments();
+        NavigableMap<Long, Path> segments = segments();
         segments.headMap(saved.firstSegment(), false).clear();
         for (var each : segments.entrySet()) {
             boolean last = each.getKey().equals(segments.lastKey());
@@ -225,8 +226,8 @@
         }
     }
 
-    private TreeMap<Long, Path> segments() throws IOException {
-        TreeMap<Long, Path> found = new TreeMap<>();
+    private NavigableMap<Long, Path> segments() throws IOException {
+        NavigableMap<Long, Path> found = new TreeMap<>();
         try (Stream<Path> files = Files.list(folder)) {
             for (Path file : files.toList()) {
                 segmentNumber(file).ifPresent(number -> found.put(number, file));
