Routing: a probe that is declined brings an upstream back

Cause: an ejected upstream that answered its probe with 'too busy' kept the mark of a probe in flight, and got nothing ever again. A model that had moved elsewhere made the upstream decline, so this happened under load. Excluded: the placement leader (orders were answered), the balancer of requests (other upstreams were served). Before: RouterTest.upstreamThatDeclinesItsProbeIsNotEjectedForEver failed, and a model was not reachable within 40 s after faults had ended. After: it passes; any answer ends the ejection, and a probe needs no free slot in a late report. Conclusion: health and load are told apart.

--- a/stackhall-core/src/main/java/io/stackhall/core/routing/UpstreamState.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/routing/UpstreamState.java
@@ -64,6 +64,9 @@
 
     /** Returns whether a request of that priority may be sent now. */
     boolean hasRoom(Priority priority, long now) {
+        if (ejected) {
+            return inFlight <= 0;
+        }
         double allowed = limit * admittedShare(now);
         if (priority != Priority.URGENT) {
             allowed = Math.max(1, Math.floor(allowed * (1 - settings.urgentShare())));
@@ -93,11 +96,18 @@
     void ended(Ending ending, long now) {
         inFlight--;
         endedSinceReport++;
+        boolean probe = ejected && probing;
+        probing = false;
         switch (ending) {
             case SERVED -> served(now);
-            case OVERLOADED -> limit = Math.max(1, limit * LIMIT_DECREASE);
-            case FAILED -> failed(now);
-            case WITHDRAWN -> probing = false;
+            case OVERLOADED -> {
+                limit = Math.max(1, limit * LIMIT_DECREASE);
+                readmitIfEjected(now);
+            }
+            case FAILED -> failed(probe, now);
+            case WITHDRAWN -> {
+                // This says nothing of the upstream.
+            }
         }
     }
 
@@ -105,18 +115,21 @@
         consecutiveFailures = 0;
         double highest = report.load().slots() * LIMIT_HEADROOM;
         limit = Math.min(highest, limit + LIMIT_INCREASE);
+        readmitIfEjected(now);
+    }
+
+    /** Any answer, also that it is too busy, shows that the upstream is there. */
+    private void readmitIfEjected(long now) {
         if (ejected) {
             ejected = false;
-            probing = false;
             ejections = 0;
+            consecutiveFailures = 0;
             admittedAt = now;
         }
     }
 
-    private void failed(long now) {
+    private void failed(boolean probeFailed, long now) {
         consecutiveFailures++;
-        boolean probeFailed = ejected && probing;
-        probing = false;
         if (probeFailed || (!ejected && consecutiveFailures >= settings.failuresToEject())) {
             eject(now);
         }
@@ -131,9 +144,6 @@
     }
 
     private double admittedShare(long now) {
-        if (ejected) {
-            return 0;
-        }
         double passed = (double) (now - admittedAt) / settings.slowStart().toNanos();
         return Math.min(1, SLOW_START_SHARE + passed * (1 - SLOW_START_SHARE));
     }
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/routing/RouterTest.java
@@ -0,0 +1,103 @@
+package io.stackhall.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.Priority;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** How the router chooses among upstreams. */
+class RouterTest {
+
+    private static final Target TARGET = new Target.Model(new ModelId("m"));
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final Router router = new Router(RoutingSettings.standard(), new Random(3));
+    private long now = 100 * SECOND;
+
+    @Test
+    void onlyUpstreamsThatHoldTheModelAreChosen() {
+        router.announced(Announcements.engine("other", 1, "x", 8, 0), now);
+        assertThat(choose()).isEmpty();
+        router.announced(Announcements.engine("right", 1, "m", 8, 0), now);
+        assertThat(choose()).contains(new UpstreamId("right"));
+    }
+
+    @Test
+    void ownDispatchesCorrectAReportThatLags() {
+        router.announced(Announcements.engine("a", 1, "m", 8, 0), now);
+        router.announced(Announcements.engine("b", 1, "m", 8, 0), now);
+        now += 10 * SECOND;
+        Map<UpstreamId, Integer> counts = new HashMap<>();
+        for (int at = 0; at < 12; at++) {
+            UpstreamId chosen = choose().orElseThrow();
+            router.sent(chosen);
+            counts.merge(chosen, 1, Integer::sum);
+        }
+        assertThat(counts.values()).allSatisfy(count -> assertThat(count).isBetween(4, 8));
+    }
+
+    @Test
+    void failingUpstreamIsEjectedAndComesBackByOneProbe() {
+        router.announced(Announcements.engine("a", 1, "m", 8, 0), now);
+        end(Ending.FAILED, 3);
+        assertThat(choose()).isEmpty();
+        now += 3 * SECOND;
+        UpstreamId probe = choose().orElseThrow();
+        router.sent(probe);
+        assertThat(choose()).as("one probe at a time").isEmpty();
+        router.ended(probe, Ending.SERVED, now);
+        assertThat(choose()).isPresent();
+    }
+
+    @Test
+    void upstreamThatDeclinesItsProbeIsNotEjectedForEver() {
+        router.announced(Announcements.engine("a", 1, "m", 8, 5), now);
+        now += 10 * SECOND;
+        end(Ending.FAILED, 3);
+        now += 3 * SECOND;
+        UpstreamId probe = choose().orElseThrow();
+        router.sent(probe);
+        router.ended(probe, Ending.OVERLOADED, now);
+        router.announced(Announcements.engine("a", 2, "m", 8, 0), now);
+        assertThat(choose()).isPresent();
+    }
+
+    @Test
+    void shareOfTheLimitIsKeptForUrgentRequests() {
+        router.announced(Announcements.engine("a", 1, "m", 8, 6), now);
+        now += 10 * SECOND;
+        assertThat(router.choose(TARGET, Priority.NORMAL, 0, List.of(), now)).isEmpty();
+        assertThat(router.choose(TARGET, Priority.URGENT, 0, List.of(), now)).isPresent();
+    }
+
+    @Test
+    void newUpstreamIsNotFloodedAtOnce() {
+        router.announced(Announcements.engine("a", 1, "m", 100, 0), now);
+        int sent = 0;
+        while (choose().isPresent()) {
+            router.sent(choose().orElseThrow());
+            sent++;
+        }
+        assertThat(sent).isLessThan(30);
+    }
+
+    private void end(Ending ending, int times) {
+        for (int at = 0; at < times; at++) {
+            UpstreamId chosen = choose().orElseThrow();
+            router.sent(chosen);
+            router.ended(chosen, ending, now);
+        }
+    }
+
+    private Optional<UpstreamId> choose() {
+        return router.choose(TARGET, Priority.URGENT, 0, List.of(), now);
+    }
+}
