--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the core as a whole. */
+package io.stackhall.core;
--- a/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationFailureTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationFailureTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The configuration under races, resends, kills, freezes, cuts and lost disks. */
@@ -25,7 +26,8 @@
 
     private static final int RACES = 100;
 
-    @TempDir Path folder;
+    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+    Path folder;
 
     @Test
     void ofTwoOperatorsWithEqualRevisionsExactlyOneIsAccepted() {
