--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -37,6 +37,7 @@
             case "check-settings" -> ServeCommand.check(arguments);
             case "stand-in" -> StandInCommand.run(arguments);
             case "demo-files" -> DemoFilesCommand.run(arguments);
+            case "load" -> LoadCommand.run(arguments);
             case "version" -> version();
             default -> OperatorCommands.run(arguments.getString(COMMAND), arguments);
         };
@@ -63,6 +64,7 @@
         OperatorCommands.addTo(commands);
         StandInCommand.addTo(commands);
         DemoFilesCommand.addTo(commands);
+        LoadCommand.addTo(commands);
         commands.addParser("version").help("print the version");
         return parser;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/StandInCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/StandInCommand.java
@@ -3,6 +3,7 @@
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.standin.StandIn;
 import io.stackhall.server.standin.StandInOptions;
+import java.util.ArrayList;
 import java.util.List;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -27,6 +28,7 @@
                 .required(true)
                 .help("where entry hosts listen for upstreams, ip:port");
         command.addArgument("--services").nargs("*").setDefault(List.of()).help("plain services");
+        number(command, "--count", 1, "how many to run, on consecutive ports");
         number(command, "--memory-mib", 16_000, "accelerator memory, MiB");
         number(command, "--reserved-mib", 1000, "memory kept free for KV cache, MiB");
         number(command, "--slots", 8, "requests that it runs at once");
@@ -44,10 +46,15 @@
         HttpClient client = new HttpClient();
         try {
             client.start();
-            try (StandIn standIn = new StandIn(options(arguments), client)) {
-                standIn.start();
-                stop.await();
+            List<StandIn> standIns = new ArrayList<>();
+            for (int at = 0; at < arguments.getInt("count"); at++) {
+                standIns.add(new StandIn(options(arguments, at), client));
+                standIns.getLast().start();
+            }
+            stop.await();
+            for (StandIn standIn : standIns) {
                 standIn.leave();
+                standIn.close();
             }
             client.stop();
             return stop.finish(ExitCode.OK);
@@ -57,11 +64,12 @@
         }
     }
 
-    private static StandInOptions options(Namespace arguments) {
-        Address address = Address.parse(arguments.getString("address"));
+    private static StandInOptions options(Namespace arguments, int at) {
+        Address first = Address.parse(arguments.getString("address"));
+        Address address = new Address(first.ip(), first.port() + at);
         String advertised = arguments.getString("advertise");
         return new StandInOptions(
-                arguments.getString("id"),
+                arguments.getString("id") + (at == 0 ? "" : "-" + at),
                 arguments.getString("zone"),
                 address,
                 advertised == null ? address.toString() : advertised,
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -48,19 +49,18 @@
     public void open(FrameHandler frames) {
         handler = frames;
         Address address = settings.peers();
-        try {
-            listener =
-                    new ServerBootstrap()
-                            .group(group)
-                            .channel(NioServerSocketChannel.class)
-                            .childHandler(
-                                    new PeerPipeline(() -> new PeerChannelHandler(this::received)))
-                            .bind(address.socket())
-                            .syncUninterruptibly()
-                            .channel();
-        } catch (RuntimeException e) {
-            throw new IllegalStateException("cannot listen for peers on " + address, e);
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(
+                                new PeerPipeline(() -> new PeerChannelHandler(this::received)))
+                        .bind(address.socket())
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IllegalStateException("cannot listen for peers on " + address, bound.cause());
         }
+        listener = bound.channel();
         for (Settings.Host host : settings.hosts()) {
             if (!host.host().equals(settings.host())) {
                 PeerLink link = new PeerLink(host.peers(), group, this::received);
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
@@ -13,12 +13,15 @@
 /** A stand-in upstream in a process of its own, behind a proxy. */
 public final class Engine implements AutoCloseable {
 
+    /** An option of the harness: requests and orders do not pass the proxy. */
+    private static final String DIRECT = "--direct";
+
     private final Path folder;
     private final String id;
     private final String zone;
     private final List<Integer> announceTo;
     private final List<String> options;
-    private final int port = Ports.free();
+    private final int port = Ports.freeBlock();
     private final FaultProxy proxy = new FaultProxy(port);
     private RunningProcess process;
 
@@ -43,11 +46,12 @@
                                 zone,
                                 "--address",
                                 "127.0.0.1:" + port,
-                                "--advertise",
-                                "127.0.0.1:" + proxy.port(),
                                 "--announce-to"));
         announceTo.forEach(to -> arguments.add("127.0.0.1:" + to));
-        arguments.addAll(options);
+        if (!options.contains(DIRECT)) {
+            arguments.addAll(List.of("--advertise", "127.0.0.1:" + proxy.port()));
+        }
+        options.stream().filter(option -> !option.equals(DIRECT)).forEach(arguments::add);
         process =
                 RunningProcess.start(folder.resolve(id + ".log"), arguments.toArray(String[]::new));
     }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Ports.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Ports.java
@@ -13,6 +13,7 @@
     private static final int FIRST = 10_000;
     private static final int PER_FORK = 7_000;
     private static final int FORKS = 3;
+    private static final int BLOCK = 20;
 
     private static int next = firstOfFork();
 
@@ -30,6 +31,13 @@
         }
     }
 
+    /** Returns the first port of a block for several upstreams in one process. */
+    static synchronized int freeBlock() {
+        int first = free();
+        next += BLOCK;
+        return first;
+    }
+
     private static int firstOfFork() {
         int fork = Integer.getInteger("stackhall.fork", 0) % FORKS;
         return FIRST + PER_FORK * fork;
