--- a/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
@@ -38,6 +38,7 @@
     private final RetryBudget retries;
     private final WaitingLines lines = new WaitingLines();
     private final ServiceTimes times = new ServiceTimes();
+    private final DrainTimes drains = new DrainTimes();
     private final Map<RequestId, Waiting> known = new HashMap<>();
     private final Map<ModelId, Integer> arrivals = new HashMap<>();
     private final List<TrafficEffect> effects = new ArrayList<>();
@@ -127,18 +128,21 @@
         if (service && !router.reachable(arrival.target(), List.of(), now)) {
             return Optional.of(Refusal.UNREACHABLE);
         }
-        long ready = now + expectedWait(arrival, now) + times.expectedNanos(arrival.target());
+        long ready = now + expectedWait(arrival, now) + times.cautiousNanos(arrival.target());
         return ready - arrival.deadline() > 0 ? Optional.of(Refusal.DEADLINE) : Optional.empty();
     }
 
-    /** The work that waits ahead, in seconds of the upstreams' slots together. */
+    /** The wait behind the line's backlog, as it has drained lately, or by the upstreams' slots. */
     private long expectedWait(Arrival arrival, long now) {
-        int slots = router.slots(arrival.target(), now);
-        int ahead = lines.ahead(arrival.target(), arrival.priority());
-        if (slots == 0 || ahead == 0) {
+        Target target = arrival.target();
+        int ownLine = lines.line(target, arrival.priority()).map(FairQueue::size).orElse(0);
+        int slots = router.slots(target, now);
+        if (ownLine == 0 || slots == 0) {
             return 0;
         }
-        return ahead * times.expectedNanos(arrival.target()) / slots;
+        int ahead = lines.ahead(target, arrival.priority());
+        long bySlots = ahead * times.expectedNanos(target) / slots;
+        return drains.waitBehind(target, arrival.priority(), ownLine).orElse(bySlots);
     }
 
     private void withdraw(RequestId id, long now) {
@@ -190,7 +194,7 @@
     private void refuseHopeless(long now) {
         for (Waiting waiting : lines.all()) {
             Arrival arrival = waiting.arrival();
-            long ready = now + times.expectedNanos(arrival.target());
+            long ready = now + times.cautiousNanos(arrival.target());
             if (ready - arrival.deadline() > 0) {
                 lines.remove(waiting);
                 known.remove(arrival.id());
@@ -227,6 +231,7 @@
             return false;
         }
         lines.take(line, waiting, (double) times.expectedNanos(arrival.target()));
+        drains.dispatched(arrival.target(), arrival.priority(), line.size(), now);
         waiting.sent(chosen.get(), now);
         router.sent(chosen.get());
         String address = router.announcement(chosen.get()).orElseThrow().address();
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/ExpectedGainPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/ExpectedGainPolicy.java
@@ -33,7 +33,7 @@
                 .sorted(Comparator.comparingDouble(ExpectedGainPolicy::valueDensity).reversed())
                 .forEach(want -> serveWaiting(planning, want));
         view.wants().stream()
-                .filter(want -> view.copies(want.artifact()) < want.floor())
+                .filter(want -> planning.copies(want.artifact()) < want.floor())
                 .sorted(Comparator.comparingDouble(ExpectedGainPolicy::valueDensity).reversed())
                 .forEach(want -> fillFree(planning, want));
         return planning.moves();
@@ -46,7 +46,7 @@
         if (planning.planned(want.artifact())) {
             return;
         }
-        long copies = planning.view().copies(want.artifact());
+        long copies = planning.copies(want.artifact());
         Optional<Room> cheapest = cheapestRoom(planning, want);
         if (cheapest.isEmpty() || (copies > 0 && !earns(planning, want, cheapest.get()))) {
             return;
@@ -123,7 +123,7 @@
                 planning.want(held.artifact().id())
                         .map(want -> value(want) + MOVE_COST_REQUESTS)
                         .orElse(0.0);
-        boolean spare = planning.view().copies(held.artifact()) > 1;
+        boolean spare = planning.copies(held.artifact()) > 1;
         return spare ? expected * SPARE_COPY_LOSS_SHARE : expected;
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/LeastRecentlyUsedPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/LeastRecentlyUsedPolicy.java
@@ -15,7 +15,7 @@
         Planning planning = new Planning(view);
         planning.dropObsolete();
         view.wants().stream()
-                .filter(want -> want.waiting() > 0 && view.copies(want.artifact()) == 0)
+                .filter(want -> want.waiting() > 0 && planning.copies(want.artifact()) == 0)
                 .sorted(Comparator.comparingInt(PlacementView.Want::waiting).reversed())
                 .forEach(want -> serve(planning, want));
         return planning.moves();
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
@@ -83,9 +83,4 @@
             double ratePerSecond,
             int waiting,
             long lastUsed) {}
-
-    /** Returns how many upstreams hold this very artifact. */
-    public long copies(Artifact artifact) {
-        return seats.stream().filter(seat -> seat.holds(artifact)).count();
-    }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
@@ -18,12 +18,23 @@
     private final List<Move> moves = new ArrayList<>();
     private final Set<UpstreamId> taken = new HashSet<>();
     private final Map<ModelId, PlacementView.Want> wants = new HashMap<>();
+    private final Map<Artifact, Integer> copies = new HashMap<>();
+    private final Set<Artifact> coming = new HashSet<>();
     private int loadsLeft;
 
     Planning(PlacementView view) {
         this.view = view;
         this.loadsLeft = view.loadsAllowed();
         view.wants().forEach(want -> wants.put(want.artifact().id(), want));
+        for (PlacementView.Seat seat : view.seats()) {
+            seat.held().forEach(held -> copies.merge(held.artifact(), 1, Integer::sum));
+            seat.loading().ifPresent(coming::add);
+        }
+    }
+
+    /** Returns how many upstreams hold this very artifact. */
+    int copies(Artifact artifact) {
+        return copies.getOrDefault(artifact, 0);
     }
 
     PlacementView view() {
@@ -47,22 +58,15 @@
         return !seat.busy() && !taken.contains(seat.upstream());
     }
 
-    /** Returns whether an order for an upstream is open or planned that may load the artifact. */
+    /** Returns whether an order that loads the artifact is open or planned. */
     boolean planned(Artifact artifact) {
-        boolean opened =
-                view.seats().stream()
-                        .anyMatch(seat -> seat.loading().equals(Optional.of(artifact)));
-        return opened
-                || moves.stream()
-                        .anyMatch(
-                                move ->
-                                        move instanceof Move.Load
-                                                && move.artifact().equals(artifact));
+        return coming.contains(artifact);
     }
 
     void load(PlacementView.Seat seat, PlacementView.Want want) {
         taken.add(seat.upstream());
         loadsLeft--;
+        coming.add(want.artifact());
         moves.add(new Move.Load(seat.upstream(), want.artifact(), want.waiting() > 0));
     }
 
@@ -112,7 +116,7 @@
             return false;
         }
         PlacementView.Want want = wants.get(artifact.id());
-        return want == null || view.copies(want.artifact()) > 0;
+        return want == null || copies(want.artifact()) > 0;
     }
 
     private static boolean needs(PlacementView.Want want, Artifact artifact) {
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/StaticPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/StaticPolicy.java
@@ -12,7 +12,7 @@
         Planning planning = new Planning(view);
         planning.dropObsolete();
         for (PlacementView.Want want : view.wants()) {
-            boolean missing = view.copies(want.artifact()) == 0;
+            boolean missing = planning.copies(want.artifact()) == 0;
             if (planning.loadsLeft() && missing && !planning.planned(want.artifact())) {
                 roomiest(planning, want).ifPresent(seat -> planning.load(seat, want));
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
@@ -14,8 +14,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,6 +32,8 @@
     private static final String PLAIN = "text/plain; charset=utf-8";
     private static final String METRICS = "text/plain; version=0.0.4; charset=utf-8";
 
+    private static final Set<String> CHECKS = Set.of("/healthz", "/readyz", "/metrics");
+
     private final ConfigStore config;
     private final UpstreamExchange upstreams;
     private final NodeMetrics metrics;
@@ -39,7 +41,7 @@
     private final RequestReader reader;
     private final RequestRunner runner;
     private final WorkDesk work;
-    private final AtomicInteger inFlight;
+    private final InFlightLimit limit;
     private final BooleanSupplier ready;
 
     ApiHandler(
@@ -49,7 +51,7 @@
             RequestReader reader,
             RequestRunner runner,
             WorkDesk work,
-            AtomicInteger inFlight,
+            InFlightLimit limit,
             BooleanSupplier ready) {
         this.config = config;
         this.upstreams = upstreams;
@@ -58,7 +60,7 @@
         this.reader = reader;
         this.runner = runner;
         this.work = work;
-        this.inFlight = inFlight;
+        this.limit = limit;
         this.ready = ready;
     }
 
@@ -72,9 +74,13 @@
     public boolean handle(Request request, Response response, Callback callback) {
         RequestId id = new RequestId(UUID.randomUUID().toString());
         ResponseSink sink = new ResponseSink(request, response, id);
-        inFlight.incrementAndGet();
+        boolean within = limit.enter();
         try {
-            answer(request, sink);
+            if (within || isCheck(request)) {
+                answer(request, sink);
+            } else {
+                refuseCrowd(sink);
+            }
             sink.end();
             callback.succeeded();
         } catch (IOException e) {
@@ -84,7 +90,7 @@
             logger.error("request.failed request={}", id, e);
             Response.writeError(request, response, callback, 500);
         } finally {
-            inFlight.decrementAndGet();
+            limit.leave();
         }
         return true;
     }
@@ -103,6 +109,17 @@
         }
     }
 
+    /** The platform and the upstreams are heard however many callers there are. */
+    private static boolean isCheck(Request request) {
+        return CallerServer.UPSTREAMS.equals(connectorOf(request))
+                || CHECKS.contains(request.getHttpURI().getPath());
+    }
+
+    private static void refuseCrowd(ResponseSink sink) throws IOException {
+        String message = "this host works on as many requests as it may";
+        sink.refuse(503, "host_full", message, new RequestOutcome.NotRun(message), 1);
+    }
+
     private void api(Request request, ResponseSink sink) throws IOException {
         Optional<Caller> caller = authenticator.authenticate(request);
         if (caller.isEmpty()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/CallerServer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/CallerServer.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -24,8 +25,11 @@
 
     private static final String CALLERS = "callers";
     private static final int MAX_HEADER_BYTES = 16 << 10;
+    private static final int BUFFER_BYTES = 4096;
+    private static final int MAX_CONNECTIONS = 4096;
     private static final int IDLE_MILLIS = 60_000;
     private static final int THREADS = 16;
+    private static final int ACCEPT_QUEUE = 1024;
 
     private final Server server;
     private final WorkRunner workRunner;
@@ -48,6 +52,7 @@
                 Executors.newThreadPerTaskExecutor(
                         Thread.ofVirtual().name("request-", 0).factory()));
         server = new Server(threads);
+        server.addBean(new NetworkConnectionLimit(MAX_CONNECTIONS, server));
         server.addConnector(connector(CALLERS, settings.callers()));
         server.addConnector(connector(UPSTREAMS, settings.upstreams()));
         RequestRunner runner =
@@ -62,7 +67,7 @@
                         new RequestReader(settings.limits()),
                         runner,
                         new WorkDesk(groups),
-                        traffic.inFlight(),
+                        new InFlightLimit(traffic.inFlight(), settings.limits().maxInFlight()),
                         ready));
     }
 
@@ -98,13 +103,19 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
-        ServerConnector connector =
-                new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+        http.setOutputBufferSize(BUFFER_BYTES);
+        http.setOutputAggregationSize(BUFFER_BYTES / 4);
+        http.setUseInputDirectByteBuffers(false);
+        http.setUseOutputDirectByteBuffers(false);
+        HttpConnectionFactory factory = new HttpConnectionFactory(http);
+        factory.setInputBufferSize(BUFFER_BYTES);
+        ServerConnector connector = new ServerConnector(server, 1, 1, factory);
         connector.setName(name);
         connector.setHost(address.socket().getAddress().getHostAddress());
         connector.setPort(address.port());
         connector.setIdleTimeout(IDLE_MILLIS);
         connector.setReuseAddress(true);
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
         return connector;
     }
 }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/InFlightLimit.java
@@ -0,0 +1,28 @@
+package io.stackhall.server.callers;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Bounds the requests that a process works on at once, so that no crowd of callers exhausts its
+ * memory. What comes beyond the bound is refused before anything of it is read.
+ */
+final class InFlightLimit {
+
+    private final AtomicInteger inFlight;
+    private final int limit;
+
+    InFlightLimit(AtomicInteger inFlight, int limit) {
+        this.inFlight = inFlight;
+        this.limit = limit;
+    }
+
+    /** Counts a request in, and tells whether it is within the bound; it must be counted out. */
+    boolean enter() {
+        return inFlight.incrementAndGet() <= limit;
+    }
+
+    /** Counts a request out. */
+    void leave() {
+        inFlight.decrementAndGet();
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
@@ -80,6 +80,7 @@
      * @param normalDeadline the deadline of a normal request that names none
      * @param deferredDeadline the deadline of a deferred request that names none
      * @param maxWaiting requests that may wait in this process
+     * @param maxInFlight requests that this process works on at once
      */
     public record Limits(
             int maxBodyBytes,
@@ -87,7 +88,8 @@
             Duration urgentDeadline,
             Duration normalDeadline,
             Duration deferredDeadline,
-            int maxWaiting) {}
+            int maxWaiting,
+            int maxInFlight) {}
 
     /**
      * Times of coordination.
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
@@ -23,6 +23,9 @@
     private static final int DAY_MILLIS = 24 * 60 * MINUTE_MILLIS;
     private static final int MIB = 1 << 20;
 
+    /** What one request in flight takes at most, beside a large body. */
+    private static final int BYTES_PER_REQUEST = 64 << 10;
+
     private final List<Finding> findings = new ArrayList<>();
 
     private SettingsReader() {}
@@ -126,11 +129,18 @@
                         section.millis("urgentDeadlineMillis", 5000, 1, DAY_MILLIS),
                         section.millis("normalDeadlineMillis", MINUTE_MILLIS, 1, DAY_MILLIS),
                         section.millis("deferredDeadlineMillis", 10 * MINUTE_MILLIS, 1, DAY_MILLIS),
-                        section.number("maxWaiting", 2000, 1, 1_000_000));
+                        section.number("maxWaiting", 2000, 1, 1_000_000),
+                        section.number("maxInFlight", inFlightByHeap(), 1, 1_000_000));
         section.finish();
         return limits;
     }
 
+    /** As many as fit into half of the heap. */
+    private static int inFlightByHeap() {
+        long half = Runtime.getRuntime().maxMemory() / 2;
+        return (int) Math.clamp(half / BYTES_PER_REQUEST, 1, 1_000_000);
+    }
+
     private static Settings.Timing timing(Section section) {
         Settings.Timing timing =
                 new Settings.Timing(
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
@@ -11,6 +11,7 @@
 
     private static final int MAX_CONNECTIONS = 1024;
     private static final int MAX_QUEUED = 4096;
+    private static final int BUFFER_BYTES = 4096;
     private static final int THREADS = 16;
     private static final int RESERVED_THREADS = 0;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -33,6 +34,10 @@
         connector.setSelectors(1);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
         HttpClient client = new HttpClient(new HttpClientTransportDynamic(connector));
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(false);
+        client.setRequestBufferSize(BUFFER_BYTES);
+        client.setResponseBufferSize(BUFFER_BYTES);
         QueuedThreadPool threads = new QueuedThreadPool(THREADS);
         threads.setName("upstream-client");
         threads.setReservedThreads(RESERVED_THREADS);
--- a/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
@@ -92,7 +92,7 @@
             print(
                     "heap bytes per model with 4 adapters",
                     models,
-                    heap(20, at -> Samples.deployment(models, 4 * models)) / models);
+                    heap(40, at -> Samples.deployment(models, 4 * models)) / models);
         }
     }
 
@@ -143,7 +143,7 @@
             print(
                     "heap bytes per upstream",
                     residents,
-                    heap(2000, at -> Samples.announcement(at, 1, residents)));
+                    heap(20_000, at -> Samples.announcement(at, 1, residents)));
         }
     }
 
@@ -209,7 +209,7 @@
             long before = usedHeap();
             double micros =
                     micros(
-                            count,
+                            count / 2,
                             at ->
                                     state.apply(
                                             Json.write(
@@ -291,13 +291,13 @@
                 .build();
     }
 
-    /** Returns the mean time of a step, after as many steps to warm up. */
+    /** Returns the mean time of a step, after as many to warm up; no two have the same number. */
     private static double micros(int steps, IntConsumer step) {
         for (int at = 0; at < steps; at++) {
             step.accept(at);
         }
         long start = System.nanoTime();
-        for (int at = 0; at < steps; at++) {
+        for (int at = steps; at < 2 * steps; at++) {
             step.accept(at);
         }
         return (System.nanoTime() - start) / 1e3 / steps;
@@ -306,6 +306,7 @@
     /** Returns the mean heap that one of many objects takes. */
     private static double heap(int count, IntFunction<Object> make) {
         List<Object> kept = new ArrayList<>(count);
+        assertThat(make.apply(0)).isNotNull();
         long before = usedHeap();
         for (int at = 0; at < count; at++) {
             kept.add(make.apply(at));
