--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A process of the real binary. */
 public final class RunningProcess {
@@ -94,6 +95,20 @@
         }
     }
 
+    /** Returns the memory that is resident for it, in KiB. */
+    public long residentKib() {
+        try (Stream<String> lines =
+                Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:"))
+                    .map(line -> line.replaceAll("\\D", ""))
+                    .mapToLong(Long::parseLong)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void signal(String name) {
         try {
             int code =
