--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
@@ -33,7 +33,6 @@
                     new ProcessBuilder(command)
                             .redirectErrorStream(true)
                             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            builder.environment().put("MALLOC_ARENA_MAX", "1");
             return new RunningProcess(log, builder.start());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
