--- a/stackhall-core/src/main/java/io/stackhall/core/placement/OrderTracks.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/placement/OrderTracks.java
@@ -116,14 +116,10 @@
             boolean after =
                     report.incarnation() == answer.incarnation()
                             && report.sequence() >= answer.sequence();
-            boolean echo = !report.fencing().checked();
-            return after
-                    ? Optional.of(new OrderCommand.Close(order.number(), echo))
-                    : Optional.empty();
+            return after ? Optional.of(closing(order, report)) : Optional.empty();
         }
         if (shows(report, order)) {
-            boolean echo = !report.fencing().checked();
-            return Optional.of(new OrderCommand.Close(order.number(), echo));
+            return Optional.of(closing(order, report));
         }
         boolean lapsed =
                 track.sends >= MAX_SENDS
@@ -134,6 +130,11 @@
                 : Optional.empty();
     }
 
+    /** A late copy of an order can only do harm where old fencing numbers are not refused. */
+    private static OrderCommand.Close closing(Order order, Announcement report) {
+        return new OrderCommand.Close(order.number(), !report.fencing().checked());
+    }
+
     /** Returns whether a report shows the state that an unanswered order asks for. */
     private static boolean shows(Announcement report, Order order) {
         boolean resident =
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
@@ -75,10 +75,12 @@
     public boolean handle(Request request, Response response, Callback callback) {
         RequestId id = new RequestId(UUID.randomUUID().toString());
         ResponseSink sink = new ResponseSink(request, response, id);
-        boolean within = limit.enter(isCheck(request) || isUrgent(request));
+        boolean check = isCheck(request);
+        Optional<Caller> caller = check ? Optional.empty() : authenticator.authenticate(request);
+        boolean within = limit.enter(check || isUrgent(caller));
         try {
-            if (within || isCheck(request)) {
-                answer(request, sink);
+            if (within || check) {
+                answer(request, caller, sink);
             } else {
                 refuseCrowd(sink);
             }
@@ -96,7 +98,8 @@
         return true;
     }
 
-    private void answer(Request request, ResponseSink sink) throws IOException {
+    private void answer(Request request, Optional<Caller> caller, ResponseSink sink)
+            throws IOException {
         boolean announces = CallerServer.UPSTREAMS.equals(connectorOf(request));
         if (announces) {
             announce(request, sink);
@@ -106,7 +109,7 @@
             case "/healthz" -> sink.whole(200, PLAIN, bytes("ok\n"));
             case "/readyz" -> tellReady(sink);
             case "/metrics" -> sink.whole(200, METRICS, metrics.scrape());
-            default -> api(request, sink);
+            default -> api(request, caller, sink);
         }
     }
 
@@ -116,11 +119,8 @@
                 || CHECKS.contains(request.getHttpURI().getPath());
     }
 
-    private boolean isUrgent(Request request) {
-        return authenticator
-                .authenticate(request)
-                .filter(caller -> caller.priority() == Priority.URGENT)
-                .isPresent();
+    private static boolean isUrgent(Optional<Caller> caller) {
+        return caller.filter(known -> known.priority() == Priority.URGENT).isPresent();
     }
 
     private static void refuseCrowd(ResponseSink sink) throws IOException {
@@ -128,8 +128,8 @@
         sink.refuse(503, "host_full", message, new RequestOutcome.NotRun(message), 1);
     }
 
-    private void api(Request request, ResponseSink sink) throws IOException {
-        Optional<Caller> caller = authenticator.authenticate(request);
+    private void api(Request request, Optional<Caller> caller, ResponseSink sink)
+            throws IOException {
         if (caller.isEmpty()) {
             logger.warn("request.unauthenticated request={}", sink.id());
             reject(sink, new RequestReader.Rejection(401, "key_wrong", "the key is not known"));
