A zone that cannot serve a request has another zone serve it

Cause: a host only knew its own zone's upstreams, so that a zone without engines, or without the model, refused although another zone could serve. Deadlines now go on to upstreams too. Conclusion: another zone's host is one more upstream to the router; the zone that runs a request admits it.

--- a/stackhall-core/src/main/java/io/stackhall/core/admission/Arrival.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/Arrival.java
@@ -3,7 +3,11 @@
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.id.CallerId;
 import io.stackhall.core.id.RequestId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.routing.Reach;
+import io.stackhall.core.routing.RoutingRequest;
 import io.stackhall.core.routing.Target;
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -16,6 +20,7 @@
  * @param deadline when its answer is of no more use, on the monotonic clock in nanoseconds
  * @param prefix digest of its prompt's prefix, or 0
  * @param repeatable whether it may run more than once
+ * @param reach how far it may be sent
  */
 public record Arrival(
         RequestId id,
@@ -24,7 +29,8 @@
         Priority priority,
         long deadline,
         long prefix,
-        boolean repeatable) {
+        boolean repeatable,
+        Reach reach) {
 
     /** Checks the parts. */
     public Arrival {
@@ -32,5 +38,11 @@
         Objects.requireNonNull(caller, "caller");
         Objects.requireNonNull(target, "target");
         Objects.requireNonNull(priority, "priority");
+        Objects.requireNonNull(reach, "reach");
+    }
+
+    /** Returns what the router has to find an upstream for. */
+    RoutingRequest routing(List<UpstreamId> avoided) {
+        return new RoutingRequest(target, priority, prefix, reach, avoided);
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficDirector.java
@@ -5,10 +5,12 @@
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.RequestId;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.membership.Announcement;
 import io.stackhall.core.outcome.RequestOutcome;
 import io.stackhall.core.routing.Ending;
 import io.stackhall.core.routing.RetryBudget;
 import io.stackhall.core.routing.Router;
+import io.stackhall.core.routing.RoutingRequest;
 import io.stackhall.core.routing.Target;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -67,6 +69,12 @@
                 dispatchAll(now);
             }
             case TrafficEvent.UpstreamLost(UpstreamId upstream) -> router.lost(upstream);
+            case TrafficEvent.NeighbourAnnounced(Announcement announcement) -> {
+                router.neighbourAnnounced(announcement, now);
+                dispatchAll(now);
+            }
+            case TrafficEvent.NeighbourLost(UpstreamId neighbour) ->
+                    router.neighbourLost(neighbour);
             case TrafficEvent.Configured(Configuration configuration) ->
                     router.configured(configuration);
             case TrafficEvent.Tick() -> {
@@ -125,7 +133,7 @@
             return Optional.of(Refusal.QUEUE_FULL);
         }
         boolean service = arrival.target() instanceof Target.Service;
-        if (service && !router.reachable(arrival.target(), List.of(), now)) {
+        if (service && !router.reachable(arrival.routing(List.of()), now)) {
             return Optional.of(Refusal.UNREACHABLE);
         }
         long ready = now + expectedWait(arrival, now) + times.cautiousNanos(arrival.target());
@@ -136,7 +144,7 @@
     private long expectedWait(Arrival arrival, long now) {
         Target target = arrival.target();
         int ownLine = lines.line(target, arrival.priority()).map(FairQueue::size).orElse(0);
-        int slots = router.slots(target, now);
+        int slots = router.slots(arrival.routing(List.of()), now);
         if (ownLine == 0 || slots == 0) {
             return 0;
         }
@@ -221,12 +229,11 @@
     private boolean dispatchNext(FairQueue line, long now) {
         Waiting waiting = line.peek().orElseThrow();
         Arrival arrival = waiting.arrival();
-        List<UpstreamId> avoided = waiting.failedOn();
-        if (!router.reachable(arrival.target(), avoided, now)) {
-            avoided = List.of();
+        RoutingRequest request = arrival.routing(waiting.failedOn());
+        if (!router.reachable(request, now)) {
+            request = request.avoidingNone();
         }
-        Optional<UpstreamId> chosen =
-                router.choose(arrival.target(), arrival.priority(), arrival.prefix(), avoided, now);
+        Optional<UpstreamId> chosen = router.choose(request, now);
         if (chosen.isEmpty()) {
             return false;
         }
--- a/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficEffect.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficEffect.java
@@ -7,7 +7,7 @@
 /** What a {@link TrafficDirector} asks its driver to do. */
 public sealed interface TrafficEffect {
 
-    /** Send the request to an upstream at this address. */
+    /** Send the request to an upstream, or to another zone's host, at this address. */
     record Dispatch(RequestId id, UpstreamId upstream, String address) implements TrafficEffect {}
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficEvent.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/TrafficEvent.java
@@ -34,6 +34,12 @@
     /** An upstream has been silent for too long. */
     record UpstreamLost(UpstreamId upstream) implements TrafficEvent {}
 
+    /** A host of another zone has told what its zone can serve. */
+    record NeighbourAnnounced(Announcement announcement) implements TrafficEvent {}
+
+    /** A host of another zone has been silent for too long. */
+    record NeighbourLost(UpstreamId neighbour) implements TrafficEvent {}
+
     /** Another configuration is in force. */
     record Configured(Configuration configuration) implements TrafficEvent {}
 
--- a/stackhall-core/src/main/java/io/stackhall/core/routing/Router.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/routing/Router.java
@@ -1,19 +1,11 @@
 package io.stackhall.core.routing;
 
 import io.stackhall.core.config.Configuration;
-import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.membership.Announcement;
-import io.stackhall.core.membership.Resident;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -23,66 +15,63 @@
  * in its cache is preferred while it is not much busier. Otherwise two are drawn at random and the
  * one with the shorter expected wait is taken, so that many entry hosts with the same late reports
  * do not all choose the same one.
+ *
+ * <p>Hosts of other zones count as upstreams where this zone cannot serve a request: those whose
+ * zone holds the model, or any with engines if this zone has none left to load it.
+ *
+ * @see io.stackhall.core.membership.Neighbours
  */
 public final class Router {
 
     private static final double AFFINITY_TOLERANCE = 0.5;
 
-    private final RoutingSettings settings;
     private final RandomGenerator random;
-    private final Map<UpstreamId, UpstreamState> upstreams = new HashMap<>();
-    private final Map<Target, List<UpstreamState>> byTarget = new HashMap<>();
+    private final TargetIndex own;
+    private final TargetIndex elsewhere;
     private Configuration configuration = Configuration.initial();
 
     /** Creates a router that knows no upstream. */
     public Router(RoutingSettings settings, RandomGenerator random) {
-        this.settings = settings;
         this.random = random;
+        this.own = new TargetIndex(settings);
+        this.elsewhere = new TargetIndex(settings);
     }
 
-    /** Takes an upstream's latest announcement. */
+    /** Takes the latest announcement of an upstream of this zone. */
     public void announced(Announcement announcement, long now) {
-        UpstreamState known = upstreams.get(announcement.id());
-        boolean sameTargets = false;
-        if (known == null) {
-            known = new UpstreamState(settings, announcement, now);
-            known.draining(configuration.draining().contains(announcement.id()));
-            upstreams.put(announcement.id(), known);
-        } else {
-            sameTargets = targetsOf(known.report()).equals(targetsOf(announcement));
-            known.report(announcement);
-        }
-        if (!sameTargets) {
-            index(known);
-        }
+        own.announced(announcement, now).draining(isDraining(announcement.id()));
     }
 
-    /** Forgets an upstream that has been silent for too long. */
+    /** Forgets an upstream of this zone that has been silent for too long. */
     public void lost(UpstreamId upstream) {
-        upstreams.remove(upstream);
-        byTarget.values().forEach(list -> list.removeIf(state -> state.id().equals(upstream)));
+        own.lost(upstream);
+    }
+
+    /** Takes the latest announcement of another zone's host. */
+    public void neighbourAnnounced(Announcement announcement, long now) {
+        elsewhere.announced(announcement, now);
+    }
+
+    /** Forgets another zone's host that has been silent for too long. */
+    public void neighbourLost(UpstreamId neighbour) {
+        elsewhere.lost(neighbour);
     }
 
     /** Takes the configuration in force. */
     public void configured(Configuration next) {
         configuration = next;
-        upstreams.values().forEach(state -> state.draining(next.draining().contains(state.id())));
+        own.all().forEach(state -> state.draining(isDraining(state.id())));
     }
 
-    /** Returns whether an upstream that takes new work has the target, beside the excluded ones. */
-    public boolean reachable(Target target, Collection<UpstreamId> excluded, long now) {
-        for (UpstreamState state : candidates(target)) {
-            if (state.takesNewWork(now) && !excluded.contains(state.id())) {
-                return true;
-            }
-        }
-        return false;
+    /** Returns whether an upstream that takes new work could serve a request. */
+    public boolean reachable(RoutingRequest request, long now) {
+        return anyTakes(candidates(request, now), request.avoided(), now);
     }
 
-    /** Returns how many requests for a target the upstreams run at once. */
-    public int slots(Target target, long now) {
+    /** Returns how many requests like this one the upstreams run at once. */
+    public int slots(RoutingRequest request, long now) {
         int sum = 0;
-        for (UpstreamState state : candidates(target)) {
+        for (UpstreamState state : candidates(request, now)) {
             if (state.takesNewWork(now)) {
                 sum += state.report().load().slots();
             }
@@ -90,70 +79,78 @@
         return sum;
     }
 
-    /**
-     * Chooses an upstream with room for a request, if there is one.
-     *
-     * @param target what the request is for
-     * @param priority how urgent it is
-     * @param prefix digest of its prompt's prefix, or 0
-     * @param excluded upstreams that have failed this request
-     * @param now the monotonic clock, in nanoseconds
-     */
-    public Optional<UpstreamId> choose(
-            Target target,
-            Priority priority,
-            long prefix,
-            Collection<UpstreamId> excluded,
-            long now) {
-        List<UpstreamState> candidates = candidates(target);
+    /** Chooses an upstream with room for a request, if there is one. */
+    public Optional<UpstreamId> choose(RoutingRequest request, long now) {
+        List<UpstreamState> candidates = candidates(request, now);
         int count = candidates.size();
         if (count == 0) {
             return Optional.empty();
         }
-        UpstreamState first = draw(candidates, random.nextInt(count), priority, excluded, now);
+        UpstreamState first = draw(candidates, random.nextInt(count), request, now);
         if (first == null) {
             return Optional.empty();
         }
-        UpstreamState second = draw(candidates, random.nextInt(count), priority, excluded, now);
+        UpstreamState second = draw(candidates, random.nextInt(count), request, now);
         UpstreamState best = second.relativeLoad() < first.relativeLoad() ? second : first;
-        if (prefix != 0) {
-            best = preferCached(candidates, best, priority, prefix, excluded, now);
+        if (request.prefix() != 0) {
+            best = preferCached(candidates, best, request, now);
         }
         return Optional.of(best.id());
     }
 
     /** Notes that a request was sent to an upstream. */
     public void sent(UpstreamId upstream) {
-        UpstreamState state = upstreams.get(upstream);
-        if (state != null) {
-            state.sent();
-        }
+        find(upstream).ifPresent(UpstreamState::sent);
     }
 
     /** Notes how a request on an upstream ended. */
     public void ended(UpstreamId upstream, Ending ending, long now) {
-        UpstreamState state = upstreams.get(upstream);
-        if (state != null) {
-            state.ended(ending, now);
-        }
+        find(upstream).ifPresent(state -> state.ended(ending, now));
     }
 
     /** Returns an upstream's latest announcement. */
     public Optional<Announcement> announcement(UpstreamId upstream) {
-        return Optional.ofNullable(upstreams.get(upstream)).map(UpstreamState::report);
+        return find(upstream).map(UpstreamState::report);
+    }
+
+    private Optional<UpstreamState> find(UpstreamId upstream) {
+        return own.find(upstream).or(() -> elsewhere.find(upstream));
+    }
+
+    private boolean isDraining(UpstreamId upstream) {
+        return configuration.draining().contains(upstream);
+    }
+
+    private List<UpstreamState> candidates(RoutingRequest request, long now) {
+        List<UpstreamState> here = own.holders(request.target());
+        if (request.reach() == Reach.ZONE || anyTakes(here, request.avoided(), now)) {
+            return here;
+        }
+        List<UpstreamState> there = elsewhere.holders(request.target());
+        if (anyTakes(there, request.avoided(), now)) {
+            return there;
+        }
+        boolean loadable = request.target() instanceof Target.Model;
+        return loadable && own.engines(now).isEmpty() ? elsewhere.engines(now) : here;
+    }
+
+    private static boolean anyTakes(
+            List<UpstreamState> states, Collection<UpstreamId> avoided, long now) {
+        for (UpstreamState state : states) {
+            if (state.takesNewWork(now) && !avoided.contains(state.id())) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns the first usable candidate from a drawn place on. */
     private static UpstreamState draw(
-            List<UpstreamState> candidates,
-            int start,
-            Priority priority,
-            Collection<UpstreamId> excluded,
-            long now) {
+            List<UpstreamState> candidates, int start, RoutingRequest request, long now) {
         int count = candidates.size();
         for (int step = 0; step < count; step++) {
             UpstreamState state = candidates.get((start + step) % count);
-            if (usable(state, priority, excluded, now)) {
+            if (usable(state, request, now)) {
                 return state;
             }
         }
@@ -163,48 +160,22 @@
     private static UpstreamState preferCached(
             List<UpstreamState> candidates,
             UpstreamState otherwise,
-            Priority priority,
-            long prefix,
-            Collection<UpstreamId> excluded,
+            RoutingRequest request,
             long now) {
         double bound = otherwise.relativeLoad() + AFFINITY_TOLERANCE;
         for (UpstreamState state : candidates) {
-            if (state.report().cachedPrefixes().contains(prefix)
+            if (state.report().cachedPrefixes().contains(request.prefix())
                     && state.relativeLoad() <= bound
-                    && usable(state, priority, excluded, now)) {
+                    && usable(state, request, now)) {
                 return state;
             }
         }
         return otherwise;
     }
 
-    private static boolean usable(
-            UpstreamState state, Priority priority, Collection<UpstreamId> excluded, long now) {
+    private static boolean usable(UpstreamState state, RoutingRequest request, long now) {
         return state.takesNewWork(now)
-                && state.hasRoom(priority, now)
-                && !excluded.contains(state.id());
-    }
-
-    private List<UpstreamState> candidates(Target target) {
-        return byTarget.getOrDefault(target, List.of());
-    }
-
-    private void index(UpstreamState state) {
-        byTarget.values().forEach(list -> list.remove(state));
-        for (Target target : targetsOf(state.report())) {
-            byTarget.computeIfAbsent(target, key -> new ArrayList<>()).add(state);
-        }
-    }
-
-    /** An adapter is only served where its base is resident beside it; both are reported. */
-    private static Set<Target> targetsOf(Announcement announcement) {
-        Set<Target> targets = new HashSet<>();
-        for (ServiceName service : announcement.services()) {
-            targets.add(new Target.Service(service));
-        }
-        for (Resident resident : announcement.memory().resident()) {
-            targets.add(new Target.Model(resident.artifact().id()));
-        }
-        return targets;
+                && state.hasRoom(request.priority(), now)
+                && !request.avoided().contains(state.id());
     }
 }
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/routing/TargetIndex.java
@@ -0,0 +1,88 @@
+package io.stackhall.core.routing;
+
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.membership.Announcement;
+import io.stackhall.core.membership.Resident;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Upstreams by name, and by what they can serve. */
+final class TargetIndex {
+
+    private final RoutingSettings settings;
+    private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
+    private final Map<Target, List<UpstreamState>> byTarget = new HashMap<>();
+
+    TargetIndex(RoutingSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Takes an announcement and returns the state of the upstream that made it. */
+    UpstreamState announced(Announcement announcement, long now) {
+        UpstreamState known = states.get(announcement.id());
+        boolean sameTargets = false;
+        if (known == null) {
+            known = new UpstreamState(settings, announcement, now);
+            states.put(announcement.id(), known);
+        } else {
+            sameTargets = targetsOf(known.report()).equals(targetsOf(announcement));
+            known.report(announcement);
+        }
+        if (!sameTargets) {
+            index(known);
+        }
+        return known;
+    }
+
+    void lost(UpstreamId upstream) {
+        states.remove(upstream);
+        byTarget.values().forEach(list -> list.removeIf(state -> state.id().equals(upstream)));
+    }
+
+    Optional<UpstreamState> find(UpstreamId upstream) {
+        return Optional.ofNullable(states.get(upstream));
+    }
+
+    Collection<UpstreamState> all() {
+        return states.values();
+    }
+
+    /** Returns the upstreams that can serve a target, whatever their health. */
+    List<UpstreamState> holders(Target target) {
+        return byTarget.getOrDefault(target, List.of());
+    }
+
+    /** Returns the upstreams with accelerators that take new work. */
+    List<UpstreamState> engines(long now) {
+        return states.values().stream()
+                .filter(state -> state.report().memory().accelerators() > 0)
+                .filter(state -> state.takesNewWork(now))
+                .toList();
+    }
+
+    private void index(UpstreamState state) {
+        byTarget.values().forEach(list -> list.remove(state));
+        for (Target target : targetsOf(state.report())) {
+            byTarget.computeIfAbsent(target, key -> new ArrayList<>()).add(state);
+        }
+    }
+
+    /** An adapter is only served where its base is resident beside it; both are reported. */
+    private static Set<Target> targetsOf(Announcement announcement) {
+        Set<Target> targets = new HashSet<>();
+        for (ServiceName service : announcement.services()) {
+            targets.add(new Target.Service(service));
+        }
+        for (Resident resident : announcement.memory().resident()) {
+            targets.add(new Target.Model(resident.artifact().id()));
+        }
+        return targets;
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/admission/TrafficDirectorTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/admission/TrafficDirectorTest.java
@@ -9,6 +9,7 @@
 import io.stackhall.core.outcome.RequestOutcome;
 import io.stackhall.core.routing.Announcements;
 import io.stackhall.core.routing.Ending;
+import io.stackhall.core.routing.Reach;
 import io.stackhall.core.routing.Router;
 import io.stackhall.core.routing.RoutingSettings;
 import io.stackhall.core.routing.Target;
@@ -167,7 +168,8 @@
                                 priority,
                                 now + deadlineSeconds * SECOND,
                                 0,
-                                repeatable)));
+                                repeatable,
+                                Reach.ALL_ZONES)));
         return id;
     }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/routing/RouterTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/routing/RouterTest.java
@@ -74,8 +74,8 @@
     void shareOfTheLimitIsKeptForUrgentRequests() {
         router.announced(Announcements.engine("a", 1, "m", 8, 6), now);
         now += 10 * SECOND;
-        assertThat(router.choose(TARGET, Priority.NORMAL, 0, List.of(), now)).isEmpty();
-        assertThat(router.choose(TARGET, Priority.URGENT, 0, List.of(), now)).isPresent();
+        assertThat(choose(Priority.NORMAL, Reach.ALL_ZONES)).isEmpty();
+        assertThat(choose(Priority.URGENT, Reach.ALL_ZONES)).isPresent();
     }
 
     @Test
@@ -89,6 +89,42 @@
         assertThat(sent).isLessThan(30);
     }
 
+    @Test
+    void hostOfAnotherZoneServesWhatThisZoneDoesNotHold() {
+        router.announced(Announcements.engine("here", 1, "x", 8, 0), now);
+        router.neighbourAnnounced(Announcements.engine("host/there", 1, "m", 8, 0), now);
+        assertThat(choose()).contains(new UpstreamId("host/there"));
+        router.announced(Announcements.engine("here", 2, "m", 8, 0), now);
+        assertThat(choose()).contains(new UpstreamId("here"));
+        router.neighbourLost(new UpstreamId("host/there"));
+        router.lost(new UpstreamId("here"));
+        assertThat(choose()).isEmpty();
+    }
+
+    @Test
+    void upstreamsThatFailedARequestLeaveItToAnotherZone() {
+        router.announced(Announcements.engine("here", 1, "m", 8, 0), now);
+        router.neighbourAnnounced(Announcements.engine("host/there", 1, "m", 8, 0), now);
+        List<UpstreamId> failed = List.of(new UpstreamId("here"));
+        RoutingRequest again =
+                new RoutingRequest(TARGET, Priority.URGENT, 0, Reach.ALL_ZONES, failed);
+        assertThat(router.choose(again, now)).contains(new UpstreamId("host/there"));
+    }
+
+    @Test
+    void requestThatWasPassedOnOnceStaysInItsZone() {
+        router.neighbourAnnounced(Announcements.engine("host/there", 1, "m", 8, 0), now);
+        assertThat(choose(Priority.URGENT, Reach.ZONE)).isEmpty();
+    }
+
+    @Test
+    void zoneWithoutEnginesLeavesTheLoadingToAnother() {
+        router.neighbourAnnounced(Announcements.engine("host/there", 1, "x", 8, 0), now);
+        assertThat(choose()).contains(new UpstreamId("host/there"));
+        router.announced(Announcements.engine("here", 1, "y", 8, 0), now);
+        assertThat(choose()).as("it is loaded here").isEmpty();
+    }
+
     private void end(Ending ending, int times) {
         for (int at = 0; at < times; at++) {
             UpstreamId chosen = choose().orElseThrow();
@@ -98,6 +134,10 @@
     }
 
     private Optional<UpstreamId> choose() {
-        return router.choose(TARGET, Priority.URGENT, 0, List.of(), now);
+        return choose(Priority.URGENT, Reach.ALL_ZONES);
+    }
+
+    private Optional<UpstreamId> choose(Priority priority, Reach reach) {
+        return router.choose(new RoutingRequest(TARGET, priority, 0, reach, List.of()), now);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/AcceptedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/AcceptedRequest.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.callers;
 
 import io.stackhall.core.id.IdempotencyKey;
+import io.stackhall.core.routing.Reach;
 import io.stackhall.core.routing.Target;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,9 @@
  * @param repeatable whether it may run more than once
  * @param key the caller's name for it
  * @param deadlineNanos how long its answer is of use
+ * @param reach how far it may be sent
+ * @param authorization the caller's credentials, for another zone's host; empty for deferred work,
+ *     which keeps none
  */
 record AcceptedRequest(
         Caller caller,
@@ -31,4 +35,6 @@
         long prefix,
         boolean repeatable,
         Optional<IdempotencyKey> key,
-        long deadlineNanos) {}
+        long deadlineNanos,
+        Reach reach,
+        Optional<String> authorization) {}
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.id.RequestId;
 import io.stackhall.core.membership.Announcement;
+import io.stackhall.core.membership.Neighbours;
 import io.stackhall.core.outcome.RequestOutcome;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.metrics.NodeMetrics;
@@ -171,6 +172,8 @@
             return;
         }
         AcceptedRequest accepted = read.get();
+        Forwarding.idOf(request)
+                .ifPresent(of -> logger.info("request.forwarded request={} of={}", sink.id(), of));
         boolean deferred = wantsAsync(request);
         RequestOutcome outcome =
                 deferred ? work.accept(accepted, sink) : runner.run(accepted, sink);
@@ -221,7 +224,10 @@
             reject(sink, new RequestReader.Rejection(400, "announcement", "it is not understood"));
             return;
         }
-        if (upstreams.announced(announcement)) {
+        if (Neighbours.isNeighbour(announcement.id())) {
+            String message = announcement.id() + " is a name kept for hosts";
+            reject(sink, new RequestReader.Rejection(400, "announcement", message));
+        } else if (upstreams.announced(announcement)) {
             sink.json(200, bytes("{}"));
         } else {
             reject(
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Authenticator.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Authenticator.java
@@ -21,7 +21,7 @@
 
     private static final CallerId ANONYMOUS = new CallerId("anonymous");
     private static final String SCHEME = "Bearer ";
-    private static final String PRIORITY = "Stackhall-Priority";
+    static final String PRIORITY = "Stackhall-Priority";
 
     private final ConfigStore config;
 
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Exchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Exchange.java
@@ -6,7 +6,6 @@
 import io.stackhall.server.node.TrafficDriver;
 import io.stackhall.server.upstreams.UpstreamCall;
 import io.stackhall.server.upstreams.UpstreamClient;
-import io.stackhall.server.upstreams.UpstreamRequest;
 import java.io.IOException;
 import java.io.InputStream;
 import java.time.Duration;
@@ -19,17 +18,18 @@
  * Takes one request through admission and its attempts to the end of its answer. To be run on a
  * virtual thread: a slow caller holds it, and by that the upstream.
  */
-public final class Exchange {
+final class Exchange {
 
     private static final Logger logger = LogManager.getLogger(Exchange.class);
 
     private static final int BUFFER_BYTES = 8192;
     private static final int SERVER_ERROR = 500;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final TrafficDriver traffic;
     private final UpstreamClient upstreams;
     private final Arrival arrival;
-    private final UpstreamRequest request;
+    private final OutgoingRequest request;
     private final boolean streamed;
     private final int maxAnswerBytes;
     private final Duration lateAnswer;
@@ -41,11 +41,11 @@
      * @param maxAnswerBytes the largest plain answer
      * @param lateAnswer how long past the deadline an attempt that runs is still awaited
      */
-    public Exchange(
+    Exchange(
             TrafficDriver traffic,
             UpstreamClient upstreams,
             Arrival arrival,
-            UpstreamRequest request,
+            OutgoingRequest request,
             boolean streamed,
             int maxAnswerBytes,
             Duration lateAnswer) {
@@ -59,7 +59,7 @@
     }
 
     /** Runs to the end. */
-    public ExchangeResult run(AnswerSink sink) {
+    ExchangeResult run(AnswerSink sink) {
         CompletableFuture<TrafficDriver.Decision> decision = traffic.arrive(arrival);
         while (true) {
             switch (await(decision)) {
@@ -68,7 +68,7 @@
                             giveUp.refusal(), giveUp.outcome(), giveUp.retryAfterSeconds());
                 }
                 case TrafficDriver.Decision.Send send -> {
-                    Attempt attempt = attempt(send.address(), sink);
+                    Attempt attempt = attempt(send, sink);
                     switch (attempt) {
                         case Attempt.Ended(ExchangeResult result) -> {
                             return result;
@@ -90,8 +90,10 @@
         record Failed(Ending ending, RequestOutcome outcome) implements Attempt {}
     }
 
-    private Attempt attempt(String address, AnswerSink sink) {
-        UpstreamCall call = upstreams.call(address, request);
+    private Attempt attempt(TrafficDriver.Decision.Send send, AnswerSink sink) {
+        String address = send.address();
+        UpstreamCall call =
+                upstreams.call(address, request.towards(send.upstream(), remainingMillis()));
         return switch (call.open(patienceMillis())) {
             case UpstreamCall.Opening.NotSent(String reason) ->
                     new Attempt.Failed(Ending.FAILED, new RequestOutcome.NotRun(reason));
@@ -144,7 +146,7 @@
         toCaller(() -> sink.begin(begun.status(), begun.contentType()));
         EventStreamTail tail = new EventStreamTail();
         InputStream body = begun.body();
-        ResumedStream resumed = new ResumedStream(upstreams, address, begun.stream(), request.id());
+        ResumedStream resumed = new ResumedStream(upstreams, address, begun.stream(), arrival.id());
         while (true) {
             boolean ended = copy(body, tail, sink);
             if (ended && tail.whole()) {
@@ -191,10 +193,13 @@
         return new Attempt.Ended(new ExchangeResult.Broken(reason, outcome));
     }
 
+    private long remainingMillis() {
+        return Math.max(1, (arrival.deadline() - System.nanoTime()) / NANOS_PER_MILLI);
+    }
+
     /** What an upstream runs is worth more late than unknown, within a bound. */
     private long patienceMillis() {
-        long end = arrival.deadline() + lateAnswer.toNanos();
-        return Math.max(1, (end - System.nanoTime()) / 1_000_000);
+        return remainingMillis() + lateAnswer.toMillis();
     }
 
     private static TrafficDriver.Decision await(
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/RequestReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/RequestReader.java
@@ -26,8 +26,8 @@
 final class RequestReader {
 
     private static final String KEY = "Idempotency-Key";
-    private static final String REPEATABLE = "Stackhall-Repeatable";
-    private static final String DEADLINE = "Stackhall-Deadline-Ms";
+    static final String REPEATABLE = "Stackhall-Repeatable";
+    static final String DEADLINE = "Stackhall-Deadline-Ms";
     private static final String SERVICES_PREFIX = "/services/";
     private static final long LONGEST_DEADLINE_MILLIS = TimeUnit.DAYS.toMillis(1);
 
@@ -155,7 +155,9 @@
                         prefix,
                         repeatable && !marked,
                         key,
-                        deadlineNanos));
+                        deadlineNanos,
+                        Forwarding.reachOf(request),
+                        Optional.ofNullable(request.getHeaders().get(HttpHeader.AUTHORIZATION))));
     }
 
     private long deadlineNanos(Request request, Priority priority) {
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/RequestRunner.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/RequestRunner.java
@@ -87,7 +87,8 @@
                         request.caller().priority(),
                         System.nanoTime() + request.deadlineNanos(),
                         request.prefix(),
-                        request.repeatable());
+                        request.repeatable(),
+                        request.reach());
         UpstreamRequest towards =
                 new UpstreamRequest(
                         id,
@@ -100,7 +101,7 @@
                         traffic,
                         upstreams,
                         arrival,
-                        towards,
+                        new OutgoingRequest(towards, Forwarding.headers(settings.host(), request)),
                         request.streamed(),
                         settings.limits().maxAnswerBytes(),
                         settings.timing().lateAnswer())
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ResponseSink.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ResponseSink.java
@@ -26,7 +26,8 @@
     ResponseSink(Request request, Response response, RequestId id) {
         this.response = response;
         this.id = id;
-        response.getHeaders().put(UpstreamCall.REQUEST_ID, id.value());
+        String answered = Forwarding.idOf(request).orElse(id.value());
+        response.getHeaders().put(UpstreamCall.REQUEST_ID, answered);
         if ("HEAD".equals(request.getMethod())) {
             out = OutputStream.nullOutputStream();
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/WorkRunner.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/WorkRunner.java
@@ -11,6 +11,7 @@
 import io.stackhall.core.outcome.WorkCommand;
 import io.stackhall.core.outcome.WorkItem;
 import io.stackhall.core.outcome.WorkResult;
+import io.stackhall.core.routing.Reach;
 import io.stackhall.core.routing.Target;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupClient;
@@ -136,7 +137,9 @@
                         0,
                         item.repeatable(),
                         Optional.empty(),
-                        settings.limits().deferredDeadline().toNanos());
+                        settings.limits().deferredDeadline().toNanos(),
+                        Reach.ALL_ZONES,
+                        Optional.empty());
         AnswerRecorder recorder = new AnswerRecorder(AnswerRecorder.nowhere());
         RequestId id = new RequestId("work-" + item.id() + "-" + item.attempts());
         ExchangeResult result = runner.exchange(request, id, recorder);
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -45,6 +45,7 @@
     private static final Logger logger = LogManager.getLogger(Daemon.class);
 
     private static final long EXCHANGE_MILLIS = 500;
+    private static final long NEIGHBOUR_MILLIS = 1000;
     private static final long DEMAND_MILLIS = 200;
     private static final long EXPIRE_MILLIS = 250;
     private static final long DRAIN_POLL_MILLIS = 20;
@@ -63,6 +64,7 @@
     private final ConfigStore config;
     private final ConfigExchange configExchange;
     private final UpstreamExchange upstreamExchange;
+    private final NeighbourExchange neighbours;
     private final UpstreamClient upstreams;
     private final TrafficDriver traffic;
     private final Map<ZoneId, PlacementDriver> placement = new HashMap<>();
@@ -94,6 +96,9 @@
         this.upstreamExchange = new UpstreamExchange(settings, transport);
         this.upstreams = UpstreamClient.start(settings.timing().upstreamIdle());
         this.traffic = new TrafficDriver(settings.limits().maxWaiting(), random);
+        this.neighbours =
+                new NeighbourExchange(
+                        settings, transport, config, upstreamExchange, traffic, () -> stopping);
         this.housekeeping = new Housekeeping(settings.timing(), configExchange);
         this.metrics = new NodeMetrics(version);
         openGroups();
@@ -138,7 +143,9 @@
         }
         every(EXCHANGE_MILLIS, this::exchange);
         every(DEMAND_MILLIS, this::tellDemand);
+        every(NEIGHBOUR_MILLIS, neighbours::tell);
         every(EXPIRE_MILLIS, upstreamExchange::expire);
+        every(EXPIRE_MILLIS, neighbours::expire);
         every(Housekeeping.intervalMillis(), this::keepHouse);
         logger.info("daemon.started host={} zone={}", settings.host(), settings.zone());
     }
@@ -148,6 +155,7 @@
         stopping = true;
         logger.info("daemon.draining host={}", settings.host());
         callers.stopTakingWork();
+        neighbours.tell();
         groups.transferAll();
         long grace = System.nanoTime() + settings.timing().drainGrace().toNanos();
         long bound = System.nanoTime() + settings.timing().drainBound().toNanos();
@@ -214,6 +222,7 @@
             case UPDATE -> configExchange.received(frame.getUpdate());
             case UPSTREAM -> upstreamExchange.received(frame.getUpstream());
             case DIGEST -> upstreamExchange.received(frame.getDigest(), replier);
+            case NEIGHBOUR -> neighbours.received(frame.getNeighbour());
             case DEMAND -> demanded(frame.getDemand());
             default -> logger.warn("peer.frame-unknown body={}", frame.getBodyCase());
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/TrafficDriver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/TrafficDriver.java
@@ -120,6 +120,16 @@
         thread.execute(() -> step(new TrafficEvent.UpstreamLost(upstream)));
     }
 
+    /** Takes what another zone's host says of its zone. */
+    public void neighbourAnnounced(Announcement announcement) {
+        thread.execute(() -> step(new TrafficEvent.NeighbourAnnounced(announcement)));
+    }
+
+    /** Forgets another zone's host. */
+    public void neighbourLost(UpstreamId neighbour) {
+        thread.execute(() -> step(new TrafficEvent.NeighbourLost(neighbour)));
+    }
+
     /** Takes the configuration in force. */
     public void configured(Configuration configuration) {
         thread.execute(() -> step(new TrafficEvent.Configured(configuration)));
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
@@ -25,6 +25,7 @@
     public static final String STREAM = "Stackhall-Stream";
 
     private static final String NOT_RUN = "not-run";
+    private static final String UNKNOWN = "unknown";
 
     private final UpstreamRequest message;
     private final Request request;
@@ -60,7 +61,7 @@
         /** The upstream says that it has not run the request, and is too busy for it. */
         record Declined() implements Opening {}
 
-        /** The request may have been run, but no answer of its own came. */
+        /** The request may have been run, but no answer of its own came, or none that is whole. */
         record Unanswered(String reason) implements Opening {}
 
         /**
@@ -108,6 +109,10 @@
             abort("declined");
             return new Opening.Declined();
         }
+        if (UNKNOWN.equals(response.getHeaders().get(OUTCOME))) {
+            abort("unknown");
+            return new Opening.Unanswered("it does not know whether the request has run");
+        }
         String type = response.getHeaders().get(HttpHeader.CONTENT_TYPE);
         String stream = response.getHeaders().get(STREAM);
         return new Opening.Begun(
--- a/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
@@ -25,7 +25,9 @@
 import io.stackhall.core.replication.Entry;
 import io.stackhall.core.replication.Payload;
 import io.stackhall.core.routing.Ending;
+import io.stackhall.core.routing.Reach;
 import io.stackhall.core.routing.Router;
+import io.stackhall.core.routing.RoutingRequest;
 import io.stackhall.core.routing.RoutingSettings;
 import io.stackhall.core.routing.Target;
 import io.stackhall.rpc.generated.peer.ConfigUpdate;
@@ -155,9 +157,11 @@
                 router.announced(Samples.announcement(at, 1, 8), NOW);
             }
             long later = NOW + Duration.ofMinutes(1).toNanos();
-            Target[] targets = new Target[240];
-            for (int at = 0; at < targets.length; at++) {
-                targets[at] = new Target.Model(Samples.model(at));
+            RoutingRequest[] requests = new RoutingRequest[240];
+            for (int at = 0; at < requests.length; at++) {
+                Target target = new Target.Model(Samples.model(at));
+                requests[at] =
+                        new RoutingRequest(target, Priority.NORMAL, 0, Reach.ALL_ZONES, List.of());
             }
             print(
                     "routing decision, microseconds",
@@ -166,13 +170,7 @@
                             300_000,
                             at -> {
                                 UpstreamId chosen =
-                                        router.choose(
-                                                        targets[at % 240],
-                                                        Priority.NORMAL,
-                                                        0,
-                                                        List.of(),
-                                                        later)
-                                                .orElseThrow();
+                                        router.choose(requests[at % 240], later).orElseThrow();
                                 router.sent(chosen);
                                 router.ended(chosen, Ending.SERVED, later);
                             }));
@@ -266,7 +264,8 @@
                 Priority.NORMAL,
                 NOW + Duration.ofMinutes(10).toNanos(),
                 0,
-                true);
+                true,
+                Reach.ALL_ZONES);
     }
 
     private static byte[] command(Change change) {
--- a/stackhall-server/src/test/java/io/stackhall/server/upstreams/UpstreamCallTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/upstreams/UpstreamCallTest.java
@@ -61,6 +61,17 @@
         assertThat(opening).isInstanceOf(UpstreamCall.Opening.Declined.class);
     }
 
+    @Test
+    void anotherHostsWordThatItDoesNotKnowIsNoAnswer() throws IOException {
+        UpstreamCall.Opening opening =
+                call(
+                        exchange -> {
+                            exchange.getResponseHeaders().add(UpstreamCall.OUTCOME, "unknown");
+                            answer(exchange, ID, 502, "lost", 4);
+                        });
+        assertThat(opening).isInstanceOf(UpstreamCall.Opening.Unanswered.class);
+    }
+
     @Test
     void connectionClosedAfterTheRequestWasSentLeavesTheOutcomeUnknown() throws IOException {
         UpstreamCall.Opening opening = call(HttpExchange::close);
