--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -1,13 +1,10 @@
 package io.stackhall.server.node;
 
 import io.stackhall.core.id.HostId;
-import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.membership.Announcement;
 import io.stackhall.core.placement.PlacementSettings;
-import io.stackhall.rpc.generated.peer.DemandCount;
-import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.callers.CallerServer;
 import io.stackhall.server.group.ControlState;
@@ -65,6 +62,7 @@
     private final ConfigExchange configExchange;
     private final UpstreamExchange upstreamExchange;
     private final NeighbourExchange neighbours;
+    private final DemandExchange demand;
     private final UpstreamClient upstreams;
     private final TrafficDriver traffic;
     private final Map<ZoneId, PlacementDriver> placement = new HashMap<>();
@@ -101,6 +99,7 @@
                         settings, transport, config, upstreamExchange, traffic, () -> stopping);
         this.housekeeping = new Housekeeping(settings.timing(), configExchange);
         this.metrics = new NodeMetrics(version);
+        this.demand = new DemandExchange(settings, transport, traffic, placement, metrics);
         openGroups();
         this.callers =
                 new CallerServer(
@@ -142,7 +141,7 @@
             server.start();
         }
         every(EXCHANGE_MILLIS, this::exchange);
-        every(DEMAND_MILLIS, this::tellDemand);
+        every(DEMAND_MILLIS, demand::tell);
         every(NEIGHBOUR_MILLIS, neighbours::tell);
         every(EXPIRE_MILLIS, upstreamExchange::expire);
         every(EXPIRE_MILLIS, neighbours::expire);
@@ -223,7 +222,7 @@
             case UPSTREAM -> upstreamExchange.received(frame.getUpstream());
             case DIGEST -> upstreamExchange.received(frame.getDigest(), replier);
             case NEIGHBOUR -> neighbours.received(frame.getNeighbour());
-            case DEMAND -> demanded(frame.getDemand());
+            case DEMAND -> demand.received(frame.getDemand());
             default -> logger.warn("peer.frame-unknown body={}", frame.getBodyCase());
         }
     }
@@ -255,51 +254,6 @@
                         });
     }
 
-    private void tellDemand() {
-        traffic.drainDemand().thenAccept(this::tellDemand);
-    }
-
-    private void tellDemand(TrafficDriver.Demand demand) {
-        metrics.state("requests_waiting", "", demand.waiting());
-        metrics.state("requests_running", "", demand.running());
-        DemandReport.Builder report =
-                DemandReport.newBuilder()
-                        .setHost(settings.host().value())
-                        .setZone(settings.zone().value());
-        Map<ModelId, Integer> models = new HashMap<>(demand.waitingByModel());
-        demand.arrivals().keySet().forEach(model -> models.putIfAbsent(model, 0));
-        models.forEach(
-                (model, waiting) ->
-                        report.addCounts(
-                                DemandCount.newBuilder()
-                                        .setModel(model.value())
-                                        .setArrivals(demand.arrivals().getOrDefault(model, 0))
-                                        .setWaiting(waiting)));
-        Frame frame = Frame.newBuilder().setDemand(report).build();
-        settings.groups()
-                .zones()
-                .get(settings.zone())
-                .forEach(member -> transport.send(member, frame));
-        demanded(frame.getDemand());
-    }
-
-    private void demanded(DemandReport report) {
-        PlacementDriver driver = placement.get(new ZoneId(report.getZone()));
-        if (driver == null) {
-            return;
-        }
-        Map<ModelId, Integer> arrivals = new HashMap<>();
-        Map<ModelId, Integer> waiting = new HashMap<>();
-        for (DemandCount count : report.getCountsList()) {
-            ModelId model = new ModelId(count.getModel());
-            if (count.getArrivals() > 0) {
-                arrivals.put(model, count.getArrivals());
-            }
-            waiting.put(model, count.getWaiting());
-        }
-        driver.demanded(new HostId(report.getHost()), arrivals, waiting);
-    }
-
     private void keepHouse() {
         groups.hosts()
                 .forEach(
