A connection keeps no header cache: 34 KiB of heap each

Cause: beside 24 busy loops on 8 cores one of three runs of OverloadTest hung for 60 s: the daemon was out of heap, and the harness's JVM options, unlike the binary's, let it live on with a dead thread. A class histogram under the crowd showed 34 MB of char arrays on 981 connections: Jetty's cache of header fields, 34 KiB for each connection that has served a request. Excluded: the bound of requests in flight (held: 503 host_full), the queue of log buffers, request bodies. The client towards upstreams has the same cache switched off. The JVM options stand once, in config/jvm.options, for the binary and for the harness. Conclusion: the heap is bounded by what a connection keeps, not only by requests in flight.

--- a/stackhall-server/src/main/java/io/stackhall/server/callers/CallerServer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/CallerServer.java
@@ -26,6 +26,10 @@
     private static final String CALLERS = "callers";
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int BUFFER_BYTES = 4096;
+
+    /** Each connection would keep 34 KiB for it. */
+    private static final int NO_HEADER_CACHE = 0;
+
     private static final int MAX_CONNECTIONS = 4096;
     private static final int IDLE_MILLIS = 60_000;
     private static final int THREADS = 16;
@@ -103,6 +107,7 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setRequestHeaderSize(MAX_HEADER_BYTES);
+        http.setHeaderCacheSize(NO_HEADER_CACHE);
         http.setOutputBufferSize(BUFFER_BYTES);
         http.setOutputAggregationSize(BUFFER_BYTES / 4);
         http.setUseInputDirectByteBuffers(false);
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportDynamic;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -12,6 +12,10 @@
     private static final int MAX_CONNECTIONS = 1024;
     private static final int MAX_QUEUED = 4096;
     private static final int BUFFER_BYTES = 4096;
+
+    /** Each connection would keep 34 KiB for it. */
+    private static final int NO_HEADER_CACHE = 0;
+
     private static final int THREADS = 16;
     private static final int RESERVED_THREADS = 0;
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -33,7 +37,9 @@
         ClientConnector connector = new ClientConnector();
         connector.setSelectors(1);
         connector.setConnectTimeout(CONNECT_TIMEOUT);
-        HttpClient client = new HttpClient(new HttpClientTransportDynamic(connector));
+        HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+        transport.setHeaderCacheSize(NO_HEADER_CACHE);
+        HttpClient client = new HttpClient(transport);
         client.setUseInputDirectByteBuffers(false);
         client.setUseOutputDirectByteBuffers(false);
         client.setRequestBufferSize(BUFFER_BYTES);
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
@@ -130,13 +130,19 @@
         if (!Files.exists(jar)) {
             throw new IllegalStateException("the binary is not built: " + jar.toAbsolutePath());
         }
-        return List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:+UseCompactObjectHeaders",
-                "-XX:TieredStopAtLevel=1",
-                "-Xmx64m",
-                "-jar",
-                jar.toAbsolutePath().toString());
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(shippedOptions());
+        command.addAll(List.of("-Xmx64m", "-jar", jar.toAbsolutePath().toString()));
+        return command;
+    }
+
+    /** Returns the options that the one binary gives to its JVM. */
+    private static List<String> shippedOptions() {
+        try {
+            return Files.readAllLines(Path.of("..", "config", "jvm.options"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
