A leader without room on its disk hands leadership on

Cause: a full disk was refused in code and not tested. FullDiskTest, with the bound as a setting (limits.leastFreeMiB), showed that a leader whose disk is full kept the leadership and refused every change though another control host had room. Excluded: choosing the best follower by its reports of room (one more message); taking the leadership from a leader by force. Before: refused for as long as that host leads. After: taken; where every disk is full changes are refused, saying so, requests are served, and with room again changes go on. A group of one, with nobody to follow, goes on leading: ReplicaTest holds that and the going round.

--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Leadership.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Leadership.java
@@ -102,14 +102,13 @@
     }
 
     /** Asks the most complete voter to stand, and takes nothing more as the leader. */
-    void transfer(long now) {
+    void transfer(boolean stopping, long now) {
         if (state.role() != Role.LEADER) {
             return;
         }
-        transferring = true;
+        transferring |= stopping;
         Optional<ReplicaId> successor =
-                state.membership().voters().stream()
-                        .filter(voter -> !voter.equals(state.self()))
+                state.membership().votersAfter(state.self()).stream()
                         .filter(this::caughtUp)
                         .filter(voter -> progress.get(voter).activeWithin(leaseNanos(), now))
                         .findFirst();
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Membership.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Membership.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.replication;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedSet;
@@ -40,6 +41,17 @@
         return voters.contains(replica) || learners.contains(replica);
     }
 
+    /** Returns the other voters in turn, the one that follows a replica first. */
+    public List<ReplicaId> votersAfter(ReplicaId self) {
+        List<ReplicaId> inTurn = new ArrayList<>(voters);
+        int place = voters.indexOf(self);
+        if (place >= 0) {
+            Collections.rotate(inTurn, -place);
+            inTurn.removeFirst();
+        }
+        return inTurn;
+    }
+
     /** Returns every replica except one. */
     public List<ReplicaId> othersThan(ReplicaId self) {
         List<ReplicaId> others = new ArrayList<>(voters);
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
@@ -70,7 +70,7 @@
                     leadership.propose(proposals, now);
             case ReplicaEvent.Read(long ticket) -> leadership.read(ticket, now);
             case ReplicaEvent.Compact(long index, byte[] bytes) -> compact(index, bytes);
-            case ReplicaEvent.Transfer() -> leadership.transfer(now);
+            case ReplicaEvent.Transfer(boolean stopping) -> leadership.transfer(stopping, now);
             case ReplicaEvent.RemoveReplica(long ticket, String host) ->
                     leadership.removeReplica(ticket, host, now);
         }
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/ReplicaEvent.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/ReplicaEvent.java
@@ -32,8 +32,13 @@
     /** The state machine's state after an applied entry, to cut the log. */
     record Compact(long index, byte[] state) implements ReplicaEvent {}
 
-    /** The process is about to stop: hand leadership over. */
-    record Transfer() implements ReplicaEvent {}
+    /**
+     * Hand leadership over to the next voter that is caught up.
+     *
+     * @param stopping whether the process is about to stop, and takes no more proposals even if
+     *     nobody can follow it
+     */
+    record Transfer(boolean stopping) implements ReplicaEvent {}
 
     /**
      * An operator removes the replica of a host.
--- a/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
@@ -151,6 +151,10 @@
         step(host, new ReplicaEvent.Compact(host.replica.commitIndex(), state));
     }
 
+    void transfer(String leader, boolean stopping) {
+        step(hosts.get(leader), new ReplicaEvent.Transfer(stopping));
+    }
+
     void remove(String leader, String host) {
         step(hosts.get(leader), new ReplicaEvent.RemoveReplica(nextTicket++, host));
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/replication/ReplicaTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/ReplicaTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -33,6 +34,31 @@
                 .allSatisfy(host -> assertThat(host.applied).containsExactly("1", "2"));
     }
 
+    @Test
+    void leadershipThatIsHandedOnGoesRoundAllVoters() {
+        FakeGroup group = new FakeGroup(SEED, true, "a", "b", "c");
+        Set<String> led = new HashSet<>();
+        for (int turn = 0; turn < 3; turn++) {
+            String leader = group.awaitLeader().name;
+            led.add(leader);
+            group.transfer(leader, false);
+            group.run(2000);
+        }
+        assertThat(led).containsExactlyInAnyOrder("a", "b", "c");
+    }
+
+    @Test
+    void leaderThatNobodyCanFollowGoesOnUnlessItStops() {
+        FakeGroup group = new FakeGroup(SEED, true, "a");
+        group.awaitLeader();
+        group.transfer("a", false);
+        group.propose("a", "kept");
+        group.transfer("a", true);
+        group.propose("a", "refused");
+        group.run(500);
+        assertThat(group.hosts.get("a").applied).containsExactly("kept");
+    }
+
     @Test
     void firstFormationOfDurableReplicasLosesNothing() {
         FakeGroup group = new FakeGroup(SEED, true, "a", "b", "c");
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -39,6 +39,7 @@
 
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int MAX_BATCH = 1000;
+    private static final long HAND_OVER_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int COMPACT_AFTER_ENTRIES = 4000;
 
     private final String group;
@@ -57,6 +58,7 @@
     private boolean unsynced;
     private boolean leading;
     private volatile boolean failed;
+    private long nextHandOver = System.nanoTime();
     private volatile boolean closed;
     private volatile ReplicaView view;
 
@@ -139,9 +141,9 @@
         return outcome;
     }
 
-    /** Hands leadership over, if this replica leads. */
+    /** Hands leadership over, if this replica leads, before the process stops. */
     public void transfer() {
-        inputs.add(new Input.Event(new ReplicaEvent.Transfer()));
+        inputs.add(new Input.Event(new ReplicaEvent.Transfer(true)));
     }
 
     /** Returns what is seen of the replica from other threads. */
@@ -225,9 +227,10 @@
                     questions.put(ticket, ask.bytes());
                     step(new ReplicaEvent.Read(ticket));
                 }
-                case Input.Ask ask when !storage.hasRoom() ->
-                        ask.outcome()
-                                .complete(new CommandOutcome.Refused("the disk is nearly full"));
+                case Input.Ask ask when !storage.hasRoom() -> {
+                    ask.outcome().complete(new CommandOutcome.Refused("the disk is nearly full"));
+                    leaveLeadershipToOneWithRoom();
+                }
                 case Input.Ask ask ->
                         proposals.add(
                                 new ReplicaEvent.Proposal(ticket(ask.outcome()), ask.bytes()));
@@ -242,6 +245,16 @@
         }
     }
 
+    /** Not at once again: none of the others may have room either. */
+    private void leaveLeadershipToOneWithRoom() throws IOException {
+        long now = System.nanoTime();
+        if (now - nextHandOver >= 0) {
+            nextHandOver = now + HAND_OVER_NANOS;
+            logger.warn("group.disk-full group={}", group);
+            step(new ReplicaEvent.Transfer(false));
+        }
+    }
+
     private long ticket(CompletableFuture<CommandOutcome> outcome) {
         long ticket = nextTicket++;
         tickets.put(ticket, outcome);
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -125,7 +125,10 @@
         if (folder.isEmpty()) {
             return new MemoryStorage(random.nextLong(1, Long.MAX_VALUE));
         }
-        return DiskStorage.open(folder.get().resolve("groups").resolve(group), random);
+        return DiskStorage.open(
+                folder.get().resolve("groups").resolve(group),
+                random,
+                settings.limits().leastFreeBytes());
     }
 
     private ReplicaSettings replicaSettings() {
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
@@ -81,6 +81,7 @@
      * @param deferredDeadline the deadline of a deferred request that names none
      * @param maxWaiting requests that may wait in this process
      * @param maxInFlight requests that this process works on at once
+     * @param leastFreeBytes free space of the data folder below which nothing new is written
      */
     public record Limits(
             int maxBodyBytes,
@@ -89,7 +90,8 @@
             Duration normalDeadline,
             Duration deferredDeadline,
             int maxWaiting,
-            int maxInFlight) {}
+            int maxInFlight,
+            long leastFreeBytes) {}
 
     /**
      * Times of coordination.
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
@@ -130,7 +130,8 @@
                         section.millis("normalDeadlineMillis", MINUTE_MILLIS, 1, DAY_MILLIS),
                         section.millis("deferredDeadlineMillis", 10 * MINUTE_MILLIS, 1, DAY_MILLIS),
                         section.number("maxWaiting", 2000, 1, 1_000_000),
-                        section.number("maxInFlight", inFlightByHeap(), 1, 1_000_000));
+                        section.number("maxInFlight", inFlightByHeap(), 1, 1_000_000),
+                        (long) section.number("leastFreeMiB", 32, 0, 1_000_000_000) * MIB);
         section.finish();
         return limits;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
@@ -29,20 +29,21 @@
     private static final String IDENTITY_FILE = "identity";
     private static final String SNAPSHOT_FILE = "snapshot";
     private static final String SEGMENT_PREFIX = "log-";
-    private static final long LEAST_FREE_BYTES = 32L << 20;
     private static final int HEXADECIMAL = 16;
 
     private final Path folder;
     private final long incarnation;
+    private final long leastFreeBytes;
     private final List<Entry> entries = new ArrayList<>();
     private Snapshot snapshot;
     private HardState hardState = HardState.initial();
     private long segmentNumber;
     private RecordFile segment;
 
-    private DiskStorage(Path folder, long incarnation) {
+    private DiskStorage(Path folder, long incarnation, long leastFreeBytes) {
         this.folder = folder;
         this.incarnation = incarnation;
+        this.leastFreeBytes = leastFreeBytes;
     }
 
     /** What the snapshot file holds. */
@@ -61,9 +62,11 @@
      * Opens a replica's folder, creating a new replica where it is empty.
      *
      * @param random draws the identity of a new replica
+     * @param leastFreeBytes the free space below which there is no room for commands
      * @throws StorageException if the saved state is damaged
      */
-    public static DiskStorage open(Path folder, RandomGenerator random) throws IOException {
+    public static DiskStorage open(Path folder, RandomGenerator random, long leastFreeBytes)
+            throws IOException {
         Files.createDirectories(folder);
         Path identity = folder.resolve(IDENTITY_FILE);
         if (!Files.exists(identity)) {
@@ -73,7 +76,7 @@
             String drawn = Long.toUnsignedString(random.nextLong(1, Long.MAX_VALUE), HEXADECIMAL);
             DataFolder.replace(identity, drawn.getBytes(StandardCharsets.US_ASCII));
         }
-        DiskStorage storage = new DiskStorage(folder, readIdentity(identity));
+        DiskStorage storage = new DiskStorage(folder, readIdentity(identity), leastFreeBytes);
         storage.load();
         return storage;
     }
@@ -136,7 +139,7 @@
     @Override
     public boolean hasRoom() {
         try {
-            return Files.getFileStore(folder).getUsableSpace() > LEAST_FREE_BYTES;
+            return Files.getFileStore(folder).getUsableSpace() > leastFreeBytes;
         } catch (IOException e) {
             return false;
         }
--- a/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
@@ -102,7 +102,7 @@
     void disk() throws IOException {
         for (int count : new int[] {100, 1000, 4000}) {
             Path path = folder.resolve("disk-" + count);
-            try (DiskStorage storage = DiskStorage.open(path, new Random(1))) {
+            try (DiskStorage storage = DiskStorage.open(path, new Random(1), 0)) {
                 long start = System.nanoTime();
                 for (int at = 1; at <= count; at++) {
                     byte[] command = command(Samples.drain(at));
--- a/stackhall-server/src/test/java/io/stackhall/server/storage/DiskStorageTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/storage/DiskStorageTest.java
@@ -165,7 +165,7 @@
     }
 
     private DiskStorage open() throws IOException {
-        return DiskStorage.open(folder, new Random());
+        return DiskStorage.open(folder, new Random(), 0);
     }
 
     private Path log() {
