--- a/stackhall-server/src/test/java/io/stackhall/server/peer/DecoderProperties.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/peer/DecoderProperties.java
@@ -30,8 +30,9 @@
     private static final Membership MEMBERS = new Membership(List.of(HERE), List.of(THERE));
     private static final String ANNOUNCEMENT =
             """
-            {"id":"engine-1","zone":"plateau","address":"127.0.0.1:8000","incarnation":1,"sequence":2,
-            "services":[],"memory":{"accelerators":4,"capacityMib":320000,"reservedMib":64000,
+            {"id":"engine-1","zone":"plateau","address":"127.0.0.1:8000",
+            "incarnation":1,"sequence":2,"services":[],
+            "memory":{"accelerators":4,"capacityMib":320000,"reservedMib":64000,
             "resident":[{"artifact":{"id":"resumen-8b","version":"1"},"memoryMib":6000}]},
             "load":{"slots":64,"running":3,"queued":0},"fencing":{"checked":true,"highest":41},
             "leaving":false,"cachedPrefixes":[7]}""";
