A configuration is saved and put into force on a thread of its own

Cause: the file of the configuration was saved, with two syncs, on the thread that had received it: a network thread, which all connections share, or the group's thread, whose leader could not replicate the next change meanwhile. The time to force was that of reception, not of being in force. Excluded: not syncing (a host that restarts would step back a revision). What changes: of several that come while one is saved only the newest comes into force; the leader still pushes to all, others pass on in their zone, now once it is in force here.

--- a/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Spreads the configuration: every host tells the control hosts and its zone what it has, whoever
@@ -29,8 +30,10 @@
     private final ConfigStore store;
     private final PeerTransport transport;
     private final long process;
+    private final List<HostId> others;
     private final List<HostId> zonePeers;
     private final Map<HostId, Follower> followers = new ConcurrentHashMap<>();
+    private volatile boolean leading;
 
     /** Creates an exchange for a store. */
     public ConfigExchange(
@@ -39,12 +42,8 @@
         this.store = store;
         this.transport = transport;
         this.process = process;
-        this.zonePeers =
-                settings.hosts().stream()
-                        .filter(host -> host.zone().equals(settings.zone()))
-                        .map(Settings.Host::host)
-                        .filter(host -> !host.equals(settings.host()))
-                        .toList();
+        this.others = othersOf(settings, zone -> true);
+        this.zonePeers = othersOf(settings, settings.zone()::equals);
         store.listen(ignored -> passOn());
     }
 
@@ -111,22 +110,28 @@
         return Optional.ofNullable(followers.get(host)).map(Follower::process);
     }
 
-    /** Sends the configuration in force to every other host; the control leader does this. */
-    public void pushToAll() {
-        Frame frame = update();
-        settings.hosts().stream()
-                .map(Settings.Host::host)
-                .filter(host -> !host.equals(settings.host()))
-                .forEach(host -> transport.send(host, frame));
+    /** Notes whether this host leads the control group. */
+    public void led(boolean leads) {
+        leading = leads;
     }
 
+    /** The control leader sends a new configuration to every host, others to their zone. */
     private void passOn() {
         if (store.current().revision() > 0) {
             Frame frame = update();
-            zonePeers.forEach(host -> transport.send(host, frame));
+            List<HostId> to = leading ? others : zonePeers;
+            to.forEach(host -> transport.send(host, frame));
         }
     }
 
+    private static List<HostId> othersOf(Settings settings, Predicate<ZoneId> zone) {
+        return settings.hosts().stream()
+                .filter(host -> zone.test(host.zone()))
+                .map(Settings.Host::host)
+                .filter(host -> !host.equals(settings.host()))
+                .toList();
+    }
+
     private void heard(HostId host, ConfigFollow follow) {
         followers.put(
                 host,
--- a/stackhall-server/src/main/java/io/stackhall/server/node/ConfigStore.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/ConfigStore.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -18,8 +21,11 @@
 /**
  * The configuration in force on this host. It comes into force whole, and never goes back a
  * revision; on a host with a disk it is there again after a restart.
+ *
+ * <p>It is saved and put into force on a thread of its own. Of several that come meanwhile only the
+ * newest is.
  */
-public final class ConfigStore {
+public final class ConfigStore implements AutoCloseable {
 
     private static final Logger logger = LogManager.getLogger(ConfigStore.class);
 
@@ -27,6 +33,9 @@
 
     private final Optional<Path> file;
     private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicReference<Offer> newest = new AtomicReference<>();
+    private final ExecutorService thread =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "configuration"));
     private volatile InForce inForce = new InForce(Configuration.initial(), System.nanoTime(), 0);
 
     /**
@@ -70,22 +79,47 @@
         listener.accept(current());
     }
 
+    /** A configuration that may come into force, and when it was accepted. */
+    private record Offer(Configuration configuration, long acceptedAt) {
+        private static Offer newer(Offer left, Offer right) {
+            if (left == null) {
+                return right;
+            }
+            boolean rightNewer = right.configuration().revision() > left.configuration().revision();
+            return rightNewer ? right : left;
+        }
+    }
+
     /**
-     * Takes a committed configuration, if it is newer than the one in force.
+     * Takes a committed configuration; if it is the newest it soon comes into force.
      *
      * @param ageMillis since it was accepted
-     * @return whether it was newer
      */
-    public synchronized boolean offer(Configuration next, long ageMillis) {
+    public void offer(Configuration next, long ageMillis) {
+        if (next.revision() <= current().revision() || thread.isShutdown()) {
+            return;
+        }
+        long acceptedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+        newest.accumulateAndGet(new Offer(next, acceptedAt), Offer::newer);
+        thread.execute(this::putIntoForce);
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+
+    private void putIntoForce() {
+        Offer offer = newest.get();
+        Configuration next = offer.configuration();
         if (next.revision() <= current().revision()) {
-            return false;
+            return;
         }
         file.ifPresent(path -> save(path, next));
-        long acceptedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
-        inForce = new InForce(next, acceptedAt, ageMillis);
-        logger.info("config.in-force revision={} afterMillis={}", next.revision(), ageMillis);
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - offer.acceptedAt());
+        inForce = new InForce(next, offer.acceptedAt(), millis);
+        logger.info("config.in-force revision={} afterMillis={}", next.revision(), millis);
         listeners.forEach(listener -> listener.accept(next));
-        return true;
     }
 
     private void load(Path path) {
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -177,6 +177,7 @@
         traffic.close();
         groups.close();
         transport.close();
+        config.close();
         upstreams.close();
         if (folder.isPresent()) {
             folder.get().close();
@@ -291,23 +292,18 @@
     /** Puts a committed configuration into force on this host. */
     private final class ControlListener implements GroupListener {
         private final ControlState state;
-        private boolean leading;
-
         ControlListener(ControlState state) {
             this.state = state;
         }
 
         @Override
         public void changed() {
-            boolean newer = config.offer(state.register().configuration(), 0);
-            if (newer && leading) {
-                configExchange.pushToAll();
-            }
+            config.offer(state.register().configuration(), 0);
         }
 
         @Override
         public void led(boolean leads) {
-            leading = leads;
+            configExchange.led(leads);
         }
     }
 
