stackhall compare: both measures by policy, and a page with plots

Cause: the compared policy's counts were metrics only, counts of a policy were lost when another came into force, and attainment was not split by policy. Built: attained and offered requests by the policy in force (metrics and the operators' call Measures), counts kept by policy, and a command that watches the hosts, prints the measures as JSON, and writes a page of HTML that needs nothing else. It ends in time or by a signal, and prints what it has then. Excluded: scraping the metrics' text (one more parser). Shown by CompareTest with real processes: one policy in force with another in shadow, changed to a third without a restart, the counts of each; PolicyComparisonTest: hosts that restart, are silent, or come late. Beside it: a report of demand presses for a decision only if requests wait, as CAPACITY.md says; before, any report did. AnswerSink.nowhere stands beside AnswerSink.

--- a/stackhall-core/src/main/java/io/stackhall/core/placement/PlacementCoordinator.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/placement/PlacementCoordinator.java
@@ -13,6 +13,7 @@
 import io.stackhall.core.policy.PlacementView;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 /**
  * Places models in one zone: while this host leads the zone's group it is the only giver of orders.
@@ -51,7 +53,7 @@
     private Configuration configuration = Configuration.initial();
     private PlacementPolicy policy = PlacementPolicy.of(PolicyName.EXPECTED_GAIN);
     private Optional<ShadowPlacement> shadow = Optional.empty();
-    private PlacementCounts counts = PlacementCounts.none();
+    private final Map<PolicyName, PlacementCounts> counts = new EnumMap<>(PolicyName.class);
     private long nextDecision;
     private boolean pressing;
 
@@ -108,7 +110,12 @@
 
     /** Returns what the policy in force has cost and missed since this coordinator was created. */
     public PlacementCounts counts() {
-        return counts;
+        return counts.getOrDefault(activePolicy(), PlacementCounts.none());
+    }
+
+    /** Returns what each policy has cost and missed while it was in force. */
+    public Map<PolicyName, PlacementCounts> countsByPolicy() {
+        return Map.copyOf(counts);
     }
 
     /** Returns the policy in force. */
@@ -116,15 +123,21 @@
         return configuration.deployment().policy().active();
     }
 
-    /** Returns what the compared policy would have cost and missed. */
-    public Optional<PlacementCounts> comparedCounts() {
-        return shadow.map(ShadowPlacement::counts);
+    /** Returns the policy that decides in shadow, if there is one. */
+    public Optional<PolicyName> comparedPolicy() {
+        return shadow.map(ShadowPlacement::policy);
+    }
+
+    /** Returns what the compared policy would have cost and missed; nothing if there is none. */
+    public PlacementCounts comparedCounts() {
+        return shadow.map(ShadowPlacement::counts).orElse(PlacementCounts.none());
     }
 
     /** Returns whether an event may call for another decision before the idle interval is over. */
     private boolean presses(PlacementEvent event) {
         return switch (event) {
-            case PlacementEvent.Demanded demanded -> !demanded.waiting().isEmpty();
+            case PlacementEvent.Demanded demanded ->
+                    demanded.waiting().values().stream().anyMatch(count -> count > 0);
             case PlacementEvent.Reported(Announcement next) -> {
                 Announcement known = reports.get(next.id().value());
                 yield known == null || !known.memory().equals(next.memory());
@@ -193,12 +206,9 @@
 
     private void configure(Configuration next, long now) {
         Optional<PolicyName> compared = next.deployment().policy().compared();
-        if (!compared.equals(shadow.map(ShadowPlacement::policy))) {
+        if (!compared.equals(comparedPolicy())) {
             shadow = compared.map(name -> new ShadowPlacement(name, settings.zones(), now));
         }
-        if (next.deployment().policy().active() != activePolicy()) {
-            counts = PlacementCounts.none();
-        }
         configuration = next;
         policy = PlacementPolicy.of(activePolicy());
         store.limits(next.deployment().weightStore());
@@ -212,7 +222,7 @@
             HostId host, Map<ModelId, Integer> arrivals, Map<ModelId, Integer> waiting, long now) {
         Set<ModelId> resident = residentModels();
         arrivals.forEach(
-                (model, count) -> counts = counts.withArrivals(count, !resident.contains(model)));
+                (model, count) -> count(of -> of.withArrivals(count, !resident.contains(model))));
         shadow.ifPresent(of -> of.arrived(arrivals, now));
         starvation.asked(arrivals.keySet(), resident, now);
         demand.report(host, arrivals, waiting, now);
@@ -291,7 +301,7 @@
             case Move.Load load -> {
                 long memoryMib = memoryOf(load.artifact(), wants);
                 if (MemoryAccount.of(report, state).admits(memoryMib)) {
-                    counts = counts.withLoad();
+                    count(PlacementCounts::withLoad);
                     store.started();
                     noteIfSpeculative(load);
                     intend(report, Order.Kind.LOAD, load.artifact(), memoryMib, now);
@@ -325,6 +335,10 @@
                                 highestSeen)));
     }
 
+    private void count(UnaryOperator<PlacementCounts> change) {
+        counts.put(activePolicy(), change.apply(counts()));
+    }
+
     private void noteIfSpeculative(Move.Load load) {
         if (!load.urgent()) {
             speculative.add(new Placed(load.upstream(), load.artifact()));
@@ -336,7 +350,7 @@
         long since = views.since(unload.upstream(), unload.artifact(), now);
         boolean unused = demand.lastUsed(unload.artifact().id(), Long.MIN_VALUE) < since;
         if (speculative.remove(new Placed(unload.upstream(), unload.artifact())) && unused) {
-            counts = counts.withNeedless();
+            count(PlacementCounts::withNeedless);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/AnswerRecorder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/AnswerRecorder.java
@@ -22,26 +22,6 @@
         this.next = next;
     }
 
-    /** Returns a sink that takes everything and does nothing. */
-    public static AnswerSink nowhere() {
-        return new AnswerSink() {
-            @Override
-            public void begin(int status, String contentType) {
-                // Nobody listens.
-            }
-
-            @Override
-            public void write(byte[] bytes, int length) {
-                // Nobody listens.
-            }
-
-            @Override
-            public void whole(int status, String contentType, byte[] body) {
-                // Nobody listens.
-            }
-        };
-    }
-
     /** Returns the answer as far as it was kept. */
     public StoredAnswer answer() {
         return new StoredAnswer(status, contentType, fits ? kept.toByteArray() : new byte[0], fits);
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/AnswerSink.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/AnswerSink.java
@@ -13,4 +13,24 @@
 
     /** Gives a whole answer at once. */
     void whole(int status, String contentType, byte[] body) throws IOException;
+
+    /** Returns a sink that takes everything and does nothing. */
+    static AnswerSink nowhere() {
+        return new AnswerSink() {
+            @Override
+            public void begin(int status, String contentType) {
+                // Nobody listens.
+            }
+
+            @Override
+            public void write(byte[] bytes, int length) {
+                // Nobody listens.
+            }
+
+            @Override
+            public void whole(int status, String contentType, byte[] body) {
+                // Nobody listens.
+            }
+        };
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
@@ -183,6 +183,7 @@
                         && !sink.refused()
                         && nanos <= accepted.deadlineNanos();
         metrics.requestEnded(caller.priority(), sink.status(), outcome.header(), inTime, nanos);
+        metrics.endedUnder(config.current().deployment().policy().active(), inTime);
         logger.info(
                 "request.ended request={} caller={} target={} status={} outcome={} millis={}",
                 sink.id(),
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/WorkRunner.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/WorkRunner.java
@@ -140,7 +140,7 @@
                         settings.limits().deferredDeadline().toNanos(),
                         Reach.ALL_ZONES,
                         Optional.empty());
-        AnswerRecorder recorder = new AnswerRecorder(AnswerRecorder.nowhere());
+        AnswerRecorder recorder = new AnswerRecorder(AnswerSink.nowhere());
         RequestId id = new RequestId("work-" + item.id() + "-" + item.attempts());
         ExchangeResult result = runner.exchange(request, id, recorder);
         logger.info("work.ran id={} outcome={}", item.id(), result.outcome().header());
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -38,6 +38,7 @@
             case "stand-in" -> StandInCommand.run(arguments);
             case "demo-files" -> DemoFilesCommand.run(arguments);
             case "load" -> LoadCommand.run(arguments);
+            case "compare" -> CompareCommand.run(arguments);
             case "version" -> version();
             default -> OperatorCommands.run(arguments.getString(COMMAND), arguments);
         };
@@ -65,6 +66,7 @@
         StandInCommand.addTo(commands);
         DemoFilesCommand.addTo(commands);
         LoadCommand.addTo(commands);
+        CompareCommand.addTo(commands);
         commands.addParser("version").help("print the version");
         return parser;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/StopSignal.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/StopSignal.java
@@ -1,6 +1,8 @@
 package io.stackhall.server.cli;
 
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Turns the signal to stop (SIGTERM or SIGINT) into an orderly end: whoever awaits it is woken, and
@@ -26,6 +28,11 @@
         asked.await();
     }
 
+    /** Waits for a time, and returns whether the process was asked to stop within it. */
+    boolean await(Duration time) throws InterruptedException {
+        return asked.await(time.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     /** Reports that everything has ended. */
     ExitCode finish(ExitCode exitCode) {
         code = exitCode;
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/NodeMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/NodeMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.stackhall.core.config.PolicyName;
 import io.stackhall.core.config.Priority;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -29,6 +30,18 @@
                     .help("Requests answered whole within their deadline.")
                     .labelNames("priority")
                     .register(registry);
+    private final Counter byPolicy =
+            Counter.builder()
+                    .name("stackhall_policy_requests_total")
+                    .help("Requests of callers by the placement policy in force at their end.")
+                    .labelNames("policy")
+                    .register(registry);
+    private final Counter attainedByPolicy =
+            Counter.builder()
+                    .name("stackhall_policy_requests_attained_total")
+                    .help("Requests answered whole within their deadline, by placement policy.")
+                    .labelNames("policy")
+                    .register(registry);
     private final Histogram seconds =
             Histogram.builder()
                     .name("stackhall_request_duration_seconds")
@@ -66,6 +79,24 @@
         }
     }
 
+    /** Notes under which policy a request ended. */
+    public void endedUnder(PolicyName policy, boolean inTime) {
+        byPolicy.labelValues(policy.text()).inc();
+        if (inTime) {
+            attainedByPolicy.labelValues(policy.text()).inc();
+        }
+    }
+
+    /** Returns how many requests ended while a policy was in force. */
+    public long offeredUnder(PolicyName policy) {
+        return byPolicy.labelValues(policy.text()).getLongValue();
+    }
+
+    /** Returns how many of them were answered whole within their deadline. */
+    public long attainedUnder(PolicyName policy) {
+        return attainedByPolicy.labelValues(policy.text()).getLongValue();
+    }
+
     /** Sets a value of the process's state. */
     public void state(String name, String group, long value) {
         values.labelValues(name, group).set((double) value);
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -123,7 +123,9 @@
                                                 groups.hosts(),
                                                 config,
                                                 configExchange,
-                                                upstreamExchange));
+                                                upstreamExchange,
+                                                metrics,
+                                                placement));
     }
 
     /** Starts every part. */
@@ -238,20 +240,19 @@
                             metrics.state("group_leads", name, host.holdsLeaseNow() ? 1 : 0);
                             metrics.state("group_commit_index", name, host.view().commitIndex());
                         });
-        placement.forEach(this::measure);
+        placement.forEach((zone, driver) -> driver.measures().thenAccept(of -> measure(zone, of)));
     }
 
-    private void measure(ZoneId zone, PlacementDriver driver) {
-        PlacementDriver.Measures measures = driver.measures();
+    private void measure(ZoneId zone, PlacementDriver.Measures measures) {
         String active = zone + " " + measures.active().text();
         metrics.state("placement_loads", active, measures.counts().loads());
         metrics.state("placement_needless_loads", active, measures.counts().needlessLoads());
         metrics.state("placement_misses", active, measures.counts().misses());
         measures.compared()
                 .ifPresent(
-                        counts -> {
-                            metrics.state("shadow_loads", zone.value(), counts.loads());
-                            metrics.state("shadow_misses", zone.value(), counts.misses());
+                        of -> {
+                            metrics.state("shadow_loads", zone.value(), of.counts().loads());
+                            metrics.state("shadow_misses", zone.value(), of.counts().misses());
                         });
     }
 
@@ -292,6 +293,7 @@
     /** Puts a committed configuration into force on this host. */
     private final class ControlListener implements GroupListener {
         private final ControlState state;
+
         ControlListener(ControlState state) {
             this.state = state;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/PlacementDriver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/PlacementDriver.java
@@ -23,6 +23,7 @@
 import io.stackhall.server.upstreams.OrderClient;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -55,10 +56,17 @@
      *
      * @param active the policy in force
      * @param counts what it has cost and missed
+     * @param byPolicy the same of every policy that has been in force
      * @param compared what the compared policy would have cost and missed
      */
     public record Measures(
-            PolicyName active, PlacementCounts counts, Optional<PlacementCounts> compared) {}
+            PolicyName active,
+            PlacementCounts counts,
+            Map<PolicyName, PlacementCounts> byPolicy,
+            Optional<Compared> compared) {}
+
+    /** What a policy that decides in shadow would have cost and missed. */
+    public record Compared(PolicyName policy, PlacementCounts counts) {}
 
     /** Starts the clock, with the group to which intents are proposed. */
     public void start(GroupHost zoneGroup) {
@@ -101,10 +109,19 @@
         submit(new PlacementEvent.Demanded(host, arrivals, waiting));
     }
 
-    /** Returns the measures; they are read without a lock and may be of different moments. */
-    public Measures measures() {
+    /** Returns the measures as they are now. */
+    public CompletableFuture<Measures> measures() {
+        return CompletableFuture.supplyAsync(this::measured, thread);
+    }
+
+    private Measures measured() {
         return new Measures(
-                coordinator.activePolicy(), coordinator.counts(), coordinator.comparedCounts());
+                coordinator.activePolicy(),
+                coordinator.counts(),
+                coordinator.countsByPolicy(),
+                coordinator
+                        .comparedPolicy()
+                        .map(policy -> new Compared(policy, coordinator.comparedCounts())));
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/operators/OperatorServer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/operators/OperatorServer.java
@@ -2,10 +2,13 @@
 
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.server.group.GroupClient;
 import io.stackhall.server.group.GroupHost;
+import io.stackhall.server.metrics.NodeMetrics;
 import io.stackhall.server.node.ConfigExchange;
 import io.stackhall.server.node.ConfigStore;
+import io.stackhall.server.node.PlacementDriver;
 import io.stackhall.server.node.UpstreamExchange;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.Settings;
@@ -29,11 +32,15 @@
             Map<String, GroupHost> groups,
             ConfigStore config,
             ConfigExchange exchange,
-            UpstreamExchange upstreams) {
+            UpstreamExchange upstreams,
+            NodeMetrics metrics,
+            Map<ZoneId, PlacementDriver> placement) {
         this.address = address;
         OperatorService service =
                 new OperatorService(
-                        client, new StatusReporter(settings, groups, config, exchange, upstreams));
+                        client,
+                        new StatusReporter(settings, groups, config, exchange, upstreams),
+                        new MeasuresReporter(settings, metrics, placement, upstreams));
         this.server =
                 NettyServerBuilder.forAddress(address.socket())
                         .executor(Executors.newVirtualThreadPerTaskExecutor())
--- a/stackhall-server/src/main/java/io/stackhall/server/operators/OperatorService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/operators/OperatorService.java
@@ -12,6 +12,8 @@
 import io.stackhall.rpc.generated.operators.AuditReply;
 import io.stackhall.rpc.generated.operators.AuditRequest;
 import io.stackhall.rpc.generated.operators.DrainRequest;
+import io.stackhall.rpc.generated.operators.MeasuresReply;
+import io.stackhall.rpc.generated.operators.MeasuresRequest;
 import io.stackhall.rpc.generated.operators.OperatorsGrpc;
 import io.stackhall.rpc.generated.operators.RemoveReplicaReply;
 import io.stackhall.rpc.generated.operators.RemoveReplicaRequest;
@@ -45,10 +47,12 @@
 
     private final GroupClient groups;
     private final StatusReporter reporter;
+    private final MeasuresReporter measures;
 
-    OperatorService(GroupClient groups, StatusReporter reporter) {
+    OperatorService(GroupClient groups, StatusReporter reporter, MeasuresReporter measures) {
         this.groups = groups;
         this.reporter = reporter;
+        this.measures = measures;
     }
 
     @Override
@@ -92,6 +96,11 @@
         finish(observer, reporter.upstreams());
     }
 
+    @Override
+    public void measures(MeasuresRequest request, StreamObserver<MeasuresReply> observer) {
+        finish(observer, measures.measures());
+    }
+
     @Override
     public void audit(AuditRequest request, StreamObserver<AuditReply> observer) {
         byte[] question = Json.write(ControlQuery.class, new ControlQuery.ReadAudit());
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/compare/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the comparison of policies. */
+package io.stackhall.server.compare;
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Cluster.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Cluster.java
@@ -68,6 +68,11 @@
             return peers;
         }
 
+        /** Returns the port on which operators call it. */
+        public int operatorsPort() {
+            return operators;
+        }
+
         /** Returns the port on which upstreams announce themselves. */
         public int upstreamsPort() {
             return upstreams;
