--- a/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
@@ -32,6 +32,7 @@
 import io.stackhall.core.routing.Target;
 import io.stackhall.rpc.generated.peer.ConfigUpdate;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.rpc.generated.peer.NeighbourReport;
 import io.stackhall.rpc.generated.peer.UpstreamReport;
 import io.stackhall.server.group.ControlCommand;
 import io.stackhall.server.group.ControlState;
@@ -149,6 +150,29 @@
         }
     }
 
+    @Test
+    void neighbours() {
+        for (int models : new int[] {134, 620, 1240}) {
+            NeighbourReport.Builder report =
+                    NeighbourReport.newBuilder()
+                            .setHost("entry-host-0001")
+                            .setZone("plateau")
+                            .setAddress("10.0.0.1:8080")
+                            .setProcess(1_764_685_200_000L)
+                            .setSequence(100_000)
+                            .setSlots(54_848)
+                            .setRunning(40_000);
+            for (int at = 0; at < models; at++) {
+                report.addModels(Samples.model(at).value());
+            }
+            Frame frame = Frame.newBuilder().setNeighbour(report).build();
+            print(
+                    "report of a zone to another, with its length, bytes",
+                    models,
+                    frame.getSerializedSize() + Integer.BYTES);
+        }
+    }
+
     @Test
     void routing() {
         for (int upstreams : UPSTREAM_SIZES) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
@@ -66,9 +66,14 @@
         return proxy;
     }
 
+    /** Returns its base address, past the proxy. */
+    public String directUrl() {
+        return "http://127.0.0.1:" + port;
+    }
+
     /** Returns what it says of itself, past the proxy. */
     public JsonNode state() {
-        Reply reply = HttpCalls.get("http://127.0.0.1:" + port + "/test/state");
+        Reply reply = HttpCalls.get(directUrl() + "/test/state");
         try {
             return Json.mapper().readTree(reply.body());
         } catch (IOException e) {
