Read once more: one check in the router, one list of a zone's hosts

Cause: the exchange between zones had built a list of engines on each dispatch only to ask whether it is empty, wrote "takes it and did not fail it" beside the same words in another check, and listed the hosts of a zone for the third time. Before: three places each. After: TargetIndex.hasEngine stops at the first engine, Router.takes serves both checks, Settings.hostsIn serves the three exchanges; a header's name that nobody else uses is private.

--- a/stackhall-core/src/main/java/io/stackhall/core/routing/Router.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/routing/Router.java
@@ -3,7 +3,6 @@
 import io.stackhall.core.config.Configuration;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.membership.Announcement;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -65,7 +64,7 @@
 
     /** Returns whether an upstream that takes new work could serve a request. */
     public boolean reachable(RoutingRequest request, long now) {
-        return anyTakes(candidates(request, now), request.avoided(), now);
+        return anyTakes(candidates(request, now), request, now);
     }
 
     /** Returns how many requests like this one the upstreams run at once. */
@@ -123,27 +122,30 @@
 
     private List<UpstreamState> candidates(RoutingRequest request, long now) {
         List<UpstreamState> here = own.holders(request.target());
-        if (request.reach() == Reach.ZONE || anyTakes(here, request.avoided(), now)) {
+        if (request.reach() == Reach.ZONE || anyTakes(here, request, now)) {
             return here;
         }
         List<UpstreamState> there = elsewhere.holders(request.target());
-        if (anyTakes(there, request.avoided(), now)) {
+        if (anyTakes(there, request, now)) {
             return there;
         }
         boolean loadable = request.target() instanceof Target.Model;
-        return loadable && own.engines(now).isEmpty() ? elsewhere.engines(now) : here;
+        return loadable && !own.hasEngine(now) ? elsewhere.engines(now) : here;
     }
 
-    private static boolean anyTakes(
-            List<UpstreamState> states, Collection<UpstreamId> avoided, long now) {
+    private static boolean anyTakes(List<UpstreamState> states, RoutingRequest request, long now) {
         for (UpstreamState state : states) {
-            if (state.takesNewWork(now) && !avoided.contains(state.id())) {
+            if (takes(state, request, now)) {
                 return true;
             }
         }
         return false;
     }
 
+    private static boolean takes(UpstreamState state, RoutingRequest request, long now) {
+        return state.takesNewWork(now) && !request.avoided().contains(state.id());
+    }
+
     /** Returns the first usable candidate from a drawn place on. */
     private static UpstreamState draw(
             List<UpstreamState> candidates, int start, RoutingRequest request, long now) {
@@ -174,8 +176,6 @@
     }
 
     private static boolean usable(UpstreamState state, RoutingRequest request, long now) {
-        return state.takesNewWork(now)
-                && state.hasRoom(request.priority(), now)
-                && !request.avoided().contains(state.id());
+        return takes(state, request, now) && state.hasRoom(request.priority(), now);
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/routing/TargetIndex.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/routing/TargetIndex.java
@@ -59,12 +59,18 @@
         return byTarget.getOrDefault(target, List.of());
     }
 
+    /** Returns whether an upstream with accelerators takes new work. */
+    boolean hasEngine(long now) {
+        return states.values().stream().anyMatch(state -> openEngine(state, now));
+    }
+
     /** Returns the upstreams with accelerators that take new work. */
     List<UpstreamState> engines(long now) {
-        return states.values().stream()
-                .filter(state -> state.report().memory().accelerators() > 0)
-                .filter(state -> state.takesNewWork(now))
-                .toList();
+        return states.values().stream().filter(state -> openEngine(state, now)).toList();
+    }
+
+    private static boolean openEngine(UpstreamState state, long now) {
+        return state.report().memory().accelerators() > 0 && state.takesNewWork(now);
     }
 
     private void index(UpstreamState state) {
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Forwarding.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Forwarding.java
@@ -16,7 +16,7 @@
  */
 final class Forwarding {
 
-    static final String FORWARDED_BY = "Stackhall-Forwarded-By";
+    private static final String FORWARDED_BY = "Stackhall-Forwarded-By";
 
     private static final String ID_PATTERN = "[\\w./-]{1,100}";
 
--- a/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 
 /**
  * Spreads the configuration: every host tells the control hosts and its zone what it has, whoever
@@ -42,8 +41,9 @@
         this.store = store;
         this.transport = transport;
         this.process = process;
-        this.others = othersOf(settings, zone -> true);
-        this.zonePeers = othersOf(settings, settings.zone()::equals);
+        List<HostId> all = settings.hosts().stream().map(Settings.Host::host).toList();
+        this.others = without(settings.host(), all);
+        this.zonePeers = without(settings.host(), settings.hostsIn(settings.zone()));
         store.listen(ignored -> passOn());
     }
 
@@ -124,12 +124,8 @@
         }
     }
 
-    private static List<HostId> othersOf(Settings settings, Predicate<ZoneId> zone) {
-        return settings.hosts().stream()
-                .filter(host -> zone.test(host.zone()))
-                .map(Settings.Host::host)
-                .filter(host -> !host.equals(settings.host()))
-                .toList();
+    private static List<HostId> without(HostId self, List<HostId> hosts) {
+        return hosts.stream().filter(host -> !host.equals(self)).toList();
     }
 
     private void heard(HostId host, ConfigFollow follow) {
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NeighbourExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NeighbourExchange.java
@@ -14,6 +14,7 @@
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.settings.Settings;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -98,10 +99,10 @@
 
     /** Returns the hosts of other zones that hear this one. */
     private static List<HostId> listenersOf(Settings settings) {
-        List<HostId> own = hostsOf(settings, settings.zone());
+        List<HostId> own = ranked(settings, settings.zone());
         List<HostId> listeners = new ArrayList<>();
         for (ZoneId zone : settings.zones()) {
-            List<HostId> there = hostsOf(settings, zone);
+            List<HostId> there = ranked(settings, zone);
             for (int rank = 0; rank < there.size() && !zone.equals(settings.zone()); rank++) {
                 if (Neighbours.heardBy(rank, own).contains(settings.host())) {
                     listeners.add(there.get(rank));
@@ -111,12 +112,9 @@
         return List.copyOf(listeners);
     }
 
-    private static List<HostId> hostsOf(Settings settings, ZoneId zone) {
-        return settings.hosts().stream()
-                .filter(host -> host.zone().equals(zone))
-                .map(Settings.Host::host)
-                .sorted((left, right) -> left.value().compareTo(right.value()))
-                .toList();
+    /** Every host has to count the ranks alike, whatever the order of its settings. */
+    private static List<HostId> ranked(Settings settings, ZoneId zone) {
+        return settings.hostsIn(zone).stream().sorted(Comparator.comparing(HostId::value)).toList();
     }
 
     private NeighbourReport encode(Announcement said) {
--- a/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
@@ -52,9 +52,7 @@
                 .forEach(
                         (zone, members) -> {
                             Set<HostId> concerned = new LinkedHashSet<>(members);
-                            settings.hosts().stream()
-                                    .filter(host -> host.zone().equals(zone))
-                                    .forEach(host -> concerned.add(host.host()));
+                            concerned.addAll(settings.hostsIn(zone));
                             if (concerned.remove(settings.host())) {
                                 peers.put(zone, concerned);
                                 Settings.Timing timing = settings.timing();
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
@@ -125,6 +125,11 @@
         return ZONE_GROUP_PREFIX + zone;
     }
 
+    /** Returns the hosts of a zone, in the order of the settings. */
+    public List<HostId> hostsIn(ZoneId zone) {
+        return hosts.stream().filter(host -> host.zone().equals(zone)).map(Host::host).toList();
+    }
+
     /** Returns the members of every group by its name. */
     public Map<String, List<HostId>> membersByGroup() {
         Map<String, List<HostId>> members = new LinkedHashMap<>();
