--- a/stackhall-core/src/main/java/io/stackhall/core/config/PolicyName.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/config/PolicyName.java
@@ -7,6 +7,8 @@
 public enum PolicyName {
     /** Weighs the demand expected of a load against what the evicted models lose. */
     EXPECTED_GAIN("expected-gain"),
+    /** Weighs as expected-gain does, and loads where the weights are nearest at hand. */
+    NEAREST_COPY("nearest-copy"),
     /** Loads on a miss and evicts what was used longest ago. */
     LEAST_RECENTLY_USED("least-recently-used"),
     /** Keeps whatever fits first and never evicts. */
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -0,0 +1,28 @@
+package io.stackhall.core.dispatch;
+
+import io.stackhall.core.fleet.Instance;
+import java.time.Duration;
+
+/** What is to become of a request now. */
+public sealed interface Choice {
+
+    /** It can be sent to this instance. */
+    record Send(Instance instance, String why) implements Choice {}
+
+    /** It waits for a place: every instance that could run it is full. */
+    record Full() implements Choice {}
+
+    /** It waits for the adapter, which is to be made resident on this instance. */
+    record AdapterMissing(Instance instance) implements Choice {}
+
+    /**
+     * It waits for its model.
+     *
+     * @param load how long the model's load takes, as near as it is to hand anywhere
+     * @param begun whether an instance seems to be loading it
+     */
+    record ModelMissing(Duration load, boolean begun) implements Choice {}
+
+    /** No instance of its service is known that may take work. */
+    record NobodyServes() implements Choice {}
+}
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -0,0 +1,307 @@
+package io.stackhall.core.dispatch;
+
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.fleet.ModelCopy;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Picks the instance for each request of one host, by what is resident where, which prompt parts
+ * were read where, and how much work each instance has.
+ *
+ * <p>Not thread-safe: one thread uses it.
+ */
+public final class Dispatcher {
+
+    /** A running request slows a batch about as much as this many prompt tokens delay it once. */
+    private static final double TOKENS_PER_RUNNING = 60;
+
+    /** An instance in another zone is taken if it has this many prompt tokens less to read. */
+    private static final double OTHER_ZONE_TOKENS = 150;
+
+    /** A plain service's instance in another zone counts as holding this many requests more. */
+    private static final double OTHER_ZONE_REQUESTS = 0.3;
+
+    /** Without an answer for this long, a plain instance counts as silent while others answer. */
+    private static final long PLAIN_SILENCE_NANOS = Duration.ofMillis(600).toNanos();
+
+    /** Without a first event for this long, an engine counts as silent while others answer. */
+    private static final long ENGINE_SILENCE_NANOS = Duration.ofMillis(1500).toNanos();
+
+    /** A plain instance queues a few requests beyond its slots. */
+    private static final double PLAIN_QUEUE_SHARE = 2.0;
+
+    private static final double SILENT_PENALTY = 1e6;
+    private static final double FAILURE_WEIGHT = 6;
+
+    private final ZoneId zone;
+    private final RandomGenerator random;
+    private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
+    private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
+    private final Map<UpstreamId, Set<AdapterPlace>> placed = new HashMap<>();
+    private Map<ServiceName, EngineSpec> engines = Map.of();
+
+    /** One adapter that was made resident since the instance last spoke of itself. */
+    private record AdapterPlace(ModelId model, String adapter) {}
+
+    private record Scored(Instance instance, double score) {}
+
+    /** Creates a dispatcher that knows no instance. */
+    public Dispatcher(ZoneId zone, RandomGenerator random) {
+        this.zone = zone;
+        this.random = random;
+    }
+
+    /** Takes over what the services' engines are like. */
+    public void engines(Map<ServiceName, EngineSpec> next) {
+        engines = Map.copyOf(next);
+    }
+
+    /** Takes in what is newly known of an instance. */
+    public void changed(Instance instance) {
+        if (instance.state() == InstanceState.GONE) {
+            instances.remove(instance.id());
+            loads.remove(instance.id());
+            placed.remove(instance.id());
+            return;
+        }
+        Instance former = instances.put(instance.id(), instance);
+        if (former == null || former.ordersTaken() != instance.ordersTaken()) {
+            placed.remove(instance.id());
+        }
+    }
+
+    /** Notes that an adapter has been made resident. */
+    public void adapterPlaced(UpstreamId id, ModelId model, String adapter) {
+        if (instances.containsKey(id)) {
+            placed.computeIfAbsent(id, key -> new HashSet<>())
+                    .add(new AdapterPlace(model, adapter));
+        }
+    }
+
+    /** Notes that an instance has refused a request because it lacks what it asks for. */
+    public void lacks(UpstreamId id, Need need) {
+        Set<AdapterPlace> here = placed.get(id);
+        if (here != null && need.model().isPresent() && need.adapter().isPresent()) {
+            here.remove(new AdapterPlace(need.model().get(), need.adapter().get()));
+        }
+    }
+
+    /** Returns every known instance. */
+    public Collection<Instance> instances() {
+        return instances.values();
+    }
+
+    /** Returns what is known of an instance. */
+    public Optional<Instance> find(UpstreamId id) {
+        return Optional.ofNullable(instances.get(id));
+    }
+
+    /**
+     * Decides where a request goes.
+     *
+     * @param tried the instances that it must not be sent to
+     */
+    public Choice choose(Need need, Set<UpstreamId> tried, long now) {
+        List<Instance> serving = new ArrayList<>();
+        for (Instance instance : instances.values()) {
+            boolean fits =
+                    instance.state() == InstanceState.READY
+                            && instance.service().equals(need.service());
+            if (fits && !tried.contains(instance.id())) {
+                serving.add(instance);
+            }
+        }
+        if (serving.isEmpty()) {
+            return new Choice.NobodyServes();
+        }
+        EngineSpec engine = engines.get(need.service());
+        if (need.model().isEmpty() || engine == null) {
+            return plain(serving, now);
+        }
+        return resident(need, need.model().get(), serving, engine, now);
+    }
+
+    /** Notes that a request is sent. */
+    public Sending began(UpstreamId id, Need need, long now) {
+        InstanceLoad load = load(id);
+        Sending sending = new Sending(id, need, unreadTokens(load, need), now);
+        load.began(sending.tokens(), now);
+        return sending;
+    }
+
+    /** Notes the first event, or the head of a plain answer. */
+    public void answered(Sending sending, long now) {
+        if (!sending.markAnswered()) {
+            return;
+        }
+        InstanceLoad load = load(sending.instance());
+        load.answered(sending.tokens(), sending.startedAt());
+        load.trust();
+        sending.need().parts().forEach(part -> load.read(part.id(), now));
+    }
+
+    /** Notes that a request has left an instance, however. */
+    public void ended(Sending sending) {
+        if (!sending.markEnded()) {
+            return;
+        }
+        InstanceLoad load = load(sending.instance());
+        if (sending.markAnswered()) {
+            load.answered(sending.tokens(), sending.startedAt());
+        }
+        load.ended();
+    }
+
+    /** Notes that an instance has given a whole answer. */
+    public void succeeded(UpstreamId id) {
+        load(id).outcome(true);
+    }
+
+    /** Notes that an instance cannot be reached or breaks off. */
+    public void failed(UpstreamId id, long now) {
+        load(id).suspect(now);
+        load(id).outcome(false);
+    }
+
+    /** Notes that an instance has answered a request with a failure of its own. */
+    public void erred(UpstreamId id) {
+        load(id).outcome(false);
+    }
+
+    /** Takes in how many requests an instance runs and queues, for all hosts together. */
+    public void told(UpstreamId id, int runningAndWaiting, long now) {
+        load(id).told(runningAndWaiting, now);
+    }
+
+    /** Returns requests that an instance runs or queues, as far as is known. */
+    public double occupancy(UpstreamId id, long now) {
+        return load(id).occupancy(now);
+    }
+
+    private Choice plain(List<Instance> serving, long now) {
+        List<Scored> scored = new ArrayList<>();
+        for (Instance instance : serving) {
+            InstanceLoad load = load(instance.id());
+            if (load.occupancy(now) >= instance.slots() * PLAIN_QUEUE_SHARE) {
+                continue;
+            }
+            double score = (load.occupancy(now) + 1) / Math.max(1, instance.slots());
+            score += instance.zone().equals(zone) ? 0 : OTHER_ZONE_REQUESTS / instance.slots();
+            score *= 1 + FAILURE_WEIGHT * load.failureShare();
+            score += doubt(load, PLAIN_SILENCE_NANOS, now);
+            scored.add(new Scored(instance, score));
+        }
+        return scored.isEmpty() ? new Choice.Full() : new Choice.Send(least(scored), "load");
+    }
+
+    private Choice resident(
+            Need need, ModelId model, List<Instance> serving, EngineSpec engine, long now) {
+        List<Scored> ready = new ArrayList<>();
+        List<Scored> lacking = new ArrayList<>();
+        boolean held = false;
+        for (Instance instance : serving) {
+            Optional<ModelCopy> copy = instance.copyOf(model);
+            if (copy.isEmpty()) {
+                continue;
+            }
+            held = true;
+            InstanceLoad load = load(instance.id());
+            if (load.occupancy(now) >= engine.slots()) {
+                continue;
+            }
+            Scored scored = new Scored(instance, engineScore(instance, load, need, now));
+            boolean hasAdapter =
+                    need.adapter().isEmpty()
+                            || hasAdapter(instance, copy.get(), need.adapter().get());
+            (hasAdapter ? ready : lacking).add(scored);
+        }
+        if (!ready.isEmpty()) {
+            return new Choice.Send(least(ready), "resident");
+        }
+        if (!lacking.isEmpty()) {
+            return new Choice.AdapterMissing(least(lacking));
+        }
+        if (held) {
+            return new Choice.Full();
+        }
+        return missing(model, serving, engine);
+    }
+
+    private static Choice missing(ModelId model, List<Instance> serving, EngineSpec engine) {
+        Optional<ModelWeights> weights = engine.model(model);
+        if (weights.isEmpty()) {
+            return new Choice.NobodyServes();
+        }
+        Duration load = weights.get().loadFromStore();
+        for (Instance instance : serving) {
+            if (instance.inHostMemory().contains(model)) {
+                return new Choice.ModelMissing(weights.get().loadFromMemory(), false);
+            }
+            if (instance.onDisk().contains(model)) {
+                load = weights.get().loadFromDisk();
+            }
+        }
+        return new Choice.ModelMissing(load, false);
+    }
+
+    private double engineScore(Instance instance, InstanceLoad load, Need need, long now) {
+        double tokens = load.pendingTokens() + unreadTokens(load, need);
+        tokens += TOKENS_PER_RUNNING * load.occupancy(now);
+        tokens += instance.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
+        tokens *= 1 + FAILURE_WEIGHT * load.failureShare();
+        return tokens + doubt(load, ENGINE_SILENCE_NANOS, now);
+    }
+
+    private static double doubt(InstanceLoad load, long silenceNanos, long now) {
+        double doubt = load.suspected(now) ? SILENT_PENALTY : 0;
+        return doubt + (load.silentFor(silenceNanos, now) ? SILENT_PENALTY : 0);
+    }
+
+    private boolean hasAdapter(Instance instance, ModelCopy copy, String adapter) {
+        Set<AdapterPlace> here = placed.getOrDefault(instance.id(), Set.of());
+        return copy.adapters().contains(adapter)
+                || here.contains(new AdapterPlace(copy.model(), adapter));
+    }
+
+    private static long unreadTokens(InstanceLoad load, Need need) {
+        long unread = need.promptTokens();
+        for (PromptPart part : need.parts()) {
+            if (!load.hasRead(part.id())) {
+                break;
+            }
+            unread -= part.tokens();
+        }
+        return Math.max(0, unread);
+    }
+
+    private Instance least(List<Scored> scored) {
+        Scored best = scored.get(random.nextInt(scored.size()));
+        for (Scored candidate : scored) {
+            if (candidate.score() < best.score()) {
+                best = candidate;
+            }
+        }
+        return best.instance();
+    }
+
+    private InstanceLoad load(UpstreamId id) {
+        return loads.computeIfAbsent(id, key -> new InstanceLoad());
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -0,0 +1,113 @@
+package io.stackhall.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What this host knows of the work on one instance: its own exactly, that of others as told. */
+final class InstanceLoad {
+
+    private static final long FIRST_SUSPICION_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long LONGEST_SUSPICION_NANOS = Duration.ofSeconds(4).toNanos();
+
+    /** Told loads count half after this time: they describe others' work, which comes and goes. */
+    private static final long REPORT_HALF_LIFE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** One in this many outcomes counts in the share of failures. */
+    private static final double FAILURE_MEMORY = 8;
+
+    /** Prompt parts remembered for each instance: a few thousand tokens each fill its memory. */
+    private static final int REMEMBERED_PARTS = 256;
+
+    private final Deque<Long> unanswered = new ArrayDeque<>();
+    private final Map<String, Long> parts =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+                    return size() > REMEMBERED_PARTS;
+                }
+            };
+    private int running;
+    private long pendingTokens;
+    private double others;
+    private long othersToldAt;
+    private long suspectedUntil;
+    private int suspicions;
+    private double failureShare;
+
+    void began(long tokens, long now) {
+        running++;
+        pendingTokens += tokens;
+        unanswered.addLast(now);
+    }
+
+    void answered(long tokens, long startedAt) {
+        pendingTokens = Math.max(0, pendingTokens - tokens);
+        unanswered.removeFirstOccurrence(startedAt);
+    }
+
+    void ended() {
+        running = Math.max(0, running - 1);
+    }
+
+    void told(int runningAndWaiting, long now) {
+        others = Math.max(0, runningAndWaiting - running);
+        othersToldAt = now;
+    }
+
+    void suspect(long now) {
+        suspicions++;
+        long period = FIRST_SUSPICION_NANOS << Math.min(suspicions - 1, 3);
+        suspectedUntil = now + Math.min(period, LONGEST_SUSPICION_NANOS);
+    }
+
+    void trust() {
+        suspicions = 0;
+        suspectedUntil = 0;
+    }
+
+    void outcome(boolean good) {
+        double sample = good ? 0 : 1;
+        failureShare += (sample - failureShare) / FAILURE_MEMORY;
+    }
+
+    boolean suspected(long now) {
+        return suspectedUntil != 0 && now - suspectedUntil < 0;
+    }
+
+    /** Returns whether a request has waited for an answer for longer than a time. */
+    boolean silentFor(long nanos, long now) {
+        return !unanswered.isEmpty() && now - unanswered.peekFirst() > nanos;
+    }
+
+    int running() {
+        return running;
+    }
+
+    double occupancy(long now) {
+        return running + othersNow(now);
+    }
+
+    long pendingTokens() {
+        return pendingTokens;
+    }
+
+    double failureShare() {
+        return failureShare;
+    }
+
+    void read(String part, long now) {
+        parts.put(part, now);
+    }
+
+    boolean hasRead(String part) {
+        return parts.containsKey(part);
+    }
+
+    double othersNow(long now) {
+        double halves = (double) (now - othersToldAt) / REPORT_HALF_LIFE_NANOS;
+        return others * Math.pow(0.5, Math.max(0, halves));
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Sending.java
@@ -0,0 +1,55 @@
+package io.stackhall.core.dispatch;
+
+import io.stackhall.core.id.UpstreamId;
+
+/** One request on its way to or at an instance. */
+public final class Sending {
+
+    private final UpstreamId instance;
+    private final Need need;
+    private final long tokens;
+    private final long startedAt;
+    private boolean answered;
+    private boolean ended;
+
+    Sending(UpstreamId instance, Need need, long tokens, long startedAt) {
+        this.instance = instance;
+        this.need = need;
+        this.tokens = tokens;
+        this.startedAt = startedAt;
+    }
+
+    /** Returns the instance. */
+    public UpstreamId instance() {
+        return instance;
+    }
+
+    /** Returns what the request needs. */
+    public Need need() {
+        return need;
+    }
+
+    /** Returns when it was sent, on the monotonic clock in nanoseconds. */
+    public long startedAt() {
+        return startedAt;
+    }
+
+    /** Returns the prompt tokens that the instance was expected to read. */
+    long tokens() {
+        return tokens;
+    }
+
+    /** Returns whether this is the first mark. */
+    boolean markAnswered() {
+        boolean first = !answered;
+        answered = true;
+        return first;
+    }
+
+    /** Returns whether this is the first mark. */
+    boolean markEnded() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+}
--- a/stackhall-core/src/main/java/io/stackhall/core/placement/DemandTracker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/placement/DemandTracker.java
@@ -16,9 +16,24 @@
     private static final long WAITING_LIFETIME_NANOS = Duration.ofSeconds(2).toNanos();
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private final Duration halfLife;
     private final Map<ModelId, Rate> rates = new HashMap<>();
     private final Map<HostId, Waiting> waiting = new HashMap<>();
 
+    /** Creates a tracker whose rates halve in {@link #HALF_LIFE}. */
+    public DemandTracker() {
+        this(HALF_LIFE);
+    }
+
+    /**
+     * Creates a tracker.
+     *
+     * @param halfLife the time in which a rate falls to a half without requests
+     */
+    public DemandTracker(Duration halfLife) {
+        this.halfLife = halfLife;
+    }
+
     private static final class Rate {
         private double count;
         private long at;
@@ -50,7 +65,7 @@
         if (rate == null) {
             return 0;
         }
-        double meanLifeSeconds = HALF_LIFE.toNanos() / NANOS_PER_SECOND / Math.log(2);
+        double meanLifeSeconds = halfLife.toNanos() / NANOS_PER_SECOND / Math.log(2);
         return decayed(rate, now) / meanLifeSeconds;
     }
 
@@ -83,8 +98,8 @@
         rate.lastUsed = now;
     }
 
-    private static double decayed(Rate rate, long now) {
-        double halfLives = (double) (now - rate.at) / HALF_LIFE.toNanos();
+    private double decayed(Rate rate, long now) {
+        double halfLives = (double) (now - rate.at) / halfLife.toNanos();
         return rate.count * Math.pow(0.5, halfLives);
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/placement/ShadowPlacement.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/placement/ShadowPlacement.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.policy.ExpectedGainPolicy;
 import io.stackhall.core.policy.LeastRecentlyUsedPolicy;
 import io.stackhall.core.policy.Move;
+import io.stackhall.core.policy.NearestCopyPolicy;
 import io.stackhall.core.policy.PlacementPolicy;
 import io.stackhall.core.policy.PlacementView;
 import io.stackhall.core.policy.StaticPolicy;
@@ -49,6 +50,7 @@
     PolicyName policy() {
         return switch (policy) {
             case ExpectedGainPolicy ignored -> PolicyName.EXPECTED_GAIN;
+            case NearestCopyPolicy ignored -> PolicyName.NEAREST_COPY;
             case LeastRecentlyUsedPolicy ignored -> PolicyName.LEAST_RECENTLY_USED;
             case StaticPolicy ignored -> PolicyName.STATIC;
         };
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementPolicy.java
@@ -11,11 +11,12 @@
  * that it can be changed between two decisions.
  *
  * @see ExpectedGainPolicy
+ * @see NearestCopyPolicy
  * @see LeastRecentlyUsedPolicy
  * @see StaticPolicy
  */
 public sealed interface PlacementPolicy
-        permits ExpectedGainPolicy, LeastRecentlyUsedPolicy, StaticPolicy {
+        permits ExpectedGainPolicy, NearestCopyPolicy, LeastRecentlyUsedPolicy, StaticPolicy {
 
     /** Returns the next moves, most urgent first; at most one for each upstream. */
     List<Move> decide(PlacementView view);
@@ -24,6 +25,7 @@
     static PlacementPolicy of(PolicyName name) {
         return switch (name) {
             case EXPECTED_GAIN -> new ExpectedGainPolicy();
+            case NEAREST_COPY -> new NearestCopyPolicy();
             case LEAST_RECENTLY_USED -> new LeastRecentlyUsedPolicy();
             case STATIC -> new StaticPolicy();
         };
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
@@ -3,7 +3,9 @@
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.membership.Artifact;
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -31,6 +33,7 @@
      * @param held what is resident, in a fixed order
      * @param busy whether an order to it is still open
      * @param loading what that order loads, if it is a load
+     * @param nearCopies how long a load takes of each model whose weights it keeps at hand
      */
     public record Seat(
             UpstreamId upstream,
@@ -38,10 +41,23 @@
             int slots,
             List<Held> held,
             boolean busy,
-            Optional<Artifact> loading) {
-        /** Copies the list. */
+            Optional<Artifact> loading,
+            Map<ModelId, Duration> nearCopies) {
+        /** Copies the collections. */
         public Seat {
             held = List.copyOf(held);
+            nearCopies = Map.copyOf(nearCopies);
+        }
+
+        /** Creates a seat of an upstream that keeps no copies at hand. */
+        public Seat(
+                UpstreamId upstream,
+                long freeMib,
+                int slots,
+                List<Held> held,
+                boolean busy,
+                Optional<Artifact> loading) {
+            this(upstream, freeMib, slots, held, busy, loading, Map.of());
         }
 
         /** Returns whether any version of a model is resident. */
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Formations.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Formations.java
@@ -101,6 +101,7 @@
 
     private void considerForming(long now) {
         if (state.leader().isPresent()
+                || !founder()
                 || now - settledAt < 0
                 || !everyHostHeard()
                 || !best()
@@ -108,7 +109,10 @@
             return;
         }
         List<ReplicaId> all = new ArrayList<>(List.of(state.self()));
-        answered.values().forEach(hello -> all.add(hello.replica()));
+        answered.values().stream()
+                .map(Hello::replica)
+                .filter(replica -> state.hosts().contains(replica.host()))
+                .forEach(all::add);
         found(new Membership(all, List.of()), now);
     }
 
@@ -171,8 +175,14 @@
                 && answer.replica().equals(heard.get(host).replica());
     }
 
+    /** Returns whether this replica may found the group at all. */
+    private boolean founder() {
+        return state.hosts().contains(state.self().host());
+    }
+
+    /** Never where hosts come and go: one that is not heard of may still hold the log elsewhere. */
     private boolean quorumIsGone() {
-        if (!everyHostHeard()) {
+        if (state.settings().open() || !everyHostHeard()) {
             return false;
         }
         long alive = state.membership().voters().stream().filter(this::alive).count();
@@ -190,7 +200,9 @@
 
     /** Returns whether no other host's replica has a better claim to found the group. */
     private boolean best() {
-        return answered.values().stream().allMatch(this::notBetter);
+        return answered.values().stream()
+                .filter(hello -> state.hosts().contains(hello.replica().host()))
+                .allMatch(this::notBetter);
     }
 
     private boolean notBetter(Hello other) {
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Leadership.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Leadership.java
@@ -34,6 +34,7 @@
         lease.restart();
         transferring = false;
         beganAt = now;
+        changes.restart(now);
         firstOwnIndex = state.log().lastIndex() + 1;
         appendAndSend(List.of(new Payload.Blank()), now);
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/MembershipChanges.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/MembershipChanges.java
@@ -10,11 +10,25 @@
  * <p>A replica that is not known is added as a learner. Once it has caught up, the voter that its
  * host ran before is removed, and it is promoted. No change starts before the last one is
  * committed.
+ *
+ * <p>Where hosts come and go, a learner is promoted while voters are missing, and otherwise only
+ * takes the place of a voter that has been silent for long; the rest stay learners.
  */
 final class MembershipChanges {
 
+    /**
+     * Silence after which another replica takes a voter's place, in election timeouts: beyond the
+     * restart of a process (1 to 3 s), and short enough that a second loss 4 s after the first
+     * finds the group whole again.
+     */
+    private static final int SILENT_VOTER_TIMEOUTS = 3;
+
+    /** Silence after which a learner is dropped, in election timeouts. */
+    private static final int SILENT_LEARNER_TIMEOUTS = 30;
+
     private final ReplicaState state;
     private final Map<String, Heard> heard = new TreeMap<>();
+    private long ledSince;
 
     MembershipChanges(ReplicaState state) {
         this.state = state;
@@ -31,6 +45,11 @@
 
     private record Heard(Hello hello, long at) {}
 
+    /** Starts counting silence anew: a new leader has heard from nobody yet. */
+    void restart(long now) {
+        ledSince = now;
+    }
+
     void hear(Hello hello, long now) {
         heard.put(hello.replica().host(), new Heard(hello, now));
     }
@@ -42,9 +61,21 @@
         Membership current = state.membership();
         for (ReplicaId learner : current.learners()) {
             if (caughtUp(learner, progress, now)) {
-                return Optional.of(towardsVoter(current, learner));
+                Optional<Membership> next = towardsVoter(current, learner, progress, now);
+                if (next.isPresent()) {
+                    return next;
+                }
             }
         }
+        Optional<ReplicaId> lost =
+                current.learners().stream()
+                        .filter(
+                                learner ->
+                                        silentFor(SILENT_LEARNER_TIMEOUTS, learner, progress, now))
+                        .findFirst();
+        if (state.settings().open() && lost.isPresent()) {
+            return Optional.of(current.without(lost.get()));
+        }
         return heard.values().stream()
                 .filter(item -> now - item.at() < patience())
                 .map(item -> item.hello().replica())
@@ -62,7 +93,7 @@
             return new Refused("host " + host + " runs no voter of the group");
         }
         Membership next = state.membership().without(voter.get());
-        long active = next.voters().stream().filter(other -> active(other, progress, now)).count();
+        long active = activeVoters(next, progress, now);
         if (next.voters().isEmpty() || active < next.quorum()) {
             return new Refused(
                     "without "
@@ -78,12 +109,32 @@
         return new Next(next);
     }
 
-    private Membership towardsVoter(Membership current, ReplicaId learner) {
+    private Optional<Membership> towardsVoter(
+            Membership current, ReplicaId learner, Map<ReplicaId, Progress> progress, long now) {
         Optional<ReplicaId> former = current.voterOf(learner.host());
         if (former.isPresent()) {
-            return current.without(former.get());
+            return Optional.of(current.without(former.get()));
         }
-        return current.withPromoted(learner);
+        if (!state.settings().open() || current.voters().size() < state.settings().voters()) {
+            return Optional.of(current.withPromoted(learner));
+        }
+        return current.voters().stream()
+                .filter(voter -> silentFor(SILENT_VOTER_TIMEOUTS, voter, progress, now))
+                .map(current::without)
+                .filter(next -> activeVoters(next, progress, now) >= next.quorum())
+                .findFirst();
+    }
+
+    private boolean silentFor(
+            int timeouts, ReplicaId replica, Map<ReplicaId, Progress> progress, long now) {
+        long silence = timeouts * patience();
+        Progress of = progress.get(replica);
+        boolean heardWithin = of != null && of.activeWithin(silence, now);
+        return !replica.equals(state.self()) && !heardWithin && now - ledSince >= silence;
+    }
+
+    private long activeVoters(Membership members, Map<ReplicaId, Progress> progress, long now) {
+        return members.voters().stream().filter(voter -> active(voter, progress, now)).count();
     }
 
     private boolean changing() {
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
@@ -30,7 +30,8 @@
      *
      * @param self its id
      * @param durable whether what it saves outlives its process
-     * @param hosts every host that may run a replica of the group
+     * @param hosts every host that may run a replica of the group; in a group whose hosts come and
+     *     go the hosts that found it, empty on a host that only joins
      * @param settings times and bounds
      * @param random source of election delays and formation numbers
      * @param saved what its storage holds
@@ -44,7 +45,7 @@
             RandomGenerator random,
             SavedState saved,
             long now) {
-        if (!hosts.contains(self.host())) {
+        if (!settings.open() && !hosts.contains(self.host())) {
             throw new IllegalArgumentException(self + " is on none of the group's hosts " + hosts);
         }
         state = new ReplicaState(self, durable, hosts, settings, random, saved, now);
@@ -152,8 +153,8 @@
     }
 
     private void hear(Hello hello, long now) {
-        if (!state.hosts().contains(hello.replica().host())
-                || hello.replica().equals(state.self())) {
+        boolean named = state.hosts().contains(hello.replica().host());
+        if (!(named || state.settings().open()) || hello.replica().equals(state.self())) {
             return;
         }
         formations.hear(hello, now);
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
@@ -0,0 +1,91 @@
+package io.stackhall.core.route;
+
+import io.stackhall.core.id.ServiceName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the routes and services.
+ *
+ * <p>Of the routes of a host name the one with the longest prefix of the path is picked.
+ */
+public final class RouteTable {
+
+    private final long version;
+    private final List<Route> routes;
+    private final Map<ServiceName, ServiceEntry> services = new HashMap<>();
+    private final CallerLimits limits;
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+
+    /** Creates a table; routes may stand in any order. */
+    public RouteTable(
+            long version, List<Route> routes, List<ServiceEntry> services, CallerLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.limits = limits;
+        services.forEach(service -> this.services.put(service.name(), service));
+        for (Route route : routes) {
+            byHost.computeIfAbsent(route.host(), ignored -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        byHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /** Returns the version, which grows with every change. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns all routes. */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /** Returns all services. */
+    public List<ServiceEntry> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** Returns a service by name. */
+    public Optional<ServiceEntry> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the bounds on callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns the route of a request.
+     *
+     * @param host the host name asked for, with or without a port
+     * @param target the path, with or without a query
+     */
+    public Optional<Route> find(String host, String target) {
+        String path = withoutQuery(target);
+        for (Route route : byHost.getOrDefault(hostName(host), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String hostName(String host) {
+        int colon = host.lastIndexOf(':');
+        boolean hasPort = colon > 0 && host.indexOf(']', colon) < 0;
+        return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+    }
+
+    private static String withoutQuery(String target) {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -15,6 +15,7 @@
     public static final String VERSION = "0.1.0";
 
     private static final String COMMAND = "command";
+    private static final String SETTINGS_VARIABLE = "STACKHALL_SETTINGS";
 
     private Main() {}
 
@@ -57,7 +58,10 @@
                         .description("Serves many models on fewer accelerators.");
         Subparsers commands = parser.addSubparsers().dest(COMMAND).title("commands");
         Subparser serve = commands.addParser("serve").help("run one process of the system");
-        serve.addArgument("settings").help("the settings file");
+        serve.addArgument("settings")
+                .nargs("?")
+                .setDefault(System.getenv().getOrDefault(SETTINGS_VARIABLE, ""))
+                .help("the settings file; left out, " + SETTINGS_VARIABLE + " names it");
         Subparser check =
                 commands.addParser("check-settings").help("find all that is wrong with a file");
         check.addArgument("settings").help("the settings file");
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
@@ -3,6 +3,8 @@
 import io.stackhall.core.config.Finding;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.node.Daemon;
+import io.stackhall.server.settings.FleetSettings;
+import io.stackhall.server.settings.ProcessSettings;
 import io.stackhall.server.settings.Settings;
 import io.stackhall.server.settings.SettingsReader;
 import io.vavr.control.Either;
@@ -25,13 +27,18 @@
     record Findings(List<Finding> findings) {}
 
     static ExitCode run(Namespace arguments) {
-        Either<List<Finding>, Settings> settings = read(arguments);
+        Path file = Path.of(arguments.getString("settings"));
+        Either<List<Finding>, ProcessSettings> settings = SettingsReader.readAny(file);
         if (settings.isLeft()) {
             settings.getLeft().forEach(finding -> System.err.println(finding));
             return ExitCode.INVALID;
         }
         StopSignal stop = StopSignal.install();
-        return stop.finish(serve(settings.get(), stop));
+        return stop.finish(
+                switch (settings.get()) {
+                    case Settings named -> serve(named, stop);
+                    case FleetSettings fleet -> FleetProcess.run(fleet, file, stop);
+                });
     }
 
     private static ExitCode serve(Settings settings, StopSignal stop) {
@@ -51,7 +58,8 @@
     }
 
     static ExitCode check(Namespace arguments) {
-        Either<List<Finding>, Settings> settings = read(arguments);
+        Either<List<Finding>, ProcessSettings> settings =
+                SettingsReader.readAny(Path.of(arguments.getString("settings")));
         List<Finding> findings = settings.isLeft() ? settings.getLeft() : List.of();
         if (arguments.getBoolean("json")) {
             System.out.println(
@@ -63,8 +71,4 @@
         }
         return findings.isEmpty() ? ExitCode.OK : ExitCode.INVALID;
     }
-
-    private static Either<List<Finding>, Settings> read(Namespace arguments) {
-        return SettingsReader.read(Path.of(arguments.getString("settings")));
-    }
 }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -0,0 +1,194 @@
+package io.stackhall.server.control;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.config.Finding;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.route.RouteTable;
+import io.stackhall.core.route.RouteTableChecker;
+import io.stackhall.platform.Calls;
+import io.stackhall.platform.ConfigurationDecoder;
+import io.stackhall.platform.RegistrationDecoder;
+import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.server.group.CommandOutcome;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Answers operators and upstreams on a control host. */
+final class ControlApi extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private static final Logger logger = LogManager.getLogger(ControlApi.class);
+
+    /** An operator without an answer for a second tries another host; a commit takes far less. */
+    private static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(3);
+
+    /** A read that has not reached the leader by now is answered as uncertain. */
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(850);
+
+    private static final byte[] ACKNOWLEDGED = "{}".getBytes(StandardCharsets.US_ASCII);
+
+    private final ControlGroup group;
+    private final FleetKeeper fleet;
+
+    ControlApi(ControlGroup group, FleetKeeper fleet) {
+        this.group = group;
+        this.fleet = fleet;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        boolean keep = HttpUtil.isKeepAlive(request);
+        if (request.decoderResult().isFailure()) {
+            answer(context, HttpResponseStatus.BAD_REQUEST, message("not HTTP"), false);
+            return;
+        }
+        String path = path(request.uri());
+        Optional<String> heartbeat = Calls.heartbeatOf(path);
+        Optional<String> leaving = Calls.deregistrationOf(path);
+        boolean posted = request.method().equals(HttpMethod.POST);
+        if (posted && heartbeat.isPresent()) {
+            heartbeat(context, heartbeat.get(), bytes(request), keep);
+        } else if (posted && leaving.isPresent()) {
+            fleet.left(new UpstreamId(leaving.get()));
+            answer(context, HttpResponseStatus.OK, ACKNOWLEDGED, keep);
+        } else if (posted && path.equals(Calls.PUT_CONFIGURATION)) {
+            put(context, bytes(request), keep);
+        } else if (path.equals(Calls.READ_CONFIGURATION)) {
+            read(context, keep);
+        } else {
+            answer(context, HttpResponseStatus.NOT_FOUND, message("no such call: " + path), keep);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        logger.debug("api.connection-failed {}", cause.toString());
+        context.close();
+    }
+
+    private void heartbeat(ChannelHandlerContext context, String id, byte[] body, boolean keep) {
+        Either<Finding, Instance> decoded = RegistrationDecoder.decode(id, body);
+        if (decoded.isLeft()) {
+            logger.warn("heartbeat.refused {}", decoded.getLeft());
+            answer(
+                    context,
+                    HttpResponseStatus.BAD_REQUEST,
+                    message(decoded.getLeft().toString()),
+                    keep);
+            return;
+        }
+        fleet.heard(decoded.get());
+        answer(context, HttpResponseStatus.OK, ACKNOWLEDGED, keep);
+    }
+
+    private void put(ChannelHandlerContext context, byte[] body, boolean keep) {
+        Either<Finding, RouteTable> decoded = ConfigurationDecoder.decode(body);
+        List<Finding> findings =
+                decoded.isLeft()
+                        ? List.of(decoded.getLeft())
+                        : RouteTableChecker.check(decoded.get());
+        if (!findings.isEmpty()) {
+            logger.info("routes.refused findings={}", findings);
+            answer(context, HttpResponseStatus.BAD_REQUEST, message(findings.toString()), keep);
+            return;
+        }
+        long version = decoded.get().version();
+        byte[] command = ControlLog.putCommand(version, body);
+        Thread.startVirtualThread(
+                () -> {
+                    CommandOutcome outcome = group.command(command, COMMIT_TIMEOUT);
+                    logger.info("routes.put version={} outcome={}", version, name(outcome));
+                    if (outcome instanceof CommandOutcome.Done) {
+                        answer(context, HttpResponseStatus.OK, ACKNOWLEDGED, keep);
+                    } else {
+                        answer(
+                                context,
+                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                message(outcome.toString()),
+                                keep);
+                    }
+                });
+    }
+
+    private void read(ChannelHandlerContext context, boolean keep) {
+        Thread.startVirtualThread(
+                () -> {
+                    CommandOutcome outcome = group.query(READ_TIMEOUT);
+                    if (!(outcome instanceof CommandOutcome.Done(byte[] state))) {
+                        logger.info("routes.read-uncertain outcome={}", outcome);
+                        answer(
+                                context,
+                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                message(outcome.toString()),
+                                keep);
+                        return;
+                    }
+                    ControlSnapshot newest = ControlLog.decodeState(state);
+                    if (newest.getVersion() < 0) {
+                        answer(
+                                context,
+                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                message("there is no configuration yet"),
+                                keep);
+                        return;
+                    }
+                    answer(context, HttpResponseStatus.OK, newest.getBody().toByteArray(), keep);
+                });
+    }
+
+    private static void answer(
+            ChannelHandlerContext context, HttpResponseStatus status, byte[] body, boolean keep) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (keep) {
+            context.writeAndFlush(response);
+        } else {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private static byte[] message(String text) {
+        String escaped =
+                text.replace("\\", "\\\\").replace("\"", "'").replaceAll("\\p{Cntrl}", " ");
+        return ("{\"message\":\"" + escaped + "\"}").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String name(CommandOutcome outcome) {
+        return switch (outcome) {
+            case CommandOutcome.Done ignored -> "committed";
+            case CommandOutcome.Refused(String reason) -> "refused: " + reason;
+            case CommandOutcome.Unknown(String reason) -> "unknown: " + reason;
+        };
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        return query < 0 ? uri : uri.substring(0, query);
+    }
+
+    private static byte[] bytes(FullHttpRequest request) {
+        return ByteBufUtil.getBytes(request.content());
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -0,0 +1,225 @@
+package io.stackhall.server.control;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.stackhall.core.id.HostId;
+import io.stackhall.platform.Headers;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.group.CommandOutcome;
+import io.stackhall.server.group.GroupListener;
+import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.peer.Replier;
+import io.stackhall.server.relay.UpstreamClient;
+import io.stackhall.server.settings.FleetSettings;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** A process of the control role. */
+public final class ControlDaemon implements FleetDaemon {
+
+    private static final Logger logger = LogManager.getLogger(ControlDaemon.class);
+
+    /** A configuration of 10,000 routes at 300 bytes each fits several times. */
+    private static final int MAX_CALL_BYTES = 16 << 20;
+
+    private static final long SWEEP_MILLIS = 500;
+    private static final long ORDER_MILLIS = 50;
+    private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
+
+    private final FleetSettings settings;
+    private final FleetSettings.Control control;
+    private final MultiThreadIoEventLoopGroup threads =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = threads.next();
+    private final PeerTransport transport;
+    private final ControlHosts hosts;
+    private final FleetKeeper fleet;
+    private final ControlGroup group;
+    private final ControlLog log;
+    private final OrderGiver orders;
+    private Channel listener;
+
+    /**
+     * Creates a process that does not run yet.
+     *
+     * @throws IOException if its data folder cannot be used or holds damaged state
+     */
+    public ControlDaemon(FleetSettings settings, FleetSettings.Control control) throws IOException {
+        this.settings = settings;
+        this.control = control;
+        this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
+        this.hosts = new ControlHosts(settings, transport, host -> {});
+        this.fleet = new FleetKeeper(loop, transport, hosts, settings.limits().heartbeat());
+        this.log = new ControlLog(state -> loop.execute(() -> fleet.takeRoutes(state)));
+        this.group =
+                new ControlGroup(
+                        settings, control, transport, hosts, log, new Listener(), new Random());
+        this.orders =
+                new OrderGiver(
+                        settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
+    }
+
+    @Override
+    public void start() {
+        transport.open(this::received);
+        hosts.start();
+        group.start();
+        listener = listen();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                this::giveOrders, ORDER_MILLIS, ORDER_MILLIS, TimeUnit.MILLISECONDS);
+        logger.info(
+                "daemon.started host={} zone={} api={}",
+                settings.host(),
+                settings.zone(),
+                control.api());
+    }
+
+    @Override
+    public void reload(FleetSettings next) {
+        hosts.reseed(next.seedPeers());
+    }
+
+    @Override
+    public void drain() {
+        logger.info("daemon.draining host={}", settings.host());
+        group.transfer();
+        listener.close();
+        pause(Duration.ofMillis(300));
+    }
+
+    @Override
+    public void close() throws IOException {
+        group.close();
+        transport.close();
+        logger.info("daemon.stopped host={}", settings.host());
+    }
+
+    private void received(Frame frame, Replier replier) {
+        if (group.received(frame, replier)) {
+            return;
+        }
+        loop.execute(() -> receivedOnLoop(frame, replier));
+    }
+
+    private void receivedOnLoop(Frame frame, Replier replier) {
+        switch (frame.getBodyCase()) {
+            case INTRODUCTION -> {
+                hosts.introduced(frame.getIntroduction());
+                if (!frame.getIntroduction().getAnswer()) {
+                    replier.send(hosts.introduction(true));
+                    if (frame.getIntroduction().getControl()) {
+                        fleet.tellAll(replier);
+                    }
+                }
+            }
+            case INSTANCES -> fleet.heard(frame.getInstances());
+            case FLEET_FOLLOW -> {
+                fleet.followed(frame.getFleetFollow(), replier);
+                if (frame.getFleetFollow().getWantsConfirmation()) {
+                    confirm(replier);
+                }
+            }
+            case DEMAND -> orders.demanded(frame.getDemand());
+            case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
+            case ADAPTER_PLACED -> fleet.placedElsewhere(frame);
+            default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
+        }
+    }
+
+    private void confirm(Replier replier) {
+        Thread.startVirtualThread(
+                () -> {
+                    CommandOutcome outcome = group.query(CONFIRM_TIMEOUT);
+                    if (outcome instanceof CommandOutcome.Done(byte[] state)) {
+                        loop.execute(() -> fleet.confirm(replier, ControlLog.decodeState(state)));
+                    } else {
+                        logger.info("routes.unconfirmed outcome={}", outcome);
+                    }
+                });
+    }
+
+    private void giveOrders() {
+        try {
+            orders.tick();
+        } catch (RuntimeException e) {
+            logger.error("orders.failed {}", e.toString(), e);
+        }
+    }
+
+    private void sweep() {
+        hosts.sweep();
+        fleet.sweep();
+        if (group.leads()) {
+            fleet.expire();
+        }
+    }
+
+    private Channel listen() {
+        return new ServerBootstrap()
+                .group(threads)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.config().setTcpNoDelay(true);
+                                channel.pipeline()
+                                        .addLast(
+                                                new IdleStateHandler(0, 0, 60),
+                                                new HttpServerCodec(),
+                                                new HttpObjectAggregator(MAX_CALL_BYTES),
+                                                new ControlApi(group, fleet));
+                            }
+                        })
+                .bind(control.api().socket())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private static void pause(Duration time) {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Hears of this replica's part in the group. */
+    private final class Listener implements GroupListener {
+        @Override
+        public void changed() {
+            // The log itself tells of changes.
+        }
+
+        @Override
+        public void led(boolean leading) {
+            logger.info(
+                    "control.leads leading={} leader={}",
+                    leading,
+                    group.leader().map(HostId::value));
+            loop.execute(
+                    () -> {
+                        if (leading) {
+                            fleet.refresh();
+                        }
+                        orders.led(leading, log.state());
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -0,0 +1,171 @@
+package io.stackhall.server.control;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.replication.Hello;
+import io.stackhall.core.replication.Message;
+import io.stackhall.core.replication.ReplicaId;
+import io.stackhall.core.replication.ReplicaSettings;
+import io.stackhall.core.replication.Role;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.group.CommandOutcome;
+import io.stackhall.server.group.GroupClient;
+import io.stackhall.server.group.GroupHost;
+import io.stackhall.server.group.GroupListener;
+import io.stackhall.server.group.GroupWire;
+import io.stackhall.server.group.ReplicaView;
+import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.peer.ReplicationCodec;
+import io.stackhall.server.peer.Replier;
+import io.stackhall.server.settings.FleetSettings;
+import io.stackhall.server.storage.DataFolder;
+import io.stackhall.server.storage.DiskStorage;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+
+/** This host's replica of the control group, and the way to the group's leader. */
+final class ControlGroup implements AutoCloseable {
+
+    private static final String GROUP = "control";
+    private static final long LEAST_FREE_BYTES = 8 << 20;
+
+    /** Longer than a slow sync of a disk (30 times 2 ms), shorter than a caller's patience. */
+    private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(700);
+
+    private static final Duration HEARTBEAT = Duration.ofMillis(100);
+    private static final Duration DRIFT_MARGIN = Duration.ofMillis(50);
+    private static final int MAX_ENTRIES_PER_MESSAGE = 64;
+
+    private final FleetSettings settings;
+    private final PeerTransport transport;
+    private final ControlHosts hosts;
+    private final DataFolder folder;
+    private final GroupHost replica;
+    private final GroupClient client;
+
+    ControlGroup(
+            FleetSettings settings,
+            FleetSettings.Control control,
+            PeerTransport transport,
+            ControlHosts hosts,
+            ControlLog log,
+            GroupListener listener,
+            RandomGenerator random)
+            throws IOException {
+        this.settings = settings;
+        this.transport = transport;
+        this.hosts = hosts;
+        this.folder = DataFolder.open(control.dataFolder());
+        DiskStorage storage =
+                DiskStorage.open(folder.resolve("groups").resolve(GROUP), random, LEAST_FREE_BYTES);
+        int voters = 2 * settings.limits().hostLossesBorne() + 1;
+        ReplicaSettings times =
+                new ReplicaSettings(
+                        ELECTION_TIMEOUT, HEARTBEAT, DRIFT_MARGIN, MAX_ENTRIES_PER_MESSAGE, voters);
+        this.replica =
+                new GroupHost(
+                        GROUP,
+                        settings.peerName().value(),
+                        founders(),
+                        times,
+                        storage,
+                        log,
+                        new Wire(),
+                        listener,
+                        random);
+        Map<String, GroupHost> local = new ConcurrentHashMap<>(Map.of(GROUP, replica));
+        this.client = new GroupClient(settings.peerName(), transport, local, group -> hosts.all());
+    }
+
+    void start() {
+        replica.start();
+    }
+
+    /** Commits a command; to be called on a virtual thread. */
+    CommandOutcome command(byte[] command, Duration timeout) {
+        return client.command(GROUP, command, timeout);
+    }
+
+    /** Reads the newest state; to be called on a virtual thread. */
+    CommandOutcome query(Duration timeout) {
+        return client.query(GROUP, new byte[0], timeout);
+    }
+
+    /** Takes a frame of the group, if it is one. */
+    boolean received(Frame frame, Replier replier) {
+        switch (frame.getBodyCase()) {
+            case RAFT -> replica.receive(ReplicationCodec.decode(frame.getRaft()));
+            case HELLO -> replica.receive(ReplicationCodec.decode(frame.getHello()));
+            case COMMAND -> client.serve(frame.getCall(), frame.getCommand(), replier);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean leads() {
+        return replica.view().role() == Role.LEADER && replica.holdsLeaseNow();
+    }
+
+    ReplicaView view() {
+        return replica.view();
+    }
+
+    /** Returns the leader's host, if one is known. */
+    Optional<HostId> leader() {
+        return replica.view().leader().map(ReplicaId::host).map(HostId::new);
+    }
+
+    void transfer() {
+        replica.transfer();
+    }
+
+    @Override
+    public void close() throws IOException {
+        replica.close();
+        folder.close();
+    }
+
+    /** The seeds found the group at the very first start; whoever comes later joins it. */
+    private Set<String> founders() {
+        List<HostId> seeds = settings.seedPeers();
+        if (!settings.firstStart() || !seeds.contains(settings.peerName())) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        seeds.forEach(seed -> names.add(seed.value()));
+        return names;
+    }
+
+    /** Carries the group's messages. */
+    private final class Wire implements GroupWire {
+        @Override
+        public void send(String group, Message message) {
+            transport.send(
+                    new HostId(message.to().host()),
+                    Frame.newBuilder().setRaft(ReplicationCodec.encode(group, message)).build());
+        }
+
+        @Override
+        public void announce(String group, Hello hello) {
+            Frame frame =
+                    Frame.newBuilder().setHello(ReplicationCodec.encode(group, hello)).build();
+            hosts.all().forEach(host -> transport.send(host, frame));
+        }
+
+        @Override
+        public void answer(String group, String host, Hello hello) {
+            transport.send(
+                    new HostId(host),
+                    Frame.newBuilder().setHello(ReplicationCodec.encode(group, hello)).build());
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
@@ -0,0 +1,130 @@
+package io.stackhall.server.control;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.stackhall.rpc.generated.fleet.ControlCommand;
+import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.PutRoutes;
+import io.stackhall.rpc.generated.fleet.TakeOver;
+import io.stackhall.server.group.GroupState;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The replicated state of the control group: the configuration of the highest version, and who gave
+ * orders last.
+ */
+final class ControlLog implements GroupState {
+
+    private static final Logger logger = LogManager.getLogger(ControlLog.class);
+
+    private final Consumer<ControlSnapshot> onChange;
+    private volatile ControlSnapshot state = initial();
+
+    /**
+     * Creates the initial state.
+     *
+     * @param onChange told of each new state, on the group's thread
+     */
+    ControlLog(Consumer<ControlSnapshot> onChange) {
+        this.onChange = onChange;
+    }
+
+    /** Returns the state as applied on this host, which may lag behind the leader's. */
+    ControlSnapshot state() {
+        return state;
+    }
+
+    @Override
+    public byte[] apply(byte[] command) {
+        ControlCommand decoded = decode(command);
+        switch (decoded.getCommandCase()) {
+            case PUT_ROUTES -> put(decoded.getPutRoutes());
+            case TAKE_OVER -> takeOver(decoded.getTakeOver());
+            case COMMAND_NOT_SET -> logger.error("control.command-unknown");
+        }
+        return new byte[0];
+    }
+
+    /** Answers any question with the whole state. */
+    @Override
+    public byte[] query(byte[] question) {
+        return state.toByteArray();
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return state.toByteArray();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        if (snapshot.length == 0) {
+            return;
+        }
+        change(decodeState(snapshot));
+    }
+
+    @Override
+    public void reformed(boolean memoryLost) {
+        logger.warn("control.reformed memoryLost={}", memoryLost);
+    }
+
+    static byte[] putCommand(long version, byte[] body) {
+        return ControlCommand.newBuilder()
+                .setPutRoutes(
+                        PutRoutes.newBuilder()
+                                .setVersion(version)
+                                .setBody(ByteString.copyFrom(body)))
+                .build()
+                .toByteArray();
+    }
+
+    static byte[] takeOverCommand(String holder, long term) {
+        return ControlCommand.newBuilder()
+                .setTakeOver(TakeOver.newBuilder().setHolder(holder).setTerm(term))
+                .build()
+                .toByteArray();
+    }
+
+    static ControlSnapshot decodeState(byte[] bytes) {
+        try {
+            return ControlSnapshot.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("damaged state of the control group", e);
+        }
+    }
+
+    private void put(PutRoutes put) {
+        if (put.getVersion() > state.getVersion()) {
+            logger.info("routes.committed version={} was={}", put.getVersion(), state.getVersion());
+            change(state.toBuilder().setVersion(put.getVersion()).setBody(put.getBody()).build());
+        }
+    }
+
+    private void takeOver(TakeOver takeOver) {
+        change(
+                state.toBuilder()
+                        .setHolder(takeOver.getHolder())
+                        .setTerm(takeOver.getTerm())
+                        .build());
+    }
+
+    private void change(ControlSnapshot next) {
+        state = next;
+        onChange.accept(next);
+    }
+
+    private static ControlSnapshot initial() {
+        return ControlSnapshot.newBuilder().setVersion(-1).build();
+    }
+
+    private static ControlCommand decode(byte[] command) {
+        try {
+            return ControlCommand.parseFrom(command);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("damaged command of the control group", e);
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
@@ -0,0 +1,120 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.rpc.generated.fleet.Introduction;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.settings.Address;
+import io.stackhall.server.settings.FleetSettings;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The control hosts that this process knows: the seeds, and whom they and others name. A connection
+ * is kept to each; one that has not answered for long is forgotten unless it is a seed.
+ */
+public final class ControlHosts {
+
+    private static final Logger logger = LogManager.getLogger(ControlHosts.class);
+
+    /** A host that was replaced stays away; one that restarts or is cut off returns sooner. */
+    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private final FleetSettings settings;
+    private final PeerTransport transport;
+    private final Consumer<HostId> onConnected;
+    private final Map<HostId, Long> lastUp = new LinkedHashMap<>();
+    private Set<HostId> seeds;
+
+    /**
+     * Creates the list; nothing is connected yet.
+     *
+     * @param onConnected told on a network thread of each connection that has come up
+     */
+    public ControlHosts(
+            FleetSettings settings, PeerTransport transport, Consumer<HostId> onConnected) {
+        this.settings = settings;
+        this.transport = transport;
+        this.onConnected = onConnected;
+        this.seeds = Set.copyOf(settings.seedPeers());
+    }
+
+    /** Connects to the seeds. */
+    public synchronized void start() {
+        learn(settings.seedPeers());
+    }
+
+    /** Takes over other seeds. */
+    public synchronized void reseed(Collection<HostId> next) {
+        seeds = Set.copyOf(next);
+        learn(next);
+    }
+
+    /** Takes in hosts that another has named. */
+    public synchronized void learn(Collection<HostId> named) {
+        for (HostId host : named) {
+            boolean known = host.equals(settings.peerName()) || lastUp.containsKey(host);
+            if (!known) {
+                lastUp.put(host, System.nanoTime());
+                logger.info("control-host.learned host={}", host);
+                transport.link(host, Address.parse(host.value()), () -> connected(host));
+            }
+        }
+    }
+
+    /** Returns the known hosts, this one excepted. */
+    public synchronized List<HostId> all() {
+        return new ArrayList<>(lastUp.keySet());
+    }
+
+    /** Forgets hosts that have been away for long. */
+    public synchronized void sweep() {
+        long now = System.nanoTime();
+        for (HostId host : all()) {
+            if (transport.connected(host)) {
+                lastUp.put(host, now);
+            } else if (!seeds.contains(host) && now - lastUp.get(host) > FORGET_NANOS) {
+                lastUp.remove(host);
+                transport.unlink(host);
+                logger.info("control-host.forgotten host={}", host);
+            }
+        }
+    }
+
+    /** Returns the frame in which this process says who it is and whom it knows. */
+    public synchronized Frame introduction(boolean answer) {
+        Introduction.Builder introduction =
+                Introduction.newBuilder()
+                        .setHost(settings.peerName().value())
+                        .setControl(settings.control().isPresent())
+                        .setAnswer(answer);
+        lastUp.keySet().stream()
+                .filter(transport::connected)
+                .forEach(host -> introduction.addControlHosts(host.value()));
+        return Frame.newBuilder().setIntroduction(introduction).build();
+    }
+
+    /** Takes in another process's introduction. */
+    public void introduced(Introduction introduction) {
+        List<HostId> named = new ArrayList<>();
+        introduction.getControlHostsList().forEach(host -> named.add(new HostId(host)));
+        if (introduction.getControl()) {
+            named.add(new HostId(introduction.getHost()));
+        }
+        learn(named);
+    }
+
+    private void connected(HostId host) {
+        logger.info("control-host.connected host={}", host);
+        transport.send(host, introduction(false));
+        onConnected.accept(host);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/FleetDaemon.java
@@ -0,0 +1,28 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.server.peer.PeerTiming;
+import io.stackhall.server.settings.FleetSettings;
+import java.io.IOException;
+import java.time.Duration;
+
+/** A process of a system whose hosts find each other through seeds. */
+public interface FleetDaemon extends AutoCloseable {
+
+    /**
+     * A connection that has fallen silent is replaced within this, so that a change still gets
+     * through in two seconds.
+     */
+    PeerTiming PEER_TIMING = new PeerTiming(Duration.ofMillis(300), Duration.ofMillis(900));
+
+    /** Starts to work. */
+    void start();
+
+    /** Takes over settings that may change while the process runs. */
+    void reload(FleetSettings settings);
+
+    /** Leaves without cutting a request; returns when it may end. */
+    void drain();
+
+    @Override
+    void close() throws IOException;
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -0,0 +1,98 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.fleet.ModelCopy;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.rpc.generated.fleet.InstanceRecord;
+import io.stackhall.rpc.generated.fleet.ResidentModel;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Encodes instances for other hosts. */
+public final class InstanceCodec {
+
+    private InstanceCodec() {}
+
+    /** Encodes an instance. */
+    public static InstanceRecord encode(Instance instance) {
+        InstanceRecord.Builder record =
+                InstanceRecord.newBuilder()
+                        .setId(instance.id().value())
+                        .setService(instance.service().value())
+                        .setAddress(instance.address())
+                        .setZone(instance.zone().value())
+                        .setSlots(instance.slots())
+                        .setState(encode(instance.state()))
+                        .setSequence(instance.sequence())
+                        .setColdMillis(instance.cold().toMillis())
+                        .setOrdersTaken(instance.ordersTaken());
+        for (ModelCopy copy : instance.models()) {
+            record.addModels(
+                    ResidentModel.newBuilder()
+                            .setName(copy.model().value())
+                            .setVersion(copy.version())
+                            .addAllAdapters(copy.adapters()));
+        }
+        instance.inHostMemory().forEach(model -> record.addCopiesInMemory(model.value()));
+        instance.onDisk().forEach(model -> record.addCopiesOnDisk(model.value()));
+        return record.build();
+    }
+
+    /** Decodes an instance. */
+    public static Instance decode(InstanceRecord record) {
+        List<ModelCopy> models = new ArrayList<>();
+        for (ResidentModel model : record.getModelsList()) {
+            models.add(
+                    new ModelCopy(
+                            new ModelId(model.getName()),
+                            model.getVersion(),
+                            new HashSet<>(model.getAdaptersList())));
+        }
+        return new Instance(
+                new UpstreamId(record.getId()),
+                new ServiceName(record.getService()),
+                record.getAddress(),
+                new ZoneId(record.getZone()),
+                record.getSlots(),
+                decode(record.getState()),
+                record.getSequence(),
+                Duration.ofMillis(record.getColdMillis()),
+                models,
+                names(record.getCopiesInMemoryList()),
+                names(record.getCopiesOnDiskList()),
+                record.getOrdersTaken());
+    }
+
+    private static Set<ModelId> names(List<String> texts) {
+        Set<ModelId> names = new HashSet<>();
+        texts.forEach(text -> names.add(new ModelId(text)));
+        return names;
+    }
+
+    private static io.stackhall.rpc.generated.fleet.InstanceState encode(InstanceState state) {
+        return switch (state) {
+            case READY -> io.stackhall.rpc.generated.fleet.InstanceState.READY;
+            case DRAINING -> io.stackhall.rpc.generated.fleet.InstanceState.DRAINING;
+            case SILENT -> io.stackhall.rpc.generated.fleet.InstanceState.SILENT;
+            case GONE -> io.stackhall.rpc.generated.fleet.InstanceState.GONE;
+        };
+    }
+
+    private static InstanceState decode(io.stackhall.rpc.generated.fleet.InstanceState state) {
+        return switch (state) {
+            case READY -> InstanceState.READY;
+            case DRAINING -> InstanceState.DRAINING;
+            case SILENT -> InstanceState.SILENT;
+            case GONE -> InstanceState.GONE;
+            case UNRECOGNIZED ->
+                    throw new IllegalArgumentException("unknown state of an instance: " + state);
+        };
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -0,0 +1,98 @@
+package io.stackhall.server.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.platform.Headers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+/** Makes the answers that callers get. */
+final class Answers {
+
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    /** Headers that concern one connection, and those that this host sets itself. */
+    private static final List<CharSequence> CONNECTION_HEADERS =
+            List.of(
+                    HttpHeaderNames.CONNECTION,
+                    "Keep-Alive",
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.CONTENT_LENGTH,
+                    HttpHeaderNames.TE,
+                    HttpHeaderNames.TRAILER,
+                    HttpHeaderNames.UPGRADE,
+                    HttpHeaderNames.EXPECT,
+                    "Proxy-Connection");
+
+    private Answers() {}
+
+    /** Returns a failure of this system's own. */
+    static FullHttpResponse failure(HttpResponseStatus status, String reason, String requestId) {
+        byte[] body =
+                ("{\"error\":\"" + reason.replace('"', '\'') + "\"}")
+                        .getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        if (!requestId.isEmpty()) {
+            response.headers().set(Headers.REQUEST_ID, requestId);
+        }
+        return response;
+    }
+
+    /** Returns a refusal of a request that has not run. */
+    static FullHttpResponse refusal(String reason, String requestId, Duration retryAfter) {
+        FullHttpResponse response =
+                failure(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, requestId);
+        double seconds = retryAfter.toMillis() / MILLIS_PER_SECOND;
+        response.headers().set(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+        return response;
+    }
+
+    /** Returns whether callers read a status as the promise that their request has not run. */
+    static boolean looksLikeRefusal(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+
+    /** Returns an upstream's answer with its whole body. */
+    static FullHttpResponse whole(HttpResponse head, ByteBuf body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
+        copyHeaders(head.headers(), response.headers());
+        return response;
+    }
+
+    /** Returns the head of an upstream's answer. */
+    static HttpResponse head(HttpResponse head) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+        copyHeaders(head.headers(), response.headers());
+        return response;
+    }
+
+    /** Copies the headers that do not concern one connection alone. */
+    static void copyHeaders(HttpHeaders from, HttpHeaders to) {
+        to.add(from);
+        for (String named : from.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String name : named.split(",", -1)) {
+                if (!name.isBlank()) {
+                    to.remove(name.strip());
+                }
+            }
+        }
+        CONNECTION_HEADERS.forEach(to::remove);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -0,0 +1,51 @@
+package io.stackhall.server.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.dispatch.PromptPart;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.route.Route;
+import io.stackhall.platform.RequestHeaders;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * One request as it came from a caller.
+ *
+ * @param method its method
+ * @param target its path and query, unchanged
+ * @param headers its headers, unchanged
+ * @param body its whole body
+ * @param arrivedAt when its head had arrived, on the monotonic clock in nanoseconds
+ */
+record CallerRequest(
+        HttpMethod method, String target, HttpHeaders headers, byte[] body, long arrivedAt) {
+
+    /** Returns the caller's name for this attempt, empty where it gave none. */
+    String id() {
+        return RequestHeaders.requestId(headers::get);
+    }
+
+    /** Returns how long the caller waits, in milliseconds, if it says so. */
+    OptionalLong deadlineMillis() {
+        return RequestHeaders.deadlineMillis(headers::get);
+    }
+
+    /** Returns what it needs of an instance of a service. */
+    Need need(Route route, ServiceName service) {
+        RequestHeaders.Prompt prompt = RequestHeaders.prompt(headers::get);
+        Optional<String> model = prompt.model();
+        List<PromptPart> parts = prompt.parts();
+        return new Need(
+                service,
+                model.map(ModelId::new),
+                prompt.adapter(),
+                parts,
+                prompt.promptTokens(),
+                prompt.answerTokens(),
+                route.rank());
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -0,0 +1,171 @@
+package io.stackhall.server.gateway;
+
+import io.netty.channel.EventLoop;
+import io.stackhall.core.config.Finding;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceTable;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.route.RouteTable;
+import io.stackhall.platform.ConfigurationDecoder;
+import io.stackhall.rpc.generated.fleet.AdapterPlaced;
+import io.stackhall.rpc.generated.fleet.FleetFollow;
+import io.stackhall.rpc.generated.fleet.InstanceRecord;
+import io.stackhall.rpc.generated.fleet.RoutesUpdate;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.peer.Replier;
+import io.stackhall.server.settings.FleetSettings;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps an entry host's routes and instances as the control hosts tell them. It follows several, so
+ * that one that is cut off or slow holds nothing up. Used on one event loop.
+ */
+final class ControlFollower {
+
+    private static final Logger logger = LogManager.getLogger(ControlFollower.class);
+
+    /**
+     * After this long without a quorum's word, routes that any control host holds are better than
+     * none: a zone that is cut off goes on serving.
+     */
+    private static final long UNCONFIRMED_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** An entry host never judges silence itself: control hosts tell. */
+    private static final Duration NEVER = Duration.ofDays(365);
+
+    private final FleetSettings settings;
+    private final EventLoop loop;
+    private final PeerTransport transport;
+    private final ControlHosts hosts;
+    private final Gateway gateway;
+    private final RandomGenerator random;
+    private final InstanceTable table = new InstanceTable(NEVER);
+    private final Map<HostId, Long> connections = new HashMap<>();
+    private boolean confirmed;
+    private boolean knowsInstances;
+    private long firstRoutesAt;
+
+    ControlFollower(
+            FleetSettings settings,
+            EventLoop loop,
+            PeerTransport transport,
+            ControlHosts hosts,
+            Gateway gateway,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.loop = loop;
+        this.transport = transport;
+        this.hosts = hosts;
+        this.gateway = gateway;
+        this.random = random;
+    }
+
+    /** Returns whether this host knows enough to take callers' requests. */
+    boolean ready() {
+        boolean patienceOver =
+                gateway.knowsRoutes() && System.nanoTime() - firstRoutesAt >= UNCONFIRMED_NANOS;
+        return gateway.knowsRoutes() && knowsInstances && (confirmed || patienceOver);
+    }
+
+    /** A connection to a control host has come up. */
+    void connected(HostId host) {
+        loop.execute(
+                () -> {
+                    connections.put(host, random.nextLong(1, Long.MAX_VALUE));
+                    follow(host);
+                });
+    }
+
+    /** Asks every control host again, so that what was lost is told again. */
+    void followAll() {
+        hosts.all().stream().filter(transport::connected).forEach(this::follow);
+    }
+
+    /** Sends a frame to every control host. */
+    void tellAll(Frame frame) {
+        hosts.all().forEach(host -> transport.send(host, frame));
+    }
+
+    /** Takes a frame from a control host, on any thread. */
+    void received(Frame frame, Replier replier) {
+        loop.execute(() -> receivedOnLoop(frame, replier));
+    }
+
+    private void receivedOnLoop(Frame frame, Replier replier) {
+        switch (frame.getBodyCase()) {
+            case INTRODUCTION -> {
+                hosts.introduced(frame.getIntroduction());
+                if (!frame.getIntroduction().getAnswer()) {
+                    replier.send(hosts.introduction(true));
+                }
+            }
+            case INSTANCES -> {
+                frame.getInstances().getInstancesList().forEach(this::instance);
+                knowsInstances = true;
+                gateway.serveWaiting();
+            }
+            case ROUTES -> routes(frame.getRoutes());
+            case ADAPTER_PLACED -> placed(frame.getAdapterPlaced());
+            default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
+        }
+    }
+
+    private void instance(InstanceRecord instance) {
+        for (Instance changed : table.merge(InstanceCodec.decode(instance), System.nanoTime())) {
+            gateway.changed(changed);
+        }
+    }
+
+    private void placed(AdapterPlaced placed) {
+        gateway.dispatcher()
+                .adapterPlaced(
+                        new UpstreamId(placed.getInstance()),
+                        new ModelId(placed.getModel()),
+                        placed.getAdapter());
+        gateway.serveWaiting();
+    }
+
+    private void routes(RoutesUpdate update) {
+        long held = gateway.knowsRoutes() ? gateway.routes().version() : -1;
+        if (update.getVersion() > held) {
+            Either<Finding, RouteTable> decoded =
+                    ConfigurationDecoder.decode(update.getBody().toByteArray());
+            if (decoded.isLeft()) {
+                logger.error(
+                        "routes.unreadable version={} {}", update.getVersion(), decoded.getLeft());
+                return;
+            }
+            if (!gateway.knowsRoutes()) {
+                firstRoutesAt = System.nanoTime();
+            }
+            gateway.routes(decoded.get());
+        }
+        if (update.getConfirmed() && !confirmed && gateway.knowsRoutes()) {
+            confirmed = true;
+            logger.info("routes.confirmed version={}", gateway.routes().version());
+        }
+    }
+
+    private void follow(HostId host) {
+        FleetFollow follow =
+                FleetFollow.newBuilder()
+                        .setHost(settings.peerName().value())
+                        .setConnection(connections.getOrDefault(host, 0L))
+                        .setRoutesVersion(gateway.knowsRoutes() ? gateway.routes().version() : -1)
+                        .setWantsConfirmation(!confirmed)
+                        .build();
+        transport.send(host, Frame.newBuilder().setFleetFollow(follow).build());
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -0,0 +1,272 @@
+package io.stackhall.server.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.dispatch.Dispatcher;
+import io.stackhall.core.dispatch.RetryAllowance;
+import io.stackhall.platform.Calls;
+import io.stackhall.platform.Headers;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.relay.UpstreamClient;
+import io.stackhall.server.settings.Address;
+import io.stackhall.server.settings.FleetSettings;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** A process of the entry role. */
+public final class EntryDaemon implements FleetDaemon {
+
+    private static final Logger logger = LogManager.getLogger(EntryDaemon.class);
+
+    private static final long FOLLOW_MILLIS = 1000;
+    private static final long WAITING_MILLIS = 25;
+    private static final long DEMAND_MILLIS = 500;
+
+    /** The balancer leaves a host that was not ready twice, a second apart. */
+    private static final Duration BALANCER_LEAVES = Duration.ofMillis(2500);
+
+    /** Left of the grace when the process ends at the latest. */
+    private static final Duration GRACE_MARGIN = Duration.ofMillis(700);
+
+    /**
+     * How many entry hosts share the slack for resends: told by no one, so the most that a zone
+     * group of the sizes served today has.
+     */
+    private static final int ASSUMED_ENTRY_HOSTS = 10;
+
+    private static final int BACKLOG = 512;
+
+    private final FleetSettings settings;
+    private final FleetSettings.Entry entry;
+    private final MultiThreadIoEventLoopGroup threads =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = threads.next();
+    private final PeerTransport transport;
+    private final ControlHosts hosts;
+    private final Gateway gateway;
+    private final ControlFollower follower;
+    private final UpstreamClient upstreams;
+    private Channel callers;
+    private Channel readiness;
+
+    /** Creates a process that does not run yet. */
+    public EntryDaemon(FleetSettings settings, FleetSettings.Entry entry) {
+        this.settings = settings;
+        this.entry = entry;
+        Random random = new Random();
+        FleetSettings.Limits limits = settings.limits();
+        this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
+        this.hosts = new ControlHosts(settings, transport, host -> connected(host));
+        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID);
+        this.gateway =
+                new Gateway(
+                        loop,
+                        new Dispatcher(settings.zone(), random),
+                        upstreams,
+                        new RetryAllowance(
+                                limits.retryRatio(),
+                                (double) limits.retrySlack() / ASSUMED_ENTRY_HOSTS,
+                                limits.retryWindow()),
+                        new AdapterWishes(this::tellControlHosts),
+                        random);
+        this.follower = new ControlFollower(settings, loop, transport, hosts, gateway, random);
+    }
+
+    @Override
+    public void start() {
+        transport.open(follower::received);
+        hosts.start();
+        callers = listen(entry.callers(), new CallerChannels());
+        readiness = listen(entry.readiness(), new ReadinessChannels());
+        every(FOLLOW_MILLIS, this::follow);
+        every(WAITING_MILLIS, this::serve);
+        every(DEMAND_MILLIS, this::tellDemand);
+        logger.info(
+                "daemon.started host={} zone={} callers={}",
+                settings.host(),
+                settings.zone(),
+                entry.callers());
+    }
+
+    @Override
+    public void reload(FleetSettings next) {
+        hosts.reseed(next.seedPeers());
+    }
+
+    @Override
+    public void drain() {
+        long started = System.nanoTime();
+        logger.info("daemon.draining host={}", settings.host());
+        loop.execute(gateway::drain);
+        long leave = started + BALANCER_LEAVES.toNanos();
+        long end = started + settings.limits().stopGrace().minus(GRACE_MARGIN).toNanos();
+        pauseUntil(leave);
+        callers.close();
+        loop.execute(gateway::closeResting);
+        while (System.nanoTime() - end < 0 && gateway.connections() > 0) {
+            pauseUntil(System.nanoTime() + Duration.ofMillis(50).toNanos());
+        }
+        logger.info(
+                "daemon.drained host={} connections={}", settings.host(), gateway.connections());
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+        logger.info("daemon.stopped host={}", settings.host());
+    }
+
+    private void connected(io.stackhall.core.id.HostId host) {
+        follower.connected(host);
+    }
+
+    private void tellControlHosts(Frame frame) {
+        follower.tellAll(frame);
+    }
+
+    private void follow() {
+        hosts.sweep();
+        upstreams.sweep();
+        follower.followAll();
+    }
+
+    private void serve() {
+        gateway.serveWaiting();
+        if (gateway.demand().urgent()) {
+            tellDemand();
+        }
+    }
+
+    private void tellDemand() {
+        Frame frame =
+                Frame.newBuilder()
+                        .setDemand(
+                                gateway.demand()
+                                        .take(settings.peerName().value(), settings.zone().value()))
+                        .build();
+        follower.tellAll(frame);
+    }
+
+    private void every(long millis, Runnable task) {
+        loop.scheduleAtFixedRate(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        logger.error("daemon.task-failed {}", e.toString(), e);
+                    }
+                },
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private Channel listen(Address address, ChannelHandler channels) {
+        return new ServerBootstrap()
+                .group(threads)
+                .channel(NioServerSocketChannel.class)
+                .option(io.netty.channel.ChannelOption.SO_BACKLOG, BACKLOG)
+                .childHandler(channels)
+                .bind(address.socket())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private static void pauseUntil(long time) {
+        long left = time - System.nanoTime();
+        if (left <= 0) {
+            return;
+        }
+        try {
+            TimeUnit.NANOSECONDS.sleep(left);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Connections of callers. */
+    private final class CallerChannels extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.config().setTcpNoDelay(true);
+            CallerConnection connection = new CallerConnection(gateway);
+            channel.pipeline()
+                    .addLast(
+                            new ChannelInboundHandlerAdapter() {
+                                @Override
+                                public void channelRead(
+                                        ChannelHandlerContext context, Object bytes) {
+                                    connection.bytesArrived();
+                                    context.fireChannelRead(bytes);
+                                }
+                            },
+                            new RequestDecoder(gateway.limits()),
+                            new HttpResponseEncoder(),
+                            connection);
+        }
+    }
+
+    /** Connections of the balancer. */
+    private final class ReadinessChannels extends ChannelInitializer<SocketChannel> {
+        private static final int MAX_BYTES = 4096;
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(
+                            new HttpServerCodec(),
+                            new HttpObjectAggregator(MAX_BYTES),
+                            new SimpleChannelInboundHandler<FullHttpRequest>() {
+                                @Override
+                                protected void channelRead0(
+                                        ChannelHandlerContext context, FullHttpRequest request) {
+                                    context.writeAndFlush(readinessAnswer(request));
+                                }
+                            });
+        }
+    }
+
+    private FullHttpResponse readinessAnswer(FullHttpRequest request) {
+        boolean ready =
+                request.uri().equals(Calls.READINESS) && follower.ready() && !gateway.draining();
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        Unpooled.EMPTY_BUFFER);
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
+        return response;
+    }
+
+    /** Returns the channels that listen. */
+    List<Channel> listeners() {
+        return List.of(callers, readiness);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
@@ -0,0 +1,94 @@
+package io.stackhall.server.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+
+/**
+ * Cuts the bytes of an event stream into whole events, so that a stream that breaks off within an
+ * event can go on at the event after the last whole one.
+ */
+final class EventAssembler {
+
+    private static final byte LINE_FEED = '\n';
+    private static final byte CARRIAGE_RETURN = '\r';
+    private static final String ID_FIELD = "id:";
+
+    /** An event of 64 tokens has some hundred bytes. */
+    private static final int INITIAL_BYTES = 512;
+
+    private ByteBuf pending = Unpooled.buffer(INITIAL_BYTES);
+    private int scanned;
+
+    /** One whole event, or what was left at the end of a stream. */
+    record Event(ByteBuf bytes, OptionalLong id) {}
+
+    void add(ByteBuf part) {
+        pending.writeBytes(part);
+    }
+
+    /** Takes out the next whole event, or null where none is whole yet. */
+    Event next() {
+        int end = endOfEvent();
+        if (end < 0) {
+            return null;
+        }
+        ByteBuf bytes = pending.readBytes(end - pending.readerIndex());
+        pending.discardReadBytes();
+        scanned = 0;
+        return new Event(bytes, idOf(bytes));
+    }
+
+    /** Takes out everything that is left. */
+    ByteBuf rest() {
+        scanned = 0;
+        return pending.readBytes(pending.readableBytes());
+    }
+
+    /** Forgets an event that has broken off. */
+    void clear() {
+        pending.clear();
+        scanned = 0;
+    }
+
+    /** An event ends with an empty line; lines end with a line feed, with or without a return. */
+    private int endOfEvent() {
+        int from = Math.max(pending.readerIndex(), scanned);
+        int feed = pending.indexOf(from, pending.writerIndex(), LINE_FEED);
+        while (feed >= 0) {
+            int next = feed + 1;
+            if (next < pending.writerIndex() && pending.getByte(next) == CARRIAGE_RETURN) {
+                next++;
+            }
+            if (next >= pending.writerIndex()) {
+                scanned = feed;
+                return -1;
+            }
+            if (pending.getByte(next) == LINE_FEED) {
+                return next + 1;
+            }
+            feed = pending.indexOf(next, pending.writerIndex(), LINE_FEED);
+        }
+        scanned = pending.writerIndex();
+        return -1;
+    }
+
+    private static OptionalLong idOf(ByteBuf event) {
+        String text = event.toString(StandardCharsets.UTF_8);
+        for (String line : text.split("\r?\n", -1)) {
+            if (line.startsWith(ID_FIELD)) {
+                return number(line.substring(ID_FIELD.length()).strip());
+            }
+        }
+        return OptionalLong.empty();
+    }
+
+    private static OptionalLong number(String text) {
+        try {
+            return OptionalLong.of(Long.parseLong(text));
+        } catch (NumberFormatException e) {
+            return OptionalLong.empty();
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -0,0 +1,189 @@
+package io.stackhall.server.gateway;
+
+import io.netty.channel.EventLoop;
+import io.stackhall.core.dispatch.Dispatcher;
+import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.dispatch.RetryAllowance;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.route.CallerLimits;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.RouteTable;
+import io.stackhall.core.route.ServiceEntry;
+import io.stackhall.server.relay.UpstreamClient;
+import io.stackhall.server.settings.Address;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** What all requests of one entry host share. Used on one event loop. */
+final class Gateway {
+
+    private static final Logger logger = LogManager.getLogger(Gateway.class);
+
+    private final EventLoop loop;
+    private final Dispatcher dispatcher;
+    private final UpstreamClient upstreams;
+    private final RetryAllowance retries;
+    private final RandomGenerator random;
+    private final WaitingRequests waiting = new WaitingRequests();
+    private final DemandCounts demand = new DemandCounts();
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private final AdapterWishes wishes;
+    private RouteTable routes;
+    private boolean draining;
+
+    Gateway(
+            EventLoop loop,
+            Dispatcher dispatcher,
+            UpstreamClient upstreams,
+            RetryAllowance retries,
+            AdapterWishes wishes,
+            RandomGenerator random) {
+        this.loop = loop;
+        this.dispatcher = dispatcher;
+        this.upstreams = upstreams;
+        this.retries = retries;
+        this.wishes = wishes;
+        this.random = random;
+    }
+
+    /** Takes over newer routes. */
+    void routes(RouteTable next) {
+        if (routes != null && next.version() <= routes.version()) {
+            return;
+        }
+        logger.info(
+                "routes.in-force version={} was={} routes={}",
+                next.version(),
+                routes == null ? -1 : routes.version(),
+                next.routes().size());
+        routes = next;
+        Map<ServiceName, EngineSpec> engines = new HashMap<>();
+        for (ServiceEntry service : next.services()) {
+            service.engine().ifPresent(engine -> engines.put(service.name(), engine));
+        }
+        dispatcher.engines(engines);
+        serveWaiting();
+    }
+
+    /** Takes in what is newly known of an instance. */
+    void changed(Instance instance) {
+        logger.info(
+                "instance.changed id={} address={} state={} sequence={} models={} disk={}",
+                instance.id(),
+                instance.address(),
+                instance.state(),
+                instance.sequence(),
+                instance.models(),
+                instance.onDisk());
+        dispatcher.changed(instance);
+        if (instance.state() == InstanceState.GONE) {
+            upstreams.forget(Address.parse(instance.address()));
+        }
+    }
+
+    /** Tries to send what waits, the most urgent first. */
+    void serveWaiting() {
+        waiting.tryAll();
+    }
+
+    /** Stops keeping connections open. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Closes the connections on which nothing is under way. */
+    void closeResting() {
+        List.copyOf(connections).forEach(CallerConnection::closeIfResting);
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Returns how many callers are connected. */
+    int connections() {
+        return connections.size();
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    UpstreamClient upstreams() {
+        return upstreams;
+    }
+
+    boolean knowsRoutes() {
+        return routes != null;
+    }
+
+    RouteTable routes() {
+        return routes;
+    }
+
+    CallerLimits limits() {
+        return routes == null ? CallerLimits.initial() : routes.limits();
+    }
+
+    /** Returns a number by which a request's share of a split is drawn. */
+    int ticket() {
+        return random.nextInt(Integer.MAX_VALUE);
+    }
+
+    boolean mayResend(long now) {
+        return retries.take(now);
+    }
+
+    void arrived(Need need) {
+        retries.requested(System.nanoTime());
+        demand.arrived(need);
+    }
+
+    DemandCounts demand() {
+        return demand;
+    }
+
+    void wantAdapter(Instance instance, Need need) {
+        wishes.want(instance, need);
+    }
+
+    void waits(RelayedRequest request) {
+        waiting.add(request);
+        demand.waits(request.need());
+    }
+
+    /** A waiting request has been sent or answered. */
+    void waitsNoMore(RelayedRequest request) {
+        if (waiting.remove(request)) {
+            demand.waitsNoMore(request.need());
+        }
+    }
+
+    /** A request has ended, which may have made room for another. */
+    void gone(RelayedRequest request) {
+        waitsNoMore(request);
+        if (!waiting.isEmpty()) {
+            loop.execute(this::serveWaiting);
+        }
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -0,0 +1,387 @@
+package io.stackhall.server.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.core.dispatch.Choice;
+import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.route.Route;
+import io.stackhall.core.route.RouteKind;
+import io.stackhall.platform.Headers;
+import io.stackhall.server.relay.CallFailure;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One caller's request from its arrival to its final answer.
+ *
+ * <p>What a failure may say depends on how far the request came: until a byte of it was written to
+ * an upstream, or after the upstream itself has said so, it has not run and may be refused. After
+ * that it may have run, and unless it may run again its caller is told that the outcome is unknown.
+ */
+final class RelayedRequest implements AttemptListener {
+
+    /** A streamed answer that begins this close to the end of its caller's time comes too late. */
+    private static final Duration LEAST_STREAM_TIME = Duration.ofMillis(350);
+
+    /** A plain answer takes some ten milliseconds. */
+    private static final Duration LEAST_PLAIN_TIME = Duration.ofMillis(40);
+
+    /** Beyond a load's own time: for the order to be given and for room to be made. */
+    private static final Duration LOAD_OVERHEAD = Duration.ofMillis(600);
+
+    /** When nobody serves at all, the next heartbeats may bring someone within this. */
+    private static final Duration NOBODY_PATIENCE = Duration.ofMillis(700);
+
+    private static final Duration SOON = Duration.ofMillis(300);
+
+    private final Gateway gateway;
+    private final CallerRequest request;
+    private final AnswerWriter answers;
+    private final RequestLog log;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private Route route;
+    private Need need;
+    private long deadlineAt;
+    private long waitingSince;
+    private long patienceUntil;
+    private int sends;
+    private boolean mayHaveRun;
+    private boolean ended;
+    private boolean streaming;
+    private OptionalLong lastEvent = OptionalLong.empty();
+    private UpstreamAttempt attempt;
+    private ScheduledFuture<?> deadline;
+
+    RelayedRequest(Gateway gateway, CallerRequest request, AnswerWriter answers) {
+        this.gateway = gateway;
+        this.request = request;
+        this.answers = answers;
+        this.log = new RequestLog(request);
+    }
+
+    void start() {
+        if (!gateway.knowsRoutes()) {
+            refuse("no configuration is known yet", SOON);
+            return;
+        }
+        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        Optional<Route> found = gateway.routes().find(host, request.target());
+        if (found.isEmpty()) {
+            log.noRoute(host, request.target(), gateway.routes().version());
+            finish(HttpResponseStatus.NOT_FOUND, "no route leads here");
+            return;
+        }
+        route = found.get();
+        need = request.need(route, route.service(gateway.ticket()));
+        long allowed = route.timeout().toNanos();
+        OptionalLong told = request.deadlineMillis();
+        if (told.isPresent()) {
+            allowed = Math.min(allowed, TimeUnit.MILLISECONDS.toNanos(told.getAsLong()));
+        }
+        deadlineAt = request.arrivedAt() + allowed;
+        deadline = gateway.loop().schedule(this::outOfTime, leftNanos(), TimeUnit.NANOSECONDS);
+        gateway.arrived(need);
+        waitingSince = System.nanoTime();
+        if (!tryToSend()) {
+            gateway.waits(this);
+        }
+    }
+
+    /** Returns what the request needs. */
+    Need need() {
+        return need;
+    }
+
+    /** Returns until when an answer is of use, on the monotonic clock in nanoseconds. */
+    long deadlineAt() {
+        return deadlineAt;
+    }
+
+    /**
+     * Sends the request if it can be sent now, or refuses it if waiting is of no use.
+     *
+     * @return whether it no longer waits
+     */
+    boolean tryToSend() {
+        if (ended || attempt != null) {
+            return true;
+        }
+        long now = System.nanoTime();
+        Choice choice = gateway.dispatcher().choose(need, tried, now);
+        return switch (choice) {
+            case Choice.Send(Instance instance, String why) -> {
+                send(instance, why);
+                yield true;
+            }
+            case Choice.AdapterMissing(Instance instance) -> {
+                gateway.wantAdapter(instance, need);
+                yield givesUpWaiting(Duration.ofMillis(500), "its adapter is not resident", now);
+            }
+            case Choice.Full() -> givesUpWaiting(Duration.ZERO, "every instance is full", now);
+            case Choice.ModelMissing(Duration load, boolean ignored) ->
+                    givesUpWaiting(load.plus(LOAD_OVERHEAD), "its model is not resident", now);
+            case Choice.NobodyServes() ->
+                    givesUpWaiting(NOBODY_PATIENCE, "no instance of its service is known", now);
+        };
+    }
+
+    /** Tries again a request that waits. */
+    void tryAgain() {
+        if (tryToSend()) {
+            gateway.waitsNoMore(this);
+        }
+    }
+
+    /** The caller has closed its connection. */
+    void callerLeft() {
+        if (ended) {
+            return;
+        }
+        log.callerLeft(sends);
+        close();
+    }
+
+    /** The caller takes more, or cannot take more now. */
+    void writable(boolean yes) {
+        if (attempt != null) {
+            attempt.reading(yes);
+        }
+    }
+
+    /**
+     * Returns whether waiting is of no use any more, after refusing the request.
+     *
+     * @param expected how long what it waits for takes
+     */
+    private boolean givesUpWaiting(Duration expected, String reason, long now) {
+        long least =
+                route.kind() == RouteKind.STREAM
+                        ? LEAST_STREAM_TIME.toNanos()
+                        : LEAST_PLAIN_TIME.toNanos();
+        long latest = deadlineAt - least;
+        if (patienceUntil == 0) {
+            patienceUntil = Math.min(latest, now + expected.toNanos() * 2);
+        }
+        boolean hopeless = now + expected.toNanos() > latest;
+        boolean waitedInVain = !expected.isZero() && now - patienceUntil >= 0;
+        if (!hopeless && !waitedInVain && latest - now > 0) {
+            return false;
+        }
+        giveUp(reason, expected.isZero() ? SOON : expected);
+        return true;
+    }
+
+    private void giveUp(String reason, Duration retryAfter) {
+        if (streaming) {
+            breakOff(reason);
+        } else if (mayHaveRun) {
+            finish(HttpResponseStatus.BAD_GATEWAY, "the outcome is unknown: " + reason);
+        } else {
+            refuse(reason, retryAfter);
+        }
+    }
+
+    private void send(Instance instance, String why) {
+        long now = System.nanoTime();
+        if (sends > 0 && !gateway.mayResend(now)) {
+            giveUp("too many requests are sent a second time", SOON);
+            return;
+        }
+        boolean stream = route.kind() == RouteKind.STREAM;
+        attempt = new UpstreamAttempt(gateway, instance, need, stream, this);
+        double load = gateway.dispatcher().occupancy(instance.id(), now);
+        log.sent(need, instance, sends + 1, why, now - waitingSince, load);
+        long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt - now);
+        attempt.begin(RequestCopy.of(request, need, instance, leftMillis, lastEvent), request.id());
+    }
+
+    private void outOfTime() {
+        if (ended) {
+            return;
+        }
+        if (streaming) {
+            breakOff("its time has passed");
+        } else if (sends == 0) {
+            refuse("its time has passed", SOON);
+        } else {
+            finish(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came in time");
+        }
+    }
+
+    private void refuse(String reason, Duration retryAfter) {
+        long version = gateway.knowsRoutes() ? gateway.routes().version() : -1;
+        log.refused(need, reason, retryAfter, sends, version);
+        close();
+        answers.answer(Answers.refusal(reason, request.id(), retryAfter));
+    }
+
+    private void finish(HttpResponseStatus status, String reason) {
+        log.failed(status.code(), reason, sends);
+        close();
+        answers.answer(Answers.failure(status, reason, request.id()));
+    }
+
+    private void breakOff(String reason) {
+        log.brokenOff(reason, lastEvent, sends);
+        close();
+        answers.abort();
+    }
+
+    private void close() {
+        ended = true;
+        if (deadline != null) {
+            deadline.cancel(false);
+        }
+        gateway.gone(this);
+        if (attempt != null) {
+            attempt.abandon();
+            attempt = null;
+        }
+    }
+
+    private long leftNanos() {
+        return Math.max(0, deadlineAt - System.nanoTime());
+    }
+
+    @Override
+    public void sending() {
+        sends++;
+    }
+
+    @Override
+    public void event(HttpResponse head, EventAssembler.Event event) {
+        boolean old =
+                event.id().isPresent()
+                        && lastEvent.isPresent()
+                        && event.id().getAsLong() <= lastEvent.getAsLong();
+        if (old) {
+            event.bytes().release();
+            return;
+        }
+        writeHead(head);
+        if (event.id().isPresent()) {
+            lastEvent = event.id();
+        }
+        answers.part(event.bytes());
+    }
+
+    @Override
+    public void streamEnded(HttpResponse head, ByteBuf rest) {
+        logAnswer(head);
+        attempt = null;
+        writeHead(head);
+        answers.part(rest);
+        close();
+        answers.end();
+    }
+
+    @Override
+    public void answered(HttpResponse head, ByteBuf body) {
+        Instance instance = attempt.instance();
+        attempt = null;
+        boolean notRun =
+                head.headers().contains(Headers.NOT_RUN)
+                        || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        if (notRun) {
+            notRun(instance, head);
+            return;
+        }
+        logAnswer(head);
+        mayHaveRun = true;
+        boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+        if (failed) {
+            gateway.dispatcher().erred(instance.id());
+        } else {
+            gateway.dispatcher().succeeded(instance.id());
+        }
+        boolean another = route.repeatable() && sends < route.maxAttempts();
+        if (streaming) {
+            resume(instance);
+        } else if (failed && another) {
+            tried.add(instance.id());
+            again("the instance failed");
+        } else if (Answers.looksLikeRefusal(head.status())) {
+            finish(HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
+        } else {
+            close();
+            answers.answer(Answers.whole(head, body));
+        }
+    }
+
+    @Override
+    public void brokeOff(CallFailure failure) {
+        Instance instance = attempt.instance();
+        attempt = null;
+        log.attemptFailed(instance, failure.sent(), failure.reason(), lastEvent);
+        if (!failure.sent()) {
+            tried.add(instance.id());
+            again("the instance cannot be reached");
+            return;
+        }
+        mayHaveRun = true;
+        if (streaming) {
+            resume(instance);
+        } else if (route.repeatable() && sends < route.maxAttempts()) {
+            tried.add(instance.id());
+            again("the instance broke off");
+        } else {
+            finish(HttpResponseStatus.BAD_GATEWAY, "the instance broke off");
+        }
+    }
+
+    private void notRun(Instance instance, HttpResponse head) {
+        log.notRun(instance, head.status().code());
+        gateway.dispatcher().lacks(instance.id(), need);
+        if (streaming) {
+            resume(instance);
+        } else if (sends < route.maxAttempts()) {
+            tried.add(instance.id());
+            again("the instance did not run it");
+        } else {
+            giveUp("the instance did not run it", SOON);
+        }
+    }
+
+    private void resume(Instance instance) {
+        boolean may = route.resumable() && lastEvent.isPresent() && sends < route.maxAttempts();
+        if (may) {
+            tried.add(instance.id());
+            again("the stream broke off");
+        } else {
+            breakOff("the instance broke off");
+        }
+    }
+
+    private void again(String reason) {
+        if (System.nanoTime() - deadlineAt >= 0) {
+            giveUp(reason, SOON);
+            return;
+        }
+        waitingSince = System.nanoTime();
+        patienceUntil = 0;
+        if (!tryToSend()) {
+            gateway.waits(this);
+        }
+    }
+
+    private void writeHead(HttpResponse head) {
+        if (!streaming) {
+            streaming = true;
+            answers.begin(Answers.head(head));
+        }
+    }
+
+    private void logAnswer(HttpResponse head) {
+        log.answered(head.status().code(), lastEvent, sends);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -0,0 +1,129 @@
+package io.stackhall.server.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.dispatch.Sending;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.platform.RequestHeaders;
+import io.stackhall.server.relay.CallFailure;
+import io.stackhall.server.relay.CallListener;
+import io.stackhall.server.relay.UpstreamCall;
+import io.stackhall.server.settings.Address;
+
+/** One try of a request at one instance, and the account of it at the dispatcher. */
+final class UpstreamAttempt implements CallListener {
+
+    private final Gateway gateway;
+    private final Instance instance;
+    private final boolean stream;
+    private final AttemptListener listener;
+    private final Sending sending;
+    private final EventAssembler events = new EventAssembler();
+    private UpstreamCall call;
+    private HttpResponse head;
+    private ByteBuf plainBody;
+    private boolean over;
+
+    /**
+     * Creates an attempt that counts as the instance's work from now on.
+     *
+     * @param stream whether an answer with success is an event stream
+     */
+    UpstreamAttempt(
+            Gateway gateway,
+            Instance instance,
+            Need need,
+            boolean stream,
+            AttemptListener listener) {
+        this.gateway = gateway;
+        this.instance = instance;
+        this.stream = stream;
+        this.listener = listener;
+        this.sending = gateway.dispatcher().began(instance.id(), need, System.nanoTime());
+    }
+
+    void begin(FullHttpRequest request, String requestId) {
+        call =
+                gateway.upstreams()
+                        .send(Address.parse(instance.address()), request, requestId, this);
+    }
+
+    /** Ends the attempt, breaking the call off where it is not over. */
+    void abandon() {
+        over = true;
+        gateway.dispatcher().ended(sending);
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** Stops or resumes reading the answer. */
+    void reading(boolean wanted) {
+        if (call != null) {
+            call.reading(wanted);
+        }
+    }
+
+    Instance instance() {
+        return instance;
+    }
+
+    @Override
+    public boolean sending() {
+        listener.sending();
+        return true;
+    }
+
+    @Override
+    public void answered(HttpResponse answer) {
+        head = answer;
+        long now = System.nanoTime();
+        RequestHeaders.load(answer.headers()::get)
+                .ifPresent(
+                        load ->
+                                gateway.dispatcher()
+                                        .told(instance.id(), load.running() + load.waiting(), now));
+        boolean good = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (!good || !stream) {
+            plainBody = Unpooled.buffer();
+            gateway.dispatcher().answered(sending, now);
+        }
+    }
+
+    @Override
+    public void received(ByteBuf part) {
+        if (plainBody != null) {
+            plainBody.writeBytes(part);
+            return;
+        }
+        events.add(part);
+        EventAssembler.Event event = events.next();
+        while (event != null && !over) {
+            gateway.dispatcher().answered(sending, System.nanoTime());
+            listener.event(head, event);
+            event = events.next();
+        }
+    }
+
+    @Override
+    public void completed() {
+        gateway.dispatcher().ended(sending);
+        if (plainBody != null) {
+            listener.answered(head, plainBody);
+        } else {
+            gateway.dispatcher().succeeded(instance.id());
+            listener.streamEnded(head, events.rest());
+        }
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        gateway.dispatcher().ended(sending);
+        gateway.dispatcher().failed(instance.id(), System.nanoTime());
+        listener.brokeOff(failure);
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
@@ -8,7 +8,6 @@
 import io.stackhall.server.peer.NotSentException;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
-import io.stackhall.server.settings.Settings;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +17,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 
 /**
  * Brings commands to the leader of a group, wherever it is, and resends them until they are
@@ -28,17 +28,25 @@
     private static final Duration ATTEMPT = Duration.ofSeconds(1);
     private static final long PAUSE_MILLIS = 25;
 
-    private final Settings settings;
+    private final HostId self;
     private final PeerTransport transport;
     private final Map<String, GroupHost> local;
-    private final Map<String, List<HostId>> members;
-
-    /** Creates a client over the replicas of this host and the connections to others. */
-    public GroupClient(Settings settings, PeerTransport transport, Map<String, GroupHost> local) {
-        this.settings = settings;
+    private final Function<String, List<HostId>> members;
+
+    /**
+     * Creates a client over the replicas of this host and the connections to others.
+     *
+     * @param members returns the hosts that may run a replica of a group
+     */
+    public GroupClient(
+            HostId self,
+            PeerTransport transport,
+            Map<String, GroupHost> local,
+            Function<String, List<HostId>> members) {
+        this.self = self;
         this.transport = transport;
         this.local = local;
-        this.members = settings.membersByGroup();
+        this.members = members;
     }
 
     /** Sends a command and waits; to be called on a virtual thread. */
@@ -111,8 +119,8 @@
         if (leader.isPresent()) {
             return callHost(leader.get(), request.setForwarded(true));
         }
-        List<HostId> others = new ArrayList<>(members.getOrDefault(group, List.of()));
-        others.remove(settings.host());
+        List<HostId> others = new ArrayList<>(members.apply(group));
+        others.remove(self);
         if (others.isEmpty()) {
             return refused("no leader is known");
         }
@@ -137,7 +145,7 @@
     }
 
     private boolean leads(GroupHost host) {
-        return leaderOf(host).equals(Optional.of(settings.host()));
+        return leaderOf(host).equals(Optional.of(self));
     }
 
     private static Optional<HostId> leaderOf(GroupHost host) {
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -1,5 +1,7 @@
 package io.stackhall.server.node;
 
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
@@ -13,6 +15,7 @@
 import io.stackhall.server.group.ZoneState;
 import io.stackhall.server.metrics.NodeMetrics;
 import io.stackhall.server.operators.OperatorServer;
+import io.stackhall.server.peer.PeerTiming;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.Settings;
@@ -55,6 +58,8 @@
     private final Optional<DataFolder> folder;
     private final Random random = new Random();
     private final long process = random.nextLong(1, Long.MAX_VALUE);
+    private static final int PEER_THREADS = 2;
+
     private final PeerTransport transport;
     private final NodeGroups groups;
     private final GroupClient client;
@@ -86,9 +91,18 @@
                 settings.dataFolder().isPresent()
                         ? Optional.of(DataFolder.open(settings.dataFolder().get()))
                         : Optional.empty();
-        this.transport = new PeerTransport(settings);
+        this.transport =
+                new PeerTransport(
+                        settings.peers(),
+                        new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory()),
+                        PeerTiming.standard());
         this.groups = new NodeGroups(settings, folder, transport, random);
-        this.client = new GroupClient(settings, transport, groups.hosts());
+        this.client =
+                new GroupClient(
+                        settings.host(),
+                        transport,
+                        groups.hosts(),
+                        group -> settings.membersByGroup().getOrDefault(group, List.of()));
         this.config = new ConfigStore(folder);
         this.configExchange = new ConfigExchange(settings, config, transport, process);
         this.upstreamExchange = new UpstreamExchange(settings, transport);
@@ -136,6 +150,7 @@
         placement.forEach(
                 (zone, driver) -> driver.start(groups.hosts().get(Settings.zoneGroup(zone))));
         transport.open(this::received);
+        linkOtherHosts();
         groups.start();
         traffic.start();
         callers.start();
@@ -151,6 +166,14 @@
         logger.info("daemon.started host={} zone={}", settings.host(), settings.zone());
     }
 
+    private void linkOtherHosts() {
+        for (Settings.Host host : settings.hosts()) {
+            if (!host.host().equals(settings.host())) {
+                transport.link(host.host(), host.peers(), () -> {});
+            }
+        }
+    }
+
     /** Leaves without cutting a request: not ready, leadership handed over, requests ended. */
     public void drain() {
         stopping = true;
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -34,6 +34,7 @@
 
     private static final int MAX_ENTRIES_PER_MESSAGE = 512;
     private static final int DRIFT_MARGIN_SHARE = 10;
+    private static final int EVERY_HOST_VOTES = 0;
 
     private final Settings settings;
     private final Optional<DataFolder> folder;
@@ -137,7 +138,8 @@
                 timing.electionTimeout(),
                 timing.heartbeat(),
                 timing.electionTimeout().dividedBy(DRIFT_MARGIN_SHARE),
-                MAX_ENTRIES_PER_MESSAGE);
+                MAX_ENTRIES_PER_MESSAGE,
+                EVERY_HOST_VOTES);
     }
 
     /** Carries a group's messages over the connections between hosts. */
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerLink.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerLink.java
@@ -18,20 +18,27 @@
     private static final int RETRY_MILLIS = 200;
 
     private final Address address;
+    private final Runnable onConnected;
     private final Bootstrap bootstrap;
     private final EventLoopGroup group;
     private volatile Channel channel;
     private volatile boolean closed;
 
-    PeerLink(Address address, EventLoopGroup group, FrameHandler handler) {
+    PeerLink(
+            Address address,
+            EventLoopGroup group,
+            PeerTiming timing,
+            FrameHandler handler,
+            Runnable onConnected) {
         this.address = address;
+        this.onConnected = onConnected;
         this.group = group;
         this.bootstrap =
                 new Bootstrap()
                         .group(group)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(new PeerPipeline(() -> new PeerChannelHandler(handler)));
+                        .handler(new PeerPipeline(timing, () -> new PeerChannelHandler(handler)));
     }
 
     void connect() {
@@ -50,6 +57,11 @@
         return true;
     }
 
+    boolean connected() {
+        Channel current = channel;
+        return current != null && current.isActive();
+    }
+
     void close() {
         closed = true;
         Channel current = channel;
@@ -65,6 +77,11 @@
         }
         channel = ((ChannelFuture) future).channel();
         channel.closeFuture().addListener(ignored -> reconnectLater());
+        if (closed) {
+            channel.close();
+            return;
+        }
+        onConnected.run();
     }
 
     private void reconnectLater() {
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerPipeline.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerPipeline.java
@@ -16,14 +16,14 @@
 final class PeerPipeline extends ChannelInitializer<SocketChannel> {
 
     static final int MAX_FRAME_BYTES = 64 << 20;
-    static final int SILENCE_MILLIS = 3000;
-    static final int PING_MILLIS = 1000;
 
     private static final int LENGTH_BYTES = 4;
 
+    private final PeerTiming timing;
     private final Supplier<ChannelHandler> handler;
 
-    PeerPipeline(Supplier<ChannelHandler> handler) {
+    PeerPipeline(PeerTiming timing, Supplier<ChannelHandler> handler) {
+        this.timing = timing;
         this.handler = handler;
     }
 
@@ -32,7 +32,11 @@
         channel.config().setTcpNoDelay(true);
         channel.pipeline()
                 .addLast(
-                        new IdleStateHandler(SILENCE_MILLIS, PING_MILLIS, 0, TimeUnit.MILLISECONDS),
+                        new IdleStateHandler(
+                                timing.silence().toMillis(),
+                                timing.ping().toMillis(),
+                                0,
+                                TimeUnit.MILLISECONDS),
                         new LengthFieldBasedFrameDecoder(
                                 MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
                         new LengthFieldPrepender(LENGTH_BYTES),
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
@@ -4,15 +4,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.stackhall.core.id.HostId;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.settings.Address;
-import io.stackhall.server.settings.Settings;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -25,49 +23,81 @@
  */
 public final class PeerTransport implements AutoCloseable {
 
-    private static final int THREADS = 2;
-
-    private final Settings settings;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final Address address;
+    private final EventLoopGroup group;
+    private final PeerTiming timing;
     private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<Long, CompletableFuture<Frame>> calls = new ConcurrentHashMap<>();
     private final AtomicLong nextCall = new AtomicLong(1);
     private volatile FrameHandler handler = (frame, replier) -> {};
     private Channel listener;
 
-    /** Creates a transport that is not open yet. */
-    public PeerTransport(Settings settings) {
-        this.settings = settings;
+    /**
+     * Creates a transport that is not open yet.
+     *
+     * @param address where other hosts reach this one
+     * @param group the threads that carry its connections; closed with it
+     * @param timing when a connection counts as lost
+     */
+    public PeerTransport(Address address, EventLoopGroup group, PeerTiming timing) {
+        this.address = address;
+        this.group = group;
+        this.timing = timing;
     }
 
     /**
-     * Opens the listener and the connections to the other hosts.
+     * Opens the listener.
      *
      * @throws IllegalStateException if the address cannot be bound
      */
     public void open(FrameHandler frames) {
         handler = frames;
-        Address address = settings.peers();
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(group)
                         .channel(NioServerSocketChannel.class)
                         .childHandler(
-                                new PeerPipeline(() -> new PeerChannelHandler(this::received)))
+                                new PeerPipeline(
+                                        timing, () -> new PeerChannelHandler(this::received)))
                         .bind(address.socket())
                         .awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalStateException("cannot listen for peers on " + address, bound.cause());
         }
         listener = bound.channel();
-        for (Settings.Host host : settings.hosts()) {
-            if (!host.host().equals(settings.host())) {
-                PeerLink link = new PeerLink(host.peers(), group, this::received);
-                links.put(host.host(), link);
-                link.connect();
-            }
+    }
+
+    /**
+     * Keeps a connection to another host from now on, opened again whenever it is lost.
+     *
+     * @param connected called on a network thread each time the connection has come up
+     */
+    public void link(HostId host, Address peers, Runnable connected) {
+        PeerLink link = new PeerLink(peers, group, timing, this::received, connected);
+        PeerLink former = links.put(host, link);
+        if (former != null) {
+            former.close();
         }
+        link.connect();
+    }
+
+    /** Closes the connection to a host for good. */
+    public void unlink(HostId host) {
+        PeerLink link = links.remove(host);
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    /** Returns the hosts to which connections are kept. */
+    public Set<HostId> linked() {
+        return Set.copyOf(links.keySet());
+    }
+
+    /** Returns whether the connection to a host is up. */
+    public boolean connected(HostId host) {
+        PeerLink link = links.get(host);
+        return link != null && link.connected();
     }
 
     /** Sends a frame to a host, if it is connected. */
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -0,0 +1,94 @@
+package io.stackhall.server.relay;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.stackhall.server.settings.Address;
+
+/** One request on its way to an upstream. */
+public final class UpstreamCall {
+
+    private final Address address;
+    private final FullHttpRequest request;
+    private final String requestId;
+    private final CallListener listener;
+    private Channel channel;
+    private boolean sent;
+    private boolean ended;
+
+    UpstreamCall(
+            Address address, FullHttpRequest request, String requestId, CallListener listener) {
+        this.address = address;
+        this.request = request;
+        this.requestId = requestId;
+        this.listener = listener;
+    }
+
+    /** Breaks the call off: its connection is closed, and the listener hears nothing more. */
+    public void cancel() {
+        if (ended) {
+            return;
+        }
+        end();
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Stops or resumes reading the answer, so that a slow caller slows the upstream down. */
+    public void reading(boolean wanted) {
+        if (channel != null && !ended) {
+            channel.config().setAutoRead(wanted);
+        }
+    }
+
+    Address address() {
+        return address;
+    }
+
+    FullHttpRequest request() {
+        return request;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    CallListener listener() {
+        return listener;
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    void boundTo(Channel bound) {
+        channel = bound;
+    }
+
+    /** Returns whether the request may be written now. */
+    boolean sending() {
+        sent = listener.sending();
+        return sent;
+    }
+
+    void complete() {
+        if (!ended) {
+            ended = true;
+            listener.completed();
+        }
+    }
+
+    void fail(String reason) {
+        if (!ended) {
+            end();
+            listener.failed(new CallFailure(sent, reason));
+        }
+    }
+
+    private void end() {
+        ended = true;
+        if (!sent) {
+            request.release();
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -0,0 +1,188 @@
+package io.stackhall.server.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.concurrent.Future;
+import io.stackhall.server.settings.Address;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * Sends requests to upstreams over kept connections, one request at a time on each.
+ *
+ * <p>To be used on its event loop alone. A connection is used again only if its last answer was
+ * whole, nothing came behind it, the request before it was written whole, and it has not rested for
+ * longer than the upstream keeps it or than {@link #LONGEST_REST_NANOS}.
+ */
+public final class UpstreamClient {
+
+    /** A zone's hosts answer within milliseconds; a lost packet is sent again after 200 ms. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+
+    /** Connections that rest for longer may have been forgotten by the upstream. */
+    private static final long LONGEST_REST_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** More resting connections to one upstream than this are closed. */
+    private static final int MOST_RESTING = 24;
+
+    private static final int KEEPALIVE_SECONDS = 1;
+    private static final int KEEPALIVE_PROBES = 2;
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Map<Address, Deque<Resting>> resting = new HashMap<>();
+
+    private record Resting(Channel channel, long until) {}
+
+    /**
+     * Creates a client.
+     *
+     * @param loop the only thread that uses it
+     * @param echoHeader the header by which an upstream says which request an answer belongs to
+     */
+    public UpstreamClient(EventLoop loop, String echoHeader) {
+        this.loop = loop;
+        this.bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                                KEEPALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                                KEEPALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                                KEEPALIVE_PROBES)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpRequestEncoder(),
+                                                        new AnswerDecoder(),
+                                                        new UpstreamHandler(
+                                                                UpstreamClient.this, echoHeader));
+                                    }
+                                });
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param requestId what the answer must echo, or an empty text where any answer will do
+     * @param listener hears what becomes of it
+     */
+    public UpstreamCall send(
+            Address address, FullHttpRequest request, String requestId, CallListener listener) {
+        UpstreamCall call = new UpstreamCall(address, request, requestId, listener);
+        Channel kept = takeResting(address);
+        if (kept == null) {
+            bootstrap.connect(address.socket()).addListener(done -> connected(call, done));
+        } else {
+            write(call, kept);
+        }
+        return call;
+    }
+
+    /** Closes the resting connections to an address whose upstream has ended. */
+    public void forget(Address address) {
+        Deque<Resting> kept = resting.remove(address);
+        if (kept != null) {
+            kept.forEach(item -> item.channel().close());
+        }
+    }
+
+    /** Closes connections that have rested for too long. */
+    public void sweep() {
+        long now = System.nanoTime();
+        for (Iterator<Deque<Resting>> all = resting.values().iterator(); all.hasNext(); ) {
+            Deque<Resting> kept = all.next();
+            while (!kept.isEmpty() && kept.peekFirst().until() - now <= 0) {
+                kept.pollFirst().channel().close();
+            }
+            if (kept.isEmpty()) {
+                all.remove();
+            }
+        }
+    }
+
+    /** Takes back a connection whose answer was whole. */
+    void rest(Address address, Channel channel, long keptNanos) {
+        long rest = Math.min(keptNanos, LONGEST_REST_NANOS);
+        Deque<Resting> kept = resting.computeIfAbsent(address, key -> new ArrayDeque<>());
+        if (rest <= 0 || kept.size() >= MOST_RESTING || !channel.isActive()) {
+            channel.close();
+            return;
+        }
+        kept.addLast(new Resting(channel, System.nanoTime() + rest));
+    }
+
+    private Channel takeResting(Address address) {
+        Deque<Resting> kept = resting.get(address);
+        long now = System.nanoTime();
+        while (kept != null && !kept.isEmpty()) {
+            Resting latest = kept.pollLast();
+            if (latest.channel().isActive() && latest.until() - now > 0) {
+                return latest.channel();
+            }
+            latest.channel().close();
+        }
+        return null;
+    }
+
+    private void connected(UpstreamCall call, Future<? super Void> done) {
+        Channel channel = ((ChannelFuture) done).channel();
+        if (call.ended()) {
+            channel.close();
+            return;
+        }
+        if (!done.isSuccess()) {
+            call.fail("cannot connect: " + done.cause().getMessage());
+            return;
+        }
+        write(call, channel);
+    }
+
+    private void write(UpstreamCall call, Channel channel) {
+        if (!call.sending()) {
+            channel.close();
+            call.fail("not allowed any more");
+            return;
+        }
+        call.boundTo(channel);
+        channel.pipeline().get(UpstreamHandler.class).begin(call);
+        channel.writeAndFlush(call.request())
+                .addListener(
+                        written ->
+                                loop.execute(
+                                        () ->
+                                                channel.pipeline()
+                                                        .fireUserEventTriggered(
+                                                                new RequestWritten(
+                                                                        call,
+                                                                        written.isSuccess()))));
+    }
+
+    /** Says that the request of a call has left whole, or cannot leave. */
+    record RequestWritten(UpstreamCall call, boolean whole) {}
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -0,0 +1,169 @@
+package io.stackhall.server.relay;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Matches what comes on one connection to the request that was sent on it.
+ *
+ * <p>An answer that echoes another request's id belongs to an earlier request and is passed over. A
+ * body without a length is whole only if the upstream ended the connection in good order. After
+ * anything odd the connection is closed.
+ */
+final class UpstreamHandler extends ChannelInboundHandlerAdapter {
+
+    private static final String TIMEOUT_PARAMETER = "timeout=";
+
+    /** An upstream may close a resting connection this much before its time. */
+    private static final long EARLY_CLOSE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    private final UpstreamClient client;
+    private final String echoHeader;
+    private UpstreamCall call;
+    private boolean written;
+    private boolean skipping;
+    private boolean answering;
+    private boolean reusable;
+    private boolean broken;
+    private long keptNanos;
+
+    UpstreamHandler(UpstreamClient client, String echoHeader) {
+        this.client = client;
+        this.echoHeader = echoHeader;
+    }
+
+    void begin(UpstreamCall next) {
+        call = next;
+        written = false;
+        skipping = false;
+        answering = false;
+        reusable = true;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (call == null || call.ended() || broken) {
+                context.close();
+                return;
+            }
+            if (message instanceof HttpResponse head) {
+                head(context, head);
+            }
+            if (message instanceof HttpContent content && !call.ended()) {
+                content(context, content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof UpstreamClient.RequestWritten(UpstreamCall of, boolean whole)
+                && of == call) {
+            written = whole;
+            if (!whole) {
+                end(context, "the request could not be written");
+            }
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        end(context, "connection failed: " + cause.getMessage());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        end(context, "connection closed before the answer was whole");
+    }
+
+    private void head(ChannelHandlerContext context, HttpResponse head) {
+        if (head.decoderResult().isFailure()) {
+            end(context, "the answer is not HTTP: " + head.decoderResult().cause().getMessage());
+            return;
+        }
+        String echo = head.headers().get(echoHeader);
+        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean foreign = echo != null && !echo.equals(call.requestId());
+        skipping = interim || (foreign && !call.requestId().isEmpty());
+        if (skipping) {
+            return;
+        }
+        if (echo == null && !call.requestId().isEmpty()) {
+            end(context, "the answer does not say which request it belongs to");
+            return;
+        }
+        answering = true;
+        boolean framed =
+                HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        reusable = HttpUtil.isKeepAlive(head) && framed && written;
+        keptNanos = keptNanos(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
+        call.listener().answered(head);
+    }
+
+    private void content(ChannelHandlerContext context, HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            end(context, "the answer's body is broken");
+            return;
+        }
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return;
+        }
+        if (content.content().isReadable()) {
+            call.listener().received(content.content());
+        }
+        if (last && answering && !call.ended()) {
+            finish(context);
+        }
+    }
+
+    private void finish(ChannelHandlerContext context) {
+        UpstreamCall done = call;
+        call = null;
+        context.channel().config().setAutoRead(true);
+        if (reusable) {
+            client.rest(done.address(), context.channel(), keptNanos);
+        } else {
+            context.close();
+        }
+        done.complete();
+    }
+
+    private void end(ChannelHandlerContext context, String reason) {
+        broken = true;
+        UpstreamCall failed = call;
+        call = null;
+        context.close();
+        if (failed != null) {
+            failed.fail(reason);
+        }
+    }
+
+    private static long keptNanos(String keepAlive) {
+        int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT_PARAMETER);
+        if (at < 0) {
+            return Long.MAX_VALUE;
+        }
+        long seconds = 0;
+        for (int i = at + TIMEOUT_PARAMETER.length(); i < keepAlive.length(); i++) {
+            int digit = Character.digit(keepAlive.charAt(i), 10);
+            if (digit < 0) {
+                break;
+            }
+            seconds = seconds * 10 + digit;
+        }
+        return TimeUnit.SECONDS.toNanos(seconds) - EARLY_CLOSE_NANOS;
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -0,0 +1,93 @@
+package io.stackhall.server.settings;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The settings of a process that finds the others through a few seed hosts.
+ *
+ * @param host the host's name, for logs
+ * @param zone its availability zone
+ * @param role what the process does
+ * @param peers where other processes of the system reach it
+ * @param seeds control hosts by their API addresses, some of which may be stale
+ * @param firstStart whether the whole system starts for the first time
+ * @param limits bounds that the deployment sets
+ */
+public record FleetSettings(
+        HostId host,
+        ZoneId zone,
+        Role role,
+        Address peers,
+        List<Address> seeds,
+        boolean firstStart,
+        Limits limits)
+        implements ProcessSettings {
+
+    /** Copies the seeds. */
+    public FleetSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /** What a process does, and where. */
+    public sealed interface Role {}
+
+    /**
+     * Takes callers' requests.
+     *
+     * @param callers where callers reach it
+     * @param readiness where the balancer asks whether it is ready
+     */
+    public record Entry(Address callers, Address readiness) implements Role {}
+
+    /**
+     * Keeps the configuration and the list of upstreams, and gives orders.
+     *
+     * @param api where operators and upstreams reach it
+     * @param dataFolder where its replica keeps its state
+     */
+    public record Control(Address api, Path dataFolder) implements Role {}
+
+    /**
+     * Bounds that the deployment sets.
+     *
+     * @param heartbeat the interval of the upstreams' heartbeats
+     * @param stopGrace the time between the signal to stop and the kill
+     * @param orderPause how long after its predecessor a new giver of orders waits
+     * @param retryRatio resends to upstreams allowed for each request
+     * @param retrySlack resends allowed beside in each retry window, over all hosts
+     * @param retryWindow the window in which resends are counted
+     * @param storeWindow the window in which loads from the weight store are counted
+     * @param hostLossesBorne how many hosts of the control group may be lost at once
+     */
+    public record Limits(
+            Duration heartbeat,
+            Duration stopGrace,
+            Duration orderPause,
+            double retryRatio,
+            int retrySlack,
+            Duration retryWindow,
+            Duration storeWindow,
+            int hostLossesBorne) {}
+
+    /** Returns the name under which others reach a host's process: its peer address. */
+    public HostId peerName() {
+        return new HostId(peers.toString());
+    }
+
+    /** Returns the seeds by their peer names; all hosts use the same peer port. */
+    public List<HostId> seedPeers() {
+        return seeds.stream()
+                .map(seed -> new HostId(new Address(seed.ip(), peers.port()).toString()))
+                .toList();
+    }
+
+    /** Returns the control role's parts, if this process has it. */
+    public Optional<Control> control() {
+        return role instanceof Control control ? Optional.of(control) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -0,0 +1,94 @@
+package io.stackhall.server.settings;
+
+import io.stackhall.core.config.Finding;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+/** Reads the settings of a process that finds the others through seeds. */
+final class FleetSettingsReader {
+
+    /** The key that tells these settings from those that name every host. */
+    static final String MARK = "discovery";
+
+    private static final int MINUTE_MILLIS = 60_000;
+
+    private final List<Finding> findings;
+
+    FleetSettingsReader(List<Finding> findings) {
+        this.findings = findings;
+    }
+
+    Optional<FleetSettings> read(Section root) {
+        Optional<HostId> host = root.required("host", HostId::new);
+        Optional<ZoneId> zone = root.required("zone", ZoneId::new);
+        Optional<Address> peers = root.required("peers", Address::parse);
+        Optional<FleetSettings.Role> role = role(root);
+        Section discovery = root.section(MARK);
+        List<Address> seeds = discovery.list("seeds", Address::parse);
+        boolean firstStart = discovery.number("firstStart", 0, 0, 1) == 1;
+        discovery.finish();
+        FleetSettings.Limits limits = limits(root.section("limits"));
+        root.finish();
+        if (seeds.isEmpty()) {
+            findings.add(new Finding(discovery.place(), "'seeds' names no host"));
+        }
+        if (host.isEmpty() || zone.isEmpty() || peers.isEmpty() || role.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new FleetSettings(
+                        host.get(),
+                        zone.get(),
+                        role.get(),
+                        peers.get(),
+                        seeds,
+                        firstStart,
+                        limits));
+    }
+
+    private Optional<FleetSettings.Role> role(Section root) {
+        boolean entry = root.names().contains("entry");
+        boolean control = root.names().contains("control");
+        if (entry == control) {
+            findings.add(new Finding(root.place(), "needs either 'entry' or 'control'"));
+            return Optional.empty();
+        }
+        return entry ? entry(root.section("entry")) : control(root.section("control"));
+    }
+
+    private static Optional<FleetSettings.Role> entry(Section section) {
+        Optional<Address> callers = section.required("callers", Address::parse);
+        Optional<Address> readiness = section.required("readiness", Address::parse);
+        section.finish();
+        return callers.isPresent() && readiness.isPresent()
+                ? Optional.of(new FleetSettings.Entry(callers.get(), readiness.get()))
+                : Optional.empty();
+    }
+
+    private static Optional<FleetSettings.Role> control(Section section) {
+        Optional<Address> api = section.required("api", Address::parse);
+        Optional<Path> folder = section.required("dataFolder", Path::of);
+        section.finish();
+        return api.isPresent() && folder.isPresent()
+                ? Optional.of(new FleetSettings.Control(api.get(), folder.get()))
+                : Optional.empty();
+    }
+
+    private static FleetSettings.Limits limits(Section section) {
+        FleetSettings.Limits limits =
+                new FleetSettings.Limits(
+                        section.millis("heartbeatMillis", 1200, 10, MINUTE_MILLIS),
+                        section.millis("stopGraceMillis", 8000, 100, 10 * MINUTE_MILLIS),
+                        section.millis("orderPauseMillis", 3000, 0, MINUTE_MILLIS),
+                        section.decimal("retryRatio", 0.2),
+                        section.number("retrySlack", 50, 0, 1_000_000),
+                        section.millis("retryWindowMillis", 10_000, 100, MINUTE_MILLIS),
+                        section.millis("storeWindowMillis", 5000, 100, MINUTE_MILLIS),
+                        section.number("hostLossesBorne", 1, 0, 100));
+        section.finish();
+        return limits;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
@@ -74,6 +74,23 @@
         return (int) number;
     }
 
+    /** Returns a number that is not negative, or the default. */
+    double decimal(String key, double otherwise) {
+        read.add(key);
+        LocatedJson.Node value = node.members().get(key);
+        if (value == null) {
+            return otherwise;
+        }
+        boolean numeric =
+                value instanceof LocatedJson.ScalarNode scalar && scalar.token().isNumeric();
+        double number = numeric ? Double.parseDouble(((LocatedJson.ScalarNode) value).text()) : -1;
+        if (number < 0) {
+            findings.add(new Finding(value.place(), "must be a number that is not negative"));
+            return otherwise;
+        }
+        return number;
+    }
+
     Duration millis(String key, int otherwise, int lowest, int highest) {
         return Duration.ofMillis(number(key, otherwise, lowest, highest));
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Settings.java
@@ -36,7 +36,8 @@
         List<Host> hosts,
         Groups groups,
         Limits limits,
-        Timing timing) {
+        Timing timing)
+        implements ProcessSettings {
 
     /** The group that keeps the configuration. */
     public static final String CONTROL_GROUP = "control";
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/SettingsReader.java
@@ -44,6 +44,37 @@
         }
     }
 
+    /**
+     * Reads a file of either kind: one that names every host, or one that names seeds.
+     *
+     * @return the settings, or all that is wrong, each with line, column and JSON pointer
+     */
+    public static Either<List<Finding>, ProcessSettings> readAny(Path file) {
+        try {
+            return parseAny(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            return Either.left(
+                    List.of(new Finding(file.toString(), "cannot be read: " + e.getMessage())));
+        }
+    }
+
+    /** Reads a text of either kind. */
+    public static Either<List<Finding>, ProcessSettings> parseAny(String text) {
+        List<Finding> findings = new ArrayList<>();
+        LocatedJson.Node root = LocatedJson.parse(text, findings);
+        boolean seeded =
+                root instanceof LocatedJson.ObjectNode object
+                        && object.members().containsKey(FleetSettingsReader.MARK);
+        if (!seeded) {
+            return parse(text).map(settings -> settings);
+        }
+        Optional<FleetSettings> settings =
+                new FleetSettingsReader(findings).read(Section.of(root, findings));
+        return findings.isEmpty() && settings.isPresent()
+                ? Either.right(settings.get())
+                : Either.left(List.copyOf(findings));
+    }
+
     /** Reads a text. */
     public static Either<List<Finding>, Settings> parse(String text) {
         SettingsReader reader = new SettingsReader();
