Orders: adapters while a model loads, doubtful loads stay charged; streams end kept connections in a stop

Requests waited 1 s for adapters while their engine loaded a model from the store for 9 s.

The policy loads from the store on at most a third of the engines at once.

--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -42,6 +42,14 @@
     /** A copy that has just come stays for as long as its load may take to pay. */
     private static final Duration LEAST_RESIDENCE = Duration.ofSeconds(3);
 
+    /** A model whose weights no engine keeps at hand cannot be served within a deadline at all. */
+    private static final double AT_HAND_WORTH = 20;
+
+    /**
+     * Engines that load from the weight store take no other order for that long: at most a third.
+     */
+    private static final int SEATS_PER_STORE_LOAD = 3;
+
     private static final double STORE_SECONDS = 9;
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -88,6 +96,7 @@
             return;
         }
         double gain = nextWorth(planning, want);
+        gain += atHand(planning, want) ? 0 : AT_HAND_WORTH;
         double needed = place.get().evicted().isEmpty() ? 0 : MARGIN * place.get().loss();
         if (gain > needed + SWAP_COST * place.get().load()) {
             take(planning, want, place.get());
@@ -97,7 +106,7 @@
     private static void take(Planning planning, PlacementView.Want want, Place place) {
         if (!place.evicted().isEmpty()) {
             planning.unload(place.seat(), place.evicted().getFirst());
-        } else if (place.load() < STORE_SECONDS || planning.loadsLeft() > 0) {
+        } else {
             planning.load(place.seat(), want);
         }
     }
@@ -111,7 +120,7 @@
             }
             Optional<Place> place = placeOn(planning, seat, want, residence);
             boolean fromStore = place.isPresent() && place.get().load() >= STORE_SECONDS;
-            if (place.isEmpty() || (fromStore && planning.loadsLeft() <= 0)) {
+            if (place.isEmpty() || (fromStore && !storeIsFree(planning))) {
                 continue;
             }
             if (best.isEmpty() || place.get().cost() < best.get().cost()) {
@@ -121,6 +130,23 @@
         return best;
     }
 
+    private static boolean storeIsFree(Planning planning) {
+        List<PlacementView.Seat> seats = planning.view().seats();
+        long loading =
+                seats.stream()
+                        .filter(seat -> seat.loading().isPresent())
+                        .filter(seat -> !seat.nearCopies().containsKey(seat.loading().get().id()))
+                        .count();
+        int most = Math.max(1, seats.size() / SEATS_PER_STORE_LOAD);
+        return planning.loadsLeft() > 0 && loading < most;
+    }
+
+    private static boolean atHand(Planning planning, PlacementView.Want want) {
+        ModelId model = want.artifact().id();
+        return planning.view().seats().stream()
+                .anyMatch(seat -> seat.holds(model) || seat.nearCopies().containsKey(model));
+    }
+
     private static Optional<Place> placeOn(
             Planning planning,
             PlacementView.Seat seat,
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -10,11 +10,12 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
-/** What one engine holds or may come to hold, and the one order to it that is open. */
+/** What one engine holds or may come to hold, and the orders to it that are open. */
 final class EngineLedger {
 
     /** A heartbeat that was on its way while an order was given may still show what was before. */
@@ -23,12 +24,36 @@
     /** An order that is not seen to be done by then is looked into. */
     private static final long OVERDUE_NANOS = Duration.ofSeconds(3).toNanos();
 
+    /** Accounts lag by some hundred milliseconds; one read earlier says nothing new. */
+    private static final long REREAD_NANOS = Duration.ofMillis(400).toNanos();
+
+    /** The second heartbeat after an account was read has been made after it. */
+    private static final int HEARTBEATS_THAT_TELL_AS_MUCH = 2;
+
+    /** An account is older than this at most. */
+    private static final long LONGEST_LAG_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** A lost answer is asked for again by the same order after this. */
+    private static final long RESEND_NANOS = Duration.ofMillis(300).toNanos();
+
     private Instance instance;
     private long ordersTaken = -1;
-    private EngineOrder open;
-    private boolean taken;
+
+    /** The order whose answer is awaited or was lost. */
+    private EngineOrder unanswered;
+
+    /** The order for a model that has been taken and is not seen to be done. */
+    private EngineOrder underWay;
+
+    /** A load that was neither taken nor refused for certain: it may have been carried out. */
+    private EngineOrder doubtful;
+
+    private long doubtfulSince;
+    private List<ModelCopy> readModels = List.of();
+    private long readAtSequence;
     private long takenAt;
-    private long unknownSince;
+    private long lostAt;
+    private long leastTaken;
     private boolean reading;
     private long nextReadAt;
     private final Map<ModelId, Long> since = new HashMap<>();
@@ -48,104 +73,131 @@
     }
 
     void reported(Instance report, long now) {
+        if (report.sequence() >= readAtSequence + HEARTBEATS_THAT_TELL_AS_MUCH) {
+            readModels = List.of();
+        }
         instance = report;
         for (ModelCopy copy : report.models()) {
             since.putIfAbsent(copy.model(), now);
         }
         since.keySet().removeIf(model -> report.copyOf(model).isEmpty());
-        if (open != null && taken && open.adapter().isEmpty()) {
-            boolean held = report.copyOf(open.model()).isPresent();
-            if (held == open.load()) {
-                close();
-            }
+        if (underWay != null && report.copyOf(underWay.model()).isPresent() == underWay.load()) {
+            underWay = null;
         }
     }
 
     /** Takes in the engine's own account; the newest there is of how many orders it has taken. */
     void read(EngineReport report, long now) {
         reading = false;
-        ordersTaken = report.ordersTaken();
-        if (open == null || report.busy()) {
-            nextReadAt = report.busy() ? now + OVERDUE_NANOS / 10 : nextReadAt;
+        boolean stale = unanswered == null && report.ordersTaken() < leastTaken;
+        if (stale) {
+            nextReadAt = now + REREAD_NANOS;
+            return;
+        }
+        readModels = report.models();
+        readAtSequence = instance.sequence();
+        if (report.busy() && underWay == null) {
+            nextReadAt = now + REREAD_NANOS;
             return;
         }
-        boolean settled = taken ? report.ordersTaken() > open.expectedTaken() : false;
-        boolean overtaken = !taken && report.ordersTaken() != open.expectedTaken();
-        if (settled || overtaken) {
-            close();
+        ordersTaken = report.ordersTaken();
+        if (doubtful != null && now - doubtfulSince > LONGEST_LAG_NANOS) {
+            doubtful = null;
+        }
+        if (unanswered != null && ordersTaken != unanswered.expectedTaken()) {
+            unanswered = null;
+        }
+        if (underWay != null && !report.busy() && now - takenAt > overdueAfter()) {
+            underWay = null;
         }
     }
 
     void readFailed(long now) {
         reading = false;
-        nextReadAt = now + OVERDUE_NANOS / 6;
+        nextReadAt = now + REREAD_NANOS;
     }
 
     /** Returns whether the engine's account is needed now, and marks it as being read. */
     boolean startReading(long now) {
-        boolean overdue =
-                open != null && taken && open.adapter().isEmpty() && now - takenAt > overdueAfter();
+        boolean overdue = underWay != null && now - takenAt > overdueAfter();
+        overdue |= doubtful != null;
         boolean needed = ordersTaken < 0 || overdue;
         if (reading || !needed || now - nextReadAt < 0) {
             return false;
         }
         reading = true;
-        nextReadAt = now + OVERDUE_NANOS / 6;
+        nextReadAt = now + REREAD_NANOS;
         return true;
     }
 
-    boolean ready() {
-        return ordersTaken >= 0 && open == null && !reading;
+    /** Returns whether an order for an adapter may be sent. */
+    boolean readyForAdapters() {
+        return ordersTaken >= 0 && unanswered == null && !reading;
+    }
+
+    /** Returns whether an order for a model may be sent. */
+    boolean readyForModels() {
+        return readyForAdapters() && underWay == null && doubtful == null;
     }
 
     /** Returns whether the open order got no answer, so that it is to be sent again. */
     boolean resendDue(long now) {
-        return open != null && !taken && unknownSince != 0 && now - unknownSince >= 0;
+        return unanswered != null && lostAt != 0 && now - lostAt >= RESEND_NANOS;
     }
 
-    EngineOrder open() {
-        return open;
+    EngineOrder unanswered() {
+        return unanswered;
+    }
+
+    /** Returns the model that is being loaded or may be. */
+    Optional<ModelId> loading() {
+        if (isModelLoad(underWay)) {
+            return Optional.of(underWay.model());
+        }
+        return isModelLoad(unanswered) ? Optional.of(unanswered.model()) : Optional.empty();
     }
 
     long ordersTaken() {
         return ordersTaken;
     }
 
-    void begin(EngineOrder order) {
-        open = order;
-        taken = false;
-        unknownSince = 0;
+    void begin(EngineOrder order, long now) {
+        unanswered = order;
+        lostAt = 0;
+        if (order.load()) {
+            noteAdapter(order, now);
+        }
     }
 
     void resent() {
-        unknownSince = 0;
+        lostAt = 0;
     }
 
     void answered(EngineAnswer answer, long now) {
-        if (open == null) {
-            return;
-        }
+        EngineOrder order = unanswered;
         switch (answer) {
             case TAKEN -> {
-                ordersTaken = open.expectedTaken() + 1;
-                taken = true;
-                takenAt = now;
-                noteAdapter(now);
-                if (open.adapter().isPresent()) {
-                    close();
+                ordersTaken = order.expectedTaken() + 1;
+                leastTaken = ordersTaken;
+                noteAdapter(order, now);
+                if (order.adapter().isEmpty()) {
+                    underWay = order;
+                    takenAt = now;
                 }
+                unanswered = null;
             }
             case HOLDS -> {
-                noteAdapter(now);
-                ordersTaken = -1;
-                close();
+                noteAdapter(order, now);
+                countAgain(now, 0);
             }
             case CONFLICT, REFUSED, OTHER_INSTANCE, FENCED -> {
-                ordersTaken = -1;
-                nextReadAt = now + Duration.ofMillis(250).toNanos();
-                close();
+                if (isModelLoad(order)) {
+                    doubtful = order;
+                    doubtfulSince = now;
+                }
+                countAgain(now, REREAD_NANOS);
             }
-            case UNKNOWN -> unknownSince = now + Duration.ofMillis(300).toNanos();
+            case UNKNOWN -> lostAt = now;
         }
     }
 
@@ -186,24 +238,51 @@
     double freeMb(EngineSpec spec, long now) {
         double used = 0;
         for (ModelCopy copy : instance.models()) {
-            used += spec.model(copy.model()).map(ModelWeights::weightsMb).orElse(spec.weightsMb());
+            used += weightsMb(copy.model(), spec);
         }
         for (AdapterKey key : adapters(now)) {
             used += spec.model(key.model()).map(ModelWeights::adapterMb).orElse(0.0);
         }
-        boolean modelLoads = open != null && open.load() && open.adapter().isEmpty();
-        if (modelLoads && instance.copyOf(open.model()).isEmpty()) {
-            used += spec.model(open.model()).map(ModelWeights::weightsMb).orElse(0.0);
+        used += mayCome(underWay, spec) + mayCome(unanswered, spec) + mayCome(doubtful, spec);
+        for (ModelCopy copy : readModels) {
+            boolean unseen = instance.copyOf(copy.model()).isEmpty() && !isLoading(copy.model());
+            used += unseen ? weightsMb(copy.model(), spec) : 0;
         }
         return spec.weightsMb() - used;
     }
 
-    private void noteAdapter(long now) {
-        if (open.adapter().isEmpty()) {
+    private void countAgain(long now, long pause) {
+        ordersTaken = -1;
+        leastTaken = 0;
+        nextReadAt = now + pause;
+        unanswered = null;
+    }
+
+    private double mayCome(EngineOrder order, EngineSpec spec) {
+        boolean comes = isModelLoad(order) && instance.copyOf(order.model()).isEmpty();
+        return comes ? weightsMb(order.model(), spec) : 0;
+    }
+
+    /** A model that is not configured may take everything. */
+    private static double weightsMb(ModelId model, EngineSpec spec) {
+        return spec.model(model).map(ModelWeights::weightsMb).orElse(spec.weightsMb());
+    }
+
+    private boolean isLoading(ModelId model) {
+        return loading().filter(model::equals).isPresent()
+                || (doubtful != null && doubtful.model().equals(model));
+    }
+
+    private static boolean isModelLoad(EngineOrder order) {
+        return order != null && order.load() && order.adapter().isEmpty();
+    }
+
+    private void noteAdapter(EngineOrder order, long now) {
+        if (order.adapter().isEmpty()) {
             return;
         }
-        AdapterKey key = new AdapterKey(open.model(), open.adapter().get());
-        if (open.load()) {
+        AdapterKey key = new AdapterKey(order.model(), order.adapter().get());
+        if (order.load()) {
             placed.put(key, now);
             removed.remove(key);
         } else {
@@ -213,12 +292,6 @@
     }
 
     private long overdueAfter() {
-        return open.load() && open.fromStore() ? 5 * OVERDUE_NANOS : OVERDUE_NANOS;
-    }
-
-    private void close() {
-        open = null;
-        taken = false;
-        unknownSince = 0;
+        return underWay.fromStore() ? 5 * OVERDUE_NANOS : OVERDUE_NANOS;
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -35,8 +35,8 @@
  */
 public final class ResidencyKeeper {
 
-    /** Demand for rare models moves within seconds. */
-    private static final Duration DEMAND_HALF_LIFE = Duration.ofSeconds(5);
+    /** A model that is asked for every ten seconds should not look idle between two requests. */
+    private static final Duration DEMAND_HALF_LIFE = Duration.ofSeconds(8);
 
     private static final long DECIDE_NANOS = Duration.ofMillis(100).toNanos();
     private static final String ANY_VERSION = "";
@@ -113,7 +113,7 @@
     public List<ResidencyEffect> answered(EngineOrder order, EngineAnswer answer, long now) {
         List<ResidencyEffect> effects = new ArrayList<>();
         EngineLedger engine = engines.get(order.instance());
-        if (engine == null || !order.equals(engine.open())) {
+        if (engine == null || !order.equals(engine.unanswered())) {
             return effects;
         }
         engine.answered(answer, now);
@@ -153,8 +153,8 @@
             }
             if (engine.resendDue(now)) {
                 engine.resent();
-                effects.add(new ResidencyEffect.Send(engine.open()));
-            } else if (engine.ready()) {
+                effects.add(new ResidencyEffect.Send(engine.unanswered()));
+            } else if (engine.readyForAdapters()) {
                 nextAdapterOrder(engine, now)
                         .ifPresent(order -> begin(engine, order, effects, now));
             }
@@ -171,7 +171,7 @@
         PlacementView view = view(service, spec, now);
         for (Move move : policy.decide(view)) {
             EngineLedger engine = engines.get(move.upstream());
-            if (engine == null || !engine.ready()) {
+            if (engine == null || !engine.readyForModels()) {
                 continue;
             }
             order(engine, spec, move, now).ifPresent(order -> begin(engine, order, effects, now));
@@ -248,7 +248,7 @@
 
     private void begin(
             EngineLedger engine, EngineOrder order, List<ResidencyEffect> effects, long now) {
-        engine.begin(order);
+        engine.begin(order, now);
         if (order.fromStore()) {
             store.begin(now);
         }
@@ -291,15 +291,13 @@
                 near.put(weights.model(), weights.loadFromDisk());
             }
         }
-        EngineOrder open = engine.open();
-        boolean loads = open != null && open.load() && open.adapter().isEmpty();
         return new PlacementView.Seat(
                 instance.id(),
                 (long) Math.floor(engine.freeMb(spec, now)),
                 instance.slots(),
                 held,
-                !engine.ready(),
-                loads ? Optional.of(artifact(open.model())) : Optional.empty(),
+                !engine.readyForModels(),
+                engine.loading().map(ResidencyKeeper::artifact),
                 near);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -154,7 +154,7 @@
     @Override
     public void end() {
         relayed = null;
-        if (keep) {
+        if (keep && !gateway.draining()) {
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
             next();
         } else {
