--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -0,0 +1,142 @@
+package io.stackhall.core.dispatch;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.instance;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Where requests go. */
+class DispatcherTest {
+
+    private static final long NOW = Duration.ofSeconds(100).toNanos();
+    private static final ModelId MODEL = new ModelId("m");
+
+    private final Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), new Random(1));
+
+    @BeforeEach
+    void configure() {
+        ModelWeights weights =
+                new ModelWeights(
+                        MODEL,
+                        100,
+                        2,
+                        1,
+                        Duration.ofSeconds(9),
+                        Duration.ofSeconds(2),
+                        Duration.ofMillis(800));
+        EngineSpec spec =
+                new EngineSpec(4, 1000, 300, 2, 1, 200, 600, EngineSpec.byName(List.of(weights)));
+        dispatcher.engines(Map.of(SERVICE, spec));
+    }
+
+    @Test
+    void requestGoesWhereItsModelIsResident() {
+        dispatcher.changed(instance("a", 1, "other"));
+        dispatcher.changed(instance("bb", 1, "m"));
+        assertThat(sentTo(need(Optional.empty()))).contains("bb");
+    }
+
+    @Test
+    void drainingAndSilentInstancesGetNothing() {
+        dispatcher.changed(instance("a", 1, "m").withState(InstanceState.DRAINING));
+        dispatcher.changed(instance("bb", 1, "m").withState(InstanceState.SILENT));
+        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+                .isEqualTo(new Choice.NobodyServes());
+    }
+
+    @Test
+    void modelThatIsNowhereIsAwaitedForItsNearestLoad() {
+        dispatcher.changed(instance("a", 1, "other"));
+        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+                .isEqualTo(new Choice.ModelMissing(Duration.ofSeconds(9), false));
+    }
+
+    @Test
+    void adapterIsAskedForWhereItsModelIs() {
+        dispatcher.changed(instance("a", 1, "m"));
+        assertThat(dispatcher.choose(need(Optional.of("a1")), Set.of(), NOW))
+                .isInstanceOf(Choice.AdapterMissing.class);
+        dispatcher.adapterPlaced(new UpstreamId("a"), MODEL, "a1");
+        assertThat(sentTo(need(Optional.of("a1")))).contains("a");
+    }
+
+    @Test
+    void fullInstancesMakeRequestsWait() {
+        dispatcher.changed(instance("a", 1, "m"));
+        for (int count = 0; count < 4; count++) {
+            dispatcher.began(new UpstreamId("a"), need(Optional.empty()), NOW);
+        }
+        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+                .isEqualTo(new Choice.Full());
+    }
+
+    @Test
+    void instanceThatDoesNotAnswerIsAvoidedWhileAnotherDoes() {
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.changed(instance("bb", 1, "m"));
+        dispatcher.began(new UpstreamId("a"), need(Optional.empty()), NOW);
+        long later = NOW + Duration.ofSeconds(3).toNanos();
+        for (int count = 0; count < 3; count++) {
+            assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), later))
+                    .matches(choice -> idOf(choice).equals(Optional.of("bb")));
+            dispatcher.began(new UpstreamId("bb"), need(Optional.empty()), later);
+        }
+    }
+
+    @Test
+    void endedRequestsLeaveNoWorkBehind() {
+        dispatcher.changed(instance("a", 1, "m"));
+        for (int count = 0; count < 50; count++) {
+            Sending sending = dispatcher.began(new UpstreamId("a"), need(Optional.empty()), NOW);
+            if (count % 2 == 0) {
+                dispatcher.answered(sending, NOW);
+            }
+            dispatcher.ended(sending);
+            dispatcher.ended(sending);
+        }
+        assertThat(dispatcher.occupancy(new UpstreamId("a"), NOW)).isZero();
+        assertThat(sentTo(need(Optional.empty()))).contains("a");
+    }
+
+    @Test
+    void resendsStayWithinTheRatioAndTheSlack() {
+        RetryAllowance allowance = new RetryAllowance(0.2, 5, Duration.ofSeconds(10));
+        for (int count = 0; count < 50; count++) {
+            allowance.requested(NOW);
+        }
+        long taken = 0;
+        while (allowance.take(NOW)) {
+            taken++;
+        }
+        assertThat(taken).isEqualTo(12);
+        assertThat(allowance.take(NOW + Duration.ofSeconds(11).toNanos())).isTrue();
+    }
+
+    private Optional<String> sentTo(Need need) {
+        return idOf(dispatcher.choose(need, Set.of(), NOW));
+    }
+
+    private static Optional<String> idOf(Choice choice) {
+        return choice instanceof Choice.Send send
+                ? Optional.of(send.instance().id().value())
+                : Optional.empty();
+    }
+
+    private static Need need(Optional<String> adapter) {
+        return new Need(SERVICE, Optional.of(MODEL), adapter, List.of(), 1000, 20, 1);
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the choice of instances. */
+package io.stackhall.core.dispatch;
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/InstanceTableTest.java
@@ -0,0 +1,107 @@
+package io.stackhall.core.fleet;
+
+import static io.stackhall.core.fleet.Instances.instance;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** What reports that come late, doubled and out of order make of the list of upstreams. */
+class InstanceTableTest {
+
+    private static final Duration SILENCE = Duration.ofSeconds(6);
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final InstanceTable table = new InstanceTable(SILENCE);
+
+    @Test
+    void lateReportChangesNothing() {
+        table.merge(instance("a", 5, "new"), 0);
+        assertThat(table.merge(instance("a", 4, "old"), 0)).isEmpty();
+        assertThat(
+                        table.find(new UpstreamId("a"))
+                                .orElseThrow()
+                                .models()
+                                .getFirst()
+                                .model()
+                                .value())
+                .isEqualTo("new");
+    }
+
+    @Test
+    void drainingIsNotTakenBackByAReportThatWasOnItsWay() {
+        table.merge(instance("a", 5), 0);
+        table.merge(instance("a", 7).withState(InstanceState.DRAINING), 0);
+        table.merge(instance("a", 8), 0);
+        assertThat(table.find(new UpstreamId("a")).orElseThrow().state())
+                .isEqualTo(InstanceState.DRAINING);
+    }
+
+    @Test
+    void whatIsGoneNeverComesBack() {
+        table.merge(instance("a", 5), 0);
+        table.remove(new UpstreamId("a"));
+        assertThat(table.merge(instance("a", 9), 0)).isEmpty();
+        assertThat(table.all()).isEmpty();
+    }
+
+    @Test
+    void silentInstanceComesBackWithALaterReport() {
+        table.merge(instance("a", 5), 0);
+        assertThat(table.expire(7 * SECOND))
+                .singleElement()
+                .matches(silent -> silent.state() == InstanceState.SILENT);
+        assertThat(table.merge(instance("a", 6), 8 * SECOND))
+                .singleElement()
+                .matches(back -> back.state() == InstanceState.READY);
+    }
+
+    @Test
+    void wordOfSilenceFromBeforeALaterReportChangesNothing() {
+        table.merge(instance("a", 6), 0);
+        assertThat(table.merge(instance("a", 5).withState(InstanceState.SILENT), 0)).isEmpty();
+    }
+
+    @Test
+    void lateReportOfAPredecessorAtTheSameAddressDoesNotDisplaceItsSuccessor() {
+        table.merge(instance("new", "10.0.0.1:80", 3), 10 * SECOND);
+        assertThat(table.merge(instance("old", "10.0.0.1:80", 90), 11 * SECOND)).isEmpty();
+        assertThat(table.find(new UpstreamId("new"))).isPresent();
+    }
+
+    @Test
+    void successorAtTheSameAddressTakesThePlaceOfOneThatIsSilent() {
+        table.merge(instance("old", "10.0.0.1:80", 90), 0);
+        List<Instance> changed = table.merge(instance("new", "10.0.0.1:80", 1), 4 * SECOND);
+        assertThat(changed)
+                .extracting(Instance::state)
+                .containsExactly(InstanceState.GONE, InstanceState.READY);
+        assertThat(table.merge(instance("old", "10.0.0.1:80", 91), 5 * SECOND)).isEmpty();
+    }
+
+    @Property(tries = 200)
+    void tablesThatSawTheSameReportsAgree(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Instance> reports = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            Instance report = instance("i" + random.nextInt(3), 1 + random.nextInt(6));
+            int kind = random.nextInt(8);
+            reports.add(kind == 0 ? report.withState(InstanceState.GONE) : report);
+        }
+        InstanceTable inOrder = new InstanceTable(SILENCE);
+        reports.forEach(report -> inOrder.merge(report, 0));
+        List<Instance> shuffled = new ArrayList<>(reports);
+        shuffled.addAll(reports.subList(0, 4));
+        Collections.shuffle(shuffled, random);
+        InstanceTable anyOrder = new InstanceTable(SILENCE);
+        shuffled.forEach(report -> anyOrder.merge(report, 0));
+        assertThat(anyOrder.all()).containsExactlyInAnyOrderElementsOf(inOrder.all());
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -0,0 +1,45 @@
+package io.stackhall.core.fleet;
+
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+
+/** Makes instances for tests. */
+public final class Instances {
+
+    /** The service of every instance made here. */
+    public static final ServiceName SERVICE = new ServiceName("engine");
+
+    private Instances() {}
+
+    /** Returns an instance that holds some models. */
+    public static Instance instance(String id, long sequence, String... models) {
+        return instance(id, "10.0.0." + id.length() + ":" + id.hashCode(), sequence, models);
+    }
+
+    /** Returns an instance at an address. */
+    public static Instance instance(String id, String address, long sequence, String... models) {
+        List<ModelCopy> copies =
+                Arrays.stream(models)
+                        .map(model -> new ModelCopy(new ModelId(model), 1, Set.of()))
+                        .toList();
+        return new Instance(
+                new UpstreamId(id),
+                SERVICE,
+                address,
+                new ZoneId("plateau"),
+                4,
+                InstanceState.READY,
+                sequence,
+                Duration.ZERO,
+                copies,
+                Set.of(),
+                Set.of(),
+                0);
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the list of upstreams. */
+package io.stackhall.core.fleet;
--- a/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -26,6 +27,7 @@
         long incarnation;
         final List<String> applied = new ArrayList<>();
         int reforms;
+        boolean startedBefore;
 
         Host(String name, boolean durable) {
             this.name = name;
@@ -43,7 +45,8 @@
     private final Map<String, Map<Long, Long>> ticketByIndex = new HashMap<>();
     private final List<Outgoing> wire = new ArrayList<>();
     private final Random random;
-    private final ReplicaSettings settings = ReplicaSettings.standard();
+    private final ReplicaSettings settings;
+    private final TreeSet<String> founders = new TreeSet<>();
     private double loss;
     private double duplication;
     private long now = 1_000_000_000L;
@@ -51,7 +54,13 @@
     private long nextIncarnation = 1;
 
     FakeGroup(long seed, boolean durable, String... names) {
+        this(seed, durable, ReplicaSettings.standard(), names);
+    }
+
+    private FakeGroup(long seed, boolean durable, ReplicaSettings settings, String... names) {
         random = new Random(seed);
+        this.settings = settings;
+        founders.addAll(List.of(names));
         for (String name : names) {
             hosts.put(name, new Host(name, durable));
         }
@@ -60,6 +69,24 @@
         }
     }
 
+    /** Returns a group whose hosts come and go, founded by three durable hosts that are named. */
+    static FakeGroup open(long seed, String... founders) {
+        ReplicaSettings settings =
+                new ReplicaSettings(
+                        Duration.ofMillis(700),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(50),
+                        64,
+                        founders.length);
+        return new FakeGroup(seed, true, settings, founders);
+    }
+
+    /** Starts a host that no setting names. */
+    void join(String name) {
+        hosts.put(name, new Host(name, true));
+        start(name);
+    }
+
     void faults(double lossShare, double duplicationShare) {
         loss = lossShare;
         duplication = duplicationShare;
@@ -79,7 +106,7 @@
                 new Replica(
                         new ReplicaId(name, host.incarnation),
                         host.durable,
-                        hosts.keySet(),
+                        foundersAsToldTo(host),
                         settings,
                         new Random(random.nextLong()),
                         host.saved,
@@ -87,6 +114,16 @@
         restore(host, host.saved.snapshot());
     }
 
+    /** Only the first start of a founder may found an open group. */
+    private Set<String> foundersAsToldTo(Host host) {
+        if (!settings.open()) {
+            return hosts.keySet();
+        }
+        boolean founds = founders.contains(host.name) && !host.startedBefore;
+        host.startedBefore = true;
+        return founds ? Set.copyOf(founders) : Set.of();
+    }
+
     void kill(String name) {
         hosts.get(name).replica = null;
         ticketByIndex.get(name).clear();
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
@@ -0,0 +1,166 @@
+package io.stackhall.core.residency;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.instance;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.policy.PlacementPolicy;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Orders to engines that count them, whose answers may be lost. */
+class ResidencyKeeperTest {
+
+    private static final long MILLI = Duration.ofMillis(1).toNanos();
+    private static final UpstreamId ENGINE = new UpstreamId("e");
+
+    private final ResidencyKeeper keeper =
+            new ResidencyKeeper(PlacementPolicy.of(PolicyName.NEAREST_COPY), Duration.ofSeconds(5));
+    private long now = Duration.ofSeconds(1000).toNanos();
+
+    @BeforeEach
+    void configure() {
+        List<ModelWeights> models = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            models.add(
+                    new ModelWeights(
+                            new ModelId(name),
+                            100,
+                            4,
+                            1,
+                            Duration.ofSeconds(9),
+                            Duration.ofSeconds(2),
+                            Duration.ofMillis(800)));
+        }
+        EngineSpec spec = new EngineSpec(4, 1000, 203, 2, 1.4, 200, 600, EngineSpec.byName(models));
+        keeper.specs(Map.of(SERVICE, spec));
+        keeper.reported(instance("e", 1, "a"), now);
+    }
+
+    @Test
+    void orderFollowsTheEnginesOwnCount() {
+        count(7, false);
+        waitsFor("b");
+        EngineOrder order = onlyOrder();
+        assertThat(order.load()).isTrue();
+        assertThat(order.model().value()).isEqualTo("b");
+        assertThat(order.expectedTaken()).isEqualTo(7);
+    }
+
+    @Test
+    void lostAnswerIsAskedForByTheSameOrder() {
+        count(7, false);
+        waitsFor("b");
+        EngineOrder order = onlyOrder();
+        keeper.answered(order, EngineAnswer.UNKNOWN, now);
+        pass(400);
+        assertThat(onlyOrder()).isEqualTo(order);
+    }
+
+    @Test
+    void loadThatWasCarriedOutThoughItsAnswerWasLostStaysCharged() {
+        count(7, false);
+        waitsFor("b");
+        EngineOrder order = onlyOrder();
+        keeper.answered(order, EngineAnswer.UNKNOWN, now);
+        pass(400);
+        onlyOrder();
+        keeper.answered(order, EngineAnswer.CONFLICT, now);
+        pass(500);
+        waitsFor("c");
+        count(8, true);
+        pass(500);
+        waitsFor("c");
+        count(8, false);
+        pass(100);
+        assertThat(orders()).noneMatch(sent -> sent.load() && sent.adapter().isEmpty());
+    }
+
+    @Test
+    void adapterIsOrderedWhileAModelIsBeingLoaded() {
+        count(0, false);
+        waitsFor("b");
+        EngineOrder order = onlyOrder();
+        keeper.answered(order, EngineAnswer.TAKEN, now);
+        keeper.adapterWanted(ENGINE, new ModelId("a"), "a1", now);
+        EngineOrder adapter = onlyOrder();
+        assertThat(adapter.adapter()).contains("a1");
+        assertThat(adapter.expectedTaken()).isEqualTo(1);
+    }
+
+    @Test
+    void adapterSlotsAreFreedBeforeTheyAreFilled() {
+        count(0, false);
+        for (String adapter : List.of("a1", "a2")) {
+            keeper.adapterWanted(ENGINE, new ModelId("a"), adapter, now);
+            keeper.answered(onlyOrder(), EngineAnswer.TAKEN, now);
+            pass(10);
+        }
+        keeper.adapterWanted(ENGINE, new ModelId("a"), "a3", now);
+        EngineOrder first = onlyOrder();
+        assertThat(first.load()).isFalse();
+        assertThat(first.adapter()).contains("a1");
+        List<EngineOrder> next = sent(keeper.answered(first, EngineAnswer.TAKEN, now));
+        assertThat(next)
+                .singleElement()
+                .matches(order -> order.adapter().equals(Optional.of("a3")));
+    }
+
+    @Test
+    void loadsFromTheStoreStayWithinItsWindow() {
+        StoreWindow window = new StoreWindow(Duration.ofSeconds(5));
+        window.rate(1.4);
+        assertThat(window.left(now)).isEqualTo(7);
+        window.begin(now);
+        assertThat(window.left(now)).isEqualTo(6);
+        window.assumeFull(now);
+        assertThat(window.left(now)).isZero();
+        assertThat(window.left(now + Duration.ofSeconds(6).toNanos())).isEqualTo(7);
+    }
+
+    private void count(long taken, boolean busy) {
+        keeper.step(now);
+        keeper.read(ENGINE, new EngineReport(taken, busy, List.of()), now);
+    }
+
+    private void waitsFor(String model) {
+        keeper.demanded(
+                new HostId("h"), Map.of(new ModelId(model), 3), Map.of(new ModelId(model), 3), now);
+    }
+
+    private EngineOrder onlyOrder() {
+        List<EngineOrder> sent = orders();
+        assertThat(sent).hasSize(1);
+        return sent.getFirst();
+    }
+
+    private List<EngineOrder> orders() {
+        pass(100);
+        return sent(keeper.step(now));
+    }
+
+    private static List<EngineOrder> sent(List<ResidencyEffect> effects) {
+        List<EngineOrder> sent = new ArrayList<>();
+        for (ResidencyEffect effect : effects) {
+            if (effect instanceof ResidencyEffect.Send(EngineOrder order)) {
+                sent.add(order);
+            }
+        }
+        return sent;
+    }
+
+    private void pass(long millis) {
+        now += millis * MILLI;
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of orders to engines. */
+package io.stackhall.core.residency;
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
@@ -0,0 +1,84 @@
+package io.stackhall.core.route;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.Finding;
+import io.stackhall.core.id.ServiceName;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Which route a request takes, and what a version of the routes may not hold. */
+class RouteTableTest {
+
+    private static final ServiceName PLAIN = new ServiceName("plain");
+
+    @Test
+    void longestPrefixOfTheHostWins() {
+        RouteTable table =
+                table(route("all", "/", 1), route("a", "/a/", 1), route("ab", "/a/b/", 1));
+        assertThat(named(table, "a.example", "/a/b/c?q=/")).contains("ab");
+        assertThat(named(table, "A.Example:8080", "/a/x")).contains("a");
+        assertThat(named(table, "a.example", "/ab/")).contains("all");
+        assertThat(named(table, "b.example", "/a/")).isEmpty();
+    }
+
+    @Test
+    void prefixEndsAtASlash() {
+        RouteTable table = table(route("a", "/a/", 1));
+        assertThat(named(table, "a.example", "/a")).isEmpty();
+        assertThat(named(table, "a.example", "/a?x=/a/")).isEmpty();
+        assertThat(named(table, "a.example", "/a/")).contains("a");
+    }
+
+    @Test
+    void splitGivesEachServiceItsShare() {
+        ServiceName other = new ServiceName("other");
+        Route route =
+                route("a", "/a/", List.of(new Route.Share(PLAIN, 90), new Route.Share(other, 10)));
+        long others = 0;
+        for (int ticket = 0; ticket < 1000; ticket++) {
+            others += route.service(ticket).equals(other) ? 1 : 0;
+        }
+        assertThat(others).isEqualTo(100);
+    }
+
+    @Test
+    void everythingThatIsWrongIsFoundTogether() {
+        Route unknown = route("u", "/u/", List.of(new Route.Share(new ServiceName("nobody"), 1)));
+        RouteTable table =
+                table(route("a", "/a/", 1), route("b", "/a/", 1), route("w", "/w/", 0), unknown);
+        assertThat(RouteTableChecker.check(table))
+                .extracting(Finding::place)
+                .containsExactly("route b", "route w", "route u");
+    }
+
+    private static Optional<String> named(RouteTable table, String host, String target) {
+        return table.find(host, target).map(Route::name);
+    }
+
+    private static RouteTable table(Route... routes) {
+        ServiceEntry service = new ServiceEntry(PLAIN, 10, Optional.empty());
+        return new RouteTable(1, List.of(routes), List.of(service), CallerLimits.initial());
+    }
+
+    private static Route route(String name, String prefix, int weight) {
+        return route(name, prefix, List.of(new Route.Share(PLAIN, weight)));
+    }
+
+    private static Route route(String name, String prefix, List<Route.Share> split) {
+        return new Route(
+                name,
+                "a.example",
+                prefix,
+                RouteKind.IDEMPOTENT,
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                1,
+                split,
+                1,
+                false,
+                Duration.ZERO);
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of routes. */
+package io.stackhall.core.route;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -106,7 +106,9 @@
     @Override
     public void close() throws IOException {
         group.close();
+        listener.close();
         transport.close();
+        threads.terminationFuture().awaitUninterruptibly(FleetDaemon.CLOSE_MILLIS);
         logger.info("daemon.stopped host={}", settings.host());
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/FleetDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/FleetDaemon.java
@@ -14,6 +14,9 @@
      */
     PeerTiming PEER_TIMING = new PeerTiming(Duration.ofMillis(300), Duration.ofMillis(900));
 
+    /** Its threads end within milliseconds once its connections are closed. */
+    long CLOSE_MILLIS = 1500;
+
     /** Starts to work. */
     void start();
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryAllowance;
+import io.stackhall.core.id.HostId;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -34,7 +36,6 @@
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
 import java.time.Duration;
-import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -55,6 +56,11 @@
     /** Left of the grace when the process ends at the latest. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(700);
 
+    /** What has not been sent by then is refused, in time for its caller to read it. */
+    private static final Duration WAITING_ENDS_BEFORE = Duration.ofMillis(1500);
+
+    private static final Duration DRAIN_POLL = Duration.ofMillis(50);
+
     /**
      * How many entry hosts share the slack for resends: told by no one, so the most that a zone
      * group of the sizes served today has.
@@ -83,7 +89,7 @@
         Random random = new Random();
         FleetSettings.Limits limits = settings.limits();
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
-        this.hosts = new ControlHosts(settings, transport, host -> connected(host));
+        this.hosts = new ControlHosts(settings, transport, this::connected);
         this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID);
         this.gateway =
                 new Gateway(
@@ -130,20 +136,30 @@
         pauseUntil(leave);
         callers.close();
         loop.execute(gateway::closeResting);
-        while (System.nanoTime() - end < 0 && gateway.connections() > 0) {
-            pauseUntil(System.nanoTime() + Duration.ofMillis(50).toNanos());
-        }
+        long refuse = end - WAITING_ENDS_BEFORE.toNanos();
+        awaitNoCallers(refuse);
+        loop.execute(gateway::refuseWaiting);
+        awaitNoCallers(end);
         logger.info(
                 "daemon.drained host={} connections={}", settings.host(), gateway.connections());
     }
 
     @Override
     public void close() {
+        callers.close();
+        readiness.close();
         transport.close();
+        threads.terminationFuture().awaitUninterruptibly(FleetDaemon.CLOSE_MILLIS);
         logger.info("daemon.stopped host={}", settings.host());
     }
 
-    private void connected(io.stackhall.core.id.HostId host) {
+    private void awaitNoCallers(long until) {
+        while (System.nanoTime() - until < 0 && gateway.connections() > 0) {
+            pauseUntil(System.nanoTime() + DRAIN_POLL.toNanos());
+        }
+    }
+
+    private void connected(HostId host) {
         follower.connected(host);
     }
 
@@ -192,7 +208,7 @@
         return new ServerBootstrap()
                 .group(threads)
                 .channel(NioServerSocketChannel.class)
-                .option(io.netty.channel.ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childHandler(channels)
                 .bind(address.socket())
                 .syncUninterruptibly()
@@ -264,9 +280,4 @@
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
         return response;
     }
-
-    /** Returns the channels that listen. */
-    List<Channel> listeners() {
-        return List.of(callers, readiness);
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -38,6 +38,7 @@
     private final AdapterWishes wishes;
     private RouteTable routes;
     private boolean draining;
+    private boolean closing;
 
     Gateway(
             EventLoop loop,
@@ -99,11 +100,22 @@
         draining = true;
     }
 
+    /** Refuses what has not been sent, and from now on whatever comes. */
+    void refuseWaiting() {
+        closing = true;
+        waiting.tryAll();
+    }
+
     /** Closes the connections on which nothing is under way. */
     void closeResting() {
         List.copyOf(connections).forEach(CallerConnection::closeIfResting);
     }
 
+    /** Returns whether the process is about to end, so that nothing more is sent. */
+    boolean closing() {
+        return closing;
+    }
+
     boolean draining() {
         return draining;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -116,6 +116,10 @@
         if (ended || attempt != null) {
             return true;
         }
+        if (gateway.closing()) {
+            giveUp("this host is about to stop", Duration.ZERO);
+            return true;
+        }
         long now = System.nanoTime();
         Choice choice = gateway.dispatcher().choose(need, tried, now);
         return switch (choice) {
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -0,0 +1,206 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.server.control.ControlDaemon;
+import io.stackhall.server.gateway.EntryDaemon;
+import io.stackhall.server.settings.Address;
+import io.stackhall.server.settings.FleetSettings;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+/** Control and entry hosts of one system, each on a loopback address of its own. */
+public final class LocalFleet implements AutoCloseable {
+
+    private static final int CALLERS_OFFSET = 1;
+    private static final int READINESS_OFFSET = 2;
+    private static final int API_OFFSET = 3;
+    private static final int LOWEST_PORT = 20_000;
+    private static final int PORT_STEP = 4;
+    private static final int PORT_STEPS = 3000;
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private final Path folder;
+    private final int port = freePorts();
+    private final List<FleetDaemon> daemons = new ArrayList<>();
+    private final List<Address> seeds =
+            List.of(api("127.0.3.1"), api("127.0.3.2"), api("127.0.3.3"));
+
+    /** Creates a system whose replicas keep their state under a folder. */
+    public LocalFleet(Path folder) throws IOException {
+        this.folder = folder;
+    }
+
+    /** Starts three control hosts for the first time. */
+    public void foundControl() throws IOException {
+        for (int number = 1; number <= 3; number++) {
+            startControl(number, true);
+        }
+    }
+
+    /** Starts one control host, which lives at 127.0.3.number. */
+    public ControlDaemon startControl(int number, boolean firstStart) throws IOException {
+        String ip = "127.0.3." + number;
+        FleetSettings.Control control =
+                new FleetSettings.Control(api(ip), folder.resolve("control-" + number));
+        ControlDaemon daemon =
+                new ControlDaemon(settings("control-" + number, ip, control, firstStart), control);
+        daemon.start();
+        daemons.add(daemon);
+        return daemon;
+    }
+
+    /** Starts one entry host, which lives at 127.0.4.number. */
+    public EntryDaemon startEntry(int number) {
+        String ip = "127.0.4." + number;
+        FleetSettings.Entry entry =
+                new FleetSettings.Entry(
+                        new Address(ip, port + CALLERS_OFFSET),
+                        new Address(ip, port + READINESS_OFFSET));
+        EntryDaemon daemon = new EntryDaemon(settings("entry-" + number, ip, entry, true), entry);
+        daemon.start();
+        daemons.add(daemon);
+        return daemon;
+    }
+
+    /** Ends one process as a kill would, as far as others see. */
+    public void stop(FleetDaemon daemon) throws IOException {
+        daemons.remove(daemon);
+        daemon.close();
+    }
+
+    /** Opens a caller's connection to an entry host. */
+    public Socket callerOf(int number) throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout((int) PATIENCE.toMillis());
+        socket.connect(new InetSocketAddress("127.0.4." + number, port + CALLERS_OFFSET));
+        return socket;
+    }
+
+    /** Sends a request to an entry host on a new connection and reads the answer. */
+    public RawHttp.Message call(int number, String request) throws IOException {
+        try (Socket socket = callerOf(number)) {
+            return exchange(socket, request);
+        }
+    }
+
+    /** Sends a call to a control host and reads the answer. */
+    public RawHttp.Message control(int number, String method, String path, String body)
+            throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.setSoTimeout((int) PATIENCE.toMillis());
+            socket.connect(new InetSocketAddress("127.0.3." + number, port + API_OFFSET));
+            return exchange(
+                    socket,
+                    method
+                            + " "
+                            + path
+                            + " HTTP/1.1\r\nHost: control\r\nContent-Length: "
+                            + body.getBytes(StandardCharsets.UTF_8).length
+                            + "\r\n\r\n"
+                            + body);
+        }
+    }
+
+    /** Sends one heartbeat of an upstream to a control host. */
+    public void heartbeat(int number, ScriptedUpstream upstream, String body) throws IOException {
+        RawHttp.Message answer =
+                control(number, "POST", "/-/instances/" + upstream.id() + "/heartbeat", body);
+        if (answer.status() != 200) {
+            throw new IOException("heartbeat refused: " + answer.text());
+        }
+    }
+
+    /** Returns whether an entry host says that it is ready. */
+    public boolean ready(int number) {
+        try (Socket socket = new Socket()) {
+            socket.setSoTimeout((int) PATIENCE.toMillis());
+            socket.connect(new InetSocketAddress("127.0.4." + number, port + READINESS_OFFSET));
+            return exchange(socket, "GET /-/readiness HTTP/1.1\r\nHost: ready\r\n\r\n").status()
+                    == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Waits until something holds. */
+    public static void await(String what, BooleanSupplier holds) throws InterruptedException {
+        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new AssertionError("not seen within " + PATIENCE + ": " + what);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    /** Sends bytes and reads one answer. */
+    public static RawHttp.Message exchange(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().flush();
+        return RawHttp.read(socket.getInputStream(), true);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (FleetDaemon daemon : daemons) {
+            daemon.close();
+        }
+    }
+
+    private FleetSettings settings(
+            String name, String ip, FleetSettings.Role role, boolean firstStart) {
+        return new FleetSettings(
+                new HostId(name),
+                new ZoneId("plateau"),
+                role,
+                new Address(ip, port),
+                seeds,
+                firstStart,
+                new FleetSettings.Limits(
+                        Duration.ofMillis(1200),
+                        Duration.ofSeconds(6),
+                        Duration.ofMillis(500),
+                        0.2,
+                        50,
+                        Duration.ofSeconds(10),
+                        Duration.ofSeconds(5),
+                        1));
+    }
+
+    private Address api(String ip) {
+        return new Address(ip, port + API_OFFSET);
+    }
+
+    /** Picks four ports that are free on one address; others of these tests draw other ones. */
+    private static int freePorts() {
+        Random random = new Random();
+        for (int tries = 0; tries < 100; tries++) {
+            int candidate = LOWEST_PORT + PORT_STEP * random.nextInt(PORT_STEPS);
+            if (IntStream.range(candidate, candidate + PORT_STEP).allMatch(LocalFleet::free)) {
+                return candidate;
+            }
+        }
+        throw new IllegalStateException("no free ports drawn in 100 tries");
+    }
+
+    private static boolean free(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.3.1"), port));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of parts of an entry host that need no network. */
+package io.stackhall.server.gateway;
