Routes only in force once confirmed; lines and figures for explaining a failure

What it is: an entry host holds routes back until a quorum has confirmed them, or 4 s have passed without one. Lines have a budget by kind and say how many were left out; a queue that nobody reads drops and counts. Counters and histograms are served where the settings say. Elections take 0.5 to 1 s without a leader instead of 0.7 to 1.4 s.

--- a/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
@@ -31,6 +31,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return ExitCode.FAILED;
+        } finally {
+            LogManager.shutdown();
         }
         return ExitCode.OK;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -9,21 +9,25 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.stackhall.core.id.HostId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupListener;
+import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.FleetSettings;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -53,6 +57,8 @@
     private final ControlLog log;
     private final OrderGiver orders;
     private Channel listener;
+    private Optional<Channel> metricsListener = Optional.empty();
+    private final FleetMetrics metrics = new FleetMetrics();
 
     /**
      * Creates a process that does not run yet.
@@ -80,6 +86,8 @@
         hosts.start();
         group.start();
         listener = listen();
+        metricsListener =
+                settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::giveOrders, ORDER_MILLIS, ORDER_MILLIS, TimeUnit.MILLISECONDS);
@@ -107,6 +115,7 @@
     public void close() throws IOException {
         group.close();
         listener.close();
+        metricsListener.ifPresent(Channel::close);
         transport.close();
         threads.terminationFuture().awaitUninterruptibly(FleetDaemon.CLOSE_MILLIS);
         logger.info("daemon.stopped host={}", settings.host());
@@ -156,6 +165,16 @@
                 });
     }
 
+    private AnswerServer.Answer metricsAnswer(String path) {
+        metrics.state("term", (double) group.view().term());
+        metrics.state("leads", group.leads() ? 1 : 0);
+        metrics.state("commit_index", (double) group.view().commitIndex());
+        metrics.state("routes_version", (double) fleet.routes().getVersion());
+        metrics.state("instances", fleet.instances().size());
+        metrics.state("followers", fleet.followers());
+        return new AnswerServer.Answer(HttpResponseStatus.OK.code(), metrics.scrape());
+    }
+
     private void giveOrders() {
         try {
             orders.tick();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -37,10 +37,10 @@
     private static final long LEAST_FREE_BYTES = 8 << 20;
 
     /** Longer than a slow sync of a disk (30 times 2 ms), shorter than a caller's patience. */
-    private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(500);
 
-    private static final Duration HEARTBEAT = Duration.ofMillis(100);
-    private static final Duration DRIFT_MARGIN = Duration.ofMillis(50);
+    private static final Duration HEARTBEAT = Duration.ofMillis(80);
+    private static final Duration DRIFT_MARGIN = Duration.ofMillis(40);
     private static final int MAX_ENTRIES_PER_MESSAGE = 64;
 
     private final FleetSettings settings;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -153,6 +153,10 @@
         return routes;
     }
 
+    int followers() {
+        return followers.size();
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -56,6 +56,8 @@
     private boolean confirmed;
     private boolean knowsInstances;
     private long firstRoutesAt;
+    private long newest = -1;
+    private byte[] newestBody = new byte[0];
 
     ControlFollower(
             FleetSettings settings,
@@ -74,9 +76,7 @@
 
     /** Returns whether this host knows enough to take callers' requests. */
     boolean ready() {
-        boolean patienceOver =
-                gateway.knowsRoutes() && System.nanoTime() - firstRoutesAt >= UNCONFIRMED_NANOS;
-        return gateway.knowsRoutes() && knowsInstances && (confirmed || patienceOver);
+        return gateway.knowsRoutes() && knowsInstances;
     }
 
     /** A connection to a control host has come up. */
@@ -137,25 +137,42 @@
         gateway.serveWaiting();
     }
 
+    /**
+     * Holds routes back until a quorum has confirmed that they are not older than what this host
+     * may have obeyed in an earlier life.
+     */
     private void routes(RoutesUpdate update) {
-        long held = gateway.knowsRoutes() ? gateway.routes().version() : -1;
-        if (update.getVersion() > held) {
-            Either<Finding, RouteTable> decoded =
-                    ConfigurationDecoder.decode(update.getBody().toByteArray());
-            if (decoded.isLeft()) {
-                logger.error(
-                        "routes.unreadable version={} {}", update.getVersion(), decoded.getLeft());
-                return;
-            }
-            if (!gateway.knowsRoutes()) {
-                firstRoutesAt = System.nanoTime();
-            }
-            gateway.routes(decoded.get());
+        if (update.getVersion() > newest) {
+            newest = update.getVersion();
+            newestBody = update.getBody().toByteArray();
+        }
+        if (firstRoutesAt == 0 && newest >= 0) {
+            firstRoutesAt = System.nanoTime();
         }
-        if (update.getConfirmed() && !confirmed && gateway.knowsRoutes()) {
+        if (update.getConfirmed() && !confirmed && newest >= 0) {
             confirmed = true;
-            logger.info("routes.confirmed version={}", gateway.routes().version());
+            logger.info("routes.confirmed version={}", newest);
+        }
+        obey();
+    }
+
+    /** Puts the newest routes into force once they are confirmed or nobody can confirm any. */
+    void obey() {
+        boolean patienceOver =
+                firstRoutesAt != 0 && System.nanoTime() - firstRoutesAt >= UNCONFIRMED_NANOS;
+        long held = gateway.knowsRoutes() ? gateway.routes().version() : -1;
+        if (newest <= held || !(confirmed || patienceOver)) {
+            return;
+        }
+        Either<Finding, RouteTable> decoded = ConfigurationDecoder.decode(newestBody);
+        if (decoded.isLeft()) {
+            logger.error("routes.unreadable version={} {}", newest, decoded.getLeft());
+            return;
+        }
+        if (!confirmed) {
+            logger.warn("routes.unconfirmed version={}: no quorum was reached", newest);
         }
+        gateway.routes(decoded.get());
     }
 
     private void follow(HostId host) {
@@ -163,7 +180,7 @@
                 FleetFollow.newBuilder()
                         .setHost(settings.peerName().value())
                         .setConnection(connections.getOrDefault(host, 0L))
-                        .setRoutesVersion(gateway.knowsRoutes() ? gateway.routes().version() : -1)
+                        .setRoutesVersion(newest)
                         .setWantsConfirmation(!confirmed)
                         .build();
         transport.send(host, Frame.newBuilder().setFleetFollow(follow).build());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -1,7 +1,6 @@
 package io.stackhall.server.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -10,25 +9,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpVersion;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryAllowance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.peer.PeerTransport;
@@ -36,6 +27,7 @@
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -68,6 +60,8 @@
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
     private static final int BACKLOG = 512;
+    private static final int READY = 200;
+    private static final int NOT_READY = 503;
 
     private final FleetSettings settings;
     private final FleetSettings.Entry entry;
@@ -81,6 +75,7 @@
     private final UpstreamClient upstreams;
     private Channel callers;
     private Channel readiness;
+    private Optional<Channel> metrics = Optional.empty();
 
     /** Creates a process that does not run yet. */
     public EntryDaemon(FleetSettings settings, FleetSettings.Entry entry) {
@@ -110,7 +105,9 @@
         transport.open(follower::received);
         hosts.start();
         callers = listen(entry.callers(), new CallerChannels());
-        readiness = listen(entry.readiness(), new ReadinessChannels());
+        readiness = AnswerServer.listen(threads, entry.readiness(), this::readinessAnswer);
+        metrics =
+                settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
         every(FOLLOW_MILLIS, this::follow);
         every(WAITING_MILLIS, this::serve);
         every(DEMAND_MILLIS, this::tellDemand);
@@ -148,6 +145,7 @@
     public void close() {
         callers.close();
         readiness.close();
+        metrics.ifPresent(Channel::close);
         transport.close();
         threads.terminationFuture().awaitUninterruptibly(FleetDaemon.CLOSE_MILLIS);
         logger.info("daemon.stopped host={}", settings.host());
@@ -171,6 +169,7 @@
         hosts.sweep();
         upstreams.sweep();
         follower.followAll();
+        follower.obey();
     }
 
     private void serve() {
@@ -249,35 +248,13 @@
         }
     }
 
-    /** Connections of the balancer. */
-    private final class ReadinessChannels extends ChannelInitializer<SocketChannel> {
-        private static final int MAX_BYTES = 4096;
-
-        @Override
-        protected void initChannel(SocketChannel channel) {
-            channel.pipeline()
-                    .addLast(
-                            new HttpServerCodec(),
-                            new HttpObjectAggregator(MAX_BYTES),
-                            new SimpleChannelInboundHandler<FullHttpRequest>() {
-                                @Override
-                                protected void channelRead0(
-                                        ChannelHandlerContext context, FullHttpRequest request) {
-                                    context.writeAndFlush(readinessAnswer(request));
-                                }
-                            });
-        }
+    private AnswerServer.Answer readinessAnswer(String path) {
+        boolean ready = path.equals(Calls.READINESS) && follower.ready() && !gateway.draining();
+        return new AnswerServer.Answer(ready ? READY : NOT_READY, new byte[0]);
     }
 
-    private FullHttpResponse readinessAnswer(FullHttpRequest request) {
-        boolean ready =
-                request.uri().equals(Calls.READINESS) && follower.ready() && !gateway.draining();
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        Unpooled.EMPTY_BUFFER);
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
-        return response;
+    private AnswerServer.Answer metricsAnswer(String path) {
+        gateway.measure();
+        return new AnswerServer.Answer(READY, gateway.metrics().scrape());
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -11,6 +11,8 @@
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
+import io.stackhall.server.log.LineBudget;
+import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import java.util.HashMap;
@@ -36,6 +38,8 @@
     private final DemandCounts demand = new DemandCounts();
     private final Set<CallerConnection> connections = new HashSet<>();
     private final AdapterWishes wishes;
+    private final FleetMetrics metrics = new FleetMetrics();
+    private final LineBudget lines = new LineBudget();
     private RouteTable routes;
     private boolean draining;
     private boolean closing;
@@ -120,6 +124,22 @@
         return draining;
     }
 
+    FleetMetrics metrics() {
+        return metrics;
+    }
+
+    LineBudget lines() {
+        return lines;
+    }
+
+    /** Brings the measures of the present state up to date. */
+    void measure() {
+        metrics.state("routes_version", routes == null ? -1.0 : (double) routes.version());
+        metrics.state("instances", dispatcher.instances().size());
+        metrics.state("waiting", waiting.size());
+        metrics.state("caller_connections", connections.size());
+    }
+
     /** Returns how many callers are connected. */
     int connections() {
         return connections.size();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -66,7 +66,7 @@
         this.gateway = gateway;
         this.request = request;
         this.answers = answers;
-        this.log = new RequestLog(request);
+        this.log = new RequestLog(gateway, request);
     }
 
     void start() {
@@ -82,6 +82,7 @@
             return;
         }
         route = found.get();
+        log.route(route.name());
         need = request.need(route, route.service(gateway.ticket()));
         long allowed = route.timeout().toNanos();
         OptionalLong told = request.deadlineMillis();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -2,6 +2,8 @@
 
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.server.log.LineBudget;
+import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -13,108 +15,170 @@
 
     private static final Logger logger = LogManager.getLogger(RequestLog.class);
 
+    private final LineBudget lines;
+    private final FleetMetrics metrics;
     private final String id;
     private final long arrivedAt;
+    private String route = "none";
 
-    RequestLog(CallerRequest request) {
+    RequestLog(Gateway gateway, CallerRequest request) {
+        this.lines = gateway.lines();
+        this.metrics = gateway.metrics();
         this.id = request.id();
         this.arrivedAt = request.arrivedAt();
     }
 
+    /** Notes which route the request takes. */
+    void route(String name) {
+        route = name;
+    }
+
     void noRoute(String host, String target, long routesVersion) {
-        logger.info(
-                "request.no-route id={} host={} target={} routesVersion={}",
-                id,
-                host,
-                target,
-                routesVersion);
+        metrics.requestEnded(route, "no-route");
+        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.no-route id={} host={} target={} routesVersion={} leftOut={}",
+                    id,
+                    host,
+                    target,
+                    routesVersion,
+                    leftOut);
+        }
     }
 
     /** It is sent to an instance, which has so many requests by a report of that sequence. */
     void sent(Need need, Instance instance, int send, String why, long waitedNanos, double load) {
-        logger.info(
-                "request.sent id={} instance={} service={} model={} adapter={} send={} why={}"
-                        + " waitedMs={} occupancy={} instanceSequence={}",
-                id,
-                instance.id(),
-                need.service(),
-                need.model().map(Object::toString).orElse(""),
-                need.adapter().orElse(""),
-                send,
-                why,
-                TimeUnit.NANOSECONDS.toMillis(waitedNanos),
-                (long) load,
-                instance.sequence());
+        metrics.reached("send", waitedNanos);
+        long leftOut = lines.take(LineBudget.Kind.SENT, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.sent id={} instance={} service={} model={} adapter={} send={} why={}"
+                            + " waitedMs={} occupancy={} instanceSequence={} leftOut={}",
+                    id,
+                    instance.id(),
+                    need.service(),
+                    need.model().map(Object::toString).orElse(""),
+                    need.adapter().orElse(""),
+                    send,
+                    why,
+                    TimeUnit.NANOSECONDS.toMillis(waitedNanos),
+                    (long) load,
+                    instance.sequence(),
+                    leftOut);
+        }
     }
 
     void answered(int status, OptionalLong lastEvent, int sends) {
-        logger.info(
-                "request.answered id={} status={} lastEvent={} ageMs={} sends={}",
-                id,
-                status,
-                lastEvent,
-                ageMillis(),
-                sends);
+        metrics.requestEnded(route, "answered");
+        metrics.reached("end", System.nanoTime() - arrivedAt);
+        long leftOut = lines.take(LineBudget.Kind.ANSWERED, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.answered id={} status={} lastEvent={} ageMs={} sends={} leftOut={}",
+                    id,
+                    status,
+                    lastEvent,
+                    ageMillis(),
+                    sends,
+                    leftOut);
+        }
     }
 
     void notRun(Instance instance, int status) {
-        logger.info(
-                "attempt.not-run id={} instance={} status={} ageMs={}",
-                id,
-                instance.id(),
-                status,
-                ageMillis());
+        metrics.attemptEnded(instance.service().value(), "not-run");
+        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "attempt.not-run id={} instance={} status={} ageMs={} leftOut={}",
+                    id,
+                    instance.id(),
+                    status,
+                    ageMillis(),
+                    leftOut);
+        }
     }
 
     void attemptFailed(Instance instance, boolean sent, String reason, OptionalLong lastEvent) {
-        logger.info(
-                "attempt.failed id={} instance={} sent={} reason={} lastEvent={} ageMs={}",
-                id,
-                instance.id(),
-                sent,
-                reason,
-                lastEvent,
-                ageMillis());
+        String ending = sent ? "broke-off" : "unreached";
+        metrics.attemptEnded(instance.service().value(), ending);
+        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "attempt.failed id={} instance={} sent={} reason={} lastEvent={} ageMs={}"
+                            + " leftOut={}",
+                    id,
+                    instance.id(),
+                    sent,
+                    reason,
+                    lastEvent,
+                    ageMillis(),
+                    leftOut);
+        }
     }
 
     void refused(Need need, String reason, Duration retryAfter, int sends, long routesVersion) {
-        logger.info(
-                "request.refused id={} reason={} retryAfterMs={} service={} model={} adapter={}"
-                        + " rank={} ageMs={} sends={} routesVersion={}",
-                id,
-                reason,
-                retryAfter.toMillis(),
-                need == null ? "" : need.service(),
-                need == null ? "" : need.model().map(Object::toString).orElse(""),
-                need == null ? "" : need.adapter().orElse(""),
-                need == null ? -1 : need.rank(),
-                ageMillis(),
-                sends,
-                routesVersion);
+        metrics.requestEnded(route, "refused");
+        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.refused id={} reason={} retryAfterMs={} service={} model={} adapter={}"
+                            + " rank={} ageMs={} sends={} routesVersion={} leftOut={}",
+                    id,
+                    reason,
+                    retryAfter.toMillis(),
+                    need == null ? "" : need.service(),
+                    need == null ? "" : need.model().map(Object::toString).orElse(""),
+                    need == null ? "" : need.adapter().orElse(""),
+                    need == null ? -1 : need.rank(),
+                    ageMillis(),
+                    sends,
+                    routesVersion,
+                    leftOut);
+        }
     }
 
     void failed(int status, String reason, int sends) {
-        logger.info(
-                "request.failed id={} status={} reason={} ageMs={} sends={}",
-                id,
-                status,
-                reason,
-                ageMillis(),
-                sends);
+        metrics.requestEnded(route, "failed");
+        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.failed id={} status={} reason={} ageMs={} sends={} leftOut={}",
+                    id,
+                    status,
+                    reason,
+                    ageMillis(),
+                    sends,
+                    leftOut);
+        }
     }
 
     void brokenOff(String reason, OptionalLong lastEvent, int sends) {
-        logger.info(
-                "request.broken-off id={} reason={} lastEvent={} ageMs={} sends={}",
-                id,
-                reason,
-                lastEvent,
-                ageMillis(),
-                sends);
+        metrics.requestEnded(route, "broken-off");
+        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.broken-off id={} reason={} lastEvent={} ageMs={} sends={} leftOut={}",
+                    id,
+                    reason,
+                    lastEvent,
+                    ageMillis(),
+                    sends,
+                    leftOut);
+        }
     }
 
     void callerLeft(int sends) {
-        logger.info("request.caller-left id={} ageMs={} sends={}", id, ageMillis(), sends);
+        metrics.requestEnded(route, "caller-left");
+        long leftOut = lines.take(LineBudget.Kind.LEFT, System.nanoTime());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.caller-left id={} ageMs={} sends={} leftOut={}",
+                    id,
+                    ageMillis(),
+                    sends,
+                    leftOut);
+        }
     }
 
     private long ageMillis() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
@@ -24,6 +24,10 @@
         return requests.remove(request);
     }
 
+    int size() {
+        return requests.size();
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -0,0 +1,89 @@
+package io.stackhall.server.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.stackhall.server.log.CountingDiscard;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.HashSet;
+import java.util.Set;
+
+/** The metrics of a process that finds the others by seeds. Labels are bounded. */
+public final class FleetMetrics {
+
+    /** More routes than this share one label: a configuration may grow by hundreds of routes. */
+    private static final int MOST_ROUTES = 100;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Set<String> routes = new HashSet<>();
+    private final Counter requests =
+            Counter.builder()
+                    .name("stackhall_relayed_requests_total")
+                    .help("Callers' requests by route and how they ended.")
+                    .labelNames("route", "outcome")
+                    .register(registry);
+    private final Counter attempts =
+            Counter.builder()
+                    .name("stackhall_upstream_attempts_total")
+                    .help("Requests sent to upstreams, by service and how they ended.")
+                    .labelNames("service", "ending")
+                    .register(registry);
+    private final Histogram seconds =
+            Histogram.builder()
+                    .name("stackhall_relay_seconds")
+                    .help("From a request's arrival: to its send, first byte and end of answer.")
+                    .labelNames("until")
+                    .classicOnly()
+                    .register(registry);
+    private final Gauge values =
+            Gauge.builder()
+                    .name("stackhall_fleet_state")
+                    .help("Version of the routes, instances, waiting requests, terms, by name.")
+                    .labelNames("name")
+                    .register(registry);
+
+    /** Notes how a request ended. */
+    public void requestEnded(String route, String outcome) {
+        requests.labelValues(bounded(route), outcome).inc();
+    }
+
+    /** Notes how a request to an upstream ended. */
+    public void attemptEnded(String service, String ending) {
+        attempts.labelValues(service, ending).inc();
+    }
+
+    /** Notes how long after a request's arrival it was sent, first answered or wholly answered. */
+    public void reached(String until, long nanos) {
+        seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
+    }
+
+    /** Sets a value of the process's state. */
+    public void state(String name, double value) {
+        values.labelValues(name).set(value);
+    }
+
+    /** Returns everything in the text format. */
+    public byte[] scrape() {
+        state("log_lines_dropped", (double) CountingDiscard.dropped());
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory cannot fail to be written", e);
+        }
+        return out.toByteArray();
+    }
+
+    private String bounded(String route) {
+        if (routes.size() < MOST_ROUTES) {
+            routes.add(route);
+        }
+        return routes.contains(route) ? route : "other";
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -17,6 +17,7 @@
  * @param seeds control hosts by their API addresses, some of which may be stale
  * @param firstStart whether the whole system starts for the first time
  * @param limits bounds that the deployment sets
+ * @param metrics where counters and histograms are read, if anywhere
  */
 public record FleetSettings(
         HostId host,
@@ -25,7 +26,8 @@
         Address peers,
         List<Address> seeds,
         boolean firstStart,
-        Limits limits)
+        Limits limits,
+        Optional<Address> metrics)
         implements ProcessSettings {
 
     /** Copies the seeds. */
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -25,6 +25,7 @@
         Optional<HostId> host = root.required("host", HostId::new);
         Optional<ZoneId> zone = root.required("zone", ZoneId::new);
         Optional<Address> peers = root.required("peers", Address::parse);
+        Optional<Address> metrics = root.optional("metrics", Address::parse);
         Optional<FleetSettings.Role> role = role(root);
         Section discovery = root.section(MARK);
         List<Address> seeds = discovery.list("seeds", Address::parse);
@@ -46,7 +47,8 @@
                         peers.get(),
                         seeds,
                         firstStart,
-                        limits));
+                        limits,
+                        metrics));
     }
 
     private Optional<FleetSettings.Role> role(Section root) {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
@@ -176,7 +177,8 @@
                         50,
                         Duration.ofSeconds(10),
                         Duration.ofSeconds(5),
-                        1));
+                        1),
+                Optional.empty());
     }
 
     private Address api(String ip) {
