Entry hosts hear at once what an engine is about to unload, and when an adapter comes

What it is: the giver of orders says what an engine is about to unload before it orders so, and that an adapter is there 40 ms after its order was taken.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -13,12 +13,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -47,6 +46,9 @@
     /** A plain instance queues a few requests beyond its slots. */
     private static final double PLAIN_QUEUE_SHARE = 2.0;
 
+    /** A report made before something was unloaded arrives within two heartbeats. */
+    private static final long ABSENCE_NANOS = Duration.ofMillis(2500).toNanos();
+
     private static final double SILENT_PENALTY = 1e6;
     private static final double FAILURE_WEIGHT = 6;
 
@@ -54,11 +56,14 @@
     private final RandomGenerator random;
     private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
     private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
-    private final Map<UpstreamId, Set<AdapterPlace>> placed = new HashMap<>();
+    private final Map<UpstreamId, Map<Holding, Told>> told = new HashMap<>();
     private Map<ServiceName, EngineSpec> engines = Map.of();
 
-    /** One adapter that was made resident since the instance last spoke of itself. */
-    private record AdapterPlace(ModelId model, String adapter) {}
+    /** A model, or an adapter of it, that an instance may hold. */
+    private record Holding(ModelId model, Optional<String> adapter) {}
+
+    /** What was said of a holding, and when. */
+    private record Told(boolean resident, long at) {}
 
     private record Scored(Instance instance, double score) {}
 
@@ -78,28 +83,29 @@
         if (instance.state() == InstanceState.GONE) {
             instances.remove(instance.id());
             loads.remove(instance.id());
-            placed.remove(instance.id());
+            told.remove(instance.id());
             return;
         }
-        Instance former = instances.put(instance.id(), instance);
-        if (former == null || former.ordersTaken() != instance.ordersTaken()) {
-            placed.remove(instance.id());
-        }
+        instances.put(instance.id(), instance);
     }
 
-    /** Notes that an adapter has been made resident. */
-    public void adapterPlaced(UpstreamId id, ModelId model, String adapter) {
+    /**
+     * Notes what an instance holds now, or is about to hold no more, before its next report.
+     *
+     * @param adapter the adapter concerned, or nothing where the model itself is
+     */
+    public void residency(
+            UpstreamId id, ModelId model, Optional<String> adapter, boolean resident, long now) {
         if (instances.containsKey(id)) {
-            placed.computeIfAbsent(id, key -> new HashSet<>())
-                    .add(new AdapterPlace(model, adapter));
+            told.computeIfAbsent(id, key -> new HashMap<>())
+                    .put(new Holding(model, adapter), new Told(resident, now));
         }
     }
 
     /** Notes that an instance has refused a request because it lacks what it asks for. */
-    public void lacks(UpstreamId id, Need need) {
-        Set<AdapterPlace> here = placed.get(id);
-        if (here != null && need.model().isPresent() && need.adapter().isPresent()) {
-            here.remove(new AdapterPlace(need.model().get(), need.adapter().get()));
+    public void lacks(UpstreamId id, Need need, long now) {
+        if (need.model().isPresent()) {
+            residency(id, need.model().get(), need.adapter(), false, now);
         }
     }
 
@@ -116,15 +122,15 @@
     /**
      * Decides where a request goes.
      *
-     * @param tried the instances that it must not be sent to
+     * @param allowed the instances that it may be sent to
      */
-    public Choice choose(Need need, Set<UpstreamId> tried, long now) {
+    public Choice choose(Need need, Predicate<UpstreamId> allowed, long now) {
         List<Instance> serving = new ArrayList<>();
         for (Instance instance : instances.values()) {
             boolean fits =
                     instance.state() == InstanceState.READY
                             && instance.service().equals(need.service());
-            if (fits && !tried.contains(instance.id())) {
+            if (fits && allowed.test(instance.id())) {
                 serving.add(instance);
             }
         }
@@ -218,7 +224,7 @@
         boolean held = false;
         for (Instance instance : serving) {
             Optional<ModelCopy> copy = instance.copyOf(model);
-            if (copy.isEmpty()) {
+            if (copy.isEmpty() || !holds(instance, model, Optional.empty(), true, now)) {
                 continue;
             }
             held = true;
@@ -229,7 +235,7 @@
             Scored scored = new Scored(instance, engineScore(instance, load, need, now));
             boolean hasAdapter =
                     need.adapter().isEmpty()
-                            || hasAdapter(instance, copy.get(), need.adapter().get());
+                            || hasAdapter(instance, copy.get(), need.adapter(), now);
             (hasAdapter ? ready : lacking).add(scored);
         }
         if (!ready.isEmpty()) {
@@ -274,10 +280,28 @@
         return doubt + (load.silentFor(silenceNanos, now) ? SILENT_PENALTY : 0);
     }
 
-    private boolean hasAdapter(Instance instance, ModelCopy copy, String adapter) {
-        Set<AdapterPlace> here = placed.getOrDefault(instance.id(), Set.of());
-        return copy.adapters().contains(adapter)
-                || here.contains(new AdapterPlace(copy.model(), adapter));
+    private boolean hasAdapter(
+            Instance instance, ModelCopy copy, Optional<String> adapter, long now) {
+        boolean reported = adapter.filter(copy.adapters()::contains).isPresent();
+        return holds(instance, copy.model(), adapter, reported, now);
+    }
+
+    /** What was said lately counts before what the instance reported, which may be older. */
+    private boolean holds(
+            Instance instance,
+            ModelId model,
+            Optional<String> adapter,
+            boolean reported,
+            long now) {
+        Map<Holding, Told> here = told.getOrDefault(instance.id(), Map.of());
+        Told last = here.get(new Holding(model, adapter));
+        if (last == null) {
+            return reported;
+        }
+        if (!last.resident() && now - last.at() > ABSENCE_NANOS) {
+            return reported;
+        }
+        return last.resident();
     }
 
     private static long unreadTokens(InstanceLoad load, Need need) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyEffect.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyEffect.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
+import java.util.Optional;
 
 /** What the keeper asks its driver to do. */
 public sealed interface ResidencyEffect {
@@ -12,7 +13,12 @@
     /** Read an engine's account of itself. */
     record ReadReport(UpstreamId instance, String address) implements ResidencyEffect {}
 
-    /** Tell the entry hosts that an adapter is resident. */
-    record AdapterReady(UpstreamId instance, ModelId model, String adapter)
+    /**
+     * Tell the entry hosts what an engine holds now, or is about to hold no more.
+     *
+     * @param adapter the adapter concerned, or nothing where the model itself is
+     * @param resident whether it is there, or about to go
+     */
+    record Tell(UpstreamId instance, ModelId model, Optional<String> adapter, boolean resident)
             implements ResidencyEffect {}
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -120,8 +120,8 @@
         boolean done = answer == EngineAnswer.TAKEN || answer == EngineAnswer.HOLDS;
         if (done && order.load() && order.adapter().isPresent()) {
             effects.add(
-                    new ResidencyEffect.AdapterReady(
-                            order.instance(), order.model(), order.adapter().get()));
+                    new ResidencyEffect.Tell(
+                            order.instance(), order.model(), order.adapter(), true));
         }
         effects.addAll(step(now));
         return effects;
@@ -252,6 +252,11 @@
         if (order.fromStore()) {
             store.begin(now);
         }
+        if (!order.load()) {
+            effects.add(
+                    new ResidencyEffect.Tell(
+                            order.instance(), order.model(), order.adapter(), false));
+        }
         effects.add(new ResidencyEffect.Send(order));
     }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -54,33 +53,54 @@
     void drainingAndSilentInstancesGetNothing() {
         dispatcher.changed(instance("a", 1, "m").withState(InstanceState.DRAINING));
         dispatcher.changed(instance("bb", 1, "m").withState(InstanceState.SILENT));
-        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+        assertThat(dispatcher.choose(need(Optional.empty()), id -> true, NOW))
                 .isEqualTo(new Choice.NobodyServes());
     }
 
     @Test
     void modelThatIsNowhereIsAwaitedForItsNearestLoad() {
         dispatcher.changed(instance("a", 1, "other"));
-        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+        assertThat(dispatcher.choose(need(Optional.empty()), id -> true, NOW))
                 .isEqualTo(new Choice.ModelMissing(Duration.ofSeconds(9), false));
     }
 
     @Test
     void adapterIsAskedForWhereItsModelIs() {
         dispatcher.changed(instance("a", 1, "m"));
-        assertThat(dispatcher.choose(need(Optional.of("a1")), Set.of(), NOW))
+        assertThat(dispatcher.choose(need(Optional.of("a1")), id -> true, NOW))
                 .isInstanceOf(Choice.AdapterMissing.class);
-        dispatcher.adapterPlaced(new UpstreamId("a"), MODEL, "a1");
+        dispatcher.residency(new UpstreamId("a"), MODEL, Optional.of("a1"), true, NOW);
         assertThat(sentTo(need(Optional.of("a1")))).contains("a");
     }
 
+    @Test
+    void modelThatIsAboutToGoGetsNothingNew() {
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.residency(new UpstreamId("a"), MODEL, Optional.empty(), false, NOW);
+        assertThat(dispatcher.choose(need(Optional.empty()), id -> true, NOW))
+                .isInstanceOf(Choice.ModelMissing.class);
+        long later = NOW + Duration.ofSeconds(3).toNanos();
+        assertThat(dispatcher.choose(need(Optional.empty()), id -> true, later))
+                .isInstanceOf(Choice.Send.class);
+    }
+
+    @Test
+    void adapterThatIsAboutToGoIsAskedForAgain() {
+        dispatcher.changed(instance("a", 1, "m"));
+        Optional<String> adapter = Optional.of("a1");
+        dispatcher.residency(new UpstreamId("a"), MODEL, adapter, true, NOW);
+        dispatcher.residency(new UpstreamId("a"), MODEL, adapter, false, NOW);
+        assertThat(dispatcher.choose(need(adapter), id -> true, NOW))
+                .isInstanceOf(Choice.AdapterMissing.class);
+    }
+
     @Test
     void fullInstancesMakeRequestsWait() {
         dispatcher.changed(instance("a", 1, "m"));
         for (int count = 0; count < 4; count++) {
             dispatcher.began(new UpstreamId("a"), need(Optional.empty()), NOW);
         }
-        assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), NOW))
+        assertThat(dispatcher.choose(need(Optional.empty()), id -> true, NOW))
                 .isEqualTo(new Choice.Full());
     }
 
@@ -91,7 +111,7 @@
         dispatcher.began(new UpstreamId("a"), need(Optional.empty()), NOW);
         long later = NOW + Duration.ofSeconds(3).toNanos();
         for (int count = 0; count < 3; count++) {
-            assertThat(dispatcher.choose(need(Optional.empty()), Set.of(), later))
+            assertThat(dispatcher.choose(need(Optional.empty()), id -> true, later))
                     .matches(choice -> idOf(choice).equals(Optional.of("bb")));
             dispatcher.began(new UpstreamId("bb"), need(Optional.empty()), later);
         }
@@ -127,7 +147,7 @@
     }
 
     private Optional<String> sentTo(Need need) {
-        return idOf(dispatcher.choose(need, Set.of(), NOW));
+        return idOf(dispatcher.choose(need, id -> true, NOW));
     }
 
     private static Optional<String> idOf(Choice choice) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -148,7 +148,7 @@
             }
             case DEMAND -> orders.demanded(frame.getDemand());
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
-            case ADAPTER_PLACED -> fleet.placedElsewhere(frame);
+            case RESIDENCY -> fleet.passOn(frame);
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -5,10 +5,10 @@
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.rpc.generated.fleet.AdapterPlaced;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
+import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
@@ -120,15 +120,15 @@
         followers.values().forEach(follower -> follower.replier().send(frame));
     }
 
-    /** Tells every entry host that an adapter is resident. */
-    void placed(AdapterPlaced placed) {
-        Frame frame = Frame.newBuilder().setAdapterPlaced(placed).build();
+    /** Tells every entry host what an instance holds now, or is about to hold no more. */
+    void residency(ResidencyChange change) {
+        Frame frame = Frame.newBuilder().setResidency(change).build();
         hosts.all().forEach(host -> transport.send(host, frame));
-        placedElsewhere(frame);
+        passOn(frame);
     }
 
-    /** Passes on what another control host has said of an adapter. */
-    void placedElsewhere(Frame frame) {
+    /** Passes on to the entry hosts what another control host has said. */
+    void passOn(Frame frame) {
         followers.values().forEach(follower -> follower.replier().send(frame));
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -31,9 +31,9 @@
 import io.stackhall.platform.Headers;
 import io.stackhall.platform.OrderEncoder;
 import io.stackhall.platform.ReportDecoder;
-import io.stackhall.rpc.generated.fleet.AdapterPlaced;
 import io.stackhall.rpc.generated.fleet.AdapterWanted;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.peer.DemandCount;
 import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.server.group.CommandOutcome;
@@ -66,6 +66,9 @@
     /** Engines answer orders within some milliseconds. */
     private static final long ANSWER_MILLIS = 900;
 
+    /** An adapter arrives some 6 to 20 ms after its order is taken, later while many come. */
+    private static final long ADAPTER_ARRIVAL_MILLIS = 40;
+
     private static final Duration TAKE_OVER_TIMEOUT = Duration.ofSeconds(2);
 
     /** Orders of the predecessor may be on their way a little longer than its lease. */
@@ -219,17 +222,30 @@
             switch (effect) {
                 case ResidencyEffect.Send(EngineOrder order) -> send(order);
                 case ResidencyEffect.ReadReport(UpstreamId id, String address) -> read(id, address);
-                case ResidencyEffect.AdapterReady(UpstreamId id, ModelId model, String adapter) ->
-                        fleet.placed(
-                                AdapterPlaced.newBuilder()
-                                        .setInstance(id.value())
-                                        .setModel(model.value())
-                                        .setAdapter(adapter)
-                                        .build());
+                case ResidencyEffect.Tell tell -> tell(tell);
             }
         }
     }
 
+    private void tell(ResidencyEffect.Tell tell) {
+        ResidencyChange change =
+                ResidencyChange.newBuilder()
+                        .setInstance(tell.instance().value())
+                        .setModel(tell.model().value())
+                        .setAdapter(tell.adapter().orElse(""))
+                        .setResident(tell.resident())
+                        .build();
+        if (tell.resident()) {
+            fleet.loop()
+                    .schedule(
+                            () -> fleet.residency(change),
+                            ADAPTER_ARRIVAL_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        } else {
+            fleet.residency(change);
+        }
+    }
+
     private void send(EngineOrder order) {
         byte[] body =
                 OrderEncoder.encode(
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -9,9 +9,9 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.platform.ConfigurationDecoder;
-import io.stackhall.rpc.generated.fleet.AdapterPlaced;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
+import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
@@ -23,6 +23,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -117,7 +118,7 @@
                 gateway.serveWaiting();
             }
             case ROUTES -> routes(frame.getRoutes());
-            case ADAPTER_PLACED -> placed(frame.getAdapterPlaced());
+            case RESIDENCY -> residency(frame.getResidency());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
@@ -128,12 +129,14 @@
         }
     }
 
-    private void placed(AdapterPlaced placed) {
+    private void residency(ResidencyChange change) {
         gateway.dispatcher()
-                .adapterPlaced(
-                        new UpstreamId(placed.getInstance()),
-                        new ModelId(placed.getModel()),
-                        placed.getAdapter());
+                .residency(
+                        new UpstreamId(change.getInstance()),
+                        new ModelId(change.getModel()),
+                        Optional.of(change.getAdapter()).filter(name -> !name.isEmpty()),
+                        change.getResident(),
+                        System.nanoTime());
         gateway.serveWaiting();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -9,16 +9,13 @@
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
-import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.route.Route;
 import io.stackhall.core.route.RouteKind;
 import io.stackhall.platform.Headers;
 import io.stackhall.server.relay.CallFailure;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -48,13 +45,12 @@
     private final CallerRequest request;
     private final AnswerWriter answers;
     private final RequestLog log;
-    private final Set<UpstreamId> tried = new HashSet<>();
+    private final AttemptHistory history = new AttemptHistory();
     private Route route;
     private Need need;
     private long deadlineAt;
     private long waitingSince;
     private long patienceUntil;
-    private int sends;
     private boolean mayHaveRun;
     private boolean ended;
     private boolean streaming;
@@ -83,6 +79,7 @@
         }
         route = found.get();
         log.route(route.name());
+        history.allow(route.maxAttempts());
         need = request.need(route, route.service(gateway.ticket()));
         long allowed = route.timeout().toNanos();
         OptionalLong told = request.deadlineMillis();
@@ -122,7 +119,7 @@
             return true;
         }
         long now = System.nanoTime();
-        Choice choice = gateway.dispatcher().choose(need, tried, now);
+        Choice choice = gateway.dispatcher().choose(need, history.allowed(), now);
         return switch (choice) {
             case Choice.Send(Instance instance, String why) -> {
                 send(instance, why);
@@ -152,7 +149,7 @@
         if (ended) {
             return;
         }
-        log.callerLeft(sends);
+        log.callerLeft(history.sends());
         close();
     }
 
@@ -198,14 +195,15 @@
 
     private void send(Instance instance, String why) {
         long now = System.nanoTime();
-        if (sends > 0 && !gateway.mayResend(now)) {
+        if (history.sends() > 0 && !gateway.mayResend(now)) {
             giveUp("too many requests are sent a second time", SOON);
             return;
         }
+        history.chosen(instance.id());
         boolean stream = route.kind() == RouteKind.STREAM;
         attempt = new UpstreamAttempt(gateway, instance, need, stream, this);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
-        log.sent(need, instance, sends + 1, why, now - waitingSince, load);
+        log.sent(need, instance, history.sends() + 1, why, now - waitingSince, load);
         long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt - now);
         attempt.begin(RequestCopy.of(request, need, instance, leftMillis, lastEvent), request.id());
     }
@@ -216,7 +214,7 @@
         }
         if (streaming) {
             breakOff("its time has passed");
-        } else if (sends == 0) {
+        } else if (history.sends() == 0) {
             refuse("its time has passed", SOON);
         } else {
             finish(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came in time");
@@ -225,19 +223,19 @@
 
     private void refuse(String reason, Duration retryAfter) {
         long version = gateway.knowsRoutes() ? gateway.routes().version() : -1;
-        log.refused(need, reason, retryAfter, sends, version);
+        log.refused(need, reason, retryAfter, history.sends(), version);
         close();
         answers.answer(Answers.refusal(reason, request.id(), retryAfter));
     }
 
     private void finish(HttpResponseStatus status, String reason) {
-        log.failed(status.code(), reason, sends);
+        log.failed(status.code(), reason, history.sends());
         close();
         answers.answer(Answers.failure(status, reason, request.id()));
     }
 
     private void breakOff(String reason) {
-        log.brokenOff(reason, lastEvent, sends);
+        log.brokenOff(reason, lastEvent, history.sends());
         close();
         answers.abort();
     }
@@ -260,7 +258,7 @@
 
     @Override
     public void sending() {
-        sends++;
+        history.sent();
     }
 
     @Override
@@ -309,11 +307,11 @@
         } else {
             gateway.dispatcher().succeeded(instance.id());
         }
-        boolean another = route.repeatable() && sends < route.maxAttempts();
+        boolean another = route.repeatable() && history.another();
         if (streaming) {
             resume(instance);
         } else if (failed && another) {
-            tried.add(instance.id());
+            history.giveUp(instance.id());
             again("the instance failed");
         } else if (Answers.looksLikeRefusal(head.status())) {
             finish(HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
@@ -329,15 +327,15 @@
         attempt = null;
         log.attemptFailed(instance, failure.sent(), failure.reason(), lastEvent);
         if (!failure.sent()) {
-            tried.add(instance.id());
+            history.giveUp(instance.id());
             again("the instance cannot be reached");
             return;
         }
         mayHaveRun = true;
         if (streaming) {
             resume(instance);
-        } else if (route.repeatable() && sends < route.maxAttempts()) {
-            tried.add(instance.id());
+        } else if (route.repeatable() && history.another()) {
+            history.giveUp(instance.id());
             again("the instance broke off");
         } else {
             finish(HttpResponseStatus.BAD_GATEWAY, "the instance broke off");
@@ -346,11 +344,14 @@
 
     private void notRun(Instance instance, HttpResponse head) {
         log.notRun(instance, head.status().code());
-        gateway.dispatcher().lacks(instance.id(), need);
+        gateway.dispatcher().lacks(instance.id(), need, System.nanoTime());
+        boolean comes = need.adapter().isPresent() && history.adapterMayCome();
         if (streaming) {
             resume(instance);
-        } else if (sends < route.maxAttempts()) {
-            tried.add(instance.id());
+        } else if (comes) {
+            again("its adapter is on its way");
+        } else if (history.another()) {
+            history.giveUp(instance.id());
             again("the instance did not run it");
         } else {
             giveUp("the instance did not run it", SOON);
@@ -358,9 +359,9 @@
     }
 
     private void resume(Instance instance) {
-        boolean may = route.resumable() && lastEvent.isPresent() && sends < route.maxAttempts();
+        boolean may = route.resumable() && lastEvent.isPresent() && history.another();
         if (may) {
-            tried.add(instance.id());
+            history.giveUp(instance.id());
             again("the stream broke off");
         } else {
             breakOff("the instance broke off");
@@ -387,6 +388,6 @@
     }
 
     private void logAnswer(HttpResponse head) {
-        log.answered(head.status().code(), lastEvent, sends);
+        log.answered(head.status().code(), lastEvent, history.sends());
     }
 }
