stackhall explain: from a request's id to the lines and beliefs that decided it

Cause: an on-call engineer has logs of all processes and one id. The command prints the request's own lines, what was last believed of its instances and routes before it began, and orders and changes that concern them until it ended.

--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -40,6 +40,7 @@
             case "demo-files" -> DemoFilesCommand.run(arguments);
             case "load" -> LoadCommand.run(arguments);
             case "compare" -> CompareCommand.run(arguments);
+            case "explain" -> ExplainCommand.run(arguments);
             case "version" -> version();
             default -> OperatorCommands.run(arguments.getString(COMMAND), arguments);
         };
@@ -71,6 +72,7 @@
         DemoFilesCommand.addTo(commands);
         LoadCommand.addTo(commands);
         CompareCommand.addTo(commands);
+        ExplainCommand.addTo(commands);
         commands.addParser("version").help("print the version");
         return parser;
     }
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
@@ -0,0 +1,62 @@
+package io.stackhall.server.explain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The story of a request out of the logs of several processes. */
+class RequestStoryTest {
+
+    private final List<LogLine> logs = new ArrayList<>();
+
+    @Test
+    void refusedRequestIsToldWithTheOrdersForItsModel() {
+        line("front-1", "01", "routes.in-force version=4 was=3 routes=17");
+        line("front-1", "02", "request.sent id=other instance=i-2 model=m");
+        line("core-1", "03", "order.answered instance=i-9 load=true model=m answer=CONFLICT");
+        line("front-1", "04", "request.refused id=r1 reason=its model is not resident model=m");
+        line("core-1", "05", "order.answered instance=i-9 load=true model=m answer=TAKEN");
+        assertThat(events("r1")).containsExactly("routes.in-force", "request.refused");
+    }
+
+    @Test
+    void failedRequestIsToldWithWhatWasBelievedOfItsInstance() {
+        line("front-1", "01", "instance.changed id=i-1 state=READY sequence=4");
+        line("front-1", "02", "instance.changed id=i-2 state=READY sequence=4");
+        line("front-1", "03", "request.sent id=r1 instance=i-1 model=m");
+        line("core-1", "04", "upstream.changed id=i-1 state=SILENT");
+        line("front-1", "05", "attempt.failed id=r1 instance=i-1 sent=true reason=reset");
+        line("front-1", "06", "request.failed id=r1 status=502");
+        assertThat(events("r1"))
+                .containsExactly(
+                        "instance.changed",
+                        "request.sent",
+                        "upstream.changed",
+                        "attempt.failed",
+                        "request.failed");
+    }
+
+    @Test
+    void requestThatNobodyNamesHasNoStory() {
+        line("front-1", "01", "request.sent id=r1 instance=i-1");
+        assertThat(RequestStory.of("r2", logs)).isEmpty();
+    }
+
+    @Test
+    void linesOfOtherFormsArePassedOver() {
+        assertThat(LogLine.parse("f", "WARNING: something")).isEmpty();
+        assertThat(LogLine.parse("f", "{\"time\":\"1\"")).isEmpty();
+        assertThat(LogLine.parse("f", " 1.2 front-1 {\"time\":\"1\",\"message\":\"a.b x=1\"}"))
+                .contains(new LogLine("1.2 front-1", "1", "a.b x=1"));
+    }
+
+    private void line(String process, String second, String message) {
+        logs.add(new LogLine(process, "2026-01-01T00:00:" + second + ".000Z", message));
+    }
+
+    private List<String> events(String request) {
+        return RequestStory.of(request, logs).stream().map(LogLine::event).toList();
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the way from a request's id to its cause. */
+package io.stackhall.server.explain;
