Orders as engines take them: one at a time, an unload done at once counts; near copies before the store

What it is: an order waits until its engine is free; an adapter goes to another engine that holds its model, where one is free; the store isn't asked while an engine with a copy is free soon; a model that one engine alone has at hand is evicted last.

--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -25,6 +25,9 @@
     /** Even a model that nobody asks for keeps one place rather than none. */
     private static final double IDLE_COPY_WORTH = 0.2;
 
+    /** Where one engine alone keeps the weights at hand, it may be busy when they are asked for. */
+    private static final double RARE_COPY_WORTH = 1.5;
+
     /** Requests a second that one copy serves without delaying them much. */
     private static final double COMFORTABLE_RATE = 8;
 
@@ -120,7 +123,8 @@
             }
             Optional<Place> place = placeOn(planning, seat, want, residence);
             boolean fromStore = place.isPresent() && place.get().load() >= STORE_SECONDS;
-            if (place.isEmpty() || (fromStore && !storeIsFree(planning))) {
+            boolean nearer = fromStore && nearSeatIsFreeSoon(planning, want);
+            if (place.isEmpty() || nearer || (fromStore && !storeIsFree(planning))) {
                 continue;
             }
             if (best.isEmpty() || place.get().cost() < best.get().cost()) {
@@ -130,13 +134,22 @@
         return best;
     }
 
+    /** A seat that loads from a copy at hand, or unloads, is free again within 2.3 s or less. */
+    private static boolean nearSeatIsFreeSoon(Planning planning, PlacementView.Want want) {
+        ModelId model = want.artifact().id();
+        return planning.view().seats().stream()
+                .filter(seat -> seat.nearCopies().containsKey(model))
+                .anyMatch(seat -> !planning.available(seat) && !loadsFromStore(seat));
+    }
+
+    private static boolean loadsFromStore(PlacementView.Seat seat) {
+        return seat.loading().isPresent()
+                && !seat.nearCopies().containsKey(seat.loading().get().id());
+    }
+
     private static boolean storeIsFree(Planning planning) {
         List<PlacementView.Seat> seats = planning.view().seats();
-        long loading =
-                seats.stream()
-                        .filter(seat -> seat.loading().isPresent())
-                        .filter(seat -> !seat.nearCopies().containsKey(seat.loading().get().id()))
-                        .count();
+        long loading = seats.stream().filter(NearestCopyPolicy::loadsFromStore).count();
         int most = Math.max(1, seats.size() / SEATS_PER_STORE_LOAD);
         return planning.loadsLeft() > 0 && loading < most;
     }
@@ -193,8 +206,17 @@
         if (want.isEmpty()) {
             return 0;
         }
-        return worth(want.get(), Math.max(1, planning.copies(held.artifact())))
-                + recency(planning, want.get());
+        int copies = Math.max(1, planning.copies(held.artifact()));
+        boolean rare = copies == 1 && nearSeats(planning, held.artifact().id()) <= 1;
+        return worth(want.get(), copies)
+                + recency(planning, want.get())
+                + (rare ? RARE_COPY_WORTH : 0);
+    }
+
+    private static long nearSeats(Planning planning, ModelId model) {
+        return planning.view().seats().stream()
+                .filter(seat -> seat.nearCopies().containsKey(model))
+                .count();
     }
 
     private static double worth(PlacementView.Want want, int copy) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineAnswer.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineAnswer.java
@@ -4,7 +4,7 @@
 public enum EngineAnswer {
     /** The order is being carried out. */
     TAKEN,
-    /** What is ordered holds already, or was done at once. */
+    /** A load that holds already, or an unload that was done at once and counts as taken. */
     HOLDS,
     /** Another order is under way, or the count of orders does not match. */
     CONFLICT,
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -130,14 +130,13 @@
         return true;
     }
 
-    /** Returns whether an order for an adapter may be sent. */
-    boolean readyForAdapters() {
-        return ordersTaken >= 0 && unanswered == null && !reading;
-    }
-
-    /** Returns whether an order for a model may be sent. */
-    boolean readyForModels() {
-        return readyForAdapters() && underWay == null && doubtful == null;
+    /** Returns whether an order may be sent: while a model is loaded, engines refuse any other. */
+    boolean ready() {
+        return ordersTaken >= 0
+                && unanswered == null
+                && !reading
+                && underWay == null
+                && doubtful == null;
     }
 
     /** Returns whether the open order got no answer, so that it is to be sent again. */
@@ -188,7 +187,10 @@
             }
             case HOLDS -> {
                 noteAdapter(order, now);
-                countAgain(now, 0);
+                boolean doneAtOnce = !order.load();
+                ordersTaken = order.expectedTaken() + (doneAtOnce ? 1 : 0);
+                leastTaken = ordersTaken;
+                unanswered = null;
             }
             case CONFLICT, REFUSED, OTHER_INSTANCE, FENCED -> {
                 if (isModelLoad(order)) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -105,10 +105,21 @@
         adapterUsed(model, adapter, now);
         EngineLedger engine = engines.get(id);
         if (engine != null) {
-            engine.want(new AdapterKey(model, adapter));
+            freeEngine(engine, model, now).want(new AdapterKey(model, adapter));
         }
     }
 
+    /** Returns an engine with the model that can take an order now, or else the one asked for. */
+    private EngineLedger freeEngine(EngineLedger asked, ModelId model, long now) {
+        if (asked.ready()) {
+            return asked;
+        }
+        return engines.values().stream()
+                .filter(engine -> engine.instance().copyOf(model).isPresent() && engine.ready())
+                .min(Comparator.comparingInt(engine -> engine.adapters(now).size()))
+                .orElse(asked);
+    }
+
     /** Takes in the answer to an order. */
     public List<ResidencyEffect> answered(EngineOrder order, EngineAnswer answer, long now) {
         List<ResidencyEffect> effects = new ArrayList<>();
@@ -154,7 +165,7 @@
             if (engine.resendDue(now)) {
                 engine.resent();
                 effects.add(new ResidencyEffect.Send(engine.unanswered()));
-            } else if (engine.readyForAdapters()) {
+            } else if (engine.ready()) {
                 nextAdapterOrder(engine, now)
                         .ifPresent(order -> begin(engine, order, effects, now));
             }
@@ -171,7 +182,7 @@
         PlacementView view = view(service, spec, now);
         for (Move move : policy.decide(view)) {
             EngineLedger engine = engines.get(move.upstream());
-            if (engine == null || !engine.readyForModels()) {
+            if (engine == null || !engine.ready()) {
                 continue;
             }
             order(engine, spec, move, now).ifPresent(order -> begin(engine, order, effects, now));
@@ -301,7 +312,7 @@
                 (long) Math.floor(engine.freeMb(spec, now)),
                 instance.slots(),
                 held,
-                !engine.readyForModels(),
+                !engine.ready(),
                 engine.loading().map(ResidencyKeeper::artifact),
                 near);
     }
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/policy/NearestCopyPolicyTest.java
@@ -0,0 +1,116 @@
+package io.stackhall.core.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.membership.Artifact;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Where models are loaded when engines keep copies of their weights. */
+class NearestCopyPolicyTest {
+
+    private static final long NOW = Duration.ofSeconds(1000).toNanos();
+    private static final Duration NEAR = Duration.ofSeconds(2);
+
+    private final NearestCopyPolicy policy = new NearestCopyPolicy();
+
+    @Test
+    void waitingModelIsLoadedWhereItsWeightsAreAtHand() {
+        List<Move> moves =
+                policy.decide(view(List.of(want("w", 1, 3)), seat("far"), seat("near", "w")));
+        assertThat(moves).singleElement().isEqualTo(load("near", "w"));
+    }
+
+    @Test
+    void storeIsNotAskedWhileTheEngineThatHasACopyIsFreeSoon() {
+        PlacementView.Seat busy = busy("near", Optional.empty(), "w");
+        assertThat(policy.decide(view(List.of(want("w", 1, 3)), seat("far"), busy))).isEmpty();
+    }
+
+    @Test
+    void storeIsAskedWhileTheEngineThatHasACopyLoadsFromItItself() {
+        PlacementView.Seat busy = busy("near", Optional.of("other"), "w");
+        List<Move> moves =
+                policy.decide(
+                        view(
+                                List.of(want("w", 1, 3), want("other", 0, 0)),
+                                seat("far"),
+                                seat("far2"),
+                                seat("far3"),
+                                seat("far4"),
+                                seat("far5"),
+                                busy));
+        assertThat(moves).hasSize(1).allMatch(move -> move.artifact().id().value().equals("w"));
+    }
+
+    @Test
+    void copyThatOthersHaveTooGivesWayBeforeAnOnlyOne() {
+        PlacementView.Seat full = holding("full", List.of("only", "shared"), "only", "shared", "w");
+        PlacementView.Seat other = holding("other", List.of("shared", "x"), "shared", "x");
+        List<PlacementView.Want> wants =
+                List.of(want("w", 1, 3), want("only", 0, 0), want("shared", 0, 0), want("x", 0, 0));
+        assertThat(policy.decide(view(wants, full, other)))
+                .contains(new Move.Unload(new UpstreamId("full"), artifact("shared")));
+    }
+
+    @Test
+    void modelThatNoEngineKeepsAtHandIsLoadedBeforeItIsAskedFor() {
+        List<Move> moves = policy.decide(view(List.of(want("w", 0, 0)), seat("a")));
+        assertThat(moves).singleElement().isInstanceOf(Move.Load.class);
+    }
+
+    private static Move load(String seat, String model) {
+        return new Move.Load(new UpstreamId(seat), artifact(model), true);
+    }
+
+    private static PlacementView view(List<PlacementView.Want> wants, PlacementView.Seat... seats) {
+        return new PlacementView(List.of(seats), wants, 7, NOW);
+    }
+
+    private static PlacementView.Seat seat(String name, String... near) {
+        return holding(name, List.of(), near);
+    }
+
+    private static PlacementView.Seat holding(String name, List<String> held, String... near) {
+        return seat(name, held, false, Optional.empty(), near);
+    }
+
+    private static PlacementView.Seat busy(String name, Optional<String> loading, String... near) {
+        return seat(name, List.of(), true, loading, near);
+    }
+
+    private static PlacementView.Seat seat(
+            String name,
+            List<String> held,
+            boolean busy,
+            Optional<String> loading,
+            String... near) {
+        Map<ModelId, Duration> copies = new java.util.HashMap<>();
+        Arrays.stream(near).forEach(model -> copies.put(new ModelId(model), NEAR));
+        return new PlacementView.Seat(
+                new UpstreamId(name),
+                200L - 100L * held.size(),
+                4,
+                held.stream()
+                        .map(model -> new PlacementView.Held(artifact(model), 100, 0))
+                        .toList(),
+                busy,
+                loading.map(NearestCopyPolicyTest::artifact),
+                copies);
+    }
+
+    private static PlacementView.Want want(String model, double rate, int waiting) {
+        return new PlacementView.Want(
+                artifact(model), 100, Optional.empty(), 1, rate, waiting, 0, 0);
+    }
+
+    private static Artifact artifact(String model) {
+        return new Artifact(new ModelId(model), "1");
+    }
+}
