Engines that are gone hold nothing; an instance that was not reached is no attempt

What it is: engines that the list of upstreams no longer names are forgotten; an instance counts as tried once bytes are written to it; a connection is awaited for 250 ms.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -9,7 +9,7 @@
 /** What this host knows of the work on one instance: its own exactly, that of others as told. */
 final class InstanceLoad {
 
-    private static final long FIRST_SUSPICION_NANOS = Duration.ofMillis(500).toNanos();
+    private static final long FIRST_SUSPICION_NANOS = Duration.ofMillis(800).toNanos();
     private static final long LONGEST_SUSPICION_NANOS = Duration.ofSeconds(4).toNanos();
 
     /** Told loads count half after this time: they describe others' work, which comes and goes. */
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -17,8 +17,10 @@
 import io.stackhall.core.route.ModelWeights;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,18 +77,18 @@
         }
     }
 
-    /** Takes in what an engine says of itself. */
-    public void reported(Instance instance, long now) {
-        boolean usable = instance.state() == InstanceState.READY;
-        if (!specs.containsKey(instance.service())) {
-            return;
-        }
-        if (!usable) {
-            engines.remove(instance.id());
-            return;
+    /** Takes in every instance that is known; an engine that is not among them is forgotten. */
+    public void known(Collection<Instance> instances, long now) {
+        Set<UpstreamId> usable = new HashSet<>();
+        for (Instance instance : instances) {
+            boolean serves = instance.state() == InstanceState.READY;
+            if (serves && specs.containsKey(instance.service())) {
+                usable.add(instance.id());
+                engines.computeIfAbsent(instance.id(), id -> new EngineLedger(instance))
+                        .reported(instance, now);
+            }
         }
-        engines.computeIfAbsent(instance.id(), id -> new EngineLedger(instance))
-                .reported(instance, now);
+        engines.keySet().retainAll(usable);
     }
 
     /** Takes in an entry host's counts of arrivals and waiting requests. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -13,7 +13,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.config.PolicyName;
-import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
@@ -116,19 +115,10 @@
         }
         takeRoutes();
         long now = System.nanoTime();
-        for (Instance instance : fleet.instances()) {
-            keeper.reported(instance, now);
-        }
+        keeper.known(fleet.instances(), now);
         carryOut(keeper.step(now));
     }
 
-    /** Takes in what an upstream says of itself. */
-    void heard(Instance instance) {
-        if (active()) {
-            keeper.reported(instance, System.nanoTime());
-        }
-    }
-
     /** Takes in an entry host's counts. */
     void demanded(DemandReport report) {
         Map<ModelId, Integer> arrivals = new HashMap<>();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -199,7 +199,6 @@
             giveUp("too many requests are sent a second time", SOON);
             return;
         }
-        history.chosen(instance.id());
         boolean stream = route.kind() == RouteKind.STREAM;
         attempt = new UpstreamAttempt(gateway, instance, need, stream, this);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
@@ -258,7 +257,7 @@
 
     @Override
     public void sending() {
-        history.sent();
+        history.sent(attempt.instance().id());
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -30,8 +30,8 @@
  */
 public final class UpstreamClient {
 
-    /** A zone's hosts answer within milliseconds; a lost packet is sent again after 200 ms. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 700;
+    /** Hosts answer within 2 ms, and a lost opening packet is only sent again after a second. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
     /** Connections that rest for longer may have been forgotten by the upstream. */
     private static final long LONGEST_REST_NANOS = TimeUnit.SECONDS.toNanos(4);
