--- a/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
@@ -40,7 +40,8 @@
     private static FleetDaemon create(FleetSettings settings) throws IOException {
         return switch (settings.role()) {
             case FleetSettings.Entry entry -> new EntryDaemon(settings, entry);
-            case FleetSettings.Control control -> new ControlDaemon(settings, control);
+            case FleetSettings.Control control ->
+                    new ControlDaemon(settings, control, Main.ALIVE_SINCE);
         };
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -14,6 +14,9 @@
     /** The version that runs. */
     public static final String VERSION = "0.1.0";
 
+    /** When this class was loaded, first of all, on the monotonic clock in nanoseconds. */
+    static final long ALIVE_SINCE = System.nanoTime();
+
     private static final String COMMAND = "command";
     private static final String SETTINGS_VARIABLE = "STACKHALL_SETTINGS";
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -63,9 +63,12 @@
     /**
      * Creates a process that does not run yet.
      *
+     * @param aliveSince when the process had certainly started, on the monotonic clock in
+     *     nanoseconds; elections need not wait for leases that end before they could
      * @throws IOException if its data folder cannot be used or holds damaged state
      */
-    public ControlDaemon(FleetSettings settings, FleetSettings.Control control) throws IOException {
+    public ControlDaemon(FleetSettings settings, FleetSettings.Control control, long aliveSince)
+            throws IOException {
         this.settings = settings;
         this.control = control;
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
@@ -74,7 +77,14 @@
         this.log = new ControlLog(state -> loop.execute(() -> fleet.takeRoutes(state)));
         this.group =
                 new ControlGroup(
-                        settings, control, transport, hosts, log, new Listener(), new Random());
+                        settings,
+                        control,
+                        transport,
+                        hosts,
+                        log,
+                        new Listener(),
+                        new Random(),
+                        aliveSince);
         this.orders =
                 new OrderGiver(
                         settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -57,7 +57,8 @@
             ControlHosts hosts,
             ControlLog log,
             GroupListener listener,
-            RandomGenerator random)
+            RandomGenerator random,
+            long aliveSince)
             throws IOException {
         this.settings = settings;
         this.transport = transport;
@@ -79,7 +80,8 @@
                         log,
                         new Wire(),
                         listener,
-                        random);
+                        random,
+                        aliveSince);
         Map<String, GroupHost> local = new ConcurrentHashMap<>(Map.of(GROUP, replica));
         this.client = new GroupClient(settings.peerName(), transport, local, group -> hosts.all());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -48,7 +48,7 @@
     private final GroupState state;
     private final GroupWire wire;
     private final GroupListener listener;
-    private final LinkedBlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<GroupInput> inputs = new LinkedBlockingQueue<>();
     private final Map<Long, CompletableFuture<CommandOutcome>> tickets = new HashMap<>();
     private final Map<Long, Long> ticketByIndex = new HashMap<>();
     private final Map<Long, byte[]> questions = new HashMap<>();
@@ -62,7 +62,12 @@
     private volatile boolean closed;
     private volatile ReplicaView view;
 
-    /** Creates a replica that does not run yet. */
+    /**
+     * Creates a replica that does not run yet.
+     *
+     * @param aliveSince when its process had certainly started, on the monotonic clock in
+     *     nanoseconds: it has granted no lease after that
+     */
     public GroupHost(
             String group,
             String host,
@@ -72,7 +77,8 @@
             GroupState state,
             GroupWire wire,
             GroupListener listener,
-            RandomGenerator random) {
+            RandomGenerator random,
+            long aliveSince) {
         this.group = group;
         this.storage = storage;
         this.state = state;
@@ -87,28 +93,12 @@
                         settings,
                         random,
                         storage.saved(),
-                        System.nanoTime());
+                        aliveSince);
         restore(storage.saved().snapshot());
         this.view = ReplicaView.of(replica);
         this.thread = new Thread(this::run, "group-" + group);
     }
 
-    /** Something for the group's thread to take in. */
-    private sealed interface Input {
-        /** A command or question. */
-        record Ask(byte[] bytes, boolean query, CompletableFuture<CommandOutcome> outcome)
-                implements Input {}
-
-        /** An event of the replica. */
-        record Event(ReplicaEvent event) implements Input {}
-
-        /** The removal of a host's replica. */
-        record Remove(String host, CompletableFuture<CommandOutcome> outcome) implements Input {}
-
-        /** Something to do on the group's thread. */
-        record Task(Runnable task) implements Input {}
-    }
-
     /** Starts the thread. */
     public void start() {
         thread.start();
@@ -116,12 +106,12 @@
 
     /** Takes a message of another replica. */
     public void receive(Message message) {
-        inputs.add(new Input.Event(new ReplicaEvent.Received(message)));
+        inputs.add(new GroupInput.Event(new ReplicaEvent.Received(message)));
     }
 
     /** Takes a hello of another host's replica. */
     public void receive(Hello hello) {
-        inputs.add(new Input.Event(new ReplicaEvent.HelloReceived(hello)));
+        inputs.add(new GroupInput.Event(new ReplicaEvent.HelloReceived(hello)));
     }
 
     /** Asks the replica, as the leader, to commit and apply a command. */
@@ -137,13 +127,13 @@
     /** Asks the replica, as the leader, to remove the replica of a host from the group. */
     public CompletableFuture<CommandOutcome> remove(String host) {
         CompletableFuture<CommandOutcome> outcome = new CompletableFuture<>();
-        inputs.add(new Input.Remove(host, outcome));
+        inputs.add(new GroupInput.Remove(host, outcome));
         return outcome;
     }
 
     /** Hands leadership over, if this replica leads, before the process stops. */
     public void transfer() {
-        inputs.add(new Input.Event(new ReplicaEvent.Transfer(true)));
+        inputs.add(new GroupInput.Event(new ReplicaEvent.Transfer(true)));
     }
 
     /** Returns what is seen of the replica from other threads. */
@@ -159,7 +149,7 @@
     /** Reads the local state, which may lag behind the leader's. */
     public <T> CompletableFuture<T> readLocal(Function<GroupState, T> reader) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        inputs.add(new Input.Task(() -> result.complete(reader.apply(state))));
+        inputs.add(new GroupInput.Task(() -> result.complete(reader.apply(state))));
         return result;
     }
 
@@ -181,17 +171,17 @@
             outcome.complete(new CommandOutcome.Refused("the replica has stopped"));
             return outcome;
         }
-        inputs.add(new Input.Ask(bytes, query, outcome));
+        inputs.add(new GroupInput.Ask(bytes, query, outcome));
         return outcome;
     }
 
     private void run() {
         long nextTick = System.nanoTime();
-        List<Input> batch = new ArrayList<>();
+        List<GroupInput> batch = new ArrayList<>();
         while (!closed) {
             try {
                 long wait = Math.max(0, nextTick - System.nanoTime());
-                Input first = inputs.poll(wait, TimeUnit.NANOSECONDS);
+                GroupInput first = inputs.poll(wait, TimeUnit.NANOSECONDS);
                 if (first != null) {
                     batch.add(first);
                     inputs.drainTo(batch, MAX_BATCH);
@@ -212,32 +202,32 @@
             }
         }
         failed = true;
-        List<Input> left = new ArrayList<>();
+        List<GroupInput> left = new ArrayList<>();
         inputs.drainTo(left);
         left.forEach(GroupHost::refuse);
         endAll(new CommandOutcome.Unknown("the replica has stopped"));
     }
 
-    private void take(List<Input> batch) throws IOException {
+    private void take(List<GroupInput> batch) throws IOException {
         List<ReplicaEvent.Proposal> proposals = new ArrayList<>();
-        for (Input input : batch) {
+        for (GroupInput input : batch) {
             switch (input) {
-                case Input.Ask ask when ask.query() -> {
+                case GroupInput.Ask ask when ask.query() -> {
                     long ticket = ticket(ask.outcome());
                     questions.put(ticket, ask.bytes());
                     step(new ReplicaEvent.Read(ticket));
                 }
-                case Input.Ask ask when !storage.hasRoom() -> {
+                case GroupInput.Ask ask when !storage.hasRoom() -> {
                     ask.outcome().complete(new CommandOutcome.Refused("the disk is nearly full"));
                     leaveLeadershipToOneWithRoom();
                 }
-                case Input.Ask ask ->
+                case GroupInput.Ask ask ->
                         proposals.add(
                                 new ReplicaEvent.Proposal(ticket(ask.outcome()), ask.bytes()));
-                case Input.Event(ReplicaEvent event) -> step(event);
-                case Input.Remove(String host, CompletableFuture<CommandOutcome> outcome) ->
+                case GroupInput.Event(ReplicaEvent event) -> step(event);
+                case GroupInput.Remove(String host, CompletableFuture<CommandOutcome> outcome) ->
                         step(new ReplicaEvent.RemoveReplica(ticket(outcome), host));
-                case Input.Task(Runnable task) -> task.run();
+                case GroupInput.Task(Runnable task) -> task.run();
             }
         }
         if (!proposals.isEmpty()) {
@@ -382,15 +372,15 @@
         tickets.clear();
     }
 
-    private static void refuse(Input input) {
+    private static void refuse(GroupInput input) {
         CommandOutcome.Refused refused = new CommandOutcome.Refused("the replica has stopped");
         switch (input) {
-            case Input.Ask ask -> ask.outcome().complete(refused);
-            case Input.Remove remove -> remove.outcome().complete(refused);
-            case Input.Event ignored -> {
+            case GroupInput.Ask ask -> ask.outcome().complete(refused);
+            case GroupInput.Remove remove -> remove.outcome().complete(refused);
+            case GroupInput.Event ignored -> {
                 // Nobody waits for it.
             }
-            case Input.Task ignored -> {
+            case GroupInput.Task ignored -> {
                 // Nobody waits for it.
             }
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -113,7 +113,8 @@
                         state,
                         new Wire(members),
                         listener,
-                        random);
+                        random,
+                        System.nanoTime());
         hosts.put(group, host);
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -56,7 +56,10 @@
         FleetSettings.Control control =
                 new FleetSettings.Control(api(ip), folder.resolve("control-" + number));
         ControlDaemon daemon =
-                new ControlDaemon(settings("control-" + number, ip, control, firstStart), control);
+                new ControlDaemon(
+                        settings("control-" + number, ip, control, firstStart),
+                        control,
+                        System.nanoTime());
         daemon.start();
         daemons.add(daemon);
         return daemon;
