--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
@@ -17,24 +17,32 @@
     private static final double USED_SHARE = 0.8;
 
     private final double ratio;
-    private final double slack;
+    private final double commonSlack;
     private final long windowNanos;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> resends = new ArrayDeque<>();
+    private int hosts;
 
     /**
      * Creates an allowance.
      *
      * @param ratio resends allowed for each request in a window
-     * @param slack resends allowed beside, on this host
+     * @param commonSlack resends allowed beside, over all hosts
+     * @param hosts how many hosts share the slack, until more is known
      * @param window the length of a window
      */
-    public RetryAllowance(double ratio, double slack, Duration window) {
+    public RetryAllowance(double ratio, double commonSlack, int hosts, Duration window) {
         this.ratio = ratio;
-        this.slack = slack;
+        this.commonSlack = commonSlack;
+        this.hosts = hosts;
         this.windowNanos = window.toNanos();
     }
 
+    /** Takes in how many hosts there are; a host that was lost goes on counting. */
+    public void shared(int seen) {
+        hosts = Math.max(hosts, seen);
+    }
+
     /** Notes a request. */
     public void requested(long now) {
         requests.addLast(now);
@@ -45,7 +53,7 @@
     public boolean take(long now) {
         forget(requests, now);
         forget(resends, now);
-        double allowed = USED_SHARE * (ratio * requests.size() + slack);
+        double allowed = USED_SHARE * (ratio * requests.size() + commonSlack / hosts);
         if (resends.size() + 1 > allowed) {
             return false;
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -134,7 +134,7 @@
 
     @Test
     void resendsStayWithinTheRatioAndTheSlack() {
-        RetryAllowance allowance = new RetryAllowance(0.2, 5, Duration.ofSeconds(10));
+        RetryAllowance allowance = new RetryAllowance(0.2, 10, 2, Duration.ofSeconds(10));
         for (int count = 0; count < 50; count++) {
             allowance.requested(NOW);
         }
@@ -146,6 +146,16 @@
         assertThat(allowance.take(NOW + Duration.ofSeconds(11).toNanos())).isTrue();
     }
 
+    @Test
+    void slackIsSharedByAsManyHostsAsWereEverSeen() {
+        RetryAllowance allowance = new RetryAllowance(0, 100, 2, Duration.ofSeconds(10));
+        allowance.shared(40);
+        allowance.shared(1);
+        assertThat(allowance.take(NOW)).isTrue();
+        assertThat(allowance.take(NOW)).isTrue();
+        assertThat(allowance.take(NOW)).isFalse();
+    }
+
     private Optional<String> sentTo(Need need) {
         return idOf(dispatcher.choose(need, id -> true, NOW));
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -46,6 +46,8 @@
     private final Map<String, Follower> followers = new HashMap<>();
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
+    private int toldFollowers;
+
     /** An entry host that is told of changes. */
     private record Follower(long connection, Replier replier, long heardAt) {}
 
@@ -138,6 +140,11 @@
         followers
                 .entrySet()
                 .removeIf(entry -> now - entry.getValue().heardAt() > FORGET_FOLLOWER_NANOS);
+        if (followers.size() != toldFollowers && !followers.isEmpty()) {
+            toldFollowers = followers.size();
+            Frame frame = frame(List.of(), false);
+            followers.values().forEach(follower -> follower.replier().send(frame));
+        }
     }
 
     /** Tells another control host everything. */
@@ -219,8 +226,9 @@
         return frame(table.all(), true);
     }
 
-    private static Frame frame(Collection<Instance> instances, boolean whole) {
-        InstancesUpdate.Builder update = InstancesUpdate.newBuilder().setWhole(whole);
+    private Frame frame(Collection<Instance> instances, boolean whole) {
+        InstancesUpdate.Builder update =
+                InstancesUpdate.newBuilder().setWhole(whole).setEntryHosts(followers.size());
         instances.forEach(instance -> update.addInstances(InstanceCodec.encode(instance)));
         return Frame.newBuilder().setInstances(update).build();
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -114,6 +114,7 @@
             }
             case INSTANCES -> {
                 frame.getInstances().getInstancesList().forEach(this::instance);
+                gateway.entryHosts(frame.getInstances().getEntryHosts());
                 knowsInstances = true;
                 gateway.serveWaiting();
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -53,10 +53,7 @@
 
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
-    /**
-     * How many entry hosts share the slack for resends: told by no one, so the most that a zone
-     * group of the sizes served today has.
-     */
+    /** How many entry hosts share the slack for resends, until the control hosts have told. */
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
     private static final int BACKLOG = 512;
@@ -93,7 +90,8 @@
                         upstreams,
                         new RetryAllowance(
                                 limits.retryRatio(),
-                                (double) limits.retrySlack() / ASSUMED_ENTRY_HOSTS,
+                                limits.retrySlack(),
+                                ASSUMED_ENTRY_HOSTS,
                                 limits.retryWindow()),
                         new AdapterWishes(this::tellControlHosts),
                         random);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -174,6 +174,11 @@
         return random.nextInt(Integer.MAX_VALUE);
     }
 
+    /** Takes in how many entry hosts there are. */
+    void entryHosts(int seen) {
+        retries.shared(seen);
+    }
+
     boolean mayResend(long now) {
         return retries.take(now);
     }
