Adapters take their slots until a heartbeat made later tells otherwise

Ruled out: an order whose answer was lost (all eight were answered 202).

What it is: what was ordered counts until the third heartbeat after it, by the heartbeats' own numbers instead of by time.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -18,10 +18,9 @@
     /**
      * It waits for its model.
      *
-     * @param load how long the model's load takes, as near as it is to hand anywhere
-     * @param begun whether an instance seems to be loading it
+     * @param load how long the model's load takes where its weights are nearest at hand
      */
-    record ModelMissing(Duration load, boolean begun) implements Choice {}
+    record ModelMissing(Duration load) implements Choice {}
 
     /** No instance of its service is known that may take work. */
     record NobodyServes() implements Choice {}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -258,13 +258,13 @@
         Duration load = weights.get().loadFromStore();
         for (Instance instance : serving) {
             if (instance.inHostMemory().contains(model)) {
-                return new Choice.ModelMissing(weights.get().loadFromMemory(), false);
+                return new Choice.ModelMissing(weights.get().loadFromMemory());
             }
             if (instance.onDisk().contains(model)) {
                 load = weights.get().loadFromDisk();
             }
         }
-        return new Choice.ModelMissing(load, false);
+        return new Choice.ModelMissing(load);
     }
 
     private double engineScore(Instance instance, InstanceLoad load, Need need, long now) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -18,17 +18,16 @@
 /** What one engine holds or may come to hold, and the orders to it that are open. */
 final class EngineLedger {
 
-    /** A heartbeat that was on its way while an order was given may still show what was before. */
-    private static final long OVERLAY_NANOS = Duration.ofMillis(2500).toNanos();
-
     /** An order that is not seen to be done by then is looked into. */
     private static final long OVERDUE_NANOS = Duration.ofSeconds(3).toNanos();
 
     /** Accounts lag by some hundred milliseconds; one read earlier says nothing new. */
     private static final long REREAD_NANOS = Duration.ofMillis(400).toNanos();
 
-    /** The second heartbeat after an account was read has been made after it. */
-    private static final int HEARTBEATS_THAT_TELL_AS_MUCH = 2;
+    /**
+     * Heartbeats that were made before something was done may still be on their way: two at most.
+     */
+    private static final int HEARTBEATS_THAT_TELL_AS_MUCH = 3;
 
     /** An account is older than this at most. */
     private static final long LONGEST_LAG_NANOS = Duration.ofSeconds(1).toNanos();
@@ -57,7 +56,10 @@
     private boolean reading;
     private long nextReadAt;
     private final Map<ModelId, Long> since = new HashMap<>();
+
+    /** By the heartbeat that was known when the order was given: later ones tell of it. */
     private final Map<AdapterKey, Long> placed = new HashMap<>();
+
     private final Map<AdapterKey, Long> removed = new HashMap<>();
     private final Deque<AdapterKey> wanted = new ArrayDeque<>();
 
@@ -73,10 +75,10 @@
     }
 
     void reported(Instance report, long now) {
-        if (report.sequence() >= readAtSequence + HEARTBEATS_THAT_TELL_AS_MUCH) {
+        instance = report;
+        if (toldByNow(readAtSequence)) {
             readModels = List.of();
         }
-        instance = report;
         for (ModelCopy copy : report.models()) {
             since.putIfAbsent(copy.model(), now);
         }
@@ -160,11 +162,11 @@
         return ordersTaken;
     }
 
-    void begin(EngineOrder order, long now) {
+    void begin(EngineOrder order) {
         unanswered = order;
         lostAt = 0;
         if (order.load()) {
-            noteAdapter(order, now);
+            noteAdapter(order);
         }
     }
 
@@ -178,7 +180,7 @@
             case TAKEN -> {
                 ordersTaken = order.expectedTaken() + 1;
                 leastTaken = ordersTaken;
-                noteAdapter(order, now);
+                noteAdapter(order);
                 if (order.adapter().isEmpty()) {
                     underWay = order;
                     takenAt = now;
@@ -186,7 +188,7 @@
                 unanswered = null;
             }
             case HOLDS -> {
-                noteAdapter(order, now);
+                noteAdapter(order);
                 boolean doneAtOnce = !order.load();
                 ordersTaken = order.expectedTaken() + (doneAtOnce ? 1 : 0);
                 leastTaken = ordersTaken;
@@ -222,9 +224,9 @@
     }
 
     /** Returns the adapters that are resident or may be, those of unloaded models excepted. */
-    Set<AdapterKey> adapters(long now) {
-        placed.values().removeIf(at -> now - at > OVERLAY_NANOS);
-        removed.values().removeIf(at -> now - at > OVERLAY_NANOS);
+    Set<AdapterKey> adapters() {
+        placed.values().removeIf(this::toldByNow);
+        removed.values().removeIf(this::toldByNow);
         Set<AdapterKey> all = new HashSet<>();
         for (ModelCopy copy : instance.models()) {
             copy.adapters().forEach(adapter -> all.add(new AdapterKey(copy.model(), adapter)));
@@ -237,12 +239,12 @@
     }
 
     /** Returns memory that nothing holds and no open order may come to hold, in MB. */
-    double freeMb(EngineSpec spec, long now) {
+    double freeMb(EngineSpec spec) {
         double used = 0;
         for (ModelCopy copy : instance.models()) {
             used += weightsMb(copy.model(), spec);
         }
-        for (AdapterKey key : adapters(now)) {
+        for (AdapterKey key : adapters()) {
             used += spec.model(key.model()).map(ModelWeights::adapterMb).orElse(0.0);
         }
         used += mayCome(underWay, spec) + mayCome(unanswered, spec) + mayCome(doubtful, spec);
@@ -253,6 +255,11 @@
         return spec.weightsMb() - used;
     }
 
+    /** Returns whether heartbeats tell of what was done when an earlier one was the newest. */
+    private boolean toldByNow(long sequence) {
+        return instance.sequence() >= sequence + HEARTBEATS_THAT_TELL_AS_MUCH;
+    }
+
     private void countAgain(long now, long pause) {
         ordersTaken = -1;
         leastTaken = 0;
@@ -279,16 +286,16 @@
         return order != null && order.load() && order.adapter().isEmpty();
     }
 
-    private void noteAdapter(EngineOrder order, long now) {
+    private void noteAdapter(EngineOrder order) {
         if (order.adapter().isEmpty()) {
             return;
         }
         AdapterKey key = new AdapterKey(order.model(), order.adapter().get());
         if (order.load()) {
-            placed.put(key, now);
+            placed.put(key, instance.sequence());
             removed.remove(key);
         } else {
-            removed.put(key, now);
+            removed.put(key, instance.sequence());
             placed.remove(key);
         }
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -107,18 +107,18 @@
         adapterUsed(model, adapter, now);
         EngineLedger engine = engines.get(id);
         if (engine != null) {
-            freeEngine(engine, model, now).want(new AdapterKey(model, adapter));
+            freeEngine(engine, model).want(new AdapterKey(model, adapter));
         }
     }
 
     /** Returns an engine with the model that can take an order now, or else the one asked for. */
-    private EngineLedger freeEngine(EngineLedger asked, ModelId model, long now) {
+    private EngineLedger freeEngine(EngineLedger asked, ModelId model) {
         if (asked.ready()) {
             return asked;
         }
         return engines.values().stream()
                 .filter(engine -> engine.instance().copyOf(model).isPresent() && engine.ready())
-                .min(Comparator.comparingInt(engine -> engine.adapters(now).size()))
+                .min(Comparator.comparingInt(engine -> engine.adapters().size()))
                 .orElse(asked);
     }
 
@@ -168,8 +168,7 @@
                 engine.resent();
                 effects.add(new ResidencyEffect.Send(engine.unanswered()));
             } else if (engine.ready()) {
-                nextAdapterOrder(engine, now)
-                        .ifPresent(order -> begin(engine, order, effects, now));
+                nextAdapterOrder(engine).ifPresent(order -> begin(engine, order, effects, now));
             }
         }
         if (now - nextDecision >= 0) {
@@ -197,8 +196,7 @@
         boolean fromStore = load && !engine.instance().hasCopyAtHand(model);
         Optional<ModelWeights> weights = spec.model(model);
         if (load) {
-            boolean fits =
-                    weights.isPresent() && weights.get().weightsMb() <= engine.freeMb(spec, now);
+            boolean fits = weights.isPresent() && weights.get().weightsMb() <= engine.freeMb(spec);
             if (!fits || (fromStore && store.left(now) < 1)) {
                 return Optional.empty();
             }
@@ -206,12 +204,12 @@
         return Optional.of(newOrder(engine, load, model, Optional.empty(), fromStore));
     }
 
-    private Optional<EngineOrder> nextAdapterOrder(EngineLedger engine, long now) {
+    private Optional<EngineOrder> nextAdapterOrder(EngineLedger engine) {
         EngineSpec spec = specs.get(engine.instance().service());
         Optional<AdapterKey> next = engine.nextWanted();
         while (next.isPresent()) {
             AdapterKey key = next.get();
-            Set<AdapterKey> held = engine.adapters(now);
+            Set<AdapterKey> held = engine.adapters();
             boolean possible = spec != null && engine.instance().copyOf(key.model()).isPresent();
             if (!possible || held.contains(key)) {
                 engine.dropWanted();
@@ -219,7 +217,7 @@
                 continue;
             }
             double size = spec.model(key.model()).map(ModelWeights::adapterMb).orElse(0.0);
-            boolean fits = held.size() < spec.adapterSlots() && size <= engine.freeMb(spec, now);
+            boolean fits = held.size() < spec.adapterSlots() && size <= engine.freeMb(spec);
             if (fits) {
                 engine.dropWanted();
                 return Optional.of(
@@ -261,7 +259,7 @@
 
     private void begin(
             EngineLedger engine, EngineOrder order, List<ResidencyEffect> effects, long now) {
-        engine.begin(order, now);
+        engine.begin(order);
         if (order.fromStore()) {
             store.begin(now);
         }
@@ -277,7 +275,7 @@
         List<PlacementView.Seat> seats = new ArrayList<>();
         for (EngineLedger engine : engines.values()) {
             if (engine.instance().service().equals(service)) {
-                seats.add(seat(engine, spec, now));
+                seats.add(seat(engine, spec));
             }
         }
         List<PlacementView.Want> wants = new ArrayList<>();
@@ -287,7 +285,7 @@
         return new PlacementView(seats, wants, store.left(now), now);
     }
 
-    private static PlacementView.Seat seat(EngineLedger engine, EngineSpec spec, long now) {
+    private static PlacementView.Seat seat(EngineLedger engine, EngineSpec spec) {
         Instance instance = engine.instance();
         List<PlacementView.Held> held = new ArrayList<>();
         for (ModelCopy copy : instance.models()) {
@@ -311,7 +309,7 @@
         }
         return new PlacementView.Seat(
                 instance.id(),
-                (long) Math.floor(engine.freeMb(spec, now)),
+                (long) Math.floor(engine.freeMb(spec)),
                 instance.slots(),
                 held,
                 !engine.ready(),
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -61,7 +61,7 @@
     void modelThatIsNowhereIsAwaitedForItsNearestLoad() {
         dispatcher.changed(instance("a", 1, "other"));
         assertThat(dispatcher.choose(need(Optional.empty()), id -> true, NOW))
-                .isEqualTo(new Choice.ModelMissing(Duration.ofSeconds(9), false));
+                .isEqualTo(new Choice.ModelMissing(Duration.ofSeconds(9)));
     }
 
     @Test
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
@@ -116,6 +116,18 @@
         assertThat(adapter.expectedTaken()).isEqualTo(4);
     }
 
+    @Test
+    void adaptersThatNoHeartbeatHasToldOfStillTakeSlots() {
+        count(0, false);
+        for (String adapter : List.of("a1", "a2")) {
+            keeper.adapterWanted(ENGINE, new ModelId("a"), adapter, now);
+            keeper.answered(onlyOrder(), EngineAnswer.TAKEN, now);
+        }
+        pass(60_000);
+        keeper.adapterWanted(ENGINE, new ModelId("a"), "a3", now);
+        assertThat(onlyOrder().load()).isFalse();
+    }
+
     @Test
     void unloadThatIsDoneAtOnceCountsAsTaken() {
         count(3, false);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -130,7 +130,7 @@
                 yield givesUpWaiting(Duration.ofMillis(500), "its adapter is not resident", now);
             }
             case Choice.Full() -> givesUpWaiting(Duration.ZERO, "every instance is full", now);
-            case Choice.ModelMissing(Duration load, boolean ignored) ->
+            case Choice.ModelMissing(Duration load) ->
                     givesUpWaiting(load.plus(LOAD_OVERHEAD), "its model is not resident", now);
             case Choice.NobodyServes() ->
                     givesUpWaiting(NOBODY_PATIENCE, "no instance of its service is known", now);
