--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RunningProcess.java
@@ -39,6 +39,37 @@
         }
     }
 
+    /** Starts the binary with logs of hosts found by seeds, which nobody reads. */
+    public static RunningProcess startUnread(Path log, String... arguments) {
+        return startSeeded(log, ProcessBuilder.Redirect.PIPE, arguments);
+    }
+
+    /** Starts the binary with logs of hosts found by seeds, which go to a file. */
+    public static RunningProcess startSeeded(Path log, String... arguments) {
+        return startSeeded(log, ProcessBuilder.Redirect.appendTo(log.toFile()), arguments);
+    }
+
+    private static RunningProcess startSeeded(
+            Path log, ProcessBuilder.Redirect output, String... arguments) {
+        List<String> command = new ArrayList<>(javaCommand());
+        command.addAll(1, List.of("-Dlog4j2.configurationFile=log4j2-fleet.xml"));
+        command.addAll(Arrays.asList(arguments));
+        try {
+            ProcessBuilder builder =
+                    new ProcessBuilder(command)
+                            .redirectError(log.resolveSibling(log.getFileName() + ".err").toFile())
+                            .redirectOutput(output);
+            return new RunningProcess(log, builder.start());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Tells it that its settings have changed. */
+    public void hangUp() {
+        signal("HUP");
+    }
+
     /** Kills it without warning. */
     public void kill() {
         process.destroyForcibly();
--- /dev/null
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -0,0 +1,200 @@
+package io.stackhall.tests.harness;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Real processes that find each other by seeds, and one plain upstream that announces itself. */
+public final class SeededHosts implements AutoCloseable {
+
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
+    private static final int HEARTBEAT_MILLIS = 300;
+
+    private final Path folder;
+    private final int peers = Ports.free();
+    private final int api = Ports.free();
+    private final int callers = Ports.free();
+    private final int readiness = Ports.free();
+    private final Map<String, RunningProcess> processes = new TreeMap<>();
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final AtomicLong sequence = new AtomicLong();
+    private final ScheduledExecutorService heartbeats =
+            Executors.newSingleThreadScheduledExecutor();
+    private HttpServer upstream;
+
+    /** Creates a system that does not run yet. */
+    public SeededHosts(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Starts one control host, which lives at 127.0.5.number. */
+    public RunningProcess startControl(int number, boolean firstStart) {
+        String ip = "127.0.5." + number;
+        String role =
+                "\"control\": {\"api\": \"%s:%d\", \"dataFolder\": \"%s\"}"
+                        .formatted(ip, api, folder.resolve("control-" + number));
+        return start("control-" + number, ip, role, firstStart, false);
+    }
+
+    /** Starts one entry host, which lives at 127.0.6.number. */
+    public RunningProcess startEntry(int number, boolean logIsRead) {
+        String ip = "127.0.6." + number;
+        String role =
+                "\"entry\": {\"callers\": \"%s:%d\", \"readiness\": \"%s:%d\"}"
+                        .formatted(ip, callers, ip, readiness);
+        return start("entry-" + number, ip, role, false, !logIsRead);
+    }
+
+    /** Starts the upstream, which answers every request with its path. */
+    public void startUpstream() throws IOException {
+        upstream =
+                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
+        upstream.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        upstream.createContext(
+                "/",
+                exchange -> {
+                    String path = exchange.getRequestURI().getPath();
+                    if (path.endsWith("/break")) {
+                        exchange.close();
+                        return;
+                    }
+                    byte[] body = path.getBytes(StandardCharsets.UTF_8);
+                    String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
+                    exchange.getResponseHeaders().set("X-Request-Id", id);
+                    exchange.sendResponseHeaders(200, body.length);
+                    exchange.getResponseBody().write(body);
+                    exchange.close();
+                });
+        upstream.start();
+        heartbeats.scheduleAtFixedRate(this::heartbeat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends a configuration to a control host and returns the answer's status. */
+    public int put(int number, String configuration) throws IOException, InterruptedException {
+        return post("http://127.0.5." + number + ":" + api + "/-/config/put", configuration);
+    }
+
+    /** Reads the configuration from a control host. */
+    public String read(int number) throws IOException, InterruptedException {
+        String uri = "http://127.0.5." + number + ":" + api + "/-/config/get";
+        HttpRequest request = HttpRequest.newBuilder(URI.create(uri)).timeout(PATIENCE).build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+    }
+
+    /** Sends a request through an entry host. */
+    public HttpResponse<String> call(int number, String path, String id)
+            throws IOException, InterruptedException {
+        String uri = "http://127.0.6." + number + ":" + callers + path;
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(uri))
+                        .timeout(PATIENCE)
+                        .header("X-Request-Id", id)
+                        .header("X-Deadline-Ms", "3000")
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns whether an entry host says that it is ready. */
+    public boolean ready(int number) throws IOException, InterruptedException {
+        String uri = "http://127.0.6." + number + ":" + readiness + "/-/readiness";
+        HttpRequest request = HttpRequest.newBuilder(URI.create(uri)).timeout(PATIENCE).build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    }
+
+    /** Returns what a process has logged. */
+    public List<String> log(String name) throws IOException {
+        return Files.readAllLines(folder.resolve(name + ".log"));
+    }
+
+    @Override
+    public void close() {
+        heartbeats.shutdownNow();
+        List<RunningProcess> running = new ArrayList<>(processes.values());
+        running.stream().filter(RunningProcess::alive).forEach(RunningProcess::kill);
+        if (upstream != null) {
+            upstream.stop(0);
+        }
+    }
+
+    private RunningProcess start(
+            String name, String ip, String role, boolean firstStart, boolean unread) {
+        String settings =
+                """
+                {"host": "%s", "zone": "z", "peers": "%s:%d", %s,
+                 "discovery": {"seeds": ["127.0.5.1:%d", "127.0.5.2:%d", "127.0.5.3:%d"],
+                               "firstStart": %d},
+                 "limits": {"heartbeatMillis": %d, "stopGraceMillis": 6000}}
+                """
+                        .formatted(
+                                name,
+                                ip,
+                                peers,
+                                role,
+                                api,
+                                api,
+                                api,
+                                firstStart ? 1 : 0,
+                                HEARTBEAT_MILLIS);
+        Path file = folder.resolve(name + ".json");
+        try {
+            Files.writeString(file, settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Path log = folder.resolve(name + ".log");
+        RunningProcess process =
+                unread
+                        ? RunningProcess.startUnread(log, "serve", file.toString())
+                        : RunningProcess.startSeeded(log, "serve", file.toString());
+        processes.put(name, process);
+        return process;
+    }
+
+    private void heartbeat() {
+        String body =
+                """
+                {"service": "plain", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
+                 "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
+                """
+                        .formatted(upstream.getAddress().getPort(), sequence.incrementAndGet());
+        for (int number = 1; number <= 3; number++) {
+            try {
+                post("http://127.0.5." + number + ":" + api + "/-/instances/i-1/heartbeat", body);
+                return;
+            } catch (IOException e) {
+                // The next host, then.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private int post(String uri, String body) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(uri))
+                        .timeout(PATIENCE)
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+}
