A request that waits for a load is not given up while the load may be nearly done

Cause: at each look a waiting request was judged by the whole time of a load once more, so that one with a deadline of 5 s gave up 2.05 s after it came, though the load it waited for takes 2.0 to 2.3 s.

What it is: how long a request waits is decided in one place in the core, once for each cause: it does not begin to wait for what cannot come in time, and then waits for up to twice the expected time.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.dispatch.Patience;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.route.Route;
 import io.stackhall.core.route.RouteKind;
@@ -50,7 +51,7 @@
     private Need need;
     private long deadlineAt;
     private long waitingSince;
-    private long patienceUntil;
+    private Patience patience;
     private boolean mayHaveRun;
     private boolean ended;
     private boolean streaming;
@@ -88,6 +89,7 @@
         }
         deadlineAt = request.arrivedAt() + allowed;
         deadline = gateway.loop().schedule(this::outOfTime, leftNanos(), TimeUnit.NANOSECONDS);
+        patience = newPatience();
         gateway.arrived(need);
         waitingSince = System.nanoTime();
         if (!tryToSend()) {
@@ -166,23 +168,18 @@
      * @param expected how long what it waits for takes
      */
     private boolean givesUpWaiting(Duration expected, String reason, long now) {
-        long least =
-                route.kind() == RouteKind.STREAM
-                        ? LEAST_STREAM_TIME.toNanos()
-                        : LEAST_PLAIN_TIME.toNanos();
-        long latest = deadlineAt - least;
-        if (patienceUntil == 0) {
-            patienceUntil = Math.min(latest, now + expected.toNanos() * 2);
-        }
-        boolean hopeless = now + expected.toNanos() > latest;
-        boolean waitedInVain = !expected.isZero() && now - patienceUntil >= 0;
-        if (!hopeless && !waitedInVain && latest - now > 0) {
+        if (!patience.isOver(expected, now)) {
             return false;
         }
         giveUp(reason, expected.isZero() ? SOON : expected);
         return true;
     }
 
+    private Patience newPatience() {
+        Duration least = route.kind() == RouteKind.STREAM ? LEAST_STREAM_TIME : LEAST_PLAIN_TIME;
+        return new Patience(deadlineAt - least.toNanos());
+    }
+
     private void giveUp(String reason, Duration retryAfter) {
         if (streaming) {
             breakOff(reason);
@@ -373,7 +370,7 @@
             return;
         }
         waitingSince = System.nanoTime();
-        patienceUntil = 0;
+        patience = newPatience();
         if (!tryToSend()) {
             gateway.waits(this);
         }
