--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -86,7 +86,28 @@
             told.remove(instance.id());
             return;
         }
-        instances.put(instance.id(), instance);
+        Instance before = instances.put(instance.id(), instance);
+        if (before != null) {
+            forgetWhatReportsTellBetter(before, instance);
+        }
+    }
+
+    /**
+     * What was said of a model is over once the reports show that it came or went. A model that was
+     * loaded again within 2.5 s of its unload was passed over until then: on one day of load an
+     * engine was ordered to load and unload two models 22 times in 18 s, while the requests that
+     * waited for them were refused (counted in the log).
+     */
+    private void forgetWhatReportsTellBetter(Instance before, Instance after) {
+        Map<Holding, Told> here = told.get(after.id());
+        if (here == null) {
+            return;
+        }
+        here.keySet()
+                .removeIf(
+                        holding ->
+                                before.copyOf(holding.model()).isPresent()
+                                        != after.copyOf(holding.model()).isPresent());
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -12,10 +12,12 @@
  * Gives each place to the model whose next copy is worth most there, and loads a model where its
  * weights are nearest at hand.
  *
- * <p>A model's first copy is worth its whole demand, each further one only what it relieves. A
- * model that requests wait for and that is nowhere is loaded first, wherever the load's time and
- * what it evicts cost least together. Other loads have to earn more than they evict by a margin, so
- * that two models do not swap for ever.
+ * <p>A model's first copy is worth its whole demand, each further one the queueing that it
+ * relieves. A model that requests wait for and that is nowhere is loaded first, wherever the load's
+ * time and what it evicts cost least together. A place that is free is filled from a copy at hand,
+ * whoever is worth most, so that an engine that has come back empty serves again. Where room has to
+ * be made, the unload is followed by the load that it was made for; such a swap has to earn more
+ * than it evicts by a margin, so that two models do not swap for ever.
  */
 public final class NearestCopyPolicy implements PlacementPolicy {
 
@@ -28,22 +30,44 @@
     /** Where one engine alone keeps the weights at hand, it may be busy when they are asked for. */
     private static final double RARE_COPY_WORTH = 1.5;
 
-    /** Requests a second that one copy serves without delaying them much. */
-    private static final double COMFORTABLE_RATE = 8;
+    /**
+     * A second copy also serves while the engine of the first is lost, for each request a second.
+     */
+    private static final double SPARE_COPY_WORTH = 0.5;
+
+    /** The worth of a further copy, for each request a second and each mean service time saved. */
+    private static final double RELIEF_WORTH = 0.3;
+
+    /**
+     * Requests a second that keep one engine busy: it reads 19 prompt tokens a millisecond, and a
+     * prompt has some 1,800 that no other request shares.
+     */
+    private static final double SATURATING_RATE = 10;
 
-    /** The worth of a second copy, for each request a second, where one copy is fully loaded. */
-    private static final double RELIEF_WORTH = 6;
+    /** Up to this utilization the queue is that of one server with random arrivals. */
+    private static final double QUEUE_KNEE = 0.8;
 
     /** What a second of loading costs: the engine takes no other order meanwhile. */
-    private static final double LOAD_SECOND_COST = 0.6;
+    private static final double LOAD_SECOND_COST = 0.3;
+
+    /** Filling a free place from a copy at hand costs little beside. */
+    private static final double FILL_SECOND_COST = 0.05;
 
     /** What a load that is not yet waited for must earn beyond what it evicts. */
     private static final double MARGIN = 1.5;
 
-    private static final double SWAP_COST = 1.0;
+    /**
+     * What a second of loading costs for each request a second that the engine serves already: they
+     * get no further adapter meanwhile. An engine that served a busy model was once kept from
+     * adapters for 9 s by a load of another model from the store, and 20 requests were refused.
+     */
+    private static final double CROWDING_COST = 0.2;
 
     /** A copy that has just come stays for as long as its load may take to pay. */
-    private static final Duration LEAST_RESIDENCE = Duration.ofSeconds(3);
+    private static final Duration LEAST_RESIDENCE = Duration.ofSeconds(4);
+
+    /** Even for a waiting model: requests for the copy that has come last need time to be sent. */
+    private static final Duration LEAST_RESIDENCE_WHILE_WAITED_FOR = Duration.ofMillis(1500);
 
     /** A model whose weights no engine keeps at hand cannot be served within a deadline at all. */
     private static final double AT_HAND_WORTH = 20;
@@ -60,13 +84,13 @@
     public List<Move> decide(PlacementView view) {
         Planning planning = new Planning(view);
         planning.dropObsolete();
-        view.wants().stream()
-                .filter(want -> want.base().isEmpty())
+        List<PlacementView.Want> models =
+                view.wants().stream().filter(want -> want.base().isEmpty()).toList();
+        models.stream()
                 .filter(want -> want.waiting() > 0 && planning.copies(want.artifact()) == 0)
                 .sorted(Comparator.comparingDouble(NearestCopyPolicy::urgency).reversed())
                 .forEach(want -> serveWaiting(planning, want));
-        view.wants().stream()
-                .filter(want -> want.base().isEmpty())
+        models.stream()
                 .sorted(
                         Comparator.comparingDouble(
                                         (PlacementView.Want want) -> nextWorth(planning, want))
@@ -77,9 +101,17 @@
 
     /** A place that can be made on one seat, and what it costs. */
     private record Place(
-            PlacementView.Seat seat, List<Artifact> evicted, double loss, double load) {
+            PlacementView.Seat seat,
+            List<Artifact> evicted,
+            double loss,
+            double load,
+            double crowd) {
         double cost() {
-            return loss + LOAD_SECOND_COST * load;
+            return loss + (LOAD_SECOND_COST + CROWDING_COST * crowd) * load;
+        }
+
+        boolean fromStore() {
+            return load >= STORE_SECONDS;
         }
     }
 
@@ -87,30 +119,40 @@
         if (planning.planned(want.artifact())) {
             return;
         }
-        cheapest(planning, want, Duration.ZERO).ifPresent(place -> take(planning, want, place));
+        double worth = worth(want, 1) + want.starvedSeconds();
+        cheapest(planning, want, LEAST_RESIDENCE_WHILE_WAITED_FOR)
+                .filter(place -> place.loss() <= worth)
+                .ifPresent(place -> take(planning, want, place));
     }
 
     private static void improve(Planning planning, PlacementView.Want want) {
-        if (planning.planned(want.artifact())) {
+        Optional<Place> best = cheapest(planning, want, LEAST_RESIDENCE);
+        if (best.isEmpty()) {
             return;
         }
-        Optional<Place> place = cheapest(planning, want, LEAST_RESIDENCE);
-        if (place.isEmpty()) {
-            return;
+        Place place = best.get();
+        boolean nowhere = !atHand(planning, want) && !planning.planned(want.artifact());
+        double gain = nextWorth(planning, want) + (nowhere ? AT_HAND_WORTH : 0);
+        if (gain > effort(place)) {
+            take(planning, want, place);
         }
-        double gain = nextWorth(planning, want);
-        gain += atHand(planning, want) ? 0 : AT_HAND_WORTH;
-        double needed = place.get().evicted().isEmpty() ? 0 : MARGIN * place.get().loss();
-        if (gain > needed + SWAP_COST * place.get().load()) {
-            take(planning, want, place.get());
+    }
+
+    private static double effort(Place place) {
+        if (place.fromStore()) {
+            return MARGIN * place.loss() + (1 + CROWDING_COST * place.crowd()) * place.load();
+        }
+        if (place.evicted().isEmpty()) {
+            return FILL_SECOND_COST * place.load();
         }
+        return MARGIN * place.loss() + LOAD_SECOND_COST * place.load();
     }
 
     private static void take(Planning planning, PlacementView.Want want, Place place) {
-        if (!place.evicted().isEmpty()) {
-            planning.unload(place.seat(), place.evicted().getFirst());
-        } else {
+        if (place.evicted().isEmpty()) {
             planning.load(place.seat(), want);
+        } else {
+            planning.replace(place.seat(), place.evicted().getFirst(), want);
         }
     }
 
@@ -122,7 +164,7 @@
                 continue;
             }
             Optional<Place> place = placeOn(planning, seat, want, residence);
-            boolean fromStore = place.isPresent() && place.get().load() >= STORE_SECONDS;
+            boolean fromStore = place.isPresent() && place.get().fromStore();
             boolean nearer = fromStore && nearSeatIsFreeSoon(planning, want);
             if (place.isEmpty() || nearer || (fromStore && !storeIsFree(planning))) {
                 continue;
@@ -165,7 +207,6 @@
             PlacementView.Seat seat,
             PlacementView.Want want,
             Duration residence) {
-        double load = loadSeconds(seat, want.artifact().id());
         long missing = want.memoryMib() - seat.freeMib();
         List<PlacementView.Held> candidates =
                 seat.held().stream()
@@ -182,9 +223,26 @@
             missing -= held.memoryMib();
             loss += lastWorth(planning, held);
         }
-        return missing <= 0
-                ? Optional.of(new Place(seat, List.copyOf(evicted), loss, load))
-                : Optional.empty();
+        if (missing > 0) {
+            return Optional.empty();
+        }
+        double load = loadSeconds(seat, want.artifact().id());
+        double crowd = servedRate(planning, seat);
+        return Optional.of(new Place(seat, List.copyOf(evicted), loss, load, crowd));
+    }
+
+    /** Returns the requests a second that a seat serves, where each copy takes its equal share. */
+    private static double servedRate(Planning planning, PlacementView.Seat seat) {
+        double rate = 0;
+        for (PlacementView.Held held : seat.held()) {
+            int copies = Math.max(1, planning.copies(held.artifact()));
+            rate +=
+                    planning.want(held.artifact().id())
+                                    .map(PlacementView.Want::ratePerSecond)
+                                    .orElse(0.0)
+                            / copies;
+        }
+        return rate;
     }
 
     private static boolean settled(Planning planning, PlacementView.Held held, Duration residence) {
@@ -195,9 +253,10 @@
         return want.waiting() + want.starvedSeconds();
     }
 
-    /** Returns what one more copy is worth. */
+    /** Returns what one more copy is worth, beside those that are there or coming. */
     private static double nextWorth(Planning planning, PlacementView.Want want) {
-        return worth(want, planning.copies(want.artifact()) + 1);
+        int next = planning.copies(want.artifact()) + planning.coming(want.artifact()) + 1;
+        return worth(want, next);
     }
 
     /** Returns what is lost with one of the copies there are. */
@@ -220,11 +279,25 @@
     }
 
     private static double worth(PlacementView.Want want, int copy) {
+        double rate = want.ratePerSecond();
         if (copy <= 1) {
-            return FIRST_COPY_WORTH * want.ratePerSecond() + IDLE_COPY_WORTH + want.waiting();
+            return FIRST_COPY_WORTH * rate + IDLE_COPY_WORTH + want.waiting();
+        }
+        double relief = queueing(rate / (copy - 1)) - queueing(rate / copy);
+        double spare = copy == 2 ? SPARE_COPY_WORTH * rate : 0;
+        return RELIEF_WORTH * rate * relief + spare;
+    }
+
+    /**
+     * Returns the mean wait at an engine, in service times; beyond the knee it goes on straight.
+     */
+    private static double queueing(double rate) {
+        double utilization = rate / SATURATING_RATE;
+        if (utilization <= QUEUE_KNEE) {
+            return utilization / (1 - utilization);
         }
-        double loaded = want.ratePerSecond() / COMFORTABLE_RATE;
-        return RELIEF_WORTH * want.ratePerSecond() * loaded / ((copy - 1) * copy / 2.0);
+        double slope = 1 / ((1 - QUEUE_KNEE) * (1 - QUEUE_KNEE));
+        return QUEUE_KNEE / (1 - QUEUE_KNEE) + slope * (utilization - QUEUE_KNEE);
     }
 
     /** Among equals the one asked for longest ago goes first. */
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementPolicy.java
@@ -18,7 +18,10 @@
 public sealed interface PlacementPolicy
         permits ExpectedGainPolicy, NearestCopyPolicy, LeastRecentlyUsedPolicy, StaticPolicy {
 
-    /** Returns the next moves, most urgent first; at most one for each upstream. */
+    /**
+     * Returns the next moves, most urgent first; at most one for each upstream, but for an unload
+     * and right behind it the load that it makes room for.
+     */
     List<Move> decide(PlacementView view);
 
     /** Returns the policy of a name. */
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
@@ -19,7 +19,7 @@
     private final Set<UpstreamId> taken = new HashSet<>();
     private final Map<ModelId, PlacementView.Want> wants = new HashMap<>();
     private final Map<Artifact, Integer> copies = new HashMap<>();
-    private final Set<Artifact> coming = new HashSet<>();
+    private final Map<Artifact, Integer> coming = new HashMap<>();
     private int loadsLeft;
 
     Planning(PlacementView view) {
@@ -28,7 +28,7 @@
         view.wants().forEach(want -> wants.put(want.artifact().id(), want));
         for (PlacementView.Seat seat : view.seats()) {
             seat.held().forEach(held -> copies.merge(held.artifact(), 1, Integer::sum));
-            seat.loading().ifPresent(coming::add);
+            seat.loading().ifPresent(this::comes);
         }
     }
 
@@ -72,13 +72,18 @@
 
     /** Returns whether an order that loads the artifact is open or planned. */
     boolean planned(Artifact artifact) {
-        return coming.contains(artifact);
+        return coming.containsKey(artifact);
+    }
+
+    /** Returns how many open or planned orders load the artifact. */
+    int coming(Artifact artifact) {
+        return coming.getOrDefault(artifact, 0);
     }
 
     void load(PlacementView.Seat seat, PlacementView.Want want) {
         taken.add(seat.upstream());
         loadsLeft--;
-        coming.add(want.artifact());
+        comes(want.artifact());
         moves.add(new Move.Load(seat.upstream(), want.artifact(), want.waiting() > 0));
     }
 
@@ -87,6 +92,12 @@
         moves.add(new Move.Unload(seat.upstream(), artifact));
     }
 
+    /** Plans an unload and the load that it makes room for. */
+    void replace(PlacementView.Seat seat, Artifact old, PlacementView.Want want) {
+        unload(seat, old);
+        load(seat, want);
+    }
+
     /** Returns whether an adapter's base is there, or none is needed. */
     boolean baseReady(PlacementView.Seat seat, PlacementView.Want want) {
         return want.base().isEmpty() || seat.holds(want.base().get().id());
@@ -128,6 +139,10 @@
         }
     }
 
+    private void comes(Artifact artifact) {
+        coming.merge(artifact, 1, Integer::sum);
+    }
+
     private boolean replaced(Artifact artifact) {
         if (!obsolete(artifact)) {
             return false;
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -32,6 +32,12 @@
     /** An account is older than this at most. */
     private static final long LONGEST_LAG_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** What an engine held when it was first heard of has been there for longer than any load. */
+    private static final long HELD_BEFORE_NANOS = Duration.ofMinutes(1).toNanos();
+
+    /** An unload waits for the runs of its model; by then what was wanted instead may be stale. */
+    private static final long LONGEST_UNLOAD_NANOS = Duration.ofSeconds(5).toNanos();
+
     /** A lost answer is asked for again by the same order after this. */
     private static final long RESEND_NANOS = Duration.ofMillis(300).toNanos();
 
@@ -48,6 +54,11 @@
     private EngineOrder doubtful;
 
     private long doubtfulSince;
+
+    /** What an unload makes room for; it is loaded as soon as the unload is done. */
+    private ModelId nextLoad;
+
+    private long nextLoadSince;
     private List<ModelCopy> readModels = List.of();
     private long readAtSequence;
     private long takenAt;
@@ -55,6 +66,10 @@
     private long leastTaken;
     private boolean reading;
     private long nextReadAt;
+
+    /** The newest heartbeat when another instance answered at the address, or -1. */
+    private long absentAt = -1;
+
     private final Map<ModelId, Long> since = new HashMap<>();
 
     /** By the heartbeat that was known when the order was given: later ones tell of it. */
@@ -75,17 +90,34 @@
     }
 
     void reported(Instance report, long now) {
+        boolean first = since.isEmpty() && instance.sequence() == report.sequence();
+        long seen = first ? now - HELD_BEFORE_NANOS : now;
         instance = report;
         if (toldByNow(readAtSequence)) {
             readModels = List.of();
         }
         for (ModelCopy copy : report.models()) {
-            since.putIfAbsent(copy.model(), now);
+            since.putIfAbsent(copy.model(), seen);
         }
         since.keySet().removeIf(model -> report.copyOf(model).isEmpty());
-        if (underWay != null && report.copyOf(underWay.model()).isPresent() == underWay.load()) {
+        boolean concernsModel = underWay != null && underWay.adapter().isEmpty();
+        if (concernsModel && report.copyOf(underWay.model()).isPresent() == underWay.load()) {
+            if (!underWay.load()) {
+                forgetReading(underWay.model());
+            }
             underWay = null;
         }
+        if (absentAt >= 0 && report.sequence() > absentAt) {
+            absentAt = -1;
+        }
+    }
+
+    /**
+     * An account that was read before an unload no longer counts once the unload is done. While it
+     * did, all three models of an engine were unloaded one after the other to make room for one.
+     */
+    private void forgetReading(ModelId model) {
+        readModels = readModels.stream().filter(copy -> !copy.model().equals(model)).toList();
     }
 
     /** Takes in the engine's own account; the newest there is of how many orders it has taken. */
@@ -110,8 +142,23 @@
             unanswered = null;
         }
         if (underWay != null && !report.busy() && now - takenAt > overdueAfter()) {
-            underWay = null;
+            endOverdue(report);
+        }
+    }
+
+    /** An adapter that is still in use goes on taking its slot, and the engine no other order. */
+    private void endOverdue(EngineReport report) {
+        if (underWay.adapter().isPresent()) {
+            boolean held =
+                    report.models().stream()
+                            .filter(copy -> copy.model().equals(underWay.model()))
+                            .anyMatch(copy -> copy.adapters().contains(underWay.adapter().get()));
+            if (held) {
+                return;
+            }
+            noteAdapter(underWay);
         }
+        underWay = null;
     }
 
     void readFailed(long now) {
@@ -123,7 +170,7 @@
     boolean startReading(long now) {
         boolean overdue = underWay != null && now - takenAt > overdueAfter();
         overdue |= doubtful != null;
-        boolean needed = ordersTaken < 0 || overdue;
+        boolean needed = (ordersTaken < 0 || overdue) && absentAt < 0;
         if (reading || !needed || now - nextReadAt < 0) {
             return false;
         }
@@ -135,6 +182,7 @@
     /** Returns whether an order may be sent: while a model is loaded, engines refuse any other. */
     boolean ready() {
         return ordersTaken >= 0
+                && absentAt < 0
                 && unanswered == null
                 && !reading
                 && underWay == null
@@ -150,8 +198,31 @@
         return unanswered;
     }
 
-    /** Returns the model that is being loaded or may be. */
+    /** Returns whether a model is about to be unloaded, or is being. */
+    boolean makesRoom() {
+        return isModelUnload(unanswered) || isModelUnload(underWay);
+    }
+
+    /** Sets what is loaded once the model that is being unloaded is gone. */
+    void loadNext(ModelId model, long now) {
+        nextLoad = model;
+        nextLoadSince = now;
+    }
+
+    /** Returns what room was made for, once, unless making it has taken too long. */
+    Optional<ModelId> takeNextLoad(long now) {
+        ModelId model = nextLoad;
+        nextLoad = null;
+        boolean old = now - nextLoadSince > LONGEST_UNLOAD_NANOS;
+        return old ? Optional.empty() : Optional.ofNullable(model);
+    }
+
+    /** Returns the model that is being loaded, or may be, or is loaded next. */
     Optional<ModelId> loading() {
+        return openLoad().or(() -> Optional.ofNullable(nextLoad));
+    }
+
+    private Optional<ModelId> openLoad() {
         if (isModelLoad(underWay)) {
             return Optional.of(underWay.model());
         }
@@ -180,10 +251,12 @@
             case TAKEN -> {
                 ordersTaken = order.expectedTaken() + 1;
                 leastTaken = ordersTaken;
-                noteAdapter(order);
-                if (order.adapter().isEmpty()) {
+                boolean waitsForRuns = !order.load();
+                if (order.adapter().isEmpty() || waitsForRuns) {
                     underWay = order;
                     takenAt = now;
+                } else {
+                    noteAdapter(order);
                 }
                 unanswered = null;
             }
@@ -199,6 +272,9 @@
                     doubtful = order;
                     doubtfulSince = now;
                 }
+                if (answer == EngineAnswer.OTHER_INSTANCE) {
+                    absentAt = instance.sequence();
+                }
                 countAgain(now, REREAD_NANOS);
             }
             case UNKNOWN -> lostAt = now;
@@ -281,10 +357,14 @@
     }
 
     private boolean isLoading(ModelId model) {
-        return loading().filter(model::equals).isPresent()
+        return openLoad().filter(model::equals).isPresent()
                 || (doubtful != null && doubtful.model().equals(model));
     }
 
+    private static boolean isModelUnload(EngineOrder order) {
+        return order != null && !order.load() && order.adapter().isEmpty();
+    }
+
     private static boolean isModelLoad(EngineOrder order) {
         return order != null && order.load() && order.adapter().isEmpty();
     }
@@ -304,6 +384,9 @@
     }
 
     private long overdueAfter() {
+        if (underWay.adapter().isPresent()) {
+            return REREAD_NANOS;
+        }
         return underWay.fromStore() ? 5 * OVERDUE_NANOS : OVERDUE_NANOS;
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -41,6 +41,13 @@
     private static final Duration DEMAND_HALF_LIFE = Duration.ofSeconds(8);
 
     private static final long DECIDE_NANOS = Duration.ofMillis(100).toNanos();
+
+    /**
+     * At the first start engines become known within two heartbeats. A decision taken earlier saw
+     * one engine of eight and made room there for a model that three others held.
+     */
+    private static final long SETTLE_NANOS = Duration.ofMillis(2500).toNanos();
+
     private static final String ANY_VERSION = "";
 
     private final PlacementPolicy policy;
@@ -51,6 +58,8 @@
     private final Map<ModelId, Long> starvedSince = new HashMap<>();
     private Map<ServiceName, EngineSpec> specs = Map.of();
     private long nextDecision;
+    private boolean learning;
+    private long firstEngineAt;
 
     /**
      * Creates a keeper that knows no engine.
@@ -72,6 +81,7 @@
     /** Forgets every order: somebody else may have given others since. */
     public void restart(boolean afterAnother, long now) {
         engines.clear();
+        learning = !afterAnother;
         if (afterAnother) {
             store.assumeFull(now);
         }
@@ -84,8 +94,13 @@
             boolean serves = instance.state() == InstanceState.READY;
             if (serves && specs.containsKey(instance.service())) {
                 usable.add(instance.id());
-                engines.computeIfAbsent(instance.id(), id -> new EngineLedger(instance))
-                        .reported(instance, now);
+                EngineLedger engine = engines.get(instance.id());
+                if (engine == null) {
+                    engine = new EngineLedger(instance);
+                    firstEngineAt = engines.isEmpty() ? now : firstEngineAt;
+                    engines.put(instance.id(), engine);
+                }
+                engine.reported(instance, now);
             }
         }
         engines.keySet().retainAll(usable);
@@ -168,7 +183,7 @@
                 engine.resent();
                 effects.add(new ResidencyEffect.Send(engine.unanswered()));
             } else if (engine.ready()) {
-                nextAdapterOrder(engine).ifPresent(order -> begin(engine, order, effects, now));
+                nextOrder(engine, now).ifPresent(order -> begin(engine, order, effects, now));
             }
         }
         if (now - nextDecision >= 0) {
@@ -181,27 +196,53 @@
     private void decide(
             ServiceName service, EngineSpec spec, List<ResidencyEffect> effects, long now) {
         PlacementView view = view(service, spec, now);
+        learning &= now - firstEngineAt < SETTLE_NANOS;
+        boolean nobodyWaits = view.wants().stream().allMatch(want -> want.waiting() == 0);
+        if (learning && nobodyWaits) {
+            return;
+        }
         for (Move move : policy.decide(view)) {
             EngineLedger engine = engines.get(move.upstream());
-            if (engine == null || !engine.ready()) {
+            if (engine == null) {
                 continue;
             }
-            order(engine, spec, move, now).ifPresent(order -> begin(engine, order, effects, now));
+            ModelId model = move.artifact().id();
+            switch (move) {
+                case Move.Load ignored when engine.makesRoom() -> engine.loadNext(model, now);
+                case Move.Load ignored when engine.ready() ->
+                        modelLoad(engine, spec, model, now)
+                                .ifPresent(order -> begin(engine, order, effects, now));
+                case Move.Unload ignored when engine.ready() -> {
+                    EngineOrder order = newOrder(engine, false, model, Optional.empty(), false);
+                    begin(engine, order, effects, now);
+                }
+                default -> {
+                    // An adapter order has come first; the policy decides anew within 100 ms.
+                }
+            }
         }
     }
 
-    private Optional<EngineOrder> order(EngineLedger engine, EngineSpec spec, Move move, long now) {
-        ModelId model = move.artifact().id();
-        boolean load = move instanceof Move.Load;
-        boolean fromStore = load && !engine.instance().hasCopyAtHand(model);
+    private Optional<EngineOrder> nextOrder(EngineLedger engine, long now) {
+        EngineSpec spec = specs.get(engine.instance().service());
+        Optional<ModelId> next = engine.takeNextLoad(now);
+        Optional<EngineOrder> load =
+                spec == null
+                        ? Optional.empty()
+                        : next.flatMap(model -> modelLoad(engine, spec, model, now));
+        return load.or(() -> nextAdapterOrder(engine));
+    }
+
+    private Optional<EngineOrder> modelLoad(
+            EngineLedger engine, EngineSpec spec, ModelId model, long now) {
+        boolean fromStore = !engine.instance().hasCopyAtHand(model);
         Optional<ModelWeights> weights = spec.model(model);
-        if (load) {
-            boolean fits = weights.isPresent() && weights.get().weightsMb() <= engine.freeMb(spec);
-            if (!fits || (fromStore && store.left(now) < 1)) {
-                return Optional.empty();
-            }
+        boolean fits = weights.isPresent() && weights.get().weightsMb() <= engine.freeMb(spec);
+        boolean held = engine.instance().copyOf(model).isPresent();
+        if (!fits || held || (fromStore && store.left(now) < 1)) {
+            return Optional.empty();
         }
-        return Optional.of(newOrder(engine, load, model, Optional.empty(), fromStore));
+        return Optional.of(newOrder(engine, true, model, Optional.empty(), fromStore));
     }
 
     private Optional<EngineOrder> nextAdapterOrder(EngineLedger engine) {
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -73,6 +73,25 @@
         assertThat(sentTo(need(Optional.of("a1")))).contains("a");
     }
 
+    @Test
+    void modelThatIsLoadedAgainSoonAfterItsUnloadServesAtOnce() {
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.residency(new UpstreamId("a"), MODEL, Optional.empty(), false, NOW);
+        dispatcher.changed(instance("a", 2, "other"));
+        dispatcher.changed(instance("a", 3, "m", "other"));
+        assertThat(sentTo(need(Optional.empty()))).contains("a");
+    }
+
+    @Test
+    void adaptersThatWereToldOfLeaveWithTheirModel() {
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.residency(new UpstreamId("a"), MODEL, Optional.of("a1"), true, NOW);
+        dispatcher.changed(instance("a", 2, "other"));
+        dispatcher.changed(instance("a", 3, "m"));
+        assertThat(dispatcher.choose(need(Optional.of("a1")), id -> true, NOW))
+                .isInstanceOf(Choice.AdapterMissing.class);
+    }
+
     @Test
     void modelThatIsAboutToGoGetsNothingNew() {
         dispatcher.changed(instance("a", 1, "m"));
