In calm, weights that one engine alone keeps are brought to a second one

Loads from the store displace a copy at hand, which had been charged too little where it was one of two.

What it is: the risk of a model falls by the square of the engines that keep its weights (20 for one, 40 for none); a load from the store gains by it and pays by the mean risk of what may give way, and only while no request waits.

NearestCopyPolicyTest 12, ResidencyKeeperTest, ControlHostsTest and RequestStoryTest green.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
@@ -53,14 +53,19 @@
     public boolean take(long now) {
         forget(requests, now);
         forget(resends, now);
-        double allowed = USED_SHARE * (ratio * requests.size() + commonSlack / hosts);
-        if (resends.size() + 1 > allowed) {
+        if (left() < 1) {
             return false;
         }
         resends.addLast(now);
         return true;
     }
 
+    /** Returns how many resends are left, as of the last request or resend. */
+    public double left() {
+        double allowed = USED_SHARE * (ratio * requests.size() + commonSlack / hosts);
+        return allowed - resends.size();
+    }
+
     private void forget(Deque<Long> times, long now) {
         while (!times.isEmpty() && now - times.peekFirst() > windowNanos) {
             times.removeFirst();
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -71,18 +71,18 @@
     /** Even for a waiting model: requests for the copy that has come last need time to be sent. */
     private static final Duration LEAST_RESIDENCE_WHILE_WAITED_FOR = Duration.ofMillis(1500);
 
-    /** A model whose weights no engine keeps at hand cannot be served within a deadline at all. */
-    private static final double AT_HAND_WORTH = 20;
-
     /** A further copy serves more where it is in another zone, which may be cut off. */
     private static final double SAME_ZONE_COST = 2;
 
     /**
-     * A copy at hand that gives way costs this where it is the only one, and by the square of their
-     * number less where there are others. On one day of trouble the six disks that had kept a model
-     * lost it to loads of others; asked for 12 times a second, it was then refused 114 times.
+     * The risk of a model whose weights one engine alone keeps at hand; it falls by the square of
+     * their number. On one day of trouble the six disks that had kept a model lost it to loads of
+     * others; asked for 12 times a second, it was then refused 114 times.
      */
-    private static final double LAST_HOME_WORTH = 20;
+    private static final double ONE_HOME_RISK = 20;
+
+    /** A model whose weights no engine keeps at hand cannot be served within a deadline at all. */
+    private static final double NO_HOME_RISK = 40;
 
     /**
      * Engines that load from the weight store take no other order for that long: at most a third of
@@ -150,8 +150,8 @@
             return;
         }
         Place place = best.get();
-        boolean nowhere = !atHand(planning, want) && !planning.planned(want.artifact());
-        double gain = nextWorth(planning, want) + (nowhere ? AT_HAND_WORTH : 0);
+        boolean newHome = place.fromStore() && !planning.planned(want.artifact());
+        double gain = nextWorth(planning, want) + (newHome ? homeGain(planning, want) : 0);
         if (gain > effort(place)) {
             take(planning, want, place);
         }
@@ -218,10 +218,6 @@
         return planning.loadsLeft() > 0 && loading < most;
     }
 
-    private static boolean atHand(Planning planning, PlacementView.Want want) {
-        return homes(planning, want.artifact().id()) > 0;
-    }
-
     private static Optional<Place> placeOn(
             Planning planning,
             PlacementView.Seat seat,
@@ -266,11 +262,26 @@
         return seat.nearCopies().keySet().stream()
                 .filter(model -> !seat.holds(model))
                 .mapToLong(model -> homes(planning, model))
-                .mapToDouble(homes -> LAST_HOME_WORTH / (homes * homes))
+                .mapToDouble(homes -> homesRisk(homes - 1) - homesRisk(homes))
                 .average()
                 .orElse(0);
     }
 
+    /**
+     * Returns what one more engine with a model's weights at hand is worth: a further one nothing
+     * while requests wait, for which the engines should be free.
+     */
+    private static double homeGain(Planning planning, PlacementView.Want want) {
+        long homes = homes(planning, want.artifact().id());
+        boolean calm = planning.view().wants().stream().allMatch(other -> other.waiting() == 0);
+        return homes == 0 || calm ? homesRisk(homes) - homesRisk(homes + 1) : 0;
+    }
+
+    /** Returns the expected loss by a model whose weights some engines keep at hand. */
+    private static double homesRisk(long homes) {
+        return homes == 0 ? NO_HOME_RISK : ONE_HOME_RISK / (homes * homes);
+    }
+
     /** Returns how many seats hold a model or keep its weights at hand. */
     private static long homes(Planning planning, ModelId model) {
         return planning.view().seats().stream()
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -130,6 +130,11 @@
 
     /** Takes in that an entry host cannot connect to an instance. */
     void unreachable(InstanceUnreachable told) {
+        logger.info(
+                "upstream.unreachable id={} by={} refused={}",
+                told.getInstance(),
+                told.getHost(),
+                told.getRefused());
         keeper.unreachable(
                 new UpstreamId(told.getInstance()), new HostId(told.getHost()), told.getRefused());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
@@ -57,13 +57,14 @@
 
     private static boolean concerns(LogLine line, Set<String> instances, Set<String> models) {
         return switch (line.event()) {
-            case "instance.changed", "upstream.changed", "upstream.left" ->
+            case "instance.changed", "upstream.changed", "upstream.left", "upstream.unreachable" ->
                     instances.contains(line.field(ID));
             case "order.answered" ->
                     instances.contains(line.field(INSTANCE)) || models.contains(line.field(MODEL));
             case "routes.in-force",
                     "control.leads",
                     "orders.take-over",
+                    "orders.begin",
                     "daemon.started",
                     "daemon.draining",
                     "control-host.connected",
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -32,6 +33,7 @@
     private final PeerTransport transport;
     private final Consumer<HostId> onConnected;
     private final Map<HostId, Long> lastUp = new LinkedHashMap<>();
+    private final Set<HostId> up = ConcurrentHashMap.newKeySet();
     private Set<HostId> seeds;
 
     /**
@@ -75,13 +77,18 @@
         return new ArrayList<>(lastUp.keySet());
     }
 
-    /** Forgets hosts that have been away for long. */
+    /** Notes which connections are down, and forgets hosts that have been away for long. */
     public synchronized void sweep() {
         long now = System.nanoTime();
         for (HostId host : all()) {
             if (transport.connected(host)) {
                 lastUp.put(host, now);
-            } else if (!seeds.contains(host) && now - lastUp.get(host) > FORGET_NANOS) {
+                continue;
+            }
+            if (up.remove(host)) {
+                logger.info("control-host.lost host={}", host);
+            }
+            if (!seeds.contains(host) && now - lastUp.get(host) > FORGET_NANOS) {
                 lastUp.remove(host);
                 transport.unlink(host);
                 logger.info("control-host.forgotten host={}", host);
@@ -113,6 +120,7 @@
     }
 
     private void connected(HostId host) {
+        up.add(host);
         logger.info("control-host.connected host={}", host);
         transport.send(host, introduction(false));
         onConnected.accept(host);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -140,6 +140,7 @@
         metrics.state("routes_version", routes == null ? -1.0 : (double) routes.version());
         metrics.state("instances", dispatcher.instances().size());
         metrics.state("waiting", waiting.size());
+        metrics.state("resends_left", retries.left());
         metrics.state("caller_connections", connections.size());
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -73,6 +73,7 @@
     /** Notes that the answer has begun to come. */
     void begun() {
         firstMillis = ageMillis();
+        metrics.reached("first", System.nanoTime() - arrivedAt);
     }
 
     void answered(int status, OptionalLong lastEvent, int sends) {
