--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -67,9 +67,8 @@
 
     private final Reachability reachability;
     private boolean lost;
-
+    private boolean heard;
     private final Map<ModelId, Long> since = new HashMap<>();
-
     private final AdapterSlots slots = new AdapterSlots();
     private final Deque<AdapterKey> wanted = new ArrayDeque<>();
 
@@ -92,30 +91,40 @@
         return lost;
     }
 
+    /** Takes in what the engine said last, which may be what it had said before. */
     void reported(Instance report, long now) {
-        boolean first = since.isEmpty() && instance.sequence() == report.sequence();
-        if (first || report.sequence() > instance.sequence()) {
-            reachability.heard(now);
-        }
-        long seen = first ? now - HELD_BEFORE_NANOS : now;
+        boolean newer = !heard || report.sequence() > instance.sequence();
         instance = report;
-        slots.reported(report);
-        for (ModelCopy copy : report.models()) {
-            since.putIfAbsent(copy.model(), seen);
+        if (newer) {
+            takeIn(report, now);
         }
+        endModelOrder();
+        lost = absentAt >= 0 || reachability.lost(now);
+    }
+
+    private void takeIn(Instance report, long now) {
+        reachability.heard(now);
+        absentAt = -1;
+        slots.reported(report);
+        long seen = heard ? now : now - HELD_BEFORE_NANOS;
+        heard = true;
+        report.models().forEach(copy -> since.putIfAbsent(copy.model(), seen));
         since.keySet().removeIf(model -> report.copyOf(model).isEmpty());
+    }
+
+    /** The heartbeat that shows an order done may come before the answer to the order. */
+    private void endModelOrder() {
         boolean concernsModel = underWay != null && underWay.adapter().isEmpty();
-        if (concernsModel && report.copyOf(underWay.model()).isPresent() == underWay.load()) {
-            if (!underWay.load()) {
-                forgetReading(underWay.model());
-                slots.unloaded(underWay.model());
-            }
-            underWay = null;
+        boolean done =
+                concernsModel && instance.copyOf(underWay.model()).isPresent() == underWay.load();
+        if (!done) {
+            return;
         }
-        if (absentAt >= 0 && report.sequence() > absentAt) {
-            absentAt = -1;
+        if (!underWay.load()) {
+            forgetReading(underWay.model());
+            slots.unloaded(underWay.model());
         }
-        lost = absentAt >= 0 || reachability.lost(now);
+        underWay = null;
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
@@ -292,6 +292,33 @@
         assertThat(onlyOrder().load()).as("room is made for it").isFalse();
     }
 
+    @Test
+    void heartbeatThatComesBeforeTheAnswerToAnUnloadStillEndsIt() {
+        keeper.known(List.of(instance("e", 1, "a", "c")), now);
+        count(0, false);
+        waitsFor("b");
+        EngineOrder room = onlyOrder();
+        String left = room.model().value().equals("a") ? "c" : "a";
+        keeper.known(List.of(instance("e", 2, left)), now);
+        keeper.answered(room, EngineAnswer.TAKEN, now);
+        keeper.known(List.of(instance("e", 2, left)), now);
+        assertThat(onlyOrder()).matches(order -> order.load() && order.model().value().equals("b"));
+    }
+
+    @Test
+    void engineThatHoldsNothingIsMissedAsWell() {
+        keeper.known(List.of(instance("e", 1, "a", "c"), instance("empty", 1)), now);
+        count(0, false);
+        keeper.read(new UpstreamId("empty"), new EngineReport(0, false, List.of()), now);
+        keeper.unreachable(new UpstreamId("empty"), new HostId("h"), true);
+        for (int tick = 0; tick < 40; tick++) {
+            pass(50);
+            keeper.known(List.of(instance("e", 2, "a", "c"), instance("empty", 1)), now);
+        }
+        waitsFor("b");
+        assertThat(orders()).noneMatch(order -> order.instance().value().equals("empty"));
+    }
+
     @Test
     void engineThatRefusesAConnectionAndGoesOnReportingIsCountedOn() {
         keeper.known(List.of(instance("e", 1, "a", "c"), instance("other", 1, "b")), now);
