--- a/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
@@ -33,6 +33,10 @@
                             "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
                             "\"10.1.0.40:8144\",\"10.2.0.43:8144\""),
                     Map.entry("{{#bootstrap}}1{{/bootstrap}}{{^bootstrap}}0{{/bootstrap}}", "1"),
+                    Map.entry(
+                            "{{#bounds.require-fencing}}1{{/bounds.require-fencing}}"
+                                    + "{{^bounds.require-fencing}}0{{/bounds.require-fencing}}",
+                            "1"),
                     Map.entry("{{listen.front}}", "10.1.0.38:8149"),
                     Map.entry("{{listen.ready}}", "10.1.0.38:8141"),
                     Map.entry("{{listen.control}}", "10.1.0.40:8144"),
@@ -48,6 +52,7 @@
         assertThat(settings.firstStart()).isTrue();
         assertThat(settings.limits().retryRatio()).isEqualTo(0.2);
         assertThat(settings.limits().stopGrace()).hasSeconds(8);
+        assertThat(settings.limits().fenceChecked()).isTrue();
         assertThat(settings.seedPeers())
                 .extracting(Object::toString)
                 .containsExactly("10.1.0.40:7380", "10.2.0.43:7380");
