What only the system may ask of an upstream is dropped from callers' requests

Cause: callers send holds, pins, backups and copies of their own making; engines refuse a hold they never gave, and a run under such a header is not the caller's to ask for. Ruled out: full engines (occupancy 0 to 5 of 48). The new test fails without the list (503 instead of 200).

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestCopy.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestCopy.java
@@ -11,7 +11,8 @@
 import java.util.OptionalLong;
 
 /**
- * Makes what an instance gets of a caller's request: the same, but for one connection's headers.
+ * Makes what an instance gets of a caller's request: the same, but for one connection's headers and
+ * those that only the system may send.
  */
 final class RequestCopy {
 
@@ -38,6 +39,7 @@
                         request.target(),
                         Unpooled.wrappedBuffer(request.body()));
         Answers.copyHeaders(request.headers(), copy.headers());
+        Headers.SYSTEM_ONLY.forEach(copy.headers()::remove);
         boolean hasBody =
                 request.body().length > 0
                         || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.platform.Headers;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -48,6 +50,46 @@
         }
     }
 
+    @Test
+    void callerCannotAskAnEngineForWhatIsTheSystems() throws Exception {
+        ScriptedUpstream.Script engine =
+                (request, to) -> {
+                    boolean foreignHold = !request.header("x-hold").isEmpty();
+                    if (foreignHold) {
+                        to.plain(request, 503, "", "X-Not-Run: no such hold");
+                    } else {
+                        to.plain(request, 200, "ok");
+                    }
+                };
+        try (ScriptedUpstream upstream = upstream(engine)) {
+            RawHttp.Message answer =
+                    fleet.call(
+                            1,
+                            lines(
+                                    "GET /once/x HTTP/1.1",
+                                    "Host: a.example",
+                                    "X-Request-Id: r1",
+                                    "X-Hold: h1",
+                                    "x-pin-ms: 4000",
+                                    "X-Kv-Backup: 10.0.0.1:80",
+                                    "KV-FROM: 10.0.0.1:80/h1",
+                                    "Kv-Fetch: 10.0.0.1:80",
+                                    "X-Request-Priority: 0",
+                                    "X-Expect-Instance: i-9",
+                                    "X-Length-Hint: 80",
+                                    "",
+                                    ""));
+            assertThat(answer.status()).isEqualTo(200);
+            RawHttp.Message seen = upstream.requests().getFirst();
+            for (String name : Headers.SYSTEM_ONLY) {
+                boolean setHere = name.equals(Headers.EXPECTED_INSTANCE);
+                assertThat(seen.header(name.toLowerCase(Locale.ROOT)))
+                        .isEqualTo(setHere ? "i-1" : "");
+            }
+            assertThat(seen.header("x-length-hint")).isEqualTo("80");
+        }
+    }
+
     @Test
     void resetAfterTheSendIsNoRefusal() throws Exception {
         try (ScriptedUpstream upstream = upstream((request, to) -> to.reset())) {
