A voter whose disk was full takes part again once it can write

Now the replica begins anew from its storage, as at a start of its process: what is read back is written anew before it counts, as a failed sync may have lost it; entries applied before are not applied a second time; a lease may have been granted until that moment. In memory alone nothing is begun anew.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -21,6 +21,7 @@
 import io.stackhall.server.storage.DataFolder;
 import io.stackhall.server.storage.DiskStorage;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -64,8 +65,7 @@
         this.transport = transport;
         this.hosts = hosts;
         this.folder = DataFolder.open(control.dataFolder());
-        DiskStorage storage =
-                DiskStorage.open(folder.resolve("groups").resolve(GROUP), random, LEAST_FREE_BYTES);
+        Path saved = folder.resolve("groups").resolve(GROUP);
         int voters = 2 * settings.limits().hostLossesBorne() + 1;
         ReplicaSettings times =
                 new ReplicaSettings(
@@ -76,7 +76,7 @@
                         settings.peerName().value(),
                         founders(),
                         times,
-                        storage,
+                        () -> DiskStorage.open(saved, random, LEAST_FREE_BYTES),
                         log,
                         new Wire(),
                         listener,
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -12,6 +12,7 @@
 import io.stackhall.core.replication.Role;
 import io.stackhall.core.replication.Snapshot;
 import io.stackhall.server.storage.ReplicaStorage;
+import io.stackhall.server.storage.StorageOpener;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,7 +32,9 @@
  * Runs one replica on a thread of its own: feeds it events and carries its effects out in order.
  *
  * <p>Commands that wait together are appended and synced together. If the storage fails, the
- * replica takes no further part, and the process goes on serving what it knows.
+ * replica takes no part until the storage can be opened, read and written again; then it begins
+ * anew from what was saved, as at a start of its process. A write that failed has been answered
+ * nowhere.
  */
 public final class GroupHost implements AutoCloseable {
 
@@ -42,9 +45,15 @@
     private static final long HAND_OVER_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int COMPACT_AFTER_ENTRIES = 4000;
 
+    /** A disk is used again this long after it has room; a voter that flaps disturbs the others. */
+    private static final long REOPEN_MILLIS = 500;
+
     private final String group;
-    private final Replica replica;
-    private final ReplicaStorage storage;
+    private final String host;
+    private final Set<String> members;
+    private final ReplicaSettings settings;
+    private final StorageOpener opener;
+    private final RandomGenerator random;
     private final GroupState state;
     private final GroupWire wire;
     private final GroupListener listener;
@@ -53,6 +62,8 @@
     private final Map<Long, Long> ticketByIndex = new HashMap<>();
     private final Map<Long, byte[]> questions = new HashMap<>();
     private final Thread thread;
+    private Replica replica;
+    private ReplicaStorage storage;
     private long nextTicket = 1;
     private long appliedIndex;
     private boolean unsynced;
@@ -67,38 +78,47 @@
      *
      * @param aliveSince when its process had certainly started, on the monotonic clock in
      *     nanoseconds: it has granted no lease after that
+     * @throws IOException if the storage cannot be opened
      */
     public GroupHost(
             String group,
             String host,
             Set<String> members,
             ReplicaSettings settings,
-            ReplicaStorage storage,
+            StorageOpener opener,
             GroupState state,
             GroupWire wire,
             GroupListener listener,
             RandomGenerator random,
-            long aliveSince) {
+            long aliveSince)
+            throws IOException {
         this.group = group;
-        this.storage = storage;
+        this.host = host;
+        this.members = Set.copyOf(members);
+        this.settings = settings;
+        this.opener = opener;
+        this.random = random;
+        this.storage = opener.open();
         this.state = state;
         this.wire = wire;
         this.listener = listener;
-        ReplicaId id = new ReplicaId(host, storage.incarnation());
-        this.replica =
-                new Replica(
-                        id,
-                        storage.durable(),
-                        members,
-                        settings,
-                        random,
-                        storage.saved(),
-                        aliveSince);
+        this.replica = newReplica(aliveSince);
         restore(storage.saved().snapshot());
         this.view = ReplicaView.of(replica);
         this.thread = new Thread(this::run, "group-" + group);
     }
 
+    private Replica newReplica(long aliveSince) {
+        return new Replica(
+                new ReplicaId(host, storage.incarnation()),
+                storage.durable(),
+                members,
+                settings,
+                random,
+                storage.saved(),
+                aliveSince);
+    }
+
     /** Starts the thread. */
     public void start() {
         thread.start();
@@ -198,14 +218,71 @@
                 break;
             } catch (IOException | RuntimeException e) {
                 fail(e);
-                break;
+                batch.forEach(GroupHost::refuse);
+                batch.clear();
+                if (!beginAgain()) {
+                    break;
+                }
             }
         }
         failed = true;
+        refuseInputs();
+        endAll(new CommandOutcome.Unknown("the replica has stopped"));
+    }
+
+    /**
+     * Waits until the storage can be used, and begins anew from it.
+     *
+     * @return whether it could; what is kept in memory alone is lost for good
+     */
+    private boolean beginAgain() {
+        endAll(new CommandOutcome.Unknown("the replica's storage has failed"));
+        ticketByIndex.clear();
+        questions.clear();
+        while (!closed && storage.durable()) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(REOPEN_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+            refuseInputs();
+            if (reopen()) {
+                failed = false;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Opens the storage again. After a failed sync, what is read back may not be on the disk, so
+     * that all of it is written anew first.
+     */
+    private boolean reopen() {
+        try {
+            storage.close();
+            storage = opener.open();
+            storage.saveSnapshot(storage.saved().snapshot(), false);
+        } catch (IOException | RuntimeException e) {
+            logger.warn("group.storage-unusable group={} cause={}", group, e.toString());
+            return false;
+        }
+        replica = newReplica(System.nanoTime());
+        unsynced = false;
+        view = ReplicaView.of(replica);
+        logger.info(
+                "group.storage-back group={} applied={} term={}",
+                group,
+                appliedIndex,
+                replica.term());
+        return true;
+    }
+
+    private void refuseInputs() {
         List<GroupInput> left = new ArrayList<>();
         inputs.drainTo(left);
         left.forEach(GroupHost::refuse);
-        endAll(new CommandOutcome.Unknown("the replica has stopped"));
     }
 
     private void take(List<GroupInput> batch) throws IOException {
@@ -306,7 +383,13 @@
         }
     }
 
+    /**
+     * An entry that was applied before the storage failed is committed, and applied no second time.
+     */
     private void apply(Entry entry) {
+        if (entry.index() <= appliedIndex) {
+            return;
+        }
         byte[] result = new byte[0];
         switch (entry.payload()) {
             case Payload.Command(byte[] bytes) -> result = state.apply(bytes);
@@ -363,6 +446,7 @@
         logger.error("group.failed group={} {}", group, cause.toString(), cause);
         failed = true;
         if (leading) {
+            leading = false;
             listener.led(false);
         }
     }
@@ -380,9 +464,7 @@
             case GroupInput.Event ignored -> {
                 // Nobody waits for it.
             }
-            case GroupInput.Task ignored -> {
-                // Nobody waits for it.
-            }
+            case GroupInput.Task(Runnable task) -> task.run();
         }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -109,7 +109,7 @@
                         settings.host().value(),
                         names,
                         replicaSettings(),
-                        storage(group),
+                        () -> storage(group),
                         state,
                         new Wire(members),
                         listener,
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/group/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of replicas on threads of their own. */
+package io.stackhall.server.group;
