Hosts tell each other of their work at engines; places follow what engines have shown they can do

First events took 27 to 97 ms (median) of requests that found up to 55 others at an engine of 48 slots, 253 ms with 56 to 63, 442 ms with 64 to 71. Now hosts report seven times a second, through the control hosts, what they have at each instance; the sum counts as occupancy unless the instance tells itself. The rate that keeps an engine busy is learned from answers: up where few are slow, down where many are.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -220,7 +220,7 @@
     }
 
     /** Notes that a request has left an instance, however. */
-    public void ended(Sending sending) {
+    public void ended(Sending sending, long now) {
         if (!sending.markEnded()) {
             return;
         }
@@ -228,7 +228,7 @@
         if (sending.markAnswered()) {
             load.answered(sending.tokens(), sending.startedAt());
         }
-        load.ended();
+        load.ended(now - sending.startedAt());
     }
 
     /** Notes that an instance has given a whole answer. */
@@ -252,6 +252,26 @@
         load(id).told(runningAndWaiting, now);
     }
 
+    /** Takes in how many requests the other hosts have at each instance. */
+    public void othersTold(Map<UpstreamId, Integer> work, long now) {
+        for (UpstreamId id : instances.keySet()) {
+            load(id).othersTold(work.getOrDefault(id, 0), now);
+        }
+    }
+
+    /** Takes what this host has to tell of each instance since it told last. */
+    public Map<UpstreamId, InstanceWork> takeWork() {
+        Map<UpstreamId, InstanceWork> all = new HashMap<>();
+        loads.forEach(
+                (id, load) -> {
+                    InstanceWork work = load.takeWork();
+                    if (!work.isNothing()) {
+                        all.put(id, work);
+                    }
+                });
+        return all;
+    }
+
     /** Returns requests that an instance runs or queues, as far as is known. */
     public double occupancy(UpstreamId id, long now) {
         return load(id).occupancy(now);
@@ -303,7 +323,7 @@
         double placesPerSecond = 0;
         for (Instance instance : holders) {
             InstanceLoad load = load(instance.id());
-            placesPerSecond += load.placesPerSecond();
+            placesPerSecond += load.placesPerSecond(engine.slots(), now);
             if (load.occupancy(now) >= engine.slots() || !load.takesPrompt(late, now)) {
                 continue;
             }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -15,6 +15,14 @@
     /** Told loads count half after this time: they describe others' work, which comes and goes. */
     private static final long REPORT_HALF_LIFE_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** So short that the window alone decides until the first answers tell. */
+    private static final double FIRST_STAY_NANOS = Duration.ofMillis(100).toNanos();
+
+    /** One in this many requests counts in the mean time that they stay. */
+    private static final double STAY_MEMORY = 16;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
     /** One in this many outcomes counts in the share of failures. */
     private static final double FAILURE_MEMORY = 8;
 
@@ -34,6 +42,10 @@
     private long pendingTokens;
     private double others;
     private long othersToldAt;
+    private boolean tellsItself;
+    private int answers;
+    private int slowAnswers;
+    private double meanStayNanos = FIRST_STAY_NANOS;
     private long lastBegun;
     private boolean begun;
     private long suspectedUntil;
@@ -55,6 +67,16 @@
      */
     void firstEvent(long startedAt, long now, Duration objective) {
         window.answeredAfter(now - startedAt, objective);
+        answers++;
+        slowAnswers += PromptWindow.slow(now - startedAt, objective) ? 1 : 0;
+    }
+
+    /** Takes what there is to tell other hosts. */
+    InstanceWork takeWork() {
+        InstanceWork work = new InstanceWork(running, answers, slowAnswers);
+        answers = 0;
+        slowAnswers = 0;
+        return work;
     }
 
     /**
@@ -67,9 +89,14 @@
         return window.admits(unanswered.size(), late, sinceLast);
     }
 
-    /** Returns how many requests a second this host can send here. */
-    double placesPerSecond() {
-        return window.placesPerSecond();
+    /**
+     * Returns how many requests a second this host can send here: what its window allows, or its
+     * share of the slots that come free, whichever is less.
+     */
+    double placesPerSecond(int slots, long now) {
+        double share = Math.max(1, running) / Math.max(1, occupancy(now));
+        double freed = slots * share * NANOS_PER_SECOND / meanStayNanos;
+        return Math.min(window.placesPerSecond(), freed);
     }
 
     void answered(long tokens, long startedAt) {
@@ -77,13 +104,31 @@
         unanswered.removeFirstOccurrence(startedAt);
     }
 
-    void ended() {
+    /**
+     * Notes that a request has left.
+     *
+     * @param nanos how long it was here
+     */
+    void ended(long nanos) {
         running = Math.max(0, running - 1);
+        meanStayNanos += (nanos - meanStayNanos) / STAY_MEMORY;
     }
 
+    /** Takes in the instance's own word, which counts all hosts' requests. */
     void told(int runningAndWaiting, long now) {
         others = Math.max(0, runningAndWaiting - running);
         othersToldAt = now;
+        tellsItself = true;
+    }
+
+    /** Takes in what other hosts say of their requests, unless the instance has told of late. */
+    void othersTold(int requests, long now) {
+        if (tellsItself && now - othersToldAt < REPORT_HALF_LIFE_NANOS) {
+            return;
+        }
+        others = requests;
+        othersToldAt = now;
+        tellsItself = false;
     }
 
     void suspect(long now) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PromptWindow.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PromptWindow.java
@@ -51,11 +51,16 @@
         meanNanos += (nanos - meanNanos) / MEMORY;
         if (nanos <= QUICK_SHARE * objective.toNanos()) {
             limit = Math.min(MOST, limit + Math.min(limit, 1 / limit));
-        } else if (nanos >= SLOW_SHARE * objective.toNanos()) {
+        } else if (slow(nanos, objective)) {
             limit = Math.max(LEAST, limit * DECREASE);
         }
     }
 
+    /** Returns whether a first event took so long that the next one will be late. */
+    static boolean slow(long nanos, Duration objective) {
+        return nanos >= SLOW_SHARE * objective.toNanos();
+    }
+
     /**
      * Returns whether one more prompt may be sent beside those without an event.
      *
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -40,12 +40,6 @@
     /** The worth of a further copy, for each request a second and each mean service time saved. */
     private static final double RELIEF_WORTH = 0.5;
 
-    /**
-     * Requests a second that keep one engine busy beside what else it serves: it reads 19 prompt
-     * tokens a millisecond, and a prompt has some 1,800 that no other request shares.
-     */
-    private static final double SATURATING_RATE = 8;
-
     /** Up to this utilization the queue is that of one server with random arrivals. */
     private static final double QUEUE_KNEE = 0.8;
 
@@ -88,7 +82,8 @@
      * Engines that load from the weight store take no other order for that long: at most a third of
      * them, and beside these as many for models that are asked for often. On one calm day two loads
      * of rare models kept the busiest one from its second copy for 9 s. Before the first request
-     * all of them may, so that weights have more homes when demand begins.
+     * all of them may, so that weights have more homes when demand begins. A model that is asked
+     * for often and nowhere does not wait for the loads of others.
      */
     private static final int SEATS_PER_STORE_LOAD = 3;
 
@@ -149,7 +144,7 @@
         if (planning.planned(want.artifact())) {
             return;
         }
-        double worth = worth(want, 1) + want.starvedSeconds();
+        double worth = worth(planning, want, 1) + want.starvedSeconds();
         cheapest(planning, want, LEAST_RESIDENCE_WHILE_WAITED_FOR)
                 .filter(place -> place.loss() <= worth)
                 .ifPresent(place -> take(planning, want, place));
@@ -345,7 +340,7 @@
     /** Returns what one more copy is worth, beside those that are there or coming. */
     private static double nextWorth(Planning planning, PlacementView.Want want) {
         int next = planning.copies(want.artifact()) + planning.coming(want.artifact()) + 1;
-        return worth(want, next);
+        return worth(planning, want, next);
     }
 
     /** Returns what is lost with one of the copies there are. */
@@ -356,7 +351,7 @@
         }
         int copies = Math.max(1, planning.copies(held.artifact()));
         boolean rare = copies == 1 && nearSeats(planning, held.artifact().id()) <= 1;
-        return worth(want.get(), copies)
+        return worth(planning, want.get(), copies)
                 + recency(planning, want.get())
                 + (rare ? RARE_COPY_WORTH : 0);
     }
@@ -367,12 +362,13 @@
                 .count();
     }
 
-    private static double worth(PlacementView.Want want, int copy) {
+    private static double worth(Planning planning, PlacementView.Want want, int copy) {
         double rate = want.ratePerSecond();
         if (copy <= 1) {
             return FIRST_COPY_WORTH * rate + IDLE_COPY_WORTH + want.waiting();
         }
-        double relief = queueing(rate / (copy - 1)) - queueing(rate / copy);
+        double most = planning.view().saturatingRate();
+        double relief = queueing(rate / (copy - 1) / most) - queueing(rate / copy / most);
         double spare = copy == 2 ? SPARE_COPY_WORTH * rate : 0;
         return RELIEF_WORTH * rate * relief + spare;
     }
@@ -380,8 +376,7 @@
     /**
      * Returns the mean wait at an engine, in service times; beyond the knee it goes on straight.
      */
-    private static double queueing(double rate) {
-        double utilization = rate / SATURATING_RATE;
+    private static double queueing(double utilization) {
         if (utilization <= QUEUE_KNEE) {
             return utilization / (1 - utilization);
         }
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
@@ -15,9 +15,19 @@
  * @param seats the upstreams that may be given orders, in a fixed order
  * @param wants the deployed models and adapters
  * @param loadsAllowed how many loads the weight store's limits allow now
+ * @param saturatingRate requests a second that keep one upstream busy
  * @param now the monotonic clock, in nanoseconds
  */
-public record PlacementView(List<Seat> seats, List<Want> wants, int loadsAllowed, long now) {
+public record PlacementView(
+        List<Seat> seats, List<Want> wants, int loadsAllowed, double saturatingRate, long now) {
+
+    /** Stands for a capacity that nobody has told. */
+    private static final double UNKNOWN_RATE = 8;
+
+    /** Creates a view of upstreams whose capacity is not known. */
+    public PlacementView(List<Seat> seats, List<Want> wants, int loadsAllowed, long now) {
+        this(seats, wants, loadsAllowed, UNKNOWN_RATE, now);
+    }
 
     /** Copies the lists. */
     public PlacementView {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
@@ -48,14 +48,14 @@
      *
      * @param storeLoads how many loads from the weight store may begin now
      */
-    PlacementView view(ModelDemand demand, int storeLoads, long now) {
+    PlacementView view(ModelDemand demand, int storeLoads, double saturatingRate, long now) {
         List<PlacementView.Seat> seats = new ArrayList<>();
         engines.forEach(engine -> seats.add(seat(engine)));
         List<PlacementView.Want> wants = new ArrayList<>();
         for (ModelWeights weights : spec.models().values()) {
             wants.add(want(weights, seats, demand, now));
         }
-        return new PlacementView(seats, wants, storeLoads, now);
+        return new PlacementView(seats, wants, storeLoads, saturatingRate, now);
     }
 
     private PlacementView.Seat seat(EngineLedger engine) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -1,5 +1,6 @@
 package io.stackhall.core.residency;
 
+import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.fleet.ModelCopy;
@@ -46,6 +47,7 @@
     private final Duration heartbeat;
     private final StoreWindow store;
     private final ModelDemand demand = new ModelDemand();
+    private final EngineCapacity capacity = new EngineCapacity();
     private final Map<AdapterKey, Long> adapterUsed = new HashMap<>();
     private final Map<UpstreamId, EngineLedger> engines = new LinkedHashMap<>();
     private Map<ServiceName, EngineSpec> specs = Map.of();
@@ -106,6 +108,13 @@
         demand.reported(host, arrivals, waiting, now);
     }
 
+    /** Takes in what an entry host says of its requests at instances. */
+    public void worked(Map<UpstreamId, InstanceWork> work, long now) {
+        Map<UpstreamId, InstanceWork> ofEngines = new HashMap<>(work);
+        ofEngines.keySet().retainAll(engines.keySet());
+        capacity.worked(ofEngines, now);
+    }
+
     /**
      * Notes that a host cannot connect to an engine.
      *
@@ -223,7 +232,7 @@
             views.copies().forEach(demand::expect);
             learning = now - firstEngineAt < SETTLE_NANOS;
         }
-        PlacementView view = views.view(demand, store.left(now), now);
+        PlacementView view = views.view(demand, store.left(now), capacity.perSecond(), now);
         boolean nobodyWaits = view.wants().stream().allMatch(want -> want.waiting() == 0);
         if (learning && nobodyWaits) {
             return;
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -194,8 +194,8 @@
             if (count % 2 == 0) {
                 dispatcher.answered(sending, NOW);
             }
-            dispatcher.ended(sending);
-            dispatcher.ended(sending);
+            dispatcher.ended(sending, NOW);
+            dispatcher.ended(sending, NOW);
         }
         assertThat(dispatcher.occupancy(new UpstreamId("a"), NOW)).isZero();
         assertThat(sentTo(need(Optional.empty()))).contains("a");
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/WorkReportsTest.java
@@ -0,0 +1,50 @@
+package io.stackhall.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What hosts tell each other of the work at instances. */
+class WorkReportsTest {
+
+    private static final UpstreamId ENGINE = new UpstreamId("e");
+    private static final HostId ONE = new HostId("one");
+    private static final HostId TWO = new HostId("two");
+    private static final HostId THREE = new HostId("three");
+    private static final long NOW = 1;
+
+    private final WorkReports reports = new WorkReports();
+
+    @Test
+    void hostIsToldTheWorkOfAllOthers() {
+        reports.reported(ONE, Map.of(ENGINE, 5), NOW);
+        reports.reported(TWO, Map.of(ENGINE, 7), NOW);
+        reports.reported(THREE, Map.of(ENGINE, 11), NOW);
+        assertThat(reports.sumWithout(TWO, NOW)).isEqualTo(Map.of(ENGINE, 16));
+    }
+
+    @Test
+    void newerReportTakesThePlaceOfTheOlder() {
+        reports.reported(ONE, Map.of(ENGINE, 5), NOW);
+        reports.reported(ONE, Map.of(), NOW);
+        assertThat(reports.sumWithout(TWO, NOW)).isEmpty();
+    }
+
+    @Test
+    void hostThatIsSilentCountsNoMore() {
+        reports.reported(ONE, Map.of(ENGINE, 5), NOW);
+        long later = NOW + Duration.ofMillis(1100).toNanos();
+        assertThat(reports.sumWithout(TWO, later)).isEmpty();
+    }
+
+    @Test
+    void ofSeveralViewsTheFullestCounts() {
+        reports.reported(ONE, Map.of(ENGINE, 5), NOW);
+        reports.reported(TWO, Map.of(), NOW);
+        assertThat(reports.most(NOW)).isEqualTo(Map.of(ENGINE, 5));
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/policy/NearestCopyPolicyTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/policy/NearestCopyPolicyTest.java
@@ -125,6 +125,57 @@
                 .matches(move -> move.upstream().value().equals("b1"));
     }
 
+    @Test
+    void whoeverIsAskedForMostIsPlacedBeforeOneThatASingleRequestWaitsFor() {
+        PlacementView.Seat serves = holding("serves", List.of("hot", "hot2"), "hot");
+        PlacementView.Seat free = seat("free", "hot", "w");
+        List<PlacementView.Want> wants =
+                List.of(want("hot", 40, 10), want("w", 0.2, 1), want("hot2", 1, 0));
+        assertThat(policy.decide(view(wants, serves, free)))
+                .first()
+                .matches(move -> move.artifact().equals(artifact("hot")));
+    }
+
+    @Test
+    void enginesThatDoMoreNeedFewerCopies() {
+        PlacementView.Seat one = holding("a1", List.of("hot"), "hot");
+        PlacementView.Seat two = holding("b1", List.of("hot"), "hot");
+        PlacementView.Seat full = holding("c1", List.of("x", "y"), "hot", "x", "y");
+        List<PlacementView.Want> wants =
+                List.of(want("hot", 20, 0), want("x", 0.5, 0), want("y", 0.5, 0));
+        List<PlacementView.Seat> seats = List.of(one, two, full);
+        assertThat(policy.decide(new PlacementView(seats, wants, 7, 8, NOW))).isNotEmpty();
+        assertThat(policy.decide(new PlacementView(seats, wants, 7, 80, NOW))).isEmpty();
+    }
+
+    @Test
+    void loadTimeIsThatOfTheModel() {
+        PlacementView.Seat full = holding("full", List.of("x"), "x");
+        PlacementView.Seat other = holding("other", List.of("hot", "z"), "hot", "x");
+        List<PlacementView.Want> quick =
+                List.of(want("hot", 4, 0, 1), want("x", 0, 0, 1), want("z", 0.1, 0, 1));
+        List<PlacementView.Want> slow =
+                List.of(want("hot", 4, 0, 60), want("x", 0, 0, 60), want("z", 0.1, 0, 60));
+        assertThat(policy.decide(view(quick, full, other)))
+                .anyMatch(move -> move instanceof Move.Load);
+        assertThat(policy.decide(view(slow, full, other)))
+                .noneMatch(move -> move instanceof Move.Load);
+    }
+
+    private static PlacementView.Want want(
+            String model, double rate, int waiting, int storeSeconds) {
+        return new PlacementView.Want(
+                artifact(model),
+                100,
+                Optional.empty(),
+                1,
+                rate,
+                waiting,
+                0,
+                1,
+                Duration.ofSeconds(storeSeconds));
+    }
+
     private static Move load(String seat, String model) {
         return new Move.Load(new UpstreamId(seat), artifact(model), true);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -43,6 +43,10 @@
 
     private static final long SWEEP_MILLIS = 500;
     private static final long ORDER_MILLIS = 50;
+
+    /** As often as entry hosts tell of their work. */
+    private static final long WORK_MILLIS = 150;
+
     private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
 
     private final FleetSettings settings;
@@ -99,6 +103,7 @@
         metricsListener =
                 settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(fleet::tellWork, WORK_MILLIS, WORK_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
                 this::giveOrders, ORDER_MILLIS, ORDER_MILLIS, TimeUnit.MILLISECONDS);
         logger.info(
@@ -156,6 +161,10 @@
                     confirm(replier);
                 }
             }
+            case WORK -> {
+                fleet.worked(frame.getWork());
+                orders.worked(frame.getWork());
+            }
             case DEMAND -> orders.demanded(frame.getDemand());
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.control;
 
 import io.netty.channel.EventLoop;
+import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.id.HostId;
@@ -10,9 +11,11 @@
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
+import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import java.time.Duration;
@@ -39,6 +42,9 @@
     /** An entry host asks again every second. */
     private static final long FORGET_FOLLOWER_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** A hundred messages a second at most, of 20 bytes for each instance. */
+    private static final long WORK_NANOS_PER_FOLLOWER = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final EventLoop loop;
     private final PeerTransport transport;
     private final ControlHosts hosts;
@@ -46,6 +52,8 @@
     private final Map<String, Follower> followers = new HashMap<>();
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
+    private final WorkReports works = new WorkReports();
+    private long workToldAt = System.nanoTime();
     private int toldFollowers;
 
     /** An entry host that is told of changes. */
@@ -139,6 +147,27 @@
         return transport.connected(host);
     }
 
+    /** Takes in how many requests an entry host has at each instance. */
+    void worked(WorkReport report) {
+        works.reported(new HostId(report.getHost()), WorkCodec.requests(report), System.nanoTime());
+    }
+
+    /** Tells each entry host the work of the others, less often the more of them there are. */
+    void tellWork() {
+        long now = System.nanoTime();
+        if (now - workToldAt < followers.size() * WORK_NANOS_PER_FOLLOWER) {
+            return;
+        }
+        workToldAt = now;
+        followers.forEach(
+                (host, follower) ->
+                        follower.replier()
+                                .send(
+                                        WorkCodec.encodeOthers(
+                                                hosts.self(),
+                                                works.sumWithout(new HostId(host), now))));
+    }
+
     /** Forgets entry hosts that have stopped asking. */
     void sweep() {
         long now = System.nanoTime();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -23,8 +23,10 @@
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.InstanceUnreachable;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
+import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.DemandCount;
 import io.stackhall.rpc.generated.peer.DemandReport;
+import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.FleetSettings;
@@ -128,6 +130,11 @@
         keeper.demanded(new HostId(report.getHost()), arrivals, waiting, now);
     }
 
+    /** Takes in what an entry host says of its work at instances. */
+    void worked(WorkReport report) {
+        keeper.worked(WorkCodec.decode(report), System.nanoTime());
+    }
+
     /** Takes in that an entry host cannot connect to an instance. */
     void unreachable(InstanceUnreachable told) {
         logger.info(
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
@@ -49,6 +49,11 @@
         this.seeds = Set.copyOf(settings.seedPeers());
     }
 
+    /** Returns this host's own peer address. */
+    public HostId self() {
+        return settings.peerName();
+    }
+
     /** Connects to the seeds. */
     public synchronized void start() {
         learn(settings.seedPeers());
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
@@ -0,0 +1,58 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.core.dispatch.InstanceWork;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.rpc.generated.fleet.WorkReport;
+import io.stackhall.rpc.generated.peer.Frame;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Encodes and decodes how many requests hosts have at instances. */
+public final class WorkCodec {
+
+    private WorkCodec() {}
+
+    /** Returns the frame in which an entry host tells of its own work. */
+    public static Frame encodeOwn(HostId host, Map<UpstreamId, InstanceWork> work) {
+        WorkReport.Builder report = WorkReport.newBuilder().setHost(host.value());
+        work.forEach(
+                (id, one) ->
+                        report.addWork(
+                                io.stackhall.rpc.generated.fleet.InstanceWork.newBuilder()
+                                        .setInstance(id.value())
+                                        .setRequests(one.requests())
+                                        .setAnswered(one.answered())
+                                        .setSlow(one.slow())));
+        return Frame.newBuilder().setWork(report).build();
+    }
+
+    /** Returns the frame in which a control host tells of the work of others. */
+    public static Frame encodeOthers(HostId host, Map<UpstreamId, Integer> requests) {
+        Map<UpstreamId, InstanceWork> work = new HashMap<>();
+        requests.forEach((id, count) -> work.put(id, new InstanceWork(count, 0, 0)));
+        return encodeOwn(host, work);
+    }
+
+    /** Returns the requests by instance. */
+    public static Map<UpstreamId, Integer> requests(WorkReport report) {
+        Map<UpstreamId, Integer> requests = new HashMap<>();
+        decode(report).forEach((id, work) -> requests.put(id, work.requests()));
+        return requests;
+    }
+
+    /** Returns the work by instance. */
+    public static Map<UpstreamId, InstanceWork> decode(WorkReport report) {
+        Map<UpstreamId, InstanceWork> work = new HashMap<>();
+        report.getWorkList()
+                .forEach(
+                        item ->
+                                work.put(
+                                        new UpstreamId(item.getInstance()),
+                                        new InstanceWork(
+                                                item.getRequests(),
+                                                item.getAnswered(),
+                                                item.getSlow())));
+        return work;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.id.HostId;
@@ -13,9 +14,11 @@
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
+import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.FleetSettings;
@@ -57,6 +60,7 @@
     private boolean confirmed;
     private boolean knowsInstances;
     private long firstRoutesAt;
+    private final WorkReports works = new WorkReports();
     private long newest = -1;
     private byte[] newestBody = new byte[0];
 
@@ -120,6 +124,7 @@
             }
             case ROUTES -> routes(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
+            case WORK -> work(frame.getWork());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
@@ -130,6 +135,12 @@
         }
     }
 
+    private void work(WorkReport report) {
+        long now = System.nanoTime();
+        works.reported(new HostId(report.getHost()), WorkCodec.requests(report), now);
+        gateway.dispatcher().othersTold(works.most(now), now);
+    }
+
     private void residency(ResidencyChange change) {
         if (change.getComingMillis() > 0) {
             gateway.dispatcher()
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -22,6 +22,7 @@
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
@@ -42,6 +43,9 @@
     private static final long WAITING_MILLIS = 25;
     private static final long DEMAND_MILLIS = 500;
 
+    /** Ten of the 1.5 s that a request stays at an engine. */
+    private static final long WORK_MILLIS = 150;
+
     /** The balancer leaves a host that was not ready twice, a second apart. */
     private static final Duration BALANCER_LEAVES = Duration.ofMillis(2500);
 
@@ -109,6 +113,7 @@
         every(FOLLOW_MILLIS, this::follow);
         every(WAITING_MILLIS, this::serve);
         every(DEMAND_MILLIS, this::tellDemand);
+        every(WORK_MILLIS, this::tellWork);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
                 settings.host(),
@@ -178,6 +183,10 @@
         }
     }
 
+    private void tellWork() {
+        follower.tellAll(WorkCodec.encodeOwn(settings.peerName(), gateway.dispatcher().takeWork()));
+    }
+
     private void tellDemand() {
         Frame frame =
                 Frame.newBuilder()
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -56,7 +56,7 @@
     /** Ends the attempt, breaking the call off where it is not over. */
     void abandon() {
         over = true;
-        gateway.dispatcher().ended(sending);
+        gateway.dispatcher().ended(sending, System.nanoTime());
         if (call != null) {
             call.cancel();
         }
@@ -116,7 +116,7 @@
 
     @Override
     public void completed() {
-        gateway.dispatcher().ended(sending);
+        gateway.dispatcher().ended(sending, System.nanoTime());
         if (plainBody != null) {
             listener.answered(head, plainBody);
         } else {
@@ -127,7 +127,7 @@
 
     @Override
     public void failed(CallFailure failure) {
-        gateway.dispatcher().ended(sending);
+        gateway.dispatcher().ended(sending, System.nanoTime());
         gateway.dispatcher().failed(instance.id(), System.nanoTime());
         listener.brokeOff(failure);
     }
