A repeated task that fails once is repeated all the same, on control hosts too

Cause: the event loop drops a scheduled task whose run throws; entry hosts guarded theirs, control hosts the giving of orders only. Written twice before, now one type; the events orders.failed and daemon.task-failed are one.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -18,6 +18,7 @@
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupListener;
 import io.stackhall.server.metrics.FleetMetrics;
@@ -29,7 +30,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -102,10 +102,9 @@
         listener = listen();
         metricsListener =
                 settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
-        loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(fleet::tellWork, WORK_MILLIS, WORK_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                this::giveOrders, ORDER_MILLIS, ORDER_MILLIS, TimeUnit.MILLISECONDS);
+        RepeatedTask.every(loop, SWEEP_MILLIS, this::sweep);
+        RepeatedTask.every(loop, WORK_MILLIS, fleet::tellWork);
+        RepeatedTask.every(loop, ORDER_MILLIS, orders::tick);
         logger.info(
                 "daemon.started host={} zone={} api={}",
                 settings.host(),
@@ -195,14 +194,6 @@
         return new AnswerServer.Answer(HttpResponseStatus.OK.code(), metrics.scrape());
     }
 
-    private void giveOrders() {
-        try {
-            orders.tick();
-        } catch (RuntimeException e) {
-            logger.error("orders.failed {}", e.toString(), e);
-        }
-    }
-
     private void sweep() {
         hosts.sweep();
         fleet.sweep();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -22,6 +22,7 @@
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.relay.UpstreamClient;
@@ -110,10 +111,10 @@
         readiness = AnswerServer.listen(threads, entry.readiness(), this::readinessAnswer);
         metrics =
                 settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
-        every(FOLLOW_MILLIS, this::follow);
-        every(WAITING_MILLIS, this::serve);
-        every(DEMAND_MILLIS, this::tellDemand);
-        every(WORK_MILLIS, this::tellWork);
+        RepeatedTask.every(loop, FOLLOW_MILLIS, this::follow);
+        RepeatedTask.every(loop, WAITING_MILLIS, this::serve);
+        RepeatedTask.every(loop, DEMAND_MILLIS, this::tellDemand);
+        RepeatedTask.every(loop, WORK_MILLIS, this::tellWork);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
                 settings.host(),
@@ -197,20 +198,6 @@
         follower.tellAll(frame);
     }
 
-    private void every(long millis, Runnable task) {
-        loop.scheduleAtFixedRate(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        logger.error("daemon.task-failed {}", e.toString(), e);
-                    }
-                },
-                millis,
-                millis,
-                TimeUnit.MILLISECONDS);
-    }
-
     private Channel listen(Address address, ChannelHandler channels) {
         return new ServerBootstrap()
                 .group(threads)
