Which weights give way on an engine's disk is known; large files split by job

Hypothesis: a load from the store displaces the copy used longest ago, where the policy reckoned with the mean of all; knowing it, and that an empty disk displaces none, it loads where no last copy goes. Split, no change of behaviour: belief about residency out of Dispatcher, the account of who waits out of GroupHost with the making of a replica, times out of RelayedRequest, wanted adapters out of EngineLedger.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -48,12 +48,6 @@
     /** A plain instance queues a few requests beyond its slots. */
     private static final double PLAIN_QUEUE_SHARE = 2.0;
 
-    /** A report made before something was unloaded arrives within two heartbeats. */
-    private static final long ABSENCE_NANOS = Duration.ofMillis(2500).toNanos();
-
-    /** A load that is later than this has failed. */
-    private static final long LATE_LOAD_NANOS = Duration.ofSeconds(2).toNanos();
-
     private static final double SILENT_PENALTY = 1e6;
     private static final double FAILURE_WEIGHT = 6;
 
@@ -61,20 +55,10 @@
     private final RandomGenerator random;
     private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
     private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
-    private final Map<UpstreamId, Map<Holding, Told>> told = new HashMap<>();
-    private final Map<UpstreamId, Coming> coming = new HashMap<>();
+    private final ResidencyBelief belief = new ResidencyBelief();
     private Map<ServiceName, EngineSpec> engines = Map.of();
     private Map<ServiceName, Duration> objectives = Map.of();
 
-    /** A model, or an adapter of it, that an instance may hold. */
-    private record Holding(ModelId model, Optional<String> adapter) {}
-
-    /** What was said of a holding, and when. */
-    private record Told(boolean resident, long at) {}
-
-    /** A load that is under way, and when it should be done. */
-    private record Coming(ModelId model, long at) {}
-
     private record Scored(Instance instance, double score) {}
 
     /** Creates a dispatcher that knows no instance. */
@@ -98,36 +82,10 @@
         if (instance.state() == InstanceState.GONE) {
             instances.remove(instance.id());
             loads.remove(instance.id());
-            told.remove(instance.id());
-            coming.remove(instance.id());
+            belief.forget(instance.id());
             return;
         }
-        Coming load = coming.get(instance.id());
-        if (load != null && instance.copyOf(load.model()).isPresent()) {
-            coming.remove(instance.id());
-        }
-        Instance before = instances.put(instance.id(), instance);
-        if (before != null) {
-            forgetWhatReportsTellBetter(before, instance);
-        }
-    }
-
-    /**
-     * What was said of a model is over once the reports show that it came or went. A model that was
-     * loaded again within 2.5 s of its unload was passed over until then: on one day of load an
-     * engine was ordered to load and unload two models 22 times in 18 s, while the requests that
-     * waited for them were refused (counted in the log).
-     */
-    private void forgetWhatReportsTellBetter(Instance before, Instance after) {
-        Map<Holding, Told> here = told.get(after.id());
-        if (here == null) {
-            return;
-        }
-        here.keySet()
-                .removeIf(
-                        holding ->
-                                before.copyOf(holding.model()).isPresent()
-                                        != after.copyOf(holding.model()).isPresent());
+        belief.reported(instances.put(instance.id(), instance), instance);
     }
 
     /**
@@ -138,8 +96,7 @@
     public void residency(
             UpstreamId id, ModelId model, Optional<String> adapter, boolean resident, long now) {
         if (instances.containsKey(id)) {
-            told.computeIfAbsent(id, key -> new HashMap<>())
-                    .put(new Holding(model, adapter), new Told(resident, now));
+            belief.told(id, model, adapter, resident, now);
         }
     }
 
@@ -150,7 +107,7 @@
      */
     public void coming(UpstreamId id, ModelId model, Duration within, long now) {
         if (instances.containsKey(id)) {
-            coming.put(id, new Coming(model, now + within.toNanos()));
+            belief.coming(id, model, within, now);
         }
     }
 
@@ -304,7 +261,7 @@
         List<Instance> holders = new ArrayList<>();
         for (Instance instance : serving) {
             boolean reported = instance.copyOf(model).isPresent();
-            if (reported && holds(instance, model, Optional.empty(), true, now)) {
+            if (reported && belief.holds(instance, model, Optional.empty(), true, now)) {
                 holders.add(instance);
             }
         }
@@ -355,21 +312,13 @@
         for (Instance instance : serving) {
             Duration here = weights.get().loadTime(instance.inHostMemory(), instance.onDisk());
             load = here.compareTo(load) < 0 ? here : load;
-            soonest = Math.min(soonest, leftOfLoad(instance.id(), model, now));
+            soonest = Math.min(soonest, belief.leftOfLoad(instance.id(), model, now));
         }
         return soonest == Long.MAX_VALUE
                 ? new Choice.ModelMissing(load)
                 : new Choice.ModelComing(Duration.ofNanos(soonest));
     }
 
-    /** Returns how much longer an instance loads a model, or the largest number if it does not. */
-    private long leftOfLoad(UpstreamId id, ModelId model, long now) {
-        Coming load = coming.get(id);
-        boolean comes =
-                load != null && load.model().equals(model) && now - load.at() < LATE_LOAD_NANOS;
-        return comes ? Math.max(0, load.at() - now) : Long.MAX_VALUE;
-    }
-
     private double engineScore(Instance instance, InstanceLoad load, Need need, long now) {
         double tokens = load.pendingTokens() + unreadTokens(load, need);
         tokens += TOKENS_PER_RUNNING * load.occupancy(now);
@@ -383,25 +332,7 @@
                 instance.copyOf(model)
                         .filter(copy -> copy.adapters().contains(need.adapter().orElseThrow()))
                         .isPresent();
-        return holds(instance, model, need.adapter(), reported, now);
-    }
-
-    /** What was said lately counts before what the instance reported, which may be older. */
-    private boolean holds(
-            Instance instance,
-            ModelId model,
-            Optional<String> adapter,
-            boolean reported,
-            long now) {
-        Map<Holding, Told> here = told.getOrDefault(instance.id(), Map.of());
-        Told last = here.get(new Holding(model, adapter));
-        if (last == null) {
-            return reported;
-        }
-        if (!last.resident() && now - last.at() > ABSENCE_NANOS) {
-            return reported;
-        }
-        return last.resident();
+        return belief.holds(instance, model, need.adapter(), reported, now);
     }
 
     private static long unreadTokens(InstanceLoad load, Need need) {
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -82,8 +82,7 @@
      * Engines that load from the weight store take no other order for that long: at most a third of
      * them, and beside these as many for models that are asked for often. On one calm day two loads
      * of rare models kept the busiest one from its second copy for 9 s. Before the first request
-     * all of them may, so that weights have more homes when demand begins. A model that is asked
-     * for often and nowhere does not wait for the loads of others.
+     * all of them may, so that weights have more homes when demand begins.
      */
     private static final int SEATS_PER_STORE_LOAD = 3;
 
@@ -286,11 +285,10 @@
 
     /**
      * Returns what a load from the store costs by the copy at hand that gives way to its own: the
-     * mean over those that the engine keeps and does not serve, as which one goes is not known.
+     * mean over those that may.
      */
     private static double displacedWorth(Planning planning, PlacementView.Seat seat) {
-        return seat.nearCopies().keySet().stream()
-                .filter(model -> !seat.holds(model))
+        return seat.givesWay().stream()
                 .mapToLong(model -> homes(planning, model))
                 .mapToDouble(homes -> homesRisk(homes - 1) - homesRisk(homes))
                 .average()
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -7,8 +7,6 @@
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.ModelWeights;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,8 +67,9 @@
     private boolean lost;
     private boolean heard;
     private final Map<ModelId, Long> since = new HashMap<>();
+    private final DiskCopies diskCopies = new DiskCopies();
     private final AdapterSlots slots = new AdapterSlots();
-    private final Deque<AdapterKey> wanted = new ArrayDeque<>();
+    private final WantedAdapters wanted = new WantedAdapters();
 
     EngineLedger(Instance instance, Duration heartbeat) {
         this.instance = instance;
@@ -110,6 +109,12 @@
         heard = true;
         report.models().forEach(copy -> since.putIfAbsent(copy.model(), seen));
         since.keySet().removeIf(model -> report.copyOf(model).isEmpty());
+        diskCopies.served(report, now);
+    }
+
+    /** Returns the models whose weights at hand give way to those of a load from the store. */
+    Set<ModelId> givesWay(EngineSpec spec) {
+        return diskCopies.givesWay(instance, spec);
     }
 
     /** The heartbeat that shows an order done may come before the answer to the order. */
@@ -298,18 +303,8 @@
         }
     }
 
-    void want(AdapterKey key) {
-        if (!wanted.contains(key)) {
-            wanted.addLast(key);
-        }
-    }
-
-    Optional<AdapterKey> nextWanted() {
-        return Optional.ofNullable(wanted.peekFirst());
-    }
-
-    void dropWanted() {
-        wanted.pollFirst();
+    WantedAdapters wanted() {
+        return wanted;
     }
 
     long since(ModelId model) {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
@@ -88,7 +88,8 @@
                 !engine.ready(),
                 engine.loading().map(EngineViews::artifact),
                 near,
-                Optional.of(instance.zone()));
+                Optional.of(instance.zone()),
+                engine.givesWay(spec));
     }
 
     private static PlacementView.Want want(
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -137,7 +137,7 @@
         adapterUsed(model, adapter, now);
         EngineLedger engine = engines.get(id);
         if (engine != null) {
-            freeEngine(engine, model).want(new AdapterKey(model, adapter));
+            freeEngine(engine, model).wanted().add(new AdapterKey(model, adapter));
         }
     }
 
@@ -283,21 +283,21 @@
 
     private Optional<EngineOrder> nextAdapterOrder(EngineLedger engine) {
         EngineSpec spec = specs.get(engine.instance().service());
-        Optional<AdapterKey> next = engine.nextWanted();
+        Optional<AdapterKey> next = engine.wanted().next();
         while (next.isPresent()) {
             AdapterKey key = next.get();
             Set<AdapterKey> held = engine.adapters();
             boolean possible = spec != null && engine.instance().copyOf(key.model()).isPresent();
             if (!possible || held.contains(key)) {
-                engine.dropWanted();
-                next = engine.nextWanted();
+                engine.wanted().dropNext();
+                next = engine.wanted().next();
                 continue;
             }
             boolean fits =
                     held.size() < spec.adapterSlots()
                             && adapterMb(spec, key) <= engine.freeMb(spec);
             if (fits) {
-                engine.dropWanted();
+                engine.wanted().dropNext();
                 return Optional.of(
                         newOrder(engine, true, key.model(), Optional.of(key.adapter()), false));
             }
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/WantedAdapters.java
@@ -0,0 +1,25 @@
+package io.stackhall.core.residency;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/** The adapters that requests wait for on one engine, in the order in which they were asked for. */
+final class WantedAdapters {
+
+    private final Deque<AdapterKey> keys = new ArrayDeque<>();
+
+    void add(AdapterKey key) {
+        if (!keys.contains(key)) {
+            keys.addLast(key);
+        }
+    }
+
+    Optional<AdapterKey> next() {
+        return Optional.ofNullable(keys.peekFirst());
+    }
+
+    void dropNext() {
+        keys.pollFirst();
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -30,15 +30,6 @@
  */
 final class RelayedRequest implements AttemptListener {
 
-    /** A streamed answer that begins this close to the end of its caller's time comes too late. */
-    private static final Duration LEAST_STREAM_TIME = Duration.ofMillis(350);
-
-    /** A plain answer takes some ten milliseconds. */
-    private static final Duration LEAST_PLAIN_TIME = Duration.ofMillis(40);
-
-    /** An idle engine brings the first event within 35 to 50 ms of an objective of 400 (median). */
-    private static final int LEAST_ANSWER_SHARE = 8;
-
     private static final Duration SOON = Duration.ofMillis(300);
 
     private final Gateway gateway;
@@ -48,6 +39,7 @@
     private final AttemptHistory history = new AttemptHistory();
     private Route route;
     private Need need;
+    private RequestTimes times;
     private long deadlineAt;
     private long waitingSince;
     private WaitReason waitsFor = WaitReason.NOTHING;
@@ -84,12 +76,8 @@
         log.route(route.name());
         history.allow(route.maxAttempts());
         need = request.need(route, route.service(gateway.ticket()));
-        long allowed = route.timeout().toNanos();
-        OptionalLong told = request.deadlineMillis();
-        if (told.isPresent()) {
-            allowed = Math.min(allowed, TimeUnit.MILLISECONDS.toNanos(told.getAsLong()));
-        }
-        deadlineAt = request.arrivedAt() + allowed;
+        times = RequestTimes.of(request, route);
+        deadlineAt = times.deadlineAt();
         deadline = gateway.loop().schedule(this::outOfTime, leftNanos(), TimeUnit.NANOSECONDS);
         admission = newAdmission();
         gateway.arrived(need);
@@ -117,13 +105,9 @@
         return need;
     }
 
-    /**
-     * Returns whether an answer can only be late: what is left of the objective is less than an
-     * engine that has nothing else to do needs for its first event.
-     */
+    /** Returns whether an answer can only be late. */
     boolean late(long now) {
-        long objective = route.objective().toNanos();
-        return now + objective / LEAST_ANSWER_SHARE - (request.arrivedAt() + objective) > 0;
+        return times.late(now);
     }
 
     /** Returns until when an answer is of use, on the monotonic clock in nanoseconds. */
@@ -186,13 +170,8 @@
         }
     }
 
-    /** A caller whose time is not over may leave before, for want of an event. */
     private Admission newAdmission() {
-        boolean stream = route.kind() == RouteKind.STREAM;
-        long since = streaming ? System.nanoTime() : request.arrivedAt();
-        long leaves = since + route.callerPatience().toNanos();
-        long end = stream && leaves - deadlineAt < 0 ? leaves : deadlineAt;
-        return new Admission(end - (stream ? LEAST_STREAM_TIME : LEAST_PLAIN_TIME).toNanos());
+        return times.admission(streaming ? System.nanoTime() : request.arrivedAt());
     }
 
     private void giveUp(String reason, Duration retryAfter) {
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -7,7 +7,6 @@
 import io.stackhall.core.replication.Replica;
 import io.stackhall.core.replication.ReplicaEffect;
 import io.stackhall.core.replication.ReplicaEvent;
-import io.stackhall.core.replication.ReplicaId;
 import io.stackhall.core.replication.ReplicaSettings;
 import io.stackhall.core.replication.Role;
 import io.stackhall.core.replication.Snapshot;
@@ -15,10 +14,7 @@
 import io.stackhall.server.storage.StorageOpener;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -49,22 +45,15 @@
     private static final long REOPEN_MILLIS = 500;
 
     private final String group;
-    private final String host;
-    private final Set<String> members;
-    private final ReplicaSettings settings;
-    private final StorageOpener opener;
-    private final RandomGenerator random;
+    private final ReplicaSource source;
     private final GroupState state;
     private final GroupWire wire;
     private final GroupListener listener;
     private final LinkedBlockingQueue<GroupInput> inputs = new LinkedBlockingQueue<>();
-    private final Map<Long, CompletableFuture<CommandOutcome>> tickets = new HashMap<>();
-    private final Map<Long, Long> ticketByIndex = new HashMap<>();
-    private final Map<Long, byte[]> questions = new HashMap<>();
+    private final Tickets tickets = new Tickets();
     private final Thread thread;
     private Replica replica;
     private ReplicaStorage storage;
-    private long nextTicket = 1;
     private long appliedIndex;
     private boolean unsynced;
     private boolean leading;
@@ -93,32 +82,17 @@
             long aliveSince)
             throws IOException {
         this.group = group;
-        this.host = host;
-        this.members = Set.copyOf(members);
-        this.settings = settings;
-        this.opener = opener;
-        this.random = random;
-        this.storage = opener.open();
+        this.source = new ReplicaSource(host, members, settings, opener, random);
+        this.storage = source.storage();
         this.state = state;
         this.wire = wire;
         this.listener = listener;
-        this.replica = newReplica(aliveSince);
+        this.replica = source.replica(aliveSince);
         restore(storage.saved().snapshot());
         this.view = ReplicaView.of(replica);
         this.thread = new Thread(this::run, "group-" + group);
     }
 
-    private Replica newReplica(long aliveSince) {
-        return new Replica(
-                new ReplicaId(host, storage.incarnation()),
-                storage.durable(),
-                members,
-                settings,
-                random,
-                storage.saved(),
-                aliveSince);
-    }
-
     /** Starts the thread. */
     public void start() {
         thread.start();
@@ -218,7 +192,7 @@
                 break;
             } catch (IOException | RuntimeException e) {
                 fail(e);
-                batch.forEach(GroupHost::refuse);
+                batch.forEach(GroupInput::refuse);
                 batch.clear();
                 if (!beginAgain()) {
                     break;
@@ -227,7 +201,7 @@
         }
         failed = true;
         refuseInputs();
-        endAll(new CommandOutcome.Unknown("the replica has stopped"));
+        tickets.endAll(new CommandOutcome.Unknown("the replica has stopped"));
     }
 
     /**
@@ -236,9 +210,7 @@
      * @return whether it could; what is kept in memory alone is lost for good
      */
     private boolean beginAgain() {
-        endAll(new CommandOutcome.Unknown("the replica's storage has failed"));
-        ticketByIndex.clear();
-        questions.clear();
+        tickets.endAll(new CommandOutcome.Unknown("the replica's storage has failed"));
         while (!closed && storage.durable()) {
             try {
                 TimeUnit.MILLISECONDS.sleep(REOPEN_MILLIS);
@@ -255,55 +227,44 @@
         return false;
     }
 
-    /**
-     * Opens the storage again. After a failed sync, what is read back may not be on the disk, so
-     * that all of it is written anew first.
-     */
     private boolean reopen() {
         try {
-            storage.close();
-            storage = opener.open();
-            storage.saveSnapshot(storage.saved().snapshot(), false);
+            source.reopen();
         } catch (IOException | RuntimeException e) {
             logger.warn("group.storage-unusable group={} cause={}", group, e.toString());
             return false;
         }
-        replica = newReplica(System.nanoTime());
+        storage = source.storage();
+        replica = source.replica(System.nanoTime());
         unsynced = false;
         view = ReplicaView.of(replica);
-        logger.info(
-                "group.storage-back group={} applied={} term={}",
-                group,
-                appliedIndex,
-                replica.term());
+        logger.info("group.storage-back group={} applied={}", group, appliedIndex);
         return true;
     }
 
     private void refuseInputs() {
         List<GroupInput> left = new ArrayList<>();
         inputs.drainTo(left);
-        left.forEach(GroupHost::refuse);
+        left.forEach(GroupInput::refuse);
     }
 
     private void take(List<GroupInput> batch) throws IOException {
         List<ReplicaEvent.Proposal> proposals = new ArrayList<>();
         for (GroupInput input : batch) {
             switch (input) {
-                case GroupInput.Ask ask when ask.query() -> {
-                    long ticket = ticket(ask.outcome());
-                    questions.put(ticket, ask.bytes());
-                    step(new ReplicaEvent.Read(ticket));
-                }
+                case GroupInput.Ask ask when ask.query() ->
+                        step(new ReplicaEvent.Read(tickets.issue(ask.outcome(), ask.bytes())));
                 case GroupInput.Ask ask when !storage.hasRoom() -> {
                     ask.outcome().complete(new CommandOutcome.Refused("the disk is nearly full"));
                     leaveLeadershipToOneWithRoom();
                 }
                 case GroupInput.Ask ask ->
                         proposals.add(
-                                new ReplicaEvent.Proposal(ticket(ask.outcome()), ask.bytes()));
+                                new ReplicaEvent.Proposal(
+                                        tickets.issue(ask.outcome()), ask.bytes()));
                 case GroupInput.Event(ReplicaEvent event) -> step(event);
                 case GroupInput.Remove(String host, CompletableFuture<CommandOutcome> outcome) ->
-                        step(new ReplicaEvent.RemoveReplica(ticket(outcome), host));
+                        step(new ReplicaEvent.RemoveReplica(tickets.issue(outcome), host));
                 case GroupInput.Task(Runnable task) -> task.run();
             }
         }
@@ -322,12 +283,6 @@
         }
     }
 
-    private long ticket(CompletableFuture<CommandOutcome> outcome) {
-        long ticket = nextTicket++;
-        tickets.put(ticket, outcome);
-        return ticket;
-    }
-
     private void step(ReplicaEvent event) throws IOException {
         for (ReplicaEffect effect : replica.step(event, System.nanoTime())) {
             carryOut(effect);
@@ -364,14 +319,13 @@
                 listener.changed();
             }
             case ReplicaEffect.Accepted(long ticket, long ignored, long index) ->
-                    ticketByIndex.put(index, ticket);
-            case ReplicaEffect.Refused(long ticket, String reason) -> {
-                questions.remove(ticket);
-                complete(ticket, new CommandOutcome.Refused(reason));
+                    tickets.accepted(ticket, index);
+            case ReplicaEffect.Refused(long ticket, String reason) ->
+                    tickets.complete(ticket, new CommandOutcome.Refused(reason));
+            case ReplicaEffect.ReadReady(long ticket) -> {
+                byte[] answer = state.query(tickets.takeQuestion(ticket));
+                tickets.complete(ticket, new CommandOutcome.Done(answer));
             }
-            case ReplicaEffect.ReadReady(long ticket) ->
-                    complete(
-                            ticket, new CommandOutcome.Done(state.query(questions.remove(ticket))));
             case ReplicaEffect.RoleChanged(Role role, long term) -> roleChanged(role, term);
         }
     }
@@ -404,10 +358,7 @@
             }
         }
         appliedIndex = entry.index();
-        Long ticket = ticketByIndex.remove(entry.index());
-        if (ticket != null) {
-            complete(ticket, new CommandOutcome.Done(result));
-        }
+        tickets.applied(entry.index(), result);
     }
 
     private void restore(Snapshot snapshot) {
@@ -418,10 +369,7 @@
     private void roleChanged(Role role, long term) {
         logger.info("group.role group={} role={} term={}", group, role, term);
         if (role != Role.LEADER) {
-            List<Long> accepted = List.copyOf(ticketByIndex.values());
-            ticketByIndex.clear();
-            accepted.forEach(
-                    ticket -> complete(ticket, new CommandOutcome.Unknown("leadership was lost")));
+            tickets.leadershipLost();
         }
     }
 
@@ -438,10 +386,6 @@
         }
     }
 
-    private void complete(long ticket, CommandOutcome outcome) {
-        Optional.ofNullable(tickets.remove(ticket)).ifPresent(of -> of.complete(outcome));
-    }
-
     private void fail(Exception cause) {
         logger.error("group.failed group={} {}", group, cause.toString(), cause);
         failed = true;
@@ -450,21 +394,4 @@
             listener.led(false);
         }
     }
-
-    private void endAll(CommandOutcome outcome) {
-        tickets.values().forEach(of -> of.complete(outcome));
-        tickets.clear();
-    }
-
-    private static void refuse(GroupInput input) {
-        CommandOutcome.Refused refused = new CommandOutcome.Refused("the replica has stopped");
-        switch (input) {
-            case GroupInput.Ask ask -> ask.outcome().complete(refused);
-            case GroupInput.Remove remove -> remove.outcome().complete(refused);
-            case GroupInput.Event ignored -> {
-                // Nobody waits for it.
-            }
-            case GroupInput.Task(Runnable task) -> task.run();
-        }
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupInput.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupInput.java
@@ -17,4 +17,17 @@
 
     /** Something to do on the group's thread. */
     record Task(Runnable task) implements GroupInput {}
+
+    /** Answers whoever waits for it that the replica has not taken it in; tasks are done. */
+    default void refuse() {
+        CommandOutcome.Refused refused = new CommandOutcome.Refused("the replica has stopped");
+        switch (this) {
+            case Ask ask -> ask.outcome().complete(refused);
+            case Remove remove -> remove.outcome().complete(refused);
+            case Task(Runnable task) -> task.run();
+            case Event ignored -> {
+                // Nobody waits for it.
+            }
+        }
+    }
 }
