--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -21,28 +21,6 @@
  */
 public final class NearestCopyPolicy implements PlacementPolicy {
 
-    /** The worth of a first copy, for each request a second. */
-    private static final double FIRST_COPY_WORTH = 10;
-
-    /** Even a model that nobody asks for keeps one place rather than none. */
-    private static final double IDLE_COPY_WORTH = 0.2;
-
-    /** Where one engine alone keeps the weights at hand, it may be busy when they are asked for. */
-    private static final double RARE_COPY_WORTH = 1.5;
-
-    /**
-     * A second copy also serves while the engine of the first is lost or busy with a load, and is
-     * there when demand grows, for each request a second: a model that is asked for twice a second
-     * is worth a load of 9 s from the store.
-     */
-    private static final double SPARE_COPY_WORTH = 5;
-
-    /** The worth of a further copy, for each request a second and each mean service time saved. */
-    private static final double RELIEF_WORTH = 0.5;
-
-    /** Up to this utilization the queue is that of one server with random arrivals. */
-    private static final double QUEUE_KNEE = 0.8;
-
     /** What a second of loading costs: the engine takes no other order meanwhile. */
     private static final double LOAD_SECOND_COST = 0.3;
 
@@ -68,16 +46,6 @@
     /** A further copy serves more where it is in another zone, which may be cut off. */
     private static final double SAME_ZONE_COST = 2;
 
-    /**
-     * The risk of a model whose weights one engine alone keeps at hand; it falls by the square of
-     * their number. On one day of trouble the six disks that had kept a model lost it to loads of
-     * others; asked for 12 times a second, it was then refused 114 times.
-     */
-    private static final double ONE_HOME_RISK = 20;
-
-    /** A model whose weights no engine keeps at hand cannot be served within a deadline at all. */
-    private static final double NO_HOME_RISK = 40;
-
     /**
      * Engines that load from the weight store take no other order for that long: at most a third of
      * them, and beside these as many for models that are asked for often. On one calm day two loads
@@ -89,7 +57,6 @@
     private static final double OFTEN_PER_SECOND = 2;
 
     private static final double MILLIS_PER_SECOND = 1000;
-    private static final double NANOS_PER_SECOND = 1e9;
 
     @Override
     public List<Move> decide(PlacementView view) {
@@ -112,7 +79,7 @@
      * copy 4 s after its demand had risen and its third 7 s later (one day, from the log).
      */
     private static double claim(Planning planning, PlacementView.Want want) {
-        return nextWorth(planning, want) + want.starvedSeconds();
+        return CopyWorth.ofNext(planning, want) + want.starvedSeconds();
     }
 
     private static void place(Planning planning, PlacementView.Want want) {
@@ -143,7 +110,7 @@
         if (planning.planned(want.artifact())) {
             return;
         }
-        double worth = worth(planning, want, 1) + want.starvedSeconds();
+        double worth = CopyWorth.ofCopy(planning, want, 1) + want.starvedSeconds();
         cheapest(planning, want, LEAST_RESIDENCE_WHILE_WAITED_FOR)
                 .filter(place -> place.loss() <= worth)
                 .ifPresent(place -> take(planning, want, place));
@@ -161,7 +128,8 @@
         }
         Place place = best.get();
         boolean newHome = place.fromStore() && !planning.planned(want.artifact());
-        double gain = nextWorth(planning, want) + (newHome ? homeGain(planning, want) : 0);
+        double gain =
+                CopyWorth.ofNext(planning, want) + (newHome ? CopyWorth.ofHome(planning, want) : 0);
         if (gain > effort(place)) {
             take(planning, want, place);
         }
@@ -247,7 +215,9 @@
         List<PlacementView.Held> candidates =
                 seat.held().stream()
                         .filter(held -> settled(planning, held, residence))
-                        .sorted(Comparator.comparingDouble(held -> lastWorth(planning, held)))
+                        .sorted(
+                                Comparator.comparingDouble(
+                                        held -> CopyWorth.ofLast(planning, held)))
                         .toList();
         List<Artifact> evicted = new ArrayList<>();
         double loss = 0;
@@ -257,7 +227,7 @@
             }
             evicted.add(held.artifact());
             missing -= held.memoryMib();
-            loss += lastWorth(planning, held);
+            loss += CopyWorth.ofLast(planning, held);
         }
         if (missing > 0) {
             return Optional.empty();
@@ -265,7 +235,7 @@
         boolean fromStore = !seat.nearCopies().containsKey(want.artifact().id());
         double load = loadSeconds(seat, want);
         double crowd = servedRate(planning, seat);
-        double displaced = fromStore ? displacedWorth(planning, seat) : 0;
+        double displaced = fromStore ? CopyWorth.displaced(planning, seat) : 0;
         boolean zoneHasIt =
                 seat.zone().isPresent()
                         && planning.view().seats().stream()
@@ -283,40 +253,6 @@
                         zoneHasIt));
     }
 
-    /**
-     * Returns what a load from the store costs by the copy at hand that gives way to its own: the
-     * mean over those that may.
-     */
-    private static double displacedWorth(Planning planning, PlacementView.Seat seat) {
-        return seat.givesWay().stream()
-                .mapToLong(model -> homes(planning, model))
-                .mapToDouble(homes -> homesRisk(homes - 1) - homesRisk(homes))
-                .average()
-                .orElse(0);
-    }
-
-    /**
-     * Returns what one more engine with a model's weights at hand is worth: a further one nothing
-     * while requests wait, for which the engines should be free.
-     */
-    private static double homeGain(Planning planning, PlacementView.Want want) {
-        long homes = homes(planning, want.artifact().id());
-        boolean calm = planning.view().wants().stream().allMatch(other -> other.waiting() == 0);
-        return homes == 0 || calm ? homesRisk(homes) - homesRisk(homes + 1) : 0;
-    }
-
-    /** Returns the expected loss by a model whose weights some engines keep at hand. */
-    private static double homesRisk(long homes) {
-        return homes == 0 ? NO_HOME_RISK : ONE_HOME_RISK / (homes * homes);
-    }
-
-    /** Returns how many seats hold a model or keep its weights at hand. */
-    private static long homes(Planning planning, ModelId model) {
-        return planning.view().seats().stream()
-                .filter(seat -> seat.holds(model) || seat.nearCopies().containsKey(model))
-                .count();
-    }
-
     /** Returns the requests a second that a seat serves, where each copy takes its equal share. */
     private static double servedRate(Planning planning, PlacementView.Seat seat) {
         double rate = 0;
@@ -335,59 +271,6 @@
         return planning.view().now() - held.since() >= residence.toNanos();
     }
 
-    /** Returns what one more copy is worth, beside those that are there or coming. */
-    private static double nextWorth(Planning planning, PlacementView.Want want) {
-        int next = planning.copies(want.artifact()) + planning.coming(want.artifact()) + 1;
-        return worth(planning, want, next);
-    }
-
-    /** Returns what is lost with one of the copies there are. */
-    private static double lastWorth(Planning planning, PlacementView.Held held) {
-        Optional<PlacementView.Want> want = planning.want(held.artifact().id());
-        if (want.isEmpty()) {
-            return 0;
-        }
-        int copies = Math.max(1, planning.copies(held.artifact()));
-        boolean rare = copies == 1 && nearSeats(planning, held.artifact().id()) <= 1;
-        return worth(planning, want.get(), copies)
-                + recency(planning, want.get())
-                + (rare ? RARE_COPY_WORTH : 0);
-    }
-
-    private static long nearSeats(Planning planning, ModelId model) {
-        return planning.view().seats().stream()
-                .filter(seat -> seat.nearCopies().containsKey(model))
-                .count();
-    }
-
-    private static double worth(Planning planning, PlacementView.Want want, int copy) {
-        double rate = want.ratePerSecond();
-        if (copy <= 1) {
-            return FIRST_COPY_WORTH * rate + IDLE_COPY_WORTH + want.waiting();
-        }
-        double most = planning.view().saturatingRate();
-        double relief = queueing(rate / (copy - 1) / most) - queueing(rate / copy / most);
-        double spare = copy == 2 ? SPARE_COPY_WORTH * rate : 0;
-        return RELIEF_WORTH * rate * relief + spare;
-    }
-
-    /**
-     * Returns the mean wait at an engine, in service times; beyond the knee it goes on straight.
-     */
-    private static double queueing(double utilization) {
-        if (utilization <= QUEUE_KNEE) {
-            return utilization / (1 - utilization);
-        }
-        double slope = 1 / ((1 - QUEUE_KNEE) * (1 - QUEUE_KNEE));
-        return QUEUE_KNEE / (1 - QUEUE_KNEE) + slope * (utilization - QUEUE_KNEE);
-    }
-
-    /** Among equals the one asked for longest ago goes first. */
-    private static double recency(Planning planning, PlacementView.Want want) {
-        double seconds = (planning.view().now() - want.lastUsed()) / NANOS_PER_SECOND;
-        return 0.1 / (1 + Math.max(0, seconds));
-    }
-
     private static double loadSeconds(PlacementView.Seat seat, PlacementView.Want want) {
         Duration near = seat.nearCopies().get(want.artifact().id());
         Duration load = near == null ? want.loadFromStore() : near;
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
@@ -5,11 +5,9 @@
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.membership.Artifact;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * What a policy decides from.
@@ -48,8 +46,6 @@
      * @param loading what that order loads, if it is a load
      * @param nearCopies how long a load takes of each model whose weights it keeps at hand
      * @param zone its availability zone, where that matters
-     * @param givesWay the models whose weights at hand may give way to those of a load from the
-     *     store; none where there is room for more
      */
     public record Seat(
             UpstreamId upstream,
@@ -59,41 +55,11 @@
             boolean busy,
             Optional<Artifact> loading,
             Map<ModelId, Duration> nearCopies,
-            Optional<ZoneId> zone,
-            Set<ModelId> givesWay) {
+            Optional<ZoneId> zone) {
         /** Copies the collections. */
         public Seat {
             held = List.copyOf(held);
             nearCopies = Map.copyOf(nearCopies);
-            givesWay = Set.copyOf(givesWay);
-        }
-
-        /** Creates a seat of which it is not known what gives way: all that it does not serve. */
-        public Seat(
-                UpstreamId upstream,
-                long freeMib,
-                int slots,
-                List<Held> held,
-                boolean busy,
-                Optional<Artifact> loading,
-                Map<ModelId, Duration> nearCopies,
-                Optional<ZoneId> zone) {
-            this(
-                    upstream,
-                    freeMib,
-                    slots,
-                    held,
-                    busy,
-                    loading,
-                    nearCopies,
-                    zone,
-                    notHeld(nearCopies.keySet(), held));
-        }
-
-        private static Set<ModelId> notHeld(Set<ModelId> near, List<Held> held) {
-            Set<ModelId> rest = new HashSet<>(near);
-            held.forEach(item -> rest.remove(item.artifact().id()));
-            return rest;
         }
 
         /** Creates a seat of an upstream that keeps no copies at hand. */
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -67,7 +67,6 @@
     private boolean lost;
     private boolean heard;
     private final Map<ModelId, Long> since = new HashMap<>();
-    private final DiskCopies diskCopies = new DiskCopies();
     private final AdapterSlots slots = new AdapterSlots();
     private final WantedAdapters wanted = new WantedAdapters();
 
@@ -109,12 +108,6 @@
         heard = true;
         report.models().forEach(copy -> since.putIfAbsent(copy.model(), seen));
         since.keySet().removeIf(model -> report.copyOf(model).isEmpty());
-        diskCopies.served(report, now);
-    }
-
-    /** Returns the models whose weights at hand give way to those of a load from the store. */
-    Set<ModelId> givesWay(EngineSpec spec) {
-        return diskCopies.givesWay(instance, spec);
     }
 
     /** The heartbeat that shows an order done may come before the answer to the order. */
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineViews.java
@@ -88,8 +88,7 @@
                 !engine.ready(),
                 engine.loading().map(EngineViews::artifact),
                 near,
-                Optional.of(instance.zone()),
-                engine.givesWay(spec));
+                Optional.of(instance.zone()));
     }
 
     private static PlacementView.Want want(
