--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -186,6 +186,30 @@
                 .isInstanceOf(Choice.Full.class);
     }
 
+    @Test
+    void requestsOfOtherHostsFillAnInstanceUnlessItTellsOtherwise() {
+        UpstreamId id = new UpstreamId("a");
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.othersTold(Map.of(id, 4), NOW);
+        assertThat(dispatcher.choose(need(Optional.empty()), any -> true, false, NOW))
+                .isInstanceOf(Choice.Full.class);
+        dispatcher.told(id, 1, NOW);
+        dispatcher.othersTold(Map.of(id, 4), NOW);
+        assertThat(sentTo(need(Optional.empty()))).contains("a");
+    }
+
+    @Test
+    void workIsToldWithWhatWasAnsweredSlowly() {
+        UpstreamId id = new UpstreamId("a");
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.objectives(Map.of(SERVICE, Duration.ofMillis(400)));
+        Sending slow = dispatcher.began(id, need(Optional.empty()), NOW);
+        dispatcher.began(id, need(Optional.empty()), NOW);
+        dispatcher.answered(slow, NOW + Duration.ofMillis(390).toNanos());
+        assertThat(dispatcher.takeWork()).isEqualTo(Map.of(id, new InstanceWork(2, 1, 1)));
+        assertThat(dispatcher.takeWork()).isEqualTo(Map.of(id, new InstanceWork(2, 0, 0)));
+    }
+
     @Test
     void endedRequestsLeaveNoWorkBehind() {
         dispatcher.changed(instance("a", 1, "m"));
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ModelDemandTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ModelDemandTest.java
@@ -40,6 +40,16 @@
         assertThat(demand.ratePerSecond(MODEL, at(10_000))).isGreaterThan(0.7);
     }
 
+    /** Demand for one model of 30 a second that moves away at once. */
+    @Test
+    void fallOfABusyModelIsBelievedWithinFiveSeconds() {
+        for (int tenth = 1; tenth <= 100; tenth++) {
+            demand.reported(HOST, Map.of(MODEL, 3), Map.of(), at(tenth * 100L));
+        }
+        assertThat(demand.ratePerSecond(MODEL, at(10_000))).isGreaterThan(25);
+        assertThat(demand.ratePerSecond(MODEL, at(15_000))).isLessThan(6);
+    }
+
     @Test
     void waitingForAModelThatNobodyServesAddsUp() {
         demand.reported(HOST, Map.of(MODEL, 1), Map.of(MODEL, 1), at(0));
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestTimesTest.java
@@ -0,0 +1,50 @@
+package io.stackhall.server.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.route.Route;
+import io.stackhall.core.route.RouteKind;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Until when an answer is of use. */
+class RequestTimesTest {
+
+    private static final long ARRIVED = Duration.ofSeconds(7).toNanos();
+
+    @Test
+    void answerCanOnlyBeLateOnceAnIdleEngineWouldMissTheObjective() {
+        RequestTimes times = new RequestTimes(ARRIVED, ARRIVED + millis(12_000), route(400));
+        assertThat(times.late(ARRIVED + millis(349))).isFalse();
+        assertThat(times.late(ARRIVED + millis(351))).isTrue();
+    }
+
+    @Test
+    void patientCallerIsNotLateForSeconds() {
+        RequestTimes times = new RequestTimes(ARRIVED, ARRIVED + millis(20_000), route(5000));
+        assertThat(times.late(ARRIVED + millis(4300))).isFalse();
+        assertThat(times.late(ARRIVED + millis(4400))).isTrue();
+    }
+
+    private static Route route(long objectiveMillis) {
+        return new Route(
+                "r",
+                "a.example",
+                "/",
+                RouteKind.STREAM,
+                Duration.ofSeconds(20),
+                Duration.ofMillis(objectiveMillis),
+                0,
+                List.of(new Route.Share(new ServiceName("s"), 1)),
+                1,
+                false,
+                Duration.ofMillis(250),
+                Duration.ofSeconds(2));
+    }
+
+    private static long millis(long value) {
+        return Duration.ofMillis(value).toNanos();
+    }
+}
