A command that a disk fails on is unknown, not refused

Cause, found on reading the change: when the storage failed, whatever was being taken in was refused, as if it could never be applied; a command that had been proposed may be on the disk and be committed later. The waits for what was proposed now end as unknown first. The new test failed in both cases (entries, sync) on the commit before, and passes now.

--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -192,6 +192,8 @@
                 break;
             } catch (IOException | RuntimeException e) {
                 fail(e);
+                // What has been proposed may be on the disk: its outcome is unknown, not refused.
+                tickets.endAll(new CommandOutcome.Unknown("the replica's storage has failed"));
                 batch.forEach(GroupInput::refuse);
                 batch.clear();
                 if (!beginAgain()) {
@@ -210,7 +212,6 @@
      * @return whether it could; what is kept in memory alone is lost for good
      */
     private boolean beginAgain() {
-        tickets.endAll(new CommandOutcome.Unknown("the replica's storage has failed"));
         while (!closed && storage.durable()) {
             try {
                 TimeUnit.MILLISECONDS.sleep(REOPEN_MILLIS);
--- a/stackhall-server/src/test/java/io/stackhall/server/group/FullDiskOfOneVoterTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/group/FullDiskOfOneVoterTest.java
@@ -86,6 +86,17 @@
         await(() -> states.get(sick).all().equals(List.of("one", "two", "three")));
     }
 
+    @ParameterizedTest
+    @EnumSource(names = {"ENTRIES", "SYNC"})
+    void commandThatTheDiskFailsOnIsNotRefusedAsItMayBeKept(FailingStorage.Call call) {
+        commit("one");
+        String sick = leader();
+        failing = call;
+        full.add(sick);
+        assertThat(outcome(hosts.get(sick), "two".getBytes(StandardCharsets.UTF_8)))
+                .isInstanceOf(CommandOutcome.Unknown.class);
+    }
+
     /** Sends a line to whoever leads until it is committed; it is taken over once. */
     private void commit(String line) {
         byte[] command = line.getBytes(StandardCharsets.UTF_8);
