State kept twice and work done twice taken out; no change of behaviour

Read again as a whole: - a work report was decoded twice on each control host, now once; - the choice of an instance made two lists for each look at a request where one loop serves, as before; - whether the store may be asked was judged anew for each engine, now once for each model, and whether nothing was asked for yet once for each decision; - the counts of waiting requests were copied into three trackers, one is read; - GroupHost kept its storage beside the source that owns it, RelayedRequest a deadline beside its times, InstanceLoad a flag that nothing needed; - the mean life of a count and the rate of an unknown engine stood twice. The comment on the objective without a route named a source that nobody had measured.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -27,7 +27,7 @@
  */
 public final class Dispatcher {
 
-    /** Where no route tells one; interactive callers of other systems are promised as much. */
+    /** Where the routes tell none any more: that of two of three deployments measured. */
     private static final Duration USUAL_OBJECTIVE = Duration.ofMillis(800);
 
     /** A running request slows a batch about as much as this many prompt tokens delay it once. */
@@ -135,18 +135,19 @@
      * @param late whether its answer can only be late
      */
     public Choice choose(Need need, Predicate<UpstreamId> allowed, boolean late, long now) {
-        List<Instance> known =
-                instances.values().stream()
-                        .filter(instance -> instance.state() == InstanceState.READY)
-                        .filter(instance -> instance.service().equals(need.service()))
-                        .toList();
-        if (known.isEmpty()) {
-            return new Choice.NobodyServes();
+        List<Instance> serving = new ArrayList<>();
+        boolean known = false;
+        for (Instance instance : instances.values()) {
+            boolean fits =
+                    instance.state() == InstanceState.READY
+                            && instance.service().equals(need.service());
+            known |= fits;
+            if (fits && allowed.test(instance.id())) {
+                serving.add(instance);
+            }
         }
-        List<Instance> serving =
-                known.stream().filter(instance -> allowed.test(instance.id())).toList();
         if (serving.isEmpty()) {
-            return new Choice.AllTried();
+            return known ? new Choice.AllTried() : new Choice.NobodyServes();
         }
         EngineSpec engine = engines.get(need.service());
         if (need.model().isEmpty() || engine == null) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -47,7 +47,6 @@
     private int slowAnswers;
     private double meanStayNanos = FIRST_STAY_NANOS;
     private long lastBegun;
-    private boolean begun;
     private long suspectedUntil;
     private int suspicions;
     private double failureShare;
@@ -57,7 +56,6 @@
         pendingTokens += tokens;
         unanswered.addLast(now);
         lastBegun = now;
-        begun = true;
     }
 
     /**
@@ -85,8 +83,7 @@
      * @param late whether its answer can only be late
      */
     boolean takesPrompt(boolean late, long now) {
-        long sinceLast = begun ? now - lastBegun : Long.MAX_VALUE;
-        return window.admits(unanswered.size(), late, sinceLast);
+        return window.admits(unanswered.size(), late, now - lastBegun);
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/placement/DemandTracker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/placement/DemandTracker.java
@@ -65,8 +65,12 @@
         if (rate == null) {
             return 0;
         }
-        double meanLifeSeconds = halfLife.toNanos() / NANOS_PER_SECOND / Math.log(2);
-        return decayed(rate, now) / meanLifeSeconds;
+        return decayed(rate, now) / meanLifeSeconds();
+    }
+
+    /** Returns for how long a request counts, on average, in seconds. */
+    public double meanLifeSeconds() {
+        return halfLife.toNanos() / NANOS_PER_SECOND / Math.log(2);
     }
 
     /** Returns how many requests wait for a model, by the latest report of each entry host. */
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/NearestCopyPolicy.java
@@ -158,14 +158,13 @@
     private static Optional<Place> cheapest(
             Planning planning, PlacementView.Want want, Duration residence) {
         Optional<Place> best = Optional.empty();
+        boolean fromStore = storeIsFree(planning, want) && !nearSeatIsFreeSoon(planning, want);
         for (PlacementView.Seat seat : planning.view().seats()) {
             if (!planning.available(seat) || seat.holds(want.artifact().id())) {
                 continue;
             }
             Optional<Place> place = placeOn(planning, seat, want, residence);
-            boolean fromStore = place.isPresent() && place.get().fromStore();
-            boolean nearer = fromStore && nearSeatIsFreeSoon(planning, want);
-            if (place.isEmpty() || nearer || (fromStore && !storeIsFree(planning, want))) {
+            if (place.isEmpty() || (place.get().fromStore() && !fromStore)) {
                 continue;
             }
             if (best.isEmpty() || place.get().cost() < best.get().cost()) {
@@ -195,15 +194,17 @@
     }
 
     private static boolean storeIsFree(Planning planning, PlacementView.Want want) {
+        if (planning.loadsLeft() <= 0) {
+            return false;
+        }
+        if (planning.unused()) {
+            return true;
+        }
         List<PlacementView.Seat> seats = planning.view().seats();
         long loading = seats.stream().filter(NearestCopyPolicy::loadsFromStore).count();
-        boolean unused = planning.view().wants().stream().allMatch(one -> one.lastUsed() == 0);
-        if (unused) {
-            return planning.loadsLeft() > 0;
-        }
         int most = Math.max(1, seats.size() / SEATS_PER_STORE_LOAD);
         most *= want.ratePerSecond() >= OFTEN_PER_SECOND ? 2 : 1;
-        return planning.loadsLeft() > 0 && loading < most;
+        return loading < most;
     }
 
     private static Optional<Place> placeOn(
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/PlacementView.java
@@ -21,8 +21,11 @@
 public record PlacementView(
         List<Seat> seats, List<Want> wants, int loadsAllowed, double saturatingRate, long now) {
 
-    /** Stands for a capacity that nobody has told. */
-    private static final double UNKNOWN_RATE = 8;
+    /**
+     * Stands for a capacity that is not known, in requests a second: prompts of 1,800 tokens are
+     * read so at 19 tokens a millisecond.
+     */
+    public static final double UNKNOWN_RATE = 8;
 
     /** Creates a view of upstreams whose capacity is not known. */
     public PlacementView(List<Seat> seats, List<Want> wants, int loadsAllowed, long now) {
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
@@ -20,11 +20,13 @@
     private final Map<ModelId, PlacementView.Want> wants = new HashMap<>();
     private final Map<Artifact, Integer> copies = new HashMap<>();
     private final Map<Artifact, Integer> coming = new HashMap<>();
+    private final boolean unused;
     private int loadsLeft;
 
     Planning(PlacementView view) {
         this.view = view;
         this.loadsLeft = view.loadsAllowed();
+        this.unused = view.wants().stream().allMatch(want -> want.lastUsed() == 0);
         view.wants().forEach(want -> wants.put(want.artifact().id(), want));
         for (PlacementView.Seat seat : view.seats()) {
             seat.held().forEach(held -> copies.merge(held.artifact(), 1, Integer::sum));
@@ -57,6 +59,11 @@
         return List.copyOf(moves);
     }
 
+    /** Returns whether nothing has been asked for yet. */
+    boolean unused() {
+        return unused;
+    }
+
     int loadsLeft() {
         return loadsLeft;
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineCapacity.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineCapacity.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.policy.PlacementView;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,9 +18,6 @@
  */
 final class EngineCapacity {
 
-    /** Until engines have shown more; prompts of 1,800 tokens at 19 a millisecond are read so. */
-    private static final double FIRST_PER_SECOND = 8;
-
     /** Several reports of each host, and some ten answers of a busy engine. */
     private static final long WINDOW_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -36,7 +34,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<UpstreamId, Window> windows = new HashMap<>();
-    private double perSecond = FIRST_PER_SECOND;
+    private double perSecond = PlacementView.UNKNOWN_RATE;
 
     private static final class Window {
         private final long since;
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ModelDemand.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ModelDemand.java
@@ -37,8 +37,6 @@
      */
     private static final double EXPECTED_BY_COPY = 3;
 
-    private static final double MILLIS_PER_SECOND = 1000;
-
     /** By then the requests themselves tell. */
     private static final long EXPECTATION_NANOS = Duration.ofSeconds(5).toNanos();
 
@@ -54,8 +52,8 @@
     void reported(
             HostId host, Map<ModelId, Integer> arrivals, Map<ModelId, Integer> waiting, long now) {
         falling.report(host, arrivals, waiting, now);
-        rising.report(host, arrivals, waiting, now);
-        recent.report(host, arrivals, waiting, now);
+        rising.report(host, arrivals, Map.of(), now);
+        recent.report(host, arrivals, Map.of(), now);
         if (!asked && !arrivals.isEmpty()) {
             asked = true;
             askedSince = now;
@@ -78,7 +76,7 @@
 
     /** Returns the highest rate under which so few requests as of late are still likely. */
     private double mostByRecent(ModelId model, long now) {
-        double seconds = RECENT_HALF_LIFE.toMillis() / (MILLIS_PER_SECOND * Math.log(2));
+        double seconds = recent.meanLifeSeconds();
         double rate = recent.ratePerSecond(model, now);
         double deviation = Math.sqrt((rate + 1 / seconds) / seconds);
         return rate + RULED_OUT_DEVIATIONS * deviation;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -12,13 +12,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
+import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.fleet.RepeatedTask;
+import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupListener;
 import io.stackhall.server.metrics.FleetMetrics;
@@ -28,6 +32,7 @@
 import io.stackhall.server.settings.FleetSettings;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
@@ -160,10 +165,7 @@
                     confirm(replier);
                 }
             }
-            case WORK -> {
-                fleet.worked(frame.getWork());
-                orders.worked(frame.getWork());
-            }
+            case WORK -> worked(frame.getWork());
             case DEMAND -> orders.demanded(frame.getDemand());
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
@@ -172,6 +174,12 @@
         }
     }
 
+    private void worked(WorkReport report) {
+        Map<UpstreamId, InstanceWork> work = WorkCodec.decode(report);
+        fleet.worked(new HostId(report.getHost()), work);
+        orders.worked(work);
+    }
+
     private void confirm(Replier replier) {
         Thread.startVirtualThread(
                 () -> {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.control;
 
 import io.netty.channel.EventLoop;
+import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceTable;
@@ -11,7 +12,6 @@
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
-import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
@@ -148,8 +148,8 @@
     }
 
     /** Takes in how many requests an entry host has at each instance. */
-    void worked(WorkReport report) {
-        works.reported(new HostId(report.getHost()), WorkCodec.requests(report), System.nanoTime());
+    void worked(HostId host, Map<UpstreamId, InstanceWork> work) {
+        works.reported(host, WorkCodec.requests(work), System.nanoTime());
     }
 
     /** Tells each entry host the work of the others, less often the more of them there are. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
@@ -23,10 +24,8 @@
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.InstanceUnreachable;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
-import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.DemandCount;
 import io.stackhall.rpc.generated.peer.DemandReport;
-import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.FleetSettings;
@@ -131,8 +130,8 @@
     }
 
     /** Takes in what an entry host says of its work at instances. */
-    void worked(WorkReport report) {
-        keeper.worked(WorkCodec.decode(report), System.nanoTime());
+    void worked(Map<UpstreamId, InstanceWork> work) {
+        keeper.worked(work, System.nanoTime());
     }
 
     /** Takes in that an entry host cannot connect to an instance. */
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
@@ -35,9 +35,9 @@
     }
 
     /** Returns the requests by instance. */
-    public static Map<UpstreamId, Integer> requests(WorkReport report) {
+    public static Map<UpstreamId, Integer> requests(Map<UpstreamId, InstanceWork> work) {
         Map<UpstreamId, Integer> requests = new HashMap<>();
-        decode(report).forEach((id, work) -> requests.put(id, work.requests()));
+        work.forEach((id, one) -> requests.put(id, one.requests()));
         return requests;
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -137,7 +137,8 @@
 
     private void work(WorkReport report) {
         long now = System.nanoTime();
-        works.reported(new HostId(report.getHost()), WorkCodec.requests(report), now);
+        works.reported(
+                new HostId(report.getHost()), WorkCodec.requests(WorkCodec.decode(report)), now);
         gateway.dispatcher().othersTold(works.most(now), now);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -40,7 +40,6 @@
     private Route route;
     private Need need;
     private RequestTimes times;
-    private long deadlineAt;
     private long waitingSince;
     private WaitReason waitsFor = WaitReason.NOTHING;
     private Admission admission;
@@ -77,8 +76,7 @@
         history.allow(route.maxAttempts());
         need = request.need(route, route.service(gateway.ticket()));
         times = RequestTimes.of(request, route);
-        deadlineAt = times.deadlineAt();
-        deadline = gateway.loop().schedule(this::outOfTime, leftNanos(), TimeUnit.NANOSECONDS);
+        endAt(times.deadlineAt());
         admission = newAdmission();
         gateway.arrived(need);
         waitingSince = System.nanoTime();
@@ -95,8 +93,7 @@
             refuse("no configuration is known yet", first.retryAfter(now));
             return;
         }
-        deadlineAt = first.latest(request);
-        deadline = gateway.loop().schedule(this::outOfTime, leftNanos(), TimeUnit.NANOSECONDS);
+        endAt(first.latest(request));
         first.add(this);
     }
 
@@ -112,7 +109,7 @@
 
     /** Returns until when an answer is of use, on the monotonic clock in nanoseconds. */
     long deadlineAt() {
-        return deadlineAt;
+        return times.deadlineAt();
     }
 
     /**
@@ -194,7 +191,7 @@
         attempt = new UpstreamAttempt(gateway, instance, need, stream, this);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
         log.sent(need, instance, history.sends() + 1, why, now - waitingSince, waitsFor, load);
-        long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt - now);
+        long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt() - now);
         attempt.begin(RequestCopy.of(request, need, instance, leftMillis, lastEvent), request.id());
     }
 
@@ -240,16 +237,17 @@
         }
     }
 
+    private void endAt(long moment) {
+        long left = Math.max(0, moment - System.nanoTime());
+        deadline = gateway.loop().schedule(this::outOfTime, left, TimeUnit.NANOSECONDS);
+    }
+
     private void cancelDeadline() {
         if (deadline != null) {
             deadline.cancel(false);
         }
     }
 
-    private long leftNanos() {
-        return Math.max(0, deadlineAt - System.nanoTime());
-    }
-
     @Override
     public void sending() {
         history.sent(attempt.instance().id());
@@ -364,7 +362,7 @@
     }
 
     private void again(String reason) {
-        if (System.nanoTime() - deadlineAt >= 0) {
+        if (System.nanoTime() - deadlineAt() >= 0) {
             giveUp(reason, SOON);
             return;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -10,7 +10,6 @@
 import io.stackhall.core.replication.ReplicaSettings;
 import io.stackhall.core.replication.Role;
 import io.stackhall.core.replication.Snapshot;
-import io.stackhall.server.storage.ReplicaStorage;
 import io.stackhall.server.storage.StorageOpener;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -53,7 +52,6 @@
     private final Tickets tickets = new Tickets();
     private final Thread thread;
     private Replica replica;
-    private ReplicaStorage storage;
     private long appliedIndex;
     private boolean unsynced;
     private boolean leading;
@@ -83,12 +81,11 @@
             throws IOException {
         this.group = group;
         this.source = new ReplicaSource(host, members, settings, opener, random);
-        this.storage = source.storage();
         this.state = state;
         this.wire = wire;
         this.listener = listener;
         this.replica = source.replica(aliveSince);
-        restore(storage.saved().snapshot());
+        restore(source.storage().saved().snapshot());
         this.view = ReplicaView.of(replica);
         this.thread = new Thread(this::run, "group-" + group);
     }
@@ -156,7 +153,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        storage.close();
+        source.storage().close();
     }
 
     private CompletableFuture<CommandOutcome> ask(byte[] bytes, boolean query) {
@@ -212,7 +209,7 @@
      * @return whether it could; what is kept in memory alone is lost for good
      */
     private boolean beginAgain() {
-        while (!closed && storage.durable()) {
+        while (!closed && source.storage().durable()) {
             try {
                 TimeUnit.MILLISECONDS.sleep(REOPEN_MILLIS);
             } catch (InterruptedException e) {
@@ -235,7 +232,6 @@
             logger.warn("group.storage-unusable group={} cause={}", group, e.toString());
             return false;
         }
-        storage = source.storage();
         replica = source.replica(System.nanoTime());
         unsynced = false;
         view = ReplicaView.of(replica);
@@ -255,7 +251,7 @@
             switch (input) {
                 case GroupInput.Ask ask when ask.query() ->
                         step(new ReplicaEvent.Read(tickets.issue(ask.outcome(), ask.bytes())));
-                case GroupInput.Ask ask when !storage.hasRoom() -> {
+                case GroupInput.Ask ask when !source.storage().hasRoom() -> {
                     ask.outcome().complete(new CommandOutcome.Refused("the disk is nearly full"));
                     leaveLeadershipToOneWithRoom();
                 }
@@ -293,15 +289,15 @@
     private void carryOut(ReplicaEffect effect) throws IOException {
         switch (effect) {
             case ReplicaEffect.SaveHardState(var hardState) -> {
-                storage.saveHardState(hardState);
+                source.storage().saveHardState(hardState);
                 unsynced = true;
             }
             case ReplicaEffect.SaveEntries(List<Entry> entries) -> {
-                storage.saveEntries(entries);
+                source.storage().saveEntries(entries);
                 unsynced = true;
             }
             case ReplicaEffect.SaveSnapshot(Snapshot snapshot, boolean dropLog) -> {
-                storage.saveSnapshot(snapshot, dropLog);
+                source.storage().saveSnapshot(snapshot, dropLog);
                 unsynced = false;
             }
             case ReplicaEffect.Send(Message message) -> {
@@ -333,7 +329,7 @@
 
     private void syncIfNeeded() throws IOException {
         if (unsynced) {
-            storage.sync();
+            source.storage().sync();
             unsynced = false;
         }
     }
