--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -73,7 +73,7 @@
             Duration orderPause,
             boolean fenceChecked,
             double retryRatio,
-            int retrySlack,
+            double retrySlack,
             Duration retryWindow,
             Duration storeWindow,
             int hostLossesBorne) {}
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -15,6 +15,9 @@
 
     private static final int MINUTE_MILLIS = 60_000;
 
+    /** More than any deployment sends; a larger figure is a slip of the pen. */
+    private static final double MOST_RESENDS = 1_000_000;
+
     private final List<Finding> findings;
 
     FleetSettingsReader(List<Finding> findings) {
@@ -82,14 +85,14 @@
     private static FleetSettings.Limits limits(Section section) {
         FleetSettings.Limits limits =
                 new FleetSettings.Limits(
-                        section.millis("heartbeatMillis", 1200, 10, MINUTE_MILLIS),
-                        section.millis("stopGraceMillis", 8000, 100, 10 * MINUTE_MILLIS),
-                        section.millis("orderPauseMillis", 3000, 0, MINUTE_MILLIS),
+                        section.decimalMillis("heartbeatMillis", 1200, 10, MINUTE_MILLIS),
+                        section.decimalMillis("stopGraceMillis", 8000, 100, 10 * MINUTE_MILLIS),
+                        section.decimalMillis("orderPauseMillis", 3000, 0, MINUTE_MILLIS),
                         section.number("fenceChecked", 0, 0, 1) == 1,
-                        section.decimal("retryRatio", 0.2),
-                        section.number("retrySlack", 50, 0, 1_000_000),
-                        section.millis("retryWindowMillis", 10_000, 100, MINUTE_MILLIS),
-                        section.millis("storeWindowMillis", 5000, 100, MINUTE_MILLIS),
+                        section.decimal("retryRatio", 0.2, 0, MOST_RESENDS),
+                        section.decimal("retrySlack", 50, 0, MOST_RESENDS),
+                        section.decimalMillis("retryWindowMillis", 10_000, 100, MINUTE_MILLIS),
+                        section.decimalMillis("storeWindowMillis", 5000, 100, MINUTE_MILLIS),
                         section.number("hostLossesBorne", 1, 0, 100));
         section.finish();
         return limits;
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
@@ -14,6 +14,8 @@
 /** One object of the settings, read key by key; what is left unread is unknown. */
 final class Section {
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final LocatedJson.ObjectNode node;
     private final List<Finding> findings;
     private final Set<String> read = new HashSet<>();
@@ -57,40 +59,53 @@
         if (value == null) {
             return otherwise;
         }
-        boolean whole =
-                value instanceof LocatedJson.ScalarNode scalar
-                        && scalar.token() == JsonToken.VALUE_NUMBER_INT
-                        && scalar.text().length() <= 10;
-        if (!whole) {
+        if (!(value instanceof LocatedJson.ScalarNode scalar) || !scalar.token().isNumeric()) {
             findings.add(new Finding(value.place(), "must be a whole number"));
             return otherwise;
         }
-        long number = Long.parseLong(((LocatedJson.ScalarNode) value).text());
+        double number = Double.parseDouble(scalar.text());
+        if (number != Math.rint(number)) {
+            findings.add(new Finding(value.place(), scalar.text() + " is no whole number"));
+            return otherwise;
+        }
         if (number < lowest || number > highest) {
             findings.add(
-                    new Finding(value.place(), number + " is not in " + lowest + " to " + highest));
+                    new Finding(
+                            value.place(),
+                            scalar.text() + " is not in " + lowest + " to " + highest));
             return otherwise;
         }
         return (int) number;
     }
 
-    /** Returns a number that is not negative, or the default. */
-    double decimal(String key, double otherwise) {
+    /** Returns a number within a range, whole or not, or the default. */
+    double decimal(String key, double otherwise, double lowest, double highest) {
         read.add(key);
         LocatedJson.Node value = node.members().get(key);
         if (value == null) {
             return otherwise;
         }
-        boolean numeric =
-                value instanceof LocatedJson.ScalarNode scalar && scalar.token().isNumeric();
-        double number = numeric ? Double.parseDouble(((LocatedJson.ScalarNode) value).text()) : -1;
-        if (number < 0) {
-            findings.add(new Finding(value.place(), "must be a number that is not negative"));
+        if (!(value instanceof LocatedJson.ScalarNode scalar) || !scalar.token().isNumeric()) {
+            findings.add(new Finding(value.place(), "must be a number"));
+            return otherwise;
+        }
+        double number = Double.parseDouble(scalar.text());
+        if (number < lowest || number > highest) {
+            findings.add(
+                    new Finding(
+                            value.place(),
+                            scalar.text() + " is not in " + lowest + " to " + highest));
             return otherwise;
         }
         return number;
     }
 
+    /** Returns a time within a range in milliseconds, whole or not, or the default. */
+    Duration decimalMillis(String key, int otherwise, int lowest, int highest) {
+        double millis = decimal(key, otherwise, lowest, highest);
+        return Duration.ofNanos(Math.round(millis * NANOS_PER_MILLI));
+    }
+
     Duration millis(String key, int otherwise, int lowest, int highest) {
         return Duration.ofMillis(number(key, otherwise, lowest, highest));
     }
--- a/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -64,6 +65,58 @@
         assertThat(settings.control().orElseThrow().dataFolder()).isEqualTo(Path.of("/data/x"));
     }
 
+    @Test
+    void figuresMayBeFractions() throws IOException {
+        Map<String, String> fractions =
+                Map.of(
+                        "{{heartbeat-ms}}", "1200.5",
+                        "{{bounds.grace-s}}", "7.25",
+                        "{{bounds.lease-ms}}", "2999.75",
+                        "{{bounds.budget-slack}}", "11.7",
+                        "{{bounds.budget-window-s}}", "2.5",
+                        "{{bounds.ceiling-window-s}}", "0.5",
+                        "{{tolerate.machines}}", "2.0");
+        FleetSettings.Limits limits =
+                read(fill("listen.front", "listen.control", fractions)).limits();
+        assertThat(limits.heartbeat()).isEqualTo(Duration.ofNanos(1_200_500_000));
+        assertThat(limits.stopGrace()).hasMillis(7250);
+        assertThat(limits.orderPause()).isEqualTo(Duration.ofNanos(2_999_750_000L));
+        assertThat(limits.retrySlack()).isEqualTo(11.7);
+        assertThat(limits.retryWindow()).hasMillis(2500);
+        assertThat(limits.storeWindow()).hasMillis(500);
+        assertThat(limits.hostLossesBorne()).isEqualTo(2);
+    }
+
+    @Test
+    void figuresMayBeWholeAndLarge() throws IOException {
+        Map<String, String> large =
+                Map.of(
+                        "{{heartbeat-ms}}", "60000",
+                        "{{bounds.grace-s}}", "600",
+                        "{{bounds.lease-ms}}", "60000",
+                        "{{bounds.budget-slack}}", "1000000",
+                        "{{bounds.budget-window-s}}", "60",
+                        "{{bounds.ceiling-window-s}}", "60",
+                        "{{tolerate.machines}}", "100");
+        FleetSettings.Limits limits = read(fill("listen.front", "listen.control", large)).limits();
+        assertThat(limits.stopGrace()).hasSeconds(600);
+        assertThat(limits.retrySlack()).isEqualTo(1_000_000);
+        assertThat(limits.hostLossesBorne()).isEqualTo(100);
+    }
+
+    @Test
+    void countThatIsNoWholeNumberIsRefusedByItsValue() {
+        assertThat(findings("{\"hostLossesBorne\": 1.5}"))
+                .anyMatch(text -> text.contains("1.5 is no whole number"));
+    }
+
+    @Test
+    void figureOutOfItsRangeIsRefusedByItsValue() {
+        assertThat(findings("{\"stopGraceMillis\": 12.5, \"retrySlack\": 1e9}"))
+                .anyMatch(text -> text.contains("12.5 is not in 100.0 to"))
+                .anyMatch(text -> text.contains("1e9 is not in 0.0 to"));
+    }
+
     @Test
     void everythingThatIsWrongIsFoundTogether() {
         List<Finding> findings =
@@ -79,23 +132,40 @@
                 .anyMatch(text -> text.contains("nowhere"))
                 .anyMatch(text -> text.contains("surplus"))
                 .anyMatch(text -> text.contains("names no host"))
-                .anyMatch(text -> text.contains("not negative"))
+                .anyMatch(text -> text.contains("-1 is not in 0.0 to"))
                 .anyMatch(text -> text.contains("'entry' or 'control'"));
     }
 
+    private static List<String> findings(String limits) {
+        String text =
+                """
+                {"host": "h", "zone": "z", "peers": "10.1.0.1:7380",
+                 "entry": {"callers": "10.1.0.1:1", "readiness": "10.1.0.1:2"},
+                 "discovery": {"seeds": ["10.1.0.2:3"]}, "limits": %s}
+                """
+                        .formatted(limits);
+        return SettingsReader.parseAny(text).getLeft().stream().map(Finding::message).toList();
+    }
+
     private static FleetSettings read(String text) {
         return (FleetSettings) SettingsReader.parseAny(text).get();
     }
 
     /** Fills the template as a process of one role gets it. */
     private static String fill(String present, String absent) throws IOException {
+        return fill(present, absent, Map.of());
+    }
+
+    private static String fill(String present, String absent, Map<String, String> other)
+            throws IOException {
         String text = Files.readString(TEMPLATE);
         text = text.replace("{{#" + present + "}}", "").replace("{{/" + present + "}}", "");
         int from = text.indexOf("{{#" + absent + "}}");
         String end = "{{/" + absent + "}}";
         text = text.substring(0, from) + text.substring(text.indexOf(end) + end.length());
         for (Map.Entry<String, String> gap : COMMON.entrySet()) {
-            text = text.replace(gap.getKey(), gap.getValue());
+            String value = other.getOrDefault(gap.getKey(), gap.getValue());
+            text = text.replace(gap.getKey(), value);
         }
         return text;
     }
