--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceWork.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceWork.java
@@ -17,6 +17,12 @@
         }
     }
 
+    /** Returns both together. */
+    public InstanceWork plus(InstanceWork other) {
+        return new InstanceWork(
+                requests + other.requests, answered + other.answered, slow + other.slow);
+    }
+
     /** Returns whether there is nothing to tell. */
     boolean isNothing() {
         return requests == 0 && answered == 0;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -52,6 +52,9 @@
     /** As often as entry hosts tell of their work. */
     private static final long WORK_MILLIS = 150;
 
+    /** What newly waits is heard by the giver of orders, who decides every 100 ms, in time. */
+    private static final long PASS_ON_MILLIS = 100;
+
     private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
 
     private final FleetSettings settings;
@@ -109,6 +112,7 @@
                 settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
         RepeatedTask.every(loop, SWEEP_MILLIS, this::sweep);
         RepeatedTask.every(loop, WORK_MILLIS, fleet::tellWork);
+        RepeatedTask.every(loop, PASS_ON_MILLIS, fleet::passReportsOn);
         RepeatedTask.every(loop, ORDER_MILLIS, orders::tick);
         logger.info(
                 "daemon.started host={} zone={} api={}",
@@ -166,7 +170,10 @@
                 }
             }
             case WORK -> worked(frame.getWork());
-            case DEMAND -> orders.demanded(frame.getDemand());
+            case DEMAND -> {
+                fleet.demanded(frame.getDemand());
+                orders.demanded(frame.getDemand());
+            }
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
             case RESIDENCY -> fleet.passOn(frame);
@@ -209,6 +216,9 @@
         if (group.leads()) {
             fleet.expire();
         }
+        if (group.leader().isEmpty()) {
+            fleet.outOfTouch();
+        }
     }
 
     private Channel listen() {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -4,7 +4,6 @@
 import io.stackhall.core.dispatch.ReportPace;
 import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
-import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
@@ -48,6 +47,7 @@
         private final long connection;
         private Replier replier;
         private long heardAt;
+        private boolean primary;
         private boolean toldOfWork;
 
         private Follower(long connection) {
@@ -63,12 +63,15 @@
     /**
      * Notes that an entry host has asked.
      *
-     * @return whether it follows on a new connection, so that it is to be told everything
+     * @return whether it has newly taken this host as its primary, so that it is to be told
+     *     everything
      */
     boolean asked(FleetFollow follow, Replier replier) {
         Follower known = followers.get(follow.getHost());
         boolean anew = known == null || known.connection != follow.getConnection();
         Follower follower = anew ? new Follower(follow.getConnection()) : known;
+        boolean newlyPrimary = follow.getPrimary() && !follower.primary;
+        follower.primary = follow.getPrimary();
         follower.replier = replier;
         follower.heardAt = System.nanoTime();
         followers.put(follow.getHost(), follower);
@@ -78,7 +81,13 @@
                     follow.getHost(),
                     follow.getRoutesVersion());
         }
-        return anew;
+        return newlyPrimary;
+    }
+
+    /** Returns whether an entry host has this one as its primary. */
+    boolean isPrimaryOf(HostId host) {
+        Follower follower = followers.get(host.value());
+        return follower != null && follower.primary;
     }
 
     int count() {
@@ -90,15 +99,31 @@
         followers.values().forEach(follower -> follower.replier.send(frame));
     }
 
+    /** Sends a frame to each that has this host as its primary. */
+    void sendToPrimaries(Frame frame) {
+        for (Follower follower : followers.values()) {
+            if (follower.primary) {
+                follower.replier.send(frame);
+            }
+        }
+    }
+
+    /** Tells each at once of instances that come, go, drain or serve a further model. */
+    void begun(Collection<Instance> instances) {
+        if (instances.isEmpty()) {
+            return;
+        }
+        instances.forEach(instance -> untold.remove(instance.id()));
+        send(InstanceCodec.frame(instances, false, followers.size()));
+    }
+
     /**
-     * Tells each of instances that have changed: at once where one comes, goes or drains, otherwise
-     * together with what else changes within 150 ms.
+     * Tells those that have this host as their primary what else has changed of instances, together
+     * with what changes within 150 ms.
      */
-    void changed(Collection<Instance> instances, boolean atOnce) {
+    void changed(Collection<Instance> instances) {
         instances.forEach(instance -> untold.put(instance.id(), instance));
-        if (atOnce || instances.stream().anyMatch(one -> one.state() != InstanceState.READY)) {
-            tellChanges();
-        } else if (!tellScheduled) {
+        if (!untold.isEmpty() && !tellScheduled) {
             tellScheduled = true;
             loop.schedule(this::tellChanges, HOLDINGS_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -106,18 +131,22 @@
 
     private void tellChanges() {
         tellScheduled = false;
-        if (untold.isEmpty()) {
-            return;
+        if (!untold.isEmpty()) {
+            sendToPrimaries(
+                    InstanceCodec.frame(List.copyOf(untold.values()), false, followers.size()));
+            untold.clear();
         }
-        List<Instance> changes = List.copyOf(untold.values());
-        untold.clear();
-        send(InstanceCodec.frame(changes, false, followers.size()));
     }
 
-    /** Tells each the work of the others, less often the more of them there are. */
+    /**
+     * Tells each that has this host as its primary the work of the others, less often the more of
+     * them there are.
+     */
     void tellWork(WorkReports works) {
         long now = System.nanoTime();
-        if (now - workToldAt < new ReportPace(followers.size()).interval().toNanos()) {
+        long primaries = followers.values().stream().filter(one -> one.primary).count();
+        ReportPace pace = new ReportPace(Math.toIntExact(primaries));
+        if (now - workToldAt < pace.interval().toNanos()) {
             return;
         }
         workToldAt = now;
@@ -127,6 +156,9 @@
 
     /** What nobody works on is told once. */
     private void tellWork(WorkReports works, String host, Follower follower, long now) {
+        if (!follower.primary) {
+            return;
+        }
         Map<UpstreamId, Integer> others = works.sumWithout(new HostId(host), now);
         if (!others.isEmpty() || follower.toldOfWork) {
             follower.replier.send(WorkCodec.encodeOthers(self, others));
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.dispatch.InstanceWork;
+import io.stackhall.core.dispatch.ReportSum;
 import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceTable;
@@ -17,6 +18,7 @@
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
+import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
@@ -56,6 +58,9 @@
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
     private final WorkReports works = new WorkReports();
+    private final ReportSum sum = new ReportSum();
+    private boolean toldOfWork;
+    private boolean toldOfDemand;
     private Set<ServiceName> services = Set.of();
     private long refusedRecords;
     private long refusalLoggedAt;
@@ -99,7 +104,8 @@
     void left(UpstreamId id) {
         List<Instance> changed = table.remove(id);
         logger.info("upstream.left id={} known={}", id, !changed.isEmpty());
-        spread(changed, changed, true);
+        toControlHosts(changed);
+        toEntryHosts(changed, List.of());
     }
 
     /** Takes in what another control host has heard. */
@@ -114,7 +120,8 @@
     /** Marks the upstreams that have said nothing for too long; for the leader alone. */
     void expire() {
         List<Instance> changed = table.expire(System.nanoTime());
-        spread(changed, changed, true);
+        toControlHosts(changed);
+        toEntryHosts(changed, List.of());
     }
 
     /** Starts counting silence anew, for a host that may itself have been out of touch. */
@@ -151,13 +158,13 @@
     /** Tells every entry host what an instance holds now, or is about to hold no more. */
     void residency(ResidencyChange change) {
         Frame frame = Frame.newBuilder().setResidency(change).build();
-        hosts.all().forEach(host -> transport.send(host, frame));
+        toControlHosts(frame);
         passOn(frame);
     }
 
-    /** Passes on to the entry hosts what another control host has said. */
+    /** Passes on what the giver of orders has said to the entry hosts that rely on this host. */
     void passOn(Frame frame) {
-        followers.send(frame);
+        followers.sendToPrimaries(frame);
     }
 
     /** Returns whether another control host is in reach. */
@@ -165,9 +172,45 @@
         return transport.connected(host);
     }
 
-    /** Takes in how many requests an entry host has at each instance. */
+    /** Takes in how many requests an entry host, or those of another control host, have where. */
     void worked(HostId host, Map<UpstreamId, InstanceWork> work) {
-        works.reported(host, WorkCodec.requests(work), System.nanoTime());
+        long now = System.nanoTime();
+        works.reported(host, WorkCodec.requests(work), now);
+        if (followers.isPrimaryOf(host)) {
+            sum.worked(host, work, now);
+        }
+    }
+
+    /** Takes in what an entry host is asked for. */
+    void demanded(DemandReport report) {
+        HostId host = new HostId(report.getHost());
+        if (followers.isPrimaryOf(host)) {
+            sum.asked(host, WorkCodec.decode(report), System.nanoTime());
+        }
+    }
+
+    /** Passes the reports of the entry hosts that rely on this host on to the other ones. */
+    void passReportsOn() {
+        long now = System.nanoTime();
+        sum.shared(followers.count());
+        Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
+        if (!work.isEmpty() || toldOfWork) {
+            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work));
+            toldOfWork = !work.isEmpty();
+        }
+        Map<String, ReportSum.Asked> asked = sum.takeAsked(now);
+        if (!asked.isEmpty() || toldOfDemand) {
+            toControlHosts(WorkCodec.encode(hosts.self(), asked));
+            toldOfDemand = !asked.isEmpty();
+        }
+    }
+
+    /** Tells the entry hosts that rely on this host that it knows of no leader. */
+    void outOfTouch() {
+        followers.sendToPrimaries(
+                Frame.newBuilder()
+                        .setInstances(InstancesUpdate.newBuilder().setOutOfTouch(true))
+                        .build());
     }
 
     /** Tells each entry host the work of the others. */
@@ -204,32 +247,39 @@
     private void takeIn(List<Instance> instances, boolean direct) {
         List<Instance> heard = new ArrayList<>();
         List<Instance> changed = new ArrayList<>();
-        boolean stateChanges = false;
+        List<Instance> begun = new ArrayList<>();
         for (Instance instance : instances) {
             Instance before = table.find(instance.id()).orElse(null);
             for (Instance after : table.merge(instance, System.nanoTime())) {
                 heard.add(after);
-                if (differs(before, after)) {
+                if (begins(before, after)) {
+                    begun.add(after);
+                } else if (differs(before, after)) {
                     changed.add(after);
-                    stateChanges |= before == null || before.state() != after.state();
                 }
             }
         }
-        spread(direct ? heard : List.of(), changed, stateChanges);
+        toControlHosts(direct ? heard : List.of());
+        toEntryHosts(begun, changed);
     }
 
-    /** Tells control hosts what was heard, and entry hosts what has changed by it. */
-    private void spread(List<Instance> heard, List<Instance> changed, boolean atOnce) {
+    private void toControlHosts(List<Instance> heard) {
         if (!heard.isEmpty()) {
-            Frame frame = InstanceCodec.frame(heard, false, followers.count());
-            hosts.all().forEach(host -> transport.send(host, frame));
-        }
-        if (!changed.isEmpty()) {
-            changed.forEach(FleetKeeper::log);
-            followers.changed(changed, atOnce);
+            toControlHosts(InstanceCodec.frame(heard, false, followers.count()));
         }
     }
 
+    private void toControlHosts(Frame frame) {
+        hosts.all().forEach(host -> transport.send(host, frame));
+    }
+
+    private void toEntryHosts(List<Instance> begun, List<Instance> changed) {
+        begun.forEach(FleetKeeper::log);
+        changed.forEach(FleetKeeper::log);
+        followers.begun(begun);
+        followers.changed(changed);
+    }
+
     private static void log(Instance instance) {
         logger.info(
                 "upstream.changed id={} address={} service={} zone={} state={} sequence={}"
@@ -243,15 +293,19 @@
                 instance.models());
     }
 
-    private static boolean differs(Instance before, Instance after) {
-        if (before == null || !before.id().equals(after.id())) {
+    /** Returns whether an instance comes, goes, drains, moves or serves a further model. */
+    private static boolean begins(Instance before, Instance after) {
+        if (before == null || !before.id().equals(after.id()) || before.state() != after.state()) {
             return true;
         }
-        return before.state() != after.state()
-                || !before.models().equals(after.models())
+        return !before.address().equals(after.address())
+                || after.models().stream().anyMatch(copy -> before.copyOf(copy.model()).isEmpty());
+    }
+
+    private static boolean differs(Instance before, Instance after) {
+        return !before.models().equals(after.models())
                 || !before.inHostMemory().equals(after.inHostMemory())
                 || !before.onDisk().equals(after.onDisk())
-                || !before.address().equals(after.address())
                 || before.slots() != after.slots();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.fleet;
 
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.fleet.Introduction;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.peer.PeerTransport;
@@ -8,6 +9,7 @@
 import io.stackhall.server.settings.FleetSettings;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +36,7 @@
     private final Consumer<HostId> onConnected;
     private final Map<HostId, Long> lastUp = new LinkedHashMap<>();
     private final Set<HostId> up = ConcurrentHashMap.newKeySet();
+    private final Map<HostId, ZoneId> zones = new ConcurrentHashMap<>();
     private Set<HostId> seeds;
 
     /**
@@ -82,6 +85,18 @@
         return new ArrayList<>(lastUp.keySet());
     }
 
+    /** Returns the hosts that are connected and have said in which zone they stand. */
+    public Map<HostId, ZoneId> connected() {
+        Map<HostId, ZoneId> connected = new HashMap<>();
+        for (HostId host : all()) {
+            ZoneId zone = zones.get(host);
+            if (zone != null && transport.connected(host)) {
+                connected.put(host, zone);
+            }
+        }
+        return connected;
+    }
+
     /** Notes which connections are down, and forgets hosts that have been away for long. */
     public synchronized void sweep() {
         long now = System.nanoTime();
@@ -95,6 +110,7 @@
             }
             if (!seeds.contains(host) && now - lastUp.get(host) > FORGET_NANOS) {
                 lastUp.remove(host);
+                zones.remove(host);
                 transport.unlink(host);
                 logger.info("control-host.forgotten host={}", host);
             }
@@ -107,6 +123,7 @@
                 Introduction.newBuilder()
                         .setHost(settings.peerName().value())
                         .setControl(settings.control().isPresent())
+                        .setZone(settings.zone().value())
                         .setAnswer(answer);
         lastUp.keySet().stream()
                 .filter(transport::connected)
@@ -119,7 +136,11 @@
         List<HostId> named = new ArrayList<>();
         introduction.getControlHostsList().forEach(host -> named.add(new HostId(host)));
         if (introduction.getControl()) {
-            named.add(new HostId(introduction.getHost()));
+            HostId host = new HostId(introduction.getHost());
+            named.add(host);
+            if (!introduction.getZone().isEmpty()) {
+                zones.put(host, new ZoneId(introduction.getZone()));
+            }
         }
         learn(named);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
@@ -1,9 +1,12 @@
 package io.stackhall.server.fleet;
 
 import io.stackhall.core.dispatch.InstanceWork;
+import io.stackhall.core.dispatch.ReportSum;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.WorkReport;
+import io.stackhall.rpc.generated.peer.DemandCount;
+import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import java.util.HashMap;
 import java.util.Map;
@@ -34,6 +37,29 @@
         return encodeOwn(host, work);
     }
 
+    /** Returns the frame in which a control host tells what its entry hosts are asked for. */
+    public static Frame encode(HostId host, Map<String, ReportSum.Asked> asked) {
+        DemandReport.Builder report = DemandReport.newBuilder().setHost(host.value());
+        asked.forEach(
+                (name, one) ->
+                        report.addCounts(
+                                DemandCount.newBuilder()
+                                        .setModel(name)
+                                        .setArrivals(one.arrivals())
+                                        .setWaiting(one.waiting())));
+        return Frame.newBuilder().setDemand(report).build();
+    }
+
+    /** Returns what a host is asked for, by model or model and adapter. */
+    public static Map<String, ReportSum.Asked> decode(DemandReport report) {
+        Map<String, ReportSum.Asked> asked = new HashMap<>();
+        for (DemandCount count : report.getCountsList()) {
+            asked.put(
+                    count.getModel(), new ReportSum.Asked(count.getArrivals(), count.getWaiting()));
+        }
+        return asked;
+    }
+
     /** Returns the requests by instance. */
     public static Map<UpstreamId, Integer> requests(Map<UpstreamId, InstanceWork> work) {
         Map<UpstreamId, Integer> requests = new HashMap<>();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.InstanceTable;
+import io.stackhall.core.fleet.PrimaryChoice;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
@@ -11,6 +12,7 @@
 import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
+import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.fleet.WorkReport;
@@ -60,6 +62,8 @@
     private boolean knowsInstances;
     private long firstRoutesAt;
     private final WorkReports works = new WorkReports();
+    private final PrimaryChoice primaries;
+    private Optional<HostId> primary = Optional.empty();
     private long newest = -1;
     private byte[] newestBody = new byte[0];
 
@@ -76,6 +80,7 @@
         this.hosts = hosts;
         this.gateway = gateway;
         this.random = random;
+        this.primaries = new PrimaryChoice(settings.peerName(), settings.zone());
     }
 
     /** Returns whether this host knows enough to take callers' requests. */
@@ -94,9 +99,41 @@
 
     /** Asks every control host again, so that what was lost is told again. */
     void followAll() {
+        choosePrimary();
         hosts.all().stream().filter(transport::connected).forEach(this::follow);
     }
 
+    /** Sends a report to the primary, which passes it on. */
+    void tellPrimary(Frame frame) {
+        boolean sent = primary.filter(host -> transport.send(host, frame)).isPresent();
+        if (!sent) {
+            choosePrimary();
+            primary.ifPresent(host -> transport.send(host, frame));
+        }
+    }
+
+    /** Returns how many entry hosts the primary serves, if all control hosts serve alike. */
+    int sharing() {
+        int controlHosts = Math.max(1, hosts.connected().size());
+        return Math.ceilDiv(gateway.entryHosts(), controlHosts);
+    }
+
+    /** Takes another primary at once where that of before is no longer the best. */
+    private void choosePrimary() {
+        Optional<HostId> best = primaries.among(hosts.connected(), System.nanoTime());
+        if (best.equals(primary)) {
+            return;
+        }
+        logger.info(
+                "primary.chosen host={} before={}",
+                best.map(HostId::value).orElse(""),
+                primary.map(HostId::value).orElse(""));
+        Optional<HostId> former = primary;
+        primary = best;
+        former.ifPresent(this::follow);
+        best.ifPresent(this::follow);
+    }
+
     /** Sends a frame to every control host. */
     void tellAll(Frame frame) {
         hosts.all().forEach(host -> transport.send(host, frame));
@@ -111,16 +148,12 @@
         switch (frame.getBodyCase()) {
             case INTRODUCTION -> {
                 hosts.introduced(frame.getIntroduction());
+                choosePrimary();
                 if (!frame.getIntroduction().getAnswer()) {
                     replier.send(hosts.introduction(true));
                 }
             }
-            case INSTANCES -> {
-                frame.getInstances().getInstancesList().forEach(this::instance);
-                gateway.entryHosts(frame.getInstances().getEntryHosts());
-                knowsInstances = true;
-                gateway.serveWaiting();
-            }
+            case INSTANCES -> instances(frame.getInstances());
             case ROUTES -> routes(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
@@ -128,6 +161,18 @@
         }
     }
 
+    private void instances(InstancesUpdate update) {
+        if (update.getOutOfTouch()) {
+            primary.ifPresent(host -> primaries.declined(host, System.nanoTime()));
+            choosePrimary();
+            return;
+        }
+        update.getInstancesList().forEach(this::instance);
+        gateway.entryHosts(update.getEntryHosts());
+        knowsInstances |= update.getWhole();
+        gateway.serveWaiting();
+    }
+
     private void instance(InstanceRecord record) {
         InstanceCodec.decode(record)
                 .peek(
@@ -210,6 +255,7 @@
                         .setConnection(connections.getOrDefault(host, 0L))
                         .setRoutesVersion(newest)
                         .setWantsConfirmation(!confirmed)
+                        .setPrimary(primary.filter(host::equals).isPresent())
                         .build();
         transport.send(host, Frame.newBuilder().setFleetFollow(follow).build());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -100,7 +100,7 @@
                         new ControlNotices(settings.peerName(), this::tellControlHosts),
                         random);
         this.follower = new ControlFollower(settings, loop, transport, hosts, gateway, random);
-        this.reports = new OwnReports(settings, gateway, follower::tellAll);
+        this.reports = new OwnReports(settings, gateway, follower);
         gateway.onNewlyWaiting(reports::tellDemand);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
@@ -8,34 +8,33 @@
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.settings.FleetSettings;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /** What an entry host tells the control hosts of its own requests. What is nothing is told once. */
 final class OwnReports {
 
     private final FleetSettings settings;
     private final Gateway gateway;
-    private final Consumer<Frame> toControlHosts;
+    private final ControlFollower follower;
     private long workToldAt = System.nanoTime();
     private boolean toldOfWork;
     private boolean toldOfDemand;
 
-    OwnReports(FleetSettings settings, Gateway gateway, Consumer<Frame> toControlHosts) {
+    OwnReports(FleetSettings settings, Gateway gateway, ControlFollower follower) {
         this.settings = settings;
         this.gateway = gateway;
-        this.toControlHosts = toControlHosts;
+        this.follower = follower;
     }
 
     /** Tells of the requests at each instance, if that is due. */
     void tellWork() {
         long now = System.nanoTime();
-        if (now - workToldAt < new ReportPace(gateway.entryHosts()).interval().toNanos()) {
+        if (now - workToldAt < new ReportPace(follower.sharing()).interval().toNanos()) {
             return;
         }
         workToldAt = now;
         Map<UpstreamId, InstanceWork> work = gateway.dispatcher().takeWork();
         if (!work.isEmpty() || toldOfWork) {
-            toControlHosts.accept(WorkCodec.encodeOwn(settings.peerName(), work));
+            follower.tellPrimary(WorkCodec.encodeOwn(settings.peerName(), work));
             toldOfWork = !work.isEmpty();
         }
     }
@@ -46,7 +45,7 @@
                 gateway.demand().take(settings.peerName().value(), settings.zone().value());
         boolean some = report.getCountsCount() > 0;
         if (some || toldOfDemand) {
-            toControlHosts.accept(Frame.newBuilder().setDemand(report).build());
+            follower.tellPrimary(Frame.newBuilder().setDemand(report).build());
             toldOfDemand = some;
         }
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -23,8 +23,8 @@
  * sends a few requests through them to an upstream of its own.
  *
  * <p>A build runs it once to record the classes of a start into a class-data archive. With the
- * archive an entry host takes 0.98 s of processor time until it listens instead of 2.19 s (medians of
- * three and five starts, beside other load).
+ * archive an entry host takes 0.98 s of processor time until it listens instead of 2.19 s (medians
+ * of three and five starts, beside other load).
  */
 public final class TrainingRun implements AutoCloseable {
 
