--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -172,7 +172,8 @@
     private void heartbeat() {
         String body =
                 """
-                {"service": "plain", "address": "127.0.0.1:%d", "zone": "z", "version": "v1", "slots": 8,
+                {"service": "plain", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
+                 "version": "v1",
                  "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
                 """
                         .formatted(upstream.getAddress().getPort(), sequence.incrementAndGet());
