An upstream that is known is heard on while its service goes

Cause: records of a service that no configuration names are left aside, also those in which an upstream that is served from says that it drains. Whatever is known already under the same service is now heard on.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -78,13 +78,22 @@
      * configuration does not name is left aside until it does.
      */
     void heard(Instance instance) {
-        if (services.isEmpty() || services.contains(instance.service())) {
+        if (isServed(instance)) {
             takeIn(List.of(instance), true);
         } else {
             refused(new Finding(instance.id().toString(), "unknown " + instance.service()));
         }
     }
 
+    /** What is known already is heard on: it may say that it drains while its service goes. */
+    private boolean isServed(Instance instance) {
+        return services.isEmpty()
+                || services.contains(instance.service())
+                || table.find(instance.id())
+                        .filter(known -> known.service().equals(instance.service()))
+                        .isPresent();
+    }
+
     /** Notes a record that describes no upstream; some other program may have written it. */
     void refused(Finding finding) {
         refusedRecords++;
