What the last changes wrote twice stands once

No change of behaviour, found on reading them again: - Reports that count until they are old are kept by WorkReports alone, also for the sum that is passed on. - 'Nothing is told once' stood three times: NothingOnce. - A control host decoded each configuration for the names of services, and its leader a second time for engines; it is decoded once. An unreadable one is logged once instead of at each look. - The lines of the logs are escaped by the logging library. - Whether nobody waits, and how many loads from the store are under way, are counted once a decision instead of once a model. - Of an instance that is not known nothing is kept, whichever way word of it comes; before, only the end of a request was looked after. - Checks of whole and other numbers in settings share what they share. - EngineLivesTest had a copy of the fixture of ResidencyKeeperTest.

All tests: 400, as before, none changed in what it asserts.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -182,10 +182,7 @@
         if (!sending.markEnded()) {
             return;
         }
-        InstanceLoad load = loads.get(sending.instance());
-        if (load == null) {
-            return;
-        }
+        InstanceLoad load = load(sending.instance());
         if (sending.markAnswered()) {
             load.answered(sending.tokens(), sending.startedAt());
         }
@@ -360,7 +357,10 @@
         return best.instance();
     }
 
+    /** Nothing is kept of an instance that is not known, whose requests may still come back. */
     private InstanceLoad load(UpstreamId id) {
-        return loads.computeIfAbsent(id, key -> new InstanceLoad());
+        return instances.containsKey(id)
+                ? loads.computeIfAbsent(id, key -> new InstanceLoad())
+                : new InstanceLoad();
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportSum.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportSum.java
@@ -18,14 +18,12 @@
  */
 public final class ReportSum {
 
-    private final Map<HostId, Work> works = new HashMap<>();
+    private final WorkReports works = new WorkReports();
     private final Map<HostId, Waiting> waiting = new HashMap<>();
     private final Map<UpstreamId, InstanceWork> answers = new HashMap<>();
     private final Map<String, Integer> arrivals = new TreeMap<>();
     private long lifetimeNanos = new ReportPace(0).lifetime().toNanos();
 
-    private record Work(Map<UpstreamId, InstanceWork> work, long at) {}
-
     private record Waiting(Map<String, Asked> asked, long at) {}
 
     /**
@@ -34,22 +32,28 @@
      * @param arrivals requests since the last report
      * @param waiting requests that wait for it now
      */
-    public record Asked(int arrivals, int waiting) {}
+    public record Asked(int arrivals, int waiting) {
+
+        private Asked plus(Asked other) {
+            return new Asked(arrivals + other.arrivals, waiting + other.waiting);
+        }
+    }
 
     /** Takes in how many entry hosts there are, by which reports come more or less often. */
     public void shared(int hosts) {
+        works.shared(hosts);
         lifetimeNanos = new ReportPace(hosts).lifetime().toNanos();
     }
 
     /** Takes in what a host says of its requests at instances. */
     public void worked(HostId host, Map<UpstreamId, InstanceWork> work, long now) {
-        works.put(host, new Work(Map.copyOf(work), now));
+        Map<UpstreamId, Integer> requests = new HashMap<>();
         work.forEach(
-                (id, one) ->
-                        answers.merge(
-                                id,
-                                new InstanceWork(0, one.answered(), one.slow()),
-                                InstanceWork::plus));
+                (id, one) -> {
+                    requests.put(id, one.requests());
+                    add(answers, id, new InstanceWork(0, one.answered(), one.slow()));
+                });
+        works.reported(host, requests, now);
     }
 
     /** Takes in what a host is asked for, by the names of models and adapters. */
@@ -60,22 +64,17 @@
 
     /** Takes the sum of the requests at each instance, and the answers since it was taken last. */
     public Map<UpstreamId, InstanceWork> takeWork(long now) {
-        works.values().removeIf(work -> now - work.at() > lifetimeNanos);
         Map<UpstreamId, InstanceWork> sum = new HashMap<>(answers);
         answers.clear();
-        for (Work work : works.values()) {
-            work.work()
-                    .forEach(
-                            (id, one) ->
-                                    sum.merge(
-                                            id,
-                                            new InstanceWork(one.requests(), 0, 0),
-                                            InstanceWork::plus));
-        }
+        works.sum(now).forEach((id, requests) -> add(sum, id, new InstanceWork(requests, 0, 0)));
         sum.values().removeIf(InstanceWork::isNothing);
         return sum;
     }
 
+    private static void add(Map<UpstreamId, InstanceWork> sum, UpstreamId id, InstanceWork work) {
+        sum.merge(id, work, InstanceWork::plus);
+    }
+
     /** Takes the sum of what waits, and the arrivals since it was taken last. */
     public Map<String, Asked> takeAsked(long now) {
         waiting.values().removeIf(host -> now - host.at() > lifetimeNanos);
@@ -86,13 +85,7 @@
             host.asked()
                     .forEach(
                             (name, one) ->
-                                    sum.merge(
-                                            name,
-                                            new Asked(0, one.waiting()),
-                                            (a, b) ->
-                                                    new Asked(
-                                                            a.arrivals() + b.arrivals(),
-                                                            a.waiting() + b.waiting())));
+                                    sum.merge(name, new Asked(0, one.waiting()), Asked::plus));
         }
         sum.values().removeIf(one -> one.arrivals() == 0 && one.waiting() == 0);
         return sum;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WorkReports.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WorkReports.java
@@ -34,6 +34,11 @@
         reports.values().removeIf(report -> now - report.at() > lifetimeNanos);
     }
 
+    /** Returns the work of all hosts, added up. */
+    Map<UpstreamId, Integer> sum(long now) {
+        return merged(null, Integer::sum, now);
+    }
+
     /** Returns the work of all hosts but one, added up. */
     public Map<UpstreamId, Integer> sumWithout(HostId host, long now) {
         return merged(host, Integer::sum, now);
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/CopyWorth.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/CopyWorth.java
@@ -60,8 +60,7 @@
      */
     static double ofHome(Planning planning, PlacementView.Want want) {
         long homes = planning.homes().homes(want.artifact().id());
-        boolean calm = planning.view().wants().stream().allMatch(other -> other.waiting() == 0);
-        return homes == 0 || calm ? homesRisk(homes) - homesRisk(homes + 1) : 0;
+        return homes == 0 || planning.calm() ? homesRisk(homes) - homesRisk(homes + 1) : 0;
     }
 
     /** Returns the expected loss by a model whose weights some engines keep at hand. */
--- a/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/policy/Planning.java
@@ -22,13 +22,16 @@
     private final Map<Artifact, Integer> coming = new HashMap<>();
     private final boolean unused;
     private int loadsLeft;
-    private int storeLoads;
+    private long storeLoads;
+    private final boolean calm;
     private final WeightHomes homes;
     private final Map<UpstreamId, SeatCosts> costs = new HashMap<>();
 
     Planning(PlacementView view) {
         this.view = view;
         this.homes = new WeightHomes(view.seats());
+        this.storeLoads = view.seats().stream().filter(Planning::loadsFromStore).count();
+        this.calm = view.wants().stream().allMatch(want -> want.waiting() == 0);
         this.loadsLeft = view.loadsAllowed();
         this.unused = view.wants().stream().allMatch(want -> want.lastUsed() == 0);
         view.wants().forEach(want -> wants.put(want.artifact().id(), want));
@@ -77,6 +80,11 @@
         return homes;
     }
 
+    /** Returns whether nobody waits for anything. */
+    boolean calm() {
+        return calm;
+    }
+
     /** Returns how many loads from the weight store may still be planned. */
     int loadsLeft() {
         return loadsLeft;
@@ -84,7 +92,7 @@
 
     /** Returns how many loads from the weight store are under way or planned. */
     long storeLoads() {
-        return storeLoads + view.seats().stream().filter(Planning::loadsFromStore).count();
+        return storeLoads;
     }
 
     /** Returns whether a seat is loading an artifact whose weights it has not at hand. */
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/KeeperFixture.java
@@ -0,0 +1,77 @@
+package io.stackhall.core.residency;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.policy.PlacementPolicy;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A keeper of engines that may hold two of three models, and the orders that it gives. */
+abstract class KeeperFixture {
+
+    static final long MILLI = Duration.ofMillis(1).toNanos();
+
+    final ResidencyKeeper keeper =
+            new ResidencyKeeper(
+                    PlacementPolicy.of(PolicyName.NEAREST_COPY),
+                    Duration.ofSeconds(5),
+                    Duration.ofMillis(1200));
+    long now = Duration.ofSeconds(1000).toNanos();
+
+    @BeforeEach
+    void configureEngines() {
+        List<ModelWeights> models = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            models.add(
+                    new ModelWeights(
+                            new ModelId(name),
+                            100,
+                            List.of(),
+                            1,
+                            Duration.ofSeconds(9),
+                            Duration.ofSeconds(2),
+                            Duration.ofMillis(800)));
+        }
+        EngineSpec spec = new EngineSpec(4, 1000, 203, 2, 1.4, 200, 600, EngineSpec.byName(models));
+        keeper.specs(Map.of(SERVICE, spec));
+    }
+
+    void waitsFor(String model) {
+        keeper.demanded(
+                new HostId("h"), Map.of(new ModelId(model), 3), Map.of(new ModelId(model), 3), now);
+    }
+
+    EngineOrder onlyOrder() {
+        List<EngineOrder> sent = orders();
+        assertThat(sent).hasSize(1);
+        return sent.getFirst();
+    }
+
+    List<EngineOrder> orders() {
+        pass(100);
+        return sent(keeper.step(now));
+    }
+
+    static List<EngineOrder> sent(List<ResidencyEffect> effects) {
+        List<EngineOrder> sent = new ArrayList<>();
+        for (ResidencyEffect effect : effects) {
+            if (effect instanceof ResidencyEffect.Send(EngineOrder order)) {
+                sent.add(order);
+            }
+        }
+        return sent;
+    }
+
+    void pass(long millis) {
+        now += millis * MILLI;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -9,6 +9,7 @@
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.Replier;
 import java.util.Collection;
@@ -48,7 +49,7 @@
         private Replier replier;
         private long heardAt;
         private boolean primary;
-        private boolean toldOfWork;
+        private final NothingOnce works = new NothingOnce();
 
         private Follower(long connection) {
             this.connection = connection;
@@ -160,9 +161,8 @@
             return;
         }
         Map<UpstreamId, Integer> others = works.sumWithout(new HostId(host), now);
-        if (!others.isEmpty() || follower.toldOfWork) {
+        if (follower.works.isDue(!others.isEmpty())) {
             follower.replier.send(WorkCodec.encodeOthers(self, others));
-            follower.toldOfWork = !others.isEmpty();
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -10,6 +10,7 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
 import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
@@ -22,6 +23,7 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -30,6 +32,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -59,8 +62,9 @@
 
     private final WorkReports works = new WorkReports();
     private final ReportSum sum = new ReportSum();
-    private boolean toldOfWork;
-    private boolean toldOfDemand;
+    private final NothingOnce worksToTell = new NothingOnce();
+    private final NothingOnce demandsToTell = new NothingOnce();
+    private Optional<RouteTable> routeTable = Optional.empty();
     private Set<ServiceName> services = Set.of();
     private long refusedRecords;
     private long refusalLoggedAt;
@@ -160,7 +164,7 @@
             return;
         }
         routes = next;
-        takeServices();
+        decodeRoutes();
         followers.send(routesFrame(false));
     }
 
@@ -203,14 +207,12 @@
         long now = System.nanoTime();
         sum.shared(followers.count());
         Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
-        if (!work.isEmpty() || toldOfWork) {
+        if (worksToTell.isDue(!work.isEmpty())) {
             toControlHosts(WorkCodec.encodeOwn(hosts.self(), work));
-            toldOfWork = !work.isEmpty();
         }
         Map<String, ReportSum.Asked> asked = sum.takeAsked(now);
-        if (!asked.isEmpty() || toldOfDemand) {
+        if (demandsToTell.isDue(!asked.isEmpty())) {
             toControlHosts(WorkCodec.encode(hosts.self(), asked));
-            toldOfDemand = !asked.isEmpty();
         }
     }
 
@@ -245,6 +247,11 @@
         return routes;
     }
 
+    /** Returns the newest configuration that could be read. */
+    Optional<RouteTable> routeTable() {
+        return routeTable;
+    }
+
     int followers() {
         return followers.count();
     }
@@ -318,14 +325,9 @@
                 || before.slots() != after.slots();
     }
 
-    private void takeServices() {
+    private void decodeRoutes() {
         ConfigurationDecoder.decode(routes.getBody().toByteArray())
-                .peek(
-                        table ->
-                                services =
-                                        table.services().stream()
-                                                .map(ServiceEntry::name)
-                                                .collect(Collectors.toSet()))
+                .peek(this::takeTable)
                 .peekLeft(
                         finding ->
                                 logger.error(
@@ -334,6 +336,11 @@
                                         finding));
     }
 
+    private void takeTable(RouteTable next) {
+        routeTable = Optional.of(next);
+        services = next.services().stream().map(ServiceEntry::name).collect(Collectors.toSet());
+    }
+
     private Frame whole() {
         return InstanceCodec.frame(table.all(), true, followers.count());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -17,7 +17,6 @@
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.platform.Calls;
-import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.platform.OrderEncoder;
 import io.stackhall.platform.ReportDecoder;
 import io.stackhall.rpc.generated.fleet.AdapterWanted;
@@ -213,19 +212,14 @@
     }
 
     private void takeRoutes() {
-        ControlSnapshot routes = fleet.routes();
-        if (routes.getVersion() <= routesVersion) {
+        Optional<RouteTable> newer =
+                fleet.routeTable().filter(table -> table.version() > routesVersion);
+        if (newer.isEmpty()) {
             return;
         }
-        Either<Finding, RouteTable> decoded =
-                ConfigurationDecoder.decode(routes.getBody().toByteArray());
-        if (decoded.isLeft()) {
-            logger.error("routes.unreadable version={} {}", routes.getVersion(), decoded.getLeft());
-            return;
-        }
-        routesVersion = routes.getVersion();
+        routesVersion = newer.get().version();
         Map<ServiceName, EngineSpec> specs = new HashMap<>();
-        decoded.get()
+        newer.get()
                 .services()
                 .forEach(
                         service ->
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
@@ -5,6 +5,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.settings.FleetSettings;
 import java.util.Map;
@@ -16,8 +17,8 @@
     private final Gateway gateway;
     private final ControlFollower follower;
     private long workToldAt = System.nanoTime();
-    private boolean toldOfWork;
-    private boolean toldOfDemand;
+    private final NothingOnce works = new NothingOnce();
+    private final NothingOnce demands = new NothingOnce();
 
     OwnReports(FleetSettings settings, Gateway gateway, ControlFollower follower) {
         this.settings = settings;
@@ -33,9 +34,8 @@
         }
         workToldAt = now;
         Map<UpstreamId, InstanceWork> work = gateway.dispatcher().takeWork();
-        if (!work.isEmpty() || toldOfWork) {
+        if (works.isDue(!work.isEmpty())) {
             follower.tellPrimary(WorkCodec.encodeOwn(settings.peerName(), work));
-            toldOfWork = !work.isEmpty();
         }
     }
 
@@ -43,10 +43,8 @@
     void tellDemand() {
         DemandReport report =
                 gateway.demand().take(settings.peerName().value(), settings.zone().value());
-        boolean some = report.getCountsCount() > 0;
-        if (some || toldOfDemand) {
+        if (demands.isDue(report.getCountsCount() > 0)) {
             follower.tellPrimary(Frame.newBuilder().setDemand(report).build());
-            toldOfDemand = some;
         }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/log/JsonLineLayout.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/log/JsonLineLayout.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.layout.AbstractStringLayout;
 import org.apache.logging.log4j.core.util.Throwables;
+import org.apache.logging.log4j.util.StringBuilders;
 
 /**
  * Writes each event as one line of JSON, with the fields of {@code log-event.json}.
@@ -17,7 +18,6 @@
 final class JsonLineLayout extends AbstractStringLayout {
 
     private static final int USUAL_LENGTH = 256;
-    private static final int FIRST_PRINTABLE = 0x20;
 
     private static final DateTimeFormatter TIME =
             new DateTimeFormatterBuilder().appendInstant(3).toFormatter();
@@ -47,31 +47,9 @@
 
     private static void field(StringBuilder line, String name, String value) {
         line.append(",\"").append(name).append("\":\"");
-        String text = String.valueOf(value);
-        for (int at = 0; at < text.length(); at++) {
-            append(line, text.charAt(at));
-        }
+        int start = line.length();
+        line.append(value);
+        StringBuilders.escapeJson(line, start);
         line.append('"');
     }
-
-    private static void append(StringBuilder line, char sign) {
-        switch (sign) {
-            case '"' -> line.append("\\\"");
-            case '\\' -> line.append("\\\\");
-            case '\n' -> line.append("\\n");
-            case '\t' -> line.append("\\t");
-            case '\r' -> line.append("\\r");
-            default -> {
-                if (sign < FIRST_PRINTABLE) {
-                    line.append("\\u00").append(hexDigit(sign >> 4)).append(hexDigit(sign & 0xF));
-                } else {
-                    line.append(sign);
-                }
-            }
-        }
-    }
-
-    private static char hexDigit(int digit) {
-        return Character.forDigit(digit, 16);
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/Section.java
@@ -54,50 +54,54 @@
 
     /** Returns a whole number within a range, or the default. */
     int number(String key, int otherwise, int lowest, int highest) {
-        read.add(key);
-        LocatedJson.Node value = node.members().get(key);
-        if (value == null) {
-            return otherwise;
-        }
-        if (!(value instanceof LocatedJson.ScalarNode scalar) || !scalar.token().isNumeric()) {
-            findings.add(new Finding(value.place(), "must be a whole number"));
+        Optional<LocatedJson.ScalarNode> figure = figure(key, "must be a whole number");
+        if (figure.isEmpty()) {
             return otherwise;
         }
-        double number = Double.parseDouble(scalar.text());
+        LocatedJson.ScalarNode scalar = figure.get();
+        double number = value(scalar);
         if (number != Math.rint(number)) {
-            findings.add(new Finding(value.place(), scalar.text() + " is no whole number"));
+            findings.add(new Finding(scalar.place(), scalar.text() + " is no whole number"));
             return otherwise;
         }
-        if (number < lowest || number > highest) {
-            findings.add(
-                    new Finding(
-                            value.place(),
-                            scalar.text() + " is not in " + lowest + " to " + highest));
-            return otherwise;
-        }
-        return (int) number;
+        boolean within = number >= lowest && number <= highest;
+        return isWithin(within, scalar, lowest + " to " + highest) ? (int) number : otherwise;
     }
 
     /** Returns a number within a range, whole or not, or the default. */
     double decimal(String key, double otherwise, double lowest, double highest) {
+        Optional<LocatedJson.ScalarNode> figure = figure(key, "must be a number");
+        if (figure.isEmpty()) {
+            return otherwise;
+        }
+        double number = value(figure.get());
+        boolean within = number >= lowest && number <= highest;
+        return isWithin(within, figure.get(), lowest + " to " + highest) ? number : otherwise;
+    }
+
+    /** Returns the number under a key, or nothing, and a finding where another thing is there. */
+    private Optional<LocatedJson.ScalarNode> figure(String key, String complaint) {
         read.add(key);
         LocatedJson.Node value = node.members().get(key);
         if (value == null) {
-            return otherwise;
+            return Optional.empty();
         }
-        if (!(value instanceof LocatedJson.ScalarNode scalar) || !scalar.token().isNumeric()) {
-            findings.add(new Finding(value.place(), "must be a number"));
-            return otherwise;
+        if (value instanceof LocatedJson.ScalarNode scalar && scalar.token().isNumeric()) {
+            return Optional.of(scalar);
         }
-        double number = Double.parseDouble(scalar.text());
-        if (number < lowest || number > highest) {
-            findings.add(
-                    new Finding(
-                            value.place(),
-                            scalar.text() + " is not in " + lowest + " to " + highest));
-            return otherwise;
+        findings.add(new Finding(value.place(), complaint));
+        return Optional.empty();
+    }
+
+    private static double value(LocatedJson.ScalarNode scalar) {
+        return Double.parseDouble(scalar.text());
+    }
+
+    private boolean isWithin(boolean within, LocatedJson.ScalarNode scalar, String range) {
+        if (!within) {
+            findings.add(new Finding(scalar.place(), scalar.text() + " is not in " + range));
         }
-        return number;
+        return within;
     }
 
     /** Returns a time within a range in milliseconds, whole or not, or the default. */
