A request that crashes its upstreams: seen in the logs, and a test that fails

Cause: nothing that a host keeps of a request outlives one try, so that each try of a request under which upstreams end is given a fresh one.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -1,11 +1,13 @@
 package io.stackhall.server.gateway;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.PromptPart;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.route.Route;
 import io.stackhall.platform.RequestHeaders;
 import java.util.List;
@@ -29,6 +31,16 @@
         return RequestHeaders.requestId(headers::get);
     }
 
+    /** Returns whom it is addressed to, empty where it does not say. */
+    String authority() {
+        return headers.get(HttpHeaderNames.HOST, "");
+    }
+
+    /** Computes by what it is known again when it comes another time. */
+    RequestDigest digest() {
+        return RequestDigest.of(method.name(), authority(), target, body);
+    }
+
     /** Returns how long the caller waits, in milliseconds, if it says so. */
     OptionalLong deadlineMillis() {
         return RequestHeaders.deadlineMillis(headers::get);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -1,7 +1,6 @@
 package io.stackhall.server.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -64,7 +63,7 @@
             awaitRoutes();
             return;
         }
-        String host = request.headers().get(HttpHeaderNames.HOST, "");
+        String host = request.authority();
         Optional<Route> found = gateway.routes().find(host, request.target());
         if (found.isEmpty()) {
             log.noRoute(host, request.target(), gateway.routes().version());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
@@ -19,6 +20,7 @@
     private final LineBudget lines;
     private final FleetMetrics metrics;
     private final String id;
+    private final RequestDigest digest;
     private final long arrivedAt;
     private String route = "none";
     private long firstMillis = -1;
@@ -27,6 +29,7 @@
         this.lines = gateway.lines();
         this.metrics = gateway.metrics();
         this.id = request.id();
+        this.digest = request.digest();
         this.arrivedAt = request.arrivedAt();
     }
 
@@ -62,10 +65,11 @@
         long leftOut = lines.take(LineBudget.Kind.SENT, System.nanoTime());
         if (leftOut >= 0) {
             logger.info(
-                    "request.sent id={} instance={} service={} model={} adapter={} send={} why={}"
-                            + " waitedMs={} waitedFor={} occupancy={} instanceSequence={}"
-                            + " leftOut={}",
+                    "request.sent id={} digest={} instance={} service={} model={} adapter={}"
+                            + " send={} why={} waitedMs={} waitedFor={} occupancy={}"
+                            + " instanceSequence={} leftOut={}",
                     id,
+                    digest,
                     instance.id(),
                     need.service(),
                     need.model().map(Object::toString).orElse(""),
@@ -124,9 +128,10 @@
         long leftOut = lines.take(LineBudget.Kind.ATTEMPT, System.nanoTime());
         if (leftOut >= 0) {
             logger.info(
-                    "attempt.failed id={} instance={} sent={} reason={} lastEvent={} ageMs={}"
-                            + " leftOut={}",
+                    "attempt.failed id={} digest={} instance={} sent={} reason={} lastEvent={}"
+                            + " ageMs={} leftOut={}",
                     id,
+                    digest,
                     instance.id(),
                     sent,
                     reason,
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -39,8 +40,14 @@
     private final AtomicLong sequence = new AtomicLong();
     private final ScheduledExecutorService heartbeats =
             Executors.newSingleThreadScheduledExecutor();
+    private final List<CrashingUpstream> crashing = new CopyOnWriteArrayList<>();
     private HttpServer upstream;
 
+    static {
+        // Callers name the host that their route has, whichever entry host they reach.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
     /** Creates a system that does not run yet. */
     public SeededHosts(Path folder) {
         this.folder = folder;
@@ -88,6 +95,29 @@
         heartbeats.scheduleAtFixedRate(this::heartbeat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Starts an upstream that ends under one request, and comes back. */
+    public void startCrashing(String name) {
+        CrashingUpstream started = new CrashingUpstream(name);
+        crashing.add(started);
+        heartbeats.scheduleAtFixedRate(
+                () -> {
+                    if (started.alive()) {
+                        heartbeat(started.name(), started.heartbeat());
+                    }
+                },
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns when lives of crashing upstreams have ended, in order, on the monotonic clock in
+     * nanoseconds.
+     */
+    public List<Long> upstreamEnds() {
+        return crashing.stream().flatMap(one -> one.ends().stream()).sorted().toList();
+    }
+
     /** Sends a configuration to a control host and returns the answer's status. */
     public int put(int number, String configuration) throws IOException, InterruptedException {
         return post("http://127.0.5." + number + ":" + api + "/-/config/put", configuration);
@@ -113,6 +143,21 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request with a body through an entry host, to the host that its route names. */
+    public HttpResponse<String> post(int number, String path, String id, String body)
+            throws IOException, InterruptedException {
+        String uri = "http://127.0.6." + number + ":" + callers + path;
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(uri))
+                        .timeout(PATIENCE)
+                        .header("Host", "a.example")
+                        .header("X-Request-Id", id)
+                        .header("X-Deadline-Ms", "3000")
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Returns whether an entry host says that it is ready. */
     public boolean ready(int number) throws IOException, InterruptedException {
         String uri = "http://127.0.6." + number + ":" + readiness + "/-/readiness";
@@ -130,6 +175,7 @@
         heartbeats.shutdownNow();
         List<RunningProcess> running = new ArrayList<>(processes.values());
         running.stream().filter(RunningProcess::alive).forEach(RunningProcess::kill);
+        crashing.forEach(CrashingUpstream::close);
         if (upstream != null) {
             upstream.stop(0);
         }
@@ -177,9 +223,21 @@
                  "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
                 """
                         .formatted(upstream.getAddress().getPort(), sequence.incrementAndGet());
+        heartbeat("i-1", body);
+    }
+
+    private void heartbeat(String name, String body) {
         for (int number = 1; number <= 3; number++) {
             try {
-                post("http://127.0.5." + number + ":" + api + "/-/instances/i-1/heartbeat", body);
+                post(
+                        "http://127.0.5."
+                                + number
+                                + ":"
+                                + api
+                                + "/-/instances/"
+                                + name
+                                + "/heartbeat",
+                        body);
                 return;
             } catch (IOException e) {
                 // The next host, then.
