--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -89,6 +89,10 @@
                             WaitReason.NO_INSTANCE,
                             "no instance of its service is known",
                             now);
+            case Choice.Apart() ->
+                    patience.isOver(Duration.ZERO, now)
+                            ? new Verdict.GiveUp("requests that may end instances wait", SOON)
+                            : new Verdict.Wait(WaitReason.APART);
             case Choice.AllTried() ->
                     new Verdict.GiveUp("every instance of its service has been tried", SOON);
         };
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -39,4 +39,7 @@
 
     /** Every instance of its service that may take work has had it, or could not be reached. */
     record AllTried() implements Choice {}
+
+    /** It waits until another request that is to be kept apart from it has left its instance. */
+    record Apart() implements Choice {}
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -6,6 +6,8 @@
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.quarantine.Trials;
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.ModelWeights;
 import java.time.Duration;
@@ -135,6 +137,23 @@
      * @param late whether its answer can only be late
      */
     public Choice choose(Need need, Predicate<UpstreamId> allowed, boolean late, long now) {
+        return choose(need, allowed, late, Optional.empty(), now);
+    }
+
+    /**
+     * Decides where a request goes.
+     *
+     * @param allowed the instances that it may be sent to
+     * @param late whether its answer can only be late
+     * @param apart by what a request that is to be kept apart picks among instances, whatever their
+     *     load: the same for each copy of it, at any host
+     */
+    public Choice choose(
+            Need need,
+            Predicate<UpstreamId> allowed,
+            boolean late,
+            Optional<RequestDigest> apart,
+            long now) {
         List<Instance> serving = new ArrayList<>();
         boolean known = false;
         for (Instance instance : instances.values()) {
@@ -151,9 +170,9 @@
         }
         EngineSpec engine = engines.get(need.service());
         if (need.model().isEmpty() || engine == null) {
-            return plain(serving, now);
+            return plain(serving, apart, now);
         }
-        return resident(need, need.model().get(), serving, engine, late, now);
+        return resident(need, need.model().get(), serving, engine, late, apart, now);
     }
 
     /** Notes that a request is sent. */
@@ -235,7 +254,7 @@
         return load(id).occupancy(now);
     }
 
-    private Choice plain(List<Instance> serving, long now) {
+    private Choice plain(List<Instance> serving, Optional<RequestDigest> apart, long now) {
         List<Scored> scored = new ArrayList<>();
         for (Instance instance : serving) {
             InstanceLoad load = load(instance.id());
@@ -247,7 +266,7 @@
             score *= 1 + FAILURE_WEIGHT * load.failureShare();
             score += load.suspected(now) ? SILENT_PENALTY : 0;
             score += load.silentFor(PLAIN_SILENCE_NANOS, now) ? SILENT_PENALTY : 0;
-            scored.add(new Scored(instance, score));
+            scored.add(scored(instance, score, apart));
         }
         return scored.isEmpty() ? new Choice.Full(0) : new Choice.Send(least(scored), "load");
     }
@@ -258,6 +277,7 @@
             List<Instance> serving,
             EngineSpec engine,
             boolean late,
+            Optional<RequestDigest> apart,
             long now) {
         List<Instance> holders = new ArrayList<>();
         for (Instance instance : serving) {
@@ -271,11 +291,16 @@
         }
         List<Instance> trusted =
                 holders.stream().filter(holder -> !doubted(holder.id(), now)).toList();
-        return among(trusted.isEmpty() ? holders : trusted, need, engine, late, now);
+        return among(trusted.isEmpty() ? holders : trusted, need, engine, late, apart, now);
     }
 
     private Choice among(
-            List<Instance> holders, Need need, EngineSpec engine, boolean late, long now) {
+            List<Instance> holders,
+            Need need,
+            EngineSpec engine,
+            boolean late,
+            Optional<RequestDigest> apart,
+            long now) {
         List<Scored> ready = new ArrayList<>();
         List<Scored> lacking = new ArrayList<>();
         double placesPerSecond = 0;
@@ -285,7 +310,7 @@
             if (load.occupancy(now) >= engine.slots() || !load.takesPrompt(late, now)) {
                 continue;
             }
-            Scored scored = new Scored(instance, engineScore(instance, load, need, now));
+            Scored scored = scored(instance, engineScore(instance, load, need, now), apart);
             boolean hasAdapter = need.adapter().isEmpty() || hasAdapter(instance, need, now);
             (hasAdapter ? ready : lacking).add(scored);
         }
@@ -347,6 +372,12 @@
         return Math.max(0, unread);
     }
 
+    private static Scored scored(Instance instance, double score, Optional<RequestDigest> apart) {
+        return new Scored(
+                instance,
+                apart.map(request -> (double) Trials.order(request, instance.id())).orElse(score));
+    }
+
     private Instance least(List<Scored> scored) {
         Scored best = scored.get(random.nextInt(scored.size()));
         for (Scored candidate : scored) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
@@ -13,5 +13,7 @@
     /** A place: every instance that could run it has as much as it takes from this host. */
     FULL,
     /** An instance of its service. */
-    NO_INSTANCE
+    NO_INSTANCE,
+    /** An instance without another request that may have ended one. */
+    APART
 }
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
@@ -0,0 +1,211 @@
+package io.stackhall.core.quarantine;
+
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Which requests end the instances that run them, from what all hosts have seen.
+ *
+ * <p>Load pattern: a request ends each instance that begins to run it, together with everything
+ * else that runs there, and its caller sends it again under new names to any host. Without memory
+ * across tries and hosts, 30 lives of four instances ended within 8 s (a process test with three
+ * entry hosts).
+ *
+ * <p>A life that ends is held once against every request that was under way there. What a request
+ * shares with one life that ended it shares with many innocent ones. The second such life tells
+ * them apart: whoever alone among those that were there has been at another end too has ended both.
+ * Where several have, the third end decides. A run that ends without harm takes back what was held
+ * against a request before.
+ *
+ * <p>Merging is commutative: hosts that have heard the same agree, in whatever order it came.
+ *
+ * <p>Not thread-safe: one thread uses it.
+ */
+public final class CrashLedger {
+
+    /** The first end leaves a doubt among many, the second mostly none; a third is no chance. */
+    private static final int CERTAIN = 3;
+
+    /** A caller who repeats a request does so within the minute for which callers wait at most. */
+    private static final Duration SUSPICION = Duration.ofMinutes(2);
+
+    /**
+     * An instance that ends is away for some ten seconds: tried once in ten minutes, a request that
+     * still ends it costs less than a fiftieth of one instance.
+     */
+    private static final Duration SENTENCE = Duration.ofMinutes(10);
+
+    /** Four hundred bytes each; an hour in which fifty instances with eighty requests each end. */
+    private static final int MOST_REQUESTS = 4000;
+
+    private final Map<RequestDigest, Evidence> requests = new LinkedHashMap<>();
+    private final Map<UpstreamId, Set<RequestDigest>> byLife = new HashMap<>();
+
+    /**
+     * Notes that a life has ended by itself.
+     *
+     * @param now the monotonic clock, in nanoseconds
+     * @return whether anything of it is new
+     */
+    public boolean crashed(Crash crash, long now) {
+        boolean news = false;
+        for (RequestDigest request : crash.requests()) {
+            Evidence evidence = evidence(request);
+            if (evidence.crashed(crash.life(), now)) {
+                byLife.computeIfAbsent(crash.life(), life -> new HashSet<>()).add(request);
+                news = true;
+            }
+        }
+        bound();
+        return news;
+    }
+
+    /**
+     * Notes that a request has run to an end without harm.
+     *
+     * @return what this takes back, if anything was held against it
+     */
+    public Optional<Acquittal> endedWell(RequestDigest request) {
+        Evidence evidence = requests.get(request);
+        if (evidence == null || evidence.lives().isEmpty()) {
+            return Optional.empty();
+        }
+        Acquittal acquittal = new Acquittal(request, evidence.lives());
+        acquitted(acquittal);
+        return Optional.of(acquittal);
+    }
+
+    /**
+     * Takes in what another host has taken back.
+     *
+     * @return whether it is new
+     */
+    public boolean acquitted(Acquittal acquittal) {
+        acquittal.lives().forEach(life -> forget(life, acquittal.request()));
+        boolean news = evidence(acquittal.request()).acquit(acquittal.lives());
+        bound();
+        return news;
+    }
+
+    /**
+     * Takes over exactly what all hosts have agreed to refuse.
+     *
+     * @return the requests that are refused from now on
+     */
+    public List<RequestDigest> sentenced(Collection<RequestDigest> all, long now) {
+        Set<RequestDigest> those = Set.copyOf(all);
+        List<RequestDigest> news = new ArrayList<>();
+        for (RequestDigest request : those) {
+            if (evidence(request).sentence(now)) {
+                news.add(request);
+            }
+        }
+        requests.forEach(
+                (request, evidence) -> {
+                    if (!those.contains(request)) {
+                        evidence.lift();
+                    }
+                });
+        bound();
+        return news;
+    }
+
+    /** Returns how a request stands. */
+    public Standing standing(RequestDigest request, long now) {
+        Evidence evidence = requests.get(request);
+        if (evidence == null) {
+            return new Standing.Clear();
+        }
+        Duration age = Duration.ofNanos(now - evidence.since());
+        boolean certain = isCertain(request, evidence);
+        if (certain && age.compareTo(SENTENCE) < 0) {
+            return new Standing.Condemned(SENTENCE.minus(age));
+        }
+        Duration counts = certain ? SENTENCE.multipliedBy(2) : SUSPICION;
+        boolean held = certain || !evidence.lives().isEmpty();
+        return held && age.compareTo(counts) < 0
+                ? new Standing.Suspect(evidence.lives().size())
+                : new Standing.Clear();
+    }
+
+    /** Returns the requests that are refused now. */
+    public List<RequestDigest> condemned(long now) {
+        return requests.keySet().stream()
+                .filter(request -> standing(request, now) instanceof Standing.Condemned)
+                .toList();
+    }
+
+    /** Returns the ends of lives that are held against requests, for a host that knows none. */
+    public List<Crash> crashes() {
+        List<Crash> all = new ArrayList<>();
+        byLife.forEach((life, those) -> all.add(new Crash(life, those)));
+        return all;
+    }
+
+    /** Forgets what no longer counts. */
+    public void sweep(long now) {
+        for (Iterator<Map.Entry<RequestDigest, Evidence>> all = requests.entrySet().iterator();
+                all.hasNext(); ) {
+            Map.Entry<RequestDigest, Evidence> entry = all.next();
+            Duration age = Duration.ofNanos(now - entry.getValue().since());
+            if (age.compareTo(SENTENCE.multipliedBy(2)) > 0
+                    && standing(entry.getKey(), now) instanceof Standing.Clear) {
+                all.remove();
+                entry.getValue().lives().forEach(life -> forget(life, entry.getKey()));
+            }
+        }
+    }
+
+    /** Returns how many requests something is or was held against. */
+    public int size() {
+        return requests.size();
+    }
+
+    private boolean isCertain(RequestDigest request, Evidence evidence) {
+        if (evidence.sentenced() || evidence.lives().size() >= CERTAIN) {
+            return true;
+        }
+        return evidence.lives().size() > 1
+                && evidence.lives().stream().anyMatch(life -> isAloneInDoubt(request, life));
+    }
+
+    /** Returns whether nobody else who was at the end of a life was at another one too. */
+    private boolean isAloneInDoubt(RequestDigest request, UpstreamId life) {
+        return byLife.getOrDefault(life, Set.of()).stream()
+                .noneMatch(
+                        other -> !other.equals(request) && requests.get(other).lives().size() > 1);
+    }
+
+    private Evidence evidence(RequestDigest request) {
+        return requests.computeIfAbsent(request, key -> new Evidence());
+    }
+
+    private void forget(UpstreamId life, RequestDigest request) {
+        Set<RequestDigest> those = byLife.get(life);
+        if (those != null && those.remove(request) && those.isEmpty()) {
+            byLife.remove(life);
+        }
+    }
+
+    /** What was noted first gives way, but for requests that all hosts have agreed to refuse. */
+    private void bound() {
+        Iterator<Map.Entry<RequestDigest, Evidence>> eldest = requests.entrySet().iterator();
+        while (requests.size() > MOST_REQUESTS && eldest.hasNext()) {
+            Map.Entry<RequestDigest, Evidence> entry = eldest.next();
+            if (!entry.getValue().sentenced()) {
+                eldest.remove();
+                entry.getValue().lives().forEach(life -> forget(life, entry.getKey()));
+            }
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -16,6 +16,7 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
+import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.AnswerServer;
@@ -68,6 +69,7 @@
     private final ControlGroup group;
     private final ControlLog log;
     private final OrderGiver orders;
+    private final CrashKeeper crashes;
     private Channel listener;
     private Optional<Channel> metricsListener = Optional.empty();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -86,7 +88,7 @@
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
         this.hosts = new ControlHosts(settings, transport, host -> {});
         this.fleet = new FleetKeeper(loop, transport, hosts, settings.limits().heartbeat());
-        this.log = new ControlLog(state -> loop.execute(() -> fleet.takeRoutes(state)));
+        this.log = new ControlLog(state -> loop.execute(() -> committed(state)));
         this.group =
                 new ControlGroup(
                         settings,
@@ -97,6 +99,7 @@
                         new Listener(),
                         new Random(),
                         aliveSince);
+        this.crashes = new CrashKeeper(loop, fleet::tellOthers, group);
         this.orders =
                 new OrderGiver(
                         settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
@@ -158,13 +161,14 @@
                 if (!frame.getIntroduction().getAnswer()) {
                     replier.send(hosts.introduction(true));
                     if (frame.getIntroduction().getControl()) {
+                        replier.send(crashes.whole());
                         fleet.tellAll(replier);
                     }
                 }
             }
             case INSTANCES -> fleet.heard(frame.getInstances());
             case FLEET_FOLLOW -> {
-                fleet.followed(frame.getFleetFollow(), replier);
+                fleet.followed(frame.getFleetFollow(), replier, crashes::whole);
                 if (frame.getFleetFollow().getWantsConfirmation()) {
                     confirm(replier);
                 }
@@ -177,10 +181,16 @@
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
             case RESIDENCY -> fleet.passOn(frame);
+            case CRASH_NOTICE -> crashes.heard(frame.getCrashNotice());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
 
+    private void committed(ControlSnapshot state) {
+        fleet.takeRoutes(state);
+        crashes.committed(state);
+    }
+
     private void worked(WorkReport report) {
         Map<UpstreamId, InstanceWork> work = WorkCodec.decode(report);
         fleet.worked(new HostId(report.getHost()), work);
@@ -213,8 +223,10 @@
     private void sweep() {
         hosts.sweep();
         fleet.sweep();
+        crashes.sweep();
         if (group.leads()) {
             fleet.expire();
+            crashes.agree();
         }
         if (group.leader().isEmpty()) {
             fleet.outOfTouch();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
@@ -5,15 +5,19 @@
 import io.stackhall.rpc.generated.fleet.ControlCommand;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.PutRoutes;
+import io.stackhall.rpc.generated.fleet.Sentence;
 import io.stackhall.rpc.generated.fleet.TakeOver;
 import io.stackhall.server.group.GroupState;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * The replicated state of the control group: the configuration of the highest version, and who gave
- * orders last.
+ * The replicated state of the control group: the configuration of the highest version, who gave
+ * orders last, and which requests are refused because they end instances.
  */
 final class ControlLog implements GroupState {
 
@@ -42,6 +46,7 @@
         switch (decoded.getCommandCase()) {
             case PUT_ROUTES -> put(decoded.getPutRoutes());
             case TAKE_OVER -> takeOver(decoded.getTakeOver());
+            case SENTENCE -> sentence(decoded.getSentence());
             case COMMAND_NOT_SET -> logger.error("control.command-unknown");
         }
         return new byte[0];
@@ -88,6 +93,13 @@
                 .toByteArray();
     }
 
+    static byte[] sentenceCommand(List<ByteString> added, List<ByteString> lifted) {
+        return ControlCommand.newBuilder()
+                .setSentence(Sentence.newBuilder().addAllAdded(added).addAllLifted(lifted))
+                .build()
+                .toByteArray();
+    }
+
     static ControlSnapshot decodeState(byte[] bytes) {
         try {
             return ControlSnapshot.parseFrom(bytes);
@@ -111,6 +123,18 @@
                         .build());
     }
 
+    private void sentence(Sentence sentence) {
+        Set<ByteString> all = new LinkedHashSet<>(state.getSentencedList());
+        all.removeAll(sentence.getLiftedList());
+        all.addAll(sentence.getAddedList());
+        logger.info(
+                "sentences.committed added={} lifted={} inForce={}",
+                sentence.getAddedCount(),
+                sentence.getLiftedCount(),
+                all.size());
+        change(state.toBuilder().clearSentenced().addAllSentenced(all).build());
+    }
+
     private void change(ControlSnapshot next) {
         state = next;
         onChange.accept(next);
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
@@ -0,0 +1,131 @@
+package io.stackhall.server.control;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.stackhall.core.quarantine.Acquittal;
+import io.stackhall.core.quarantine.Crash;
+import io.stackhall.core.quarantine.CrashLedger;
+import io.stackhall.rpc.generated.fleet.AcquittalRecord;
+import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.CrashNotice;
+import io.stackhall.rpc.generated.fleet.CrashRecord;
+import io.stackhall.rpc.generated.fleet.Sentence;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.CrashCodec;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Gathers on a control host which requests end instances, passes on what is new, and has the
+ * control group agree on those that are refused, so that a restart of all hosts does not forget
+ * them. Used on one event loop.
+ */
+final class CrashKeeper {
+
+    private static final Logger logger = LogManager.getLogger(CrashKeeper.class);
+
+    private static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(3);
+
+    /** Each costs sixteen bytes in the control group's state and in what a new follower is told. */
+    private static final int MOST_SENTENCED = 1000;
+
+    private final EventLoop loop;
+    private final Consumer<Frame> toOthers;
+    private final ControlGroup group;
+    private final CrashLedger ledger = new CrashLedger();
+    private List<ByteString> sentenced = List.of();
+    private boolean committing;
+
+    /**
+     * Creates a keeper that knows of nothing.
+     *
+     * @param toOthers sends a frame to the other control hosts, and to the entry hosts that rely on
+     *     this one
+     */
+    CrashKeeper(EventLoop loop, Consumer<Frame> toOthers, ControlGroup group) {
+        this.loop = loop;
+        this.toOthers = toOthers;
+        this.group = group;
+    }
+
+    /** Takes in what an entry host or another control host tells, and passes on what is new. */
+    void heard(CrashNotice notice) {
+        long now = System.nanoTime();
+        CrashNotice.Builder news = CrashCodec.notice();
+        for (CrashRecord record : notice.getCrashesList()) {
+            Crash crash = CrashCodec.decode(record);
+            if (ledger.crashed(crash, now)) {
+                news.addCrashes(record);
+                logger.info("crash.heard instance={} requests={}", crash.life(), crash.requests());
+            }
+        }
+        for (AcquittalRecord record : notice.getAcquittalsList()) {
+            Acquittal acquittal = CrashCodec.decode(record);
+            if (ledger.acquitted(acquittal)) {
+                news.addAcquittals(record);
+                logger.info("crash.taken-back digest={}", acquittal.request());
+            }
+        }
+        if (news.getCrashesCount() > 0 || news.getAcquittalsCount() > 0) {
+            toOthers.accept(CrashCodec.frame(news));
+        }
+    }
+
+    /** Takes over what the group has agreed on, and tells of it. */
+    void committed(ControlSnapshot state) {
+        if (state.getSentencedList().equals(sentenced)) {
+            return;
+        }
+        sentenced = state.getSentencedList();
+        ledger.sentenced(CrashCodec.decode(sentenced), System.nanoTime());
+        toOthers.accept(CrashCodec.frame(CrashCodec.notice().setSentenced(agreed())));
+    }
+
+    /** Returns all that is known, for a host that may know nothing. */
+    Frame whole() {
+        return CrashCodec.frame(
+                CrashCodec.notice()
+                        .addAllCrashes(ledger.crashes().stream().map(CrashCodec::encode).toList())
+                        .setSentenced(agreed()));
+    }
+
+    /** Forgets what no longer counts. */
+    void sweep() {
+        ledger.sweep(System.nanoTime());
+    }
+
+    /** Has the group agree on what this host holds against requests; for the leader alone. */
+    void agree() {
+        List<ByteString> wanted =
+                CrashCodec.encode(ledger.condemned(System.nanoTime())).stream()
+                        .limit(MOST_SENTENCED)
+                        .toList();
+        List<ByteString> added = without(wanted, sentenced);
+        List<ByteString> lifted = without(sentenced, wanted);
+        if (committing || (added.isEmpty() && lifted.isEmpty())) {
+            return;
+        }
+        committing = true;
+        logger.info("sentences.proposed added={} lifted={}", added.size(), lifted.size());
+        byte[] command = ControlLog.sentenceCommand(added, lifted);
+        Thread.startVirtualThread(
+                () -> {
+                    group.command(command, COMMIT_TIMEOUT);
+                    loop.execute(() -> committing = false);
+                });
+    }
+
+    private Sentence agreed() {
+        return Sentence.newBuilder().addAllAdded(sentenced).build();
+    }
+
+    private static List<ByteString> without(List<ByteString> all, List<ByteString> those) {
+        List<ByteString> rest = new ArrayList<>(all);
+        rest.removeAll(those);
+        return rest;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -35,6 +35,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -142,9 +143,14 @@
         table.refresh(System.nanoTime());
     }
 
-    /** Answers an entry host that follows, and remembers it. */
-    void followed(FleetFollow follow, Replier replier) {
+    /**
+     * Answers an entry host that follows, and remembers it.
+     *
+     * @param first what a host is told that newly relies on this one, before it can serve
+     */
+    void followed(FleetFollow follow, Replier replier, Supplier<Frame> first) {
         if (followers.asked(follow, replier)) {
+            replier.send(first.get());
             replier.send(whole());
         }
         if (follow.getRoutesVersion() < routes.getVersion()) {
@@ -170,9 +176,7 @@
 
     /** Tells every entry host what an instance holds now, or is about to hold no more. */
     void residency(ResidencyChange change) {
-        Frame frame = Frame.newBuilder().setResidency(change).build();
-        toControlHosts(frame);
-        passOn(frame);
+        tellOthers(Frame.newBuilder().setResidency(change).build());
     }
 
     /** Passes on what the giver of orders has said to the entry hosts that rely on this host. */
@@ -180,6 +184,12 @@
         followers.sendToPrimaries(frame);
     }
 
+    /** Sends a frame to the other control hosts and to the entry hosts that rely on this one. */
+    void tellOthers(Frame frame) {
+        toControlHosts(frame);
+        passOn(frame);
+    }
+
     /** Returns whether another control host is in reach. */
     boolean reaches(HostId host) {
         return transport.connected(host);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -10,6 +10,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.platform.ConfigurationDecoder;
+import io.stackhall.rpc.generated.fleet.CrashNotice;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
@@ -93,6 +94,7 @@
         loop.execute(
                 () -> {
                     connections.put(host, random.nextLong(1, Long.MAX_VALUE));
+                    gateway.quarantine().whole().ifPresent(frame -> transport.send(host, frame));
                     follow(host);
                 });
     }
@@ -157,6 +159,7 @@
             case ROUTES -> routes(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
+            case CRASH_NOTICE -> crashes(frame.getCrashNotice());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
@@ -181,6 +184,11 @@
                 .peekLeft(finding -> logger.warn("upstream.record-refused {}", finding));
     }
 
+    private void crashes(CrashNotice notice) {
+        gateway.quarantine().received(notice);
+        gateway.serveWaiting();
+    }
+
     private void work(WorkReport report) {
         long now = System.nanoTime();
         works.shared(gateway.entryHosts());
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EndedLives.java
@@ -0,0 +1,66 @@
+package io.stackhall.server.gateway;
+
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.server.relay.UpstreamClient;
+import io.stackhall.server.settings.Address;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Tells whether an instance that broke a request off has ended, or has only lost a connection: in
+ * the first case nobody listens at its address any more.
+ *
+ * <p>A connection that is reset or cut, an instance that is slow or silent, and one that breaks off
+ * a single answer all leave somebody listening, or nobody who says so. Used on one event loop.
+ */
+final class EndedLives {
+
+    /** Long enough for every connection of the life to have been closed, too. */
+    private static final long REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final UpstreamClient upstreams;
+    private final Map<UpstreamId, Long> ended = new HashMap<>();
+    private final Map<UpstreamId, List<Consumer<Boolean>>> asking = new HashMap<>();
+
+    EndedLives(UpstreamClient upstreams) {
+        this.upstreams = upstreams;
+    }
+
+    /**
+     * Finds out whether a life has ended.
+     *
+     * @param then told, at once where it is known
+     */
+    void ask(Instance instance, Consumer<Boolean> then) {
+        if (ended.containsKey(instance.id())) {
+            then.accept(true);
+            return;
+        }
+        List<Consumer<Boolean>> others = asking.get(instance.id());
+        if (others != null) {
+            others.add(then);
+            return;
+        }
+        asking.put(instance.id(), new ArrayList<>(List.of(then)));
+        upstreams.probe(
+                Address.parse(instance.address()), refused -> found(instance.id(), refused));
+    }
+
+    /** Forgets what ended long ago. */
+    void sweep() {
+        long now = System.nanoTime();
+        ended.values().removeIf(at -> now - at > REMEMBERED_NANOS);
+    }
+
+    private void found(UpstreamId life, boolean refused) {
+        if (refused) {
+            ended.put(life, System.nanoTime());
+        }
+        asking.remove(life).forEach(then -> then.accept(refused));
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -98,6 +98,7 @@
                                 ASSUMED_ENTRY_HOSTS,
                                 limits.retryWindow()),
                         new ControlNotices(settings.peerName(), this::tellControlHosts),
+                        this::tellControlHosts,
                         random);
         this.follower = new ControlFollower(settings, loop, transport, hosts, gateway, random);
         this.reports = new OwnReports(settings, gateway, follower);
@@ -115,6 +116,7 @@
         RepeatedTask.every(loop, FOLLOW_MILLIS, this::follow);
         RepeatedTask.every(loop, DEMAND_MILLIS, reports::tellDemand);
         RepeatedTask.every(loop, WORK_MILLIS, reports::tellWork);
+        RepeatedTask.every(loop, HostPauses.TICK_MILLIS, gateway.quarantine()::tick);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
                 settings.host(),
@@ -173,6 +175,7 @@
         hosts.sweep();
         upstreams.sweep();
         gateway.notices().sweep();
+        gateway.quarantine().sweep();
         follower.followAll();
         follower.obey();
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
+import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.UpstreamClient;
@@ -21,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -42,6 +44,7 @@
     private final DemandCounts demand = new DemandCounts();
     private final Set<CallerConnection> connections = new HashSet<>();
     private final ControlNotices notices;
+    private final Quarantine quarantine;
     private final FleetMetrics metrics = new FleetMetrics();
     private final LineBudget lines = new LineBudget();
     private RouteTable routes;
@@ -58,12 +61,14 @@
             UpstreamClient upstreams,
             RetryAllowance retries,
             ControlNotices notices,
+            Consumer<Frame> toControlHosts,
             RandomGenerator random) {
         this.loop = loop;
         this.dispatcher = dispatcher;
         this.upstreams = upstreams;
         this.retries = retries;
         this.notices = notices;
+        this.quarantine = new Quarantine(dispatcher, upstreams, metrics, toControlHosts);
         this.random = random;
     }
 
@@ -183,6 +188,7 @@
         metrics.state("waiting", waiting.size());
         metrics.state("resends_left", retries.left());
         metrics.state("caller_connections", connections.size());
+        quarantine.measure();
     }
 
     /** Returns how many callers are connected. */
@@ -252,6 +258,10 @@
         return notices;
     }
 
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
     void waits(RelayedRequest request) {
         waiting.add(request);
         demand.waits(request.need());
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -0,0 +1,216 @@
+package io.stackhall.server.gateway;
+
+import io.stackhall.core.dispatch.ApartDispatcher;
+import io.stackhall.core.dispatch.Choice;
+import io.stackhall.core.dispatch.Dispatcher;
+import io.stackhall.core.dispatch.Need;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.quarantine.Acquittal;
+import io.stackhall.core.quarantine.Crash;
+import io.stackhall.core.quarantine.CrashLedger;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.quarantine.Standing;
+import io.stackhall.core.quarantine.Trials;
+import io.stackhall.rpc.generated.fleet.AcquittalRecord;
+import io.stackhall.rpc.generated.fleet.CrashNotice;
+import io.stackhall.rpc.generated.fleet.CrashRecord;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.CrashCodec;
+import io.stackhall.server.metrics.FleetMetrics;
+import io.stackhall.server.relay.UpstreamClient;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps the requests of one entry host that end instances from ending more of them, and shares with
+ * the control hosts what it sees. Used on one event loop.
+ */
+final class Quarantine {
+
+    private static final Logger logger = LogManager.getLogger(Quarantine.class);
+
+    private final Dispatcher dispatcher;
+    private final ApartDispatcher apart;
+    private final EndedLives lives;
+    private final FleetMetrics metrics;
+    private final Consumer<Frame> toControlHosts;
+    private final CrashLedger ledger = new CrashLedger();
+    private final Trials trials = new Trials();
+    private final HostPauses pauses = new HostPauses();
+    private final Map<RequestDigest, Set<RelayedRequest>> underWay = new HashMap<>();
+
+    Quarantine(
+            Dispatcher dispatcher,
+            UpstreamClient upstreams,
+            FleetMetrics metrics,
+            Consumer<Frame> toControlHosts) {
+        this.dispatcher = dispatcher;
+        this.apart = new ApartDispatcher(dispatcher, trials);
+        this.lives = new EndedLives(upstreams);
+        this.metrics = metrics;
+        this.toControlHosts = toControlHosts;
+    }
+
+    /** Returns how a request stands. */
+    Standing standing(RequestDigest request, long now) {
+        return ledger.standing(request, now);
+    }
+
+    /** Decides where a suspect goes. */
+    Choice choose(
+            RequestDigest request,
+            Need need,
+            Predicate<UpstreamId> allowed,
+            boolean late,
+            long now) {
+        return apart.choose(request, need, allowed, late, now);
+    }
+
+    /** Notes that a request is sent to an instance. */
+    void sent(RequestDigest request, Instance instance, RelayedRequest by) {
+        underWay.computeIfAbsent(request, key -> new HashSet<>()).add(by);
+        if (ledger.standing(request, System.nanoTime()) instanceof Standing.Suspect suspect) {
+            trials.begin(instance.id(), request);
+            logger.info(
+                    "request.apart digest={} instance={} crashes={}",
+                    request,
+                    instance.id(),
+                    suspect.crashes());
+        }
+    }
+
+    /** Notes that a request's answer has begun. */
+    void begun(RequestDigest request, UpstreamId instance) {
+        trials.end(instance, request);
+    }
+
+    /** Notes that a request has left its instance, however. */
+    void left(RequestDigest request, UpstreamId instance, RelayedRequest by) {
+        trials.end(instance, request);
+        Set<RelayedRequest> copies = underWay.get(request);
+        if (copies != null && copies.remove(by) && copies.isEmpty()) {
+            underWay.remove(request);
+        }
+    }
+
+    /** Notes that a request has run to an end, which no instance does that it ends. */
+    void endedWell(RequestDigest request) {
+        ledger.endedWell(request).ifPresent(this::tell);
+    }
+
+    /**
+     * Notes that an instance has broken a request off. If it has ended by itself, this is held
+     * against the request, which goes on once that is known.
+     *
+     * @param sentAt when the request was sent, on the monotonic clock in nanoseconds
+     */
+    void brokeOff(RequestDigest request, Instance instance, long sentAt, Runnable goOn) {
+        if (pauses.since(sentAt) || isExpected(instance)) {
+            goOn.run();
+            return;
+        }
+        lives.ask(
+                instance,
+                ended -> {
+                    if (ended) {
+                        crashed(new Crash(instance.id(), Set.of(request)));
+                    }
+                    goOn.run();
+                });
+    }
+
+    /** Takes in what a control host tells. */
+    void received(CrashNotice notice) {
+        long now = System.nanoTime();
+        for (CrashRecord record : notice.getCrashesList()) {
+            ledger.crashed(CrashCodec.decode(record), now);
+        }
+        for (AcquittalRecord record : notice.getAcquittalsList()) {
+            ledger.acquitted(CrashCodec.decode(record));
+        }
+        if (notice.hasSentenced()) {
+            List<RequestDigest> all = CrashCodec.decode(notice.getSentenced().getAddedList());
+            ledger.sentenced(all, now)
+                    .forEach(request -> logger.info("request.sentenced digest={}", request));
+        }
+        stopCondemned();
+    }
+
+    /** Returns all that this host knows, for a control host that may know nothing. */
+    Optional<Frame> whole() {
+        List<CrashRecord> all = ledger.crashes().stream().map(CrashCodec::encode).toList();
+        return all.isEmpty()
+                ? Optional.empty()
+                : Optional.of(CrashCodec.frame(CrashCodec.notice().addAllCrashes(all)));
+    }
+
+    /** Notes that the process runs. */
+    void tick() {
+        pauses.tick();
+    }
+
+    /** Forgets what no longer counts. */
+    void sweep() {
+        ledger.sweep(System.nanoTime());
+        lives.sweep();
+    }
+
+    /** Brings the measures of the present state up to date. */
+    void measure() {
+        metrics.state("suspects", ledger.size());
+        metrics.state("refused_requests", ledger.condemned(System.nanoTime()).size());
+    }
+
+    /** What drains, or has said that it ends, ends as planned. */
+    private boolean isExpected(Instance instance) {
+        return dispatcher
+                .find(instance.id())
+                .filter(known -> known.state() == InstanceState.READY)
+                .isEmpty();
+    }
+
+    private void crashed(Crash crash) {
+        long now = System.nanoTime();
+        if (!ledger.crashed(crash, now)) {
+            return;
+        }
+        for (RequestDigest request : crash.requests()) {
+            Standing standing = ledger.standing(request, now);
+            logger.info(
+                    "request.suspected digest={} instance={} standing={}",
+                    request,
+                    crash.life(),
+                    standing);
+        }
+        toControlHosts.accept(
+                CrashCodec.frame(CrashCodec.notice().addCrashes(CrashCodec.encode(crash))));
+        stopCondemned();
+    }
+
+    private void tell(Acquittal acquittal) {
+        logger.info("request.acquitted digest={} lives={}", acquittal.request(), acquittal.lives());
+        toControlHosts.accept(
+                CrashCodec.frame(CrashCodec.notice().addAcquittals(CrashCodec.encode(acquittal))));
+    }
+
+    /** Copies that are under way when a request is condemned may not have begun to run yet. */
+    private void stopCondemned() {
+        long now = System.nanoTime();
+        for (RequestDigest request : List.copyOf(underWay.keySet())) {
+            if (ledger.standing(request, now) instanceof Standing.Condemned) {
+                Set.copyOf(underWay.getOrDefault(request, Set.of()))
+                        .forEach(RelayedRequest::stopCondemned);
+            }
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -4,20 +4,19 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.dispatch.Admission;
 import io.stackhall.core.dispatch.Admission.Verdict;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.Route;
-import io.stackhall.core.route.RouteKind;
 import io.stackhall.platform.Headers;
 import io.stackhall.server.relay.CallFailure;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,35 +29,40 @@
 final class RelayedRequest implements AttemptListener {
 
     private static final Duration SOON = Duration.ofMillis(300);
+    private static final String BROKE_OFF = "the instance broke off";
 
     private final Gateway gateway;
     private final CallerRequest request;
     private final AnswerWriter answers;
+    private final RequestDigest digest;
     private final RequestLog log;
     private final AttemptHistory history = new AttemptHistory();
     private Route route;
     private Need need;
     private RequestTimes times;
     private long waitingSince;
+    private long sentAt;
     private WaitReason waitsFor = WaitReason.NOTHING;
     private Admission admission;
     private boolean mayHaveRun;
     private boolean ended;
-    private boolean streaming;
-    private OptionalLong lastEvent = OptionalLong.empty();
+    private final StreamedAnswer stream;
+    private final RequestTimer timer;
     private UpstreamAttempt attempt;
-    private ScheduledFuture<?> deadline;
 
     RelayedRequest(Gateway gateway, CallerRequest request, AnswerWriter answers) {
         this.gateway = gateway;
         this.request = request;
         this.answers = answers;
-        this.log = new RequestLog(gateway, request);
+        this.digest = request.digest();
+        this.log = new RequestLog(gateway, request, digest);
+        this.timer = new RequestTimer(gateway.loop(), this::outOfTime);
+        this.stream = new StreamedAnswer(answers, log);
     }
 
     /** Begins to work on the request, or goes on once the first routes are known. */
     void start() {
-        cancelDeadline();
+        timer.cancel();
         if (!gateway.knowsRoutes()) {
             awaitRoutes();
             return;
@@ -75,7 +79,7 @@
         history.allow(route.maxAttempts());
         need = request.need(route, route.service(gateway.ticket()));
         times = RequestTimes.of(request, route);
-        endAt(times.deadlineAt());
+        timer.at(times.deadlineAt());
         admission = newAdmission();
         gateway.arrived(need);
         waitingSince = System.nanoTime();
@@ -92,7 +96,7 @@
             refuse("no configuration is known yet", first.retryAfter(now));
             return;
         }
-        endAt(first.latest(request));
+        timer.at(first.latest(request));
         first.add(this);
     }
 
@@ -125,7 +129,12 @@
             return true;
         }
         long now = System.nanoTime();
-        Choice choice = gateway.dispatcher().choose(need, history.allowed(), late(now), now);
+        Standing standing = gateway.quarantine().standing(digest, now);
+        if (standing instanceof Standing.Condemned(Duration left)) {
+            giveUp("instances end under it", left);
+            return true;
+        }
+        Choice choice = choose(standing, now);
         int ahead = choice instanceof Choice.Full ? gateway.waitingBefore(this) : 0;
         switch (admission.judge(choice, ahead, now)) {
             case Verdict.Send(Instance instance, String why) -> send(instance, why);
@@ -143,6 +152,19 @@
         return true;
     }
 
+    private Choice choose(Standing standing, long now) {
+        return standing instanceof Standing.Suspect
+                ? gateway.quarantine().choose(digest, need, history.allowed(), late(now), now)
+                : gateway.dispatcher().choose(need, history.allowed(), late(now), now);
+    }
+
+    /** Ends a copy of a request that is refused by now, if it may not have begun to run yet. */
+    void stopCondemned() {
+        if (!ended && !stream.begun() && attempt != null) {
+            finish(HttpResponseStatus.BAD_GATEWAY, "instances end under it; it may have run");
+        }
+    }
+
     /** Tries again a request that waits. */
     void tryAgain() {
         if (tryToSend()) {
@@ -152,11 +174,10 @@
 
     /** The caller has closed its connection. */
     void callerLeft() {
-        if (ended) {
-            return;
+        if (!ended) {
+            log.callerLeft(history.sends());
+            close();
         }
-        log.callerLeft(history.sends());
-        close();
     }
 
     /** The caller takes more, or cannot take more now. */
@@ -167,11 +188,11 @@
     }
 
     private Admission newAdmission() {
-        return times.admission(streaming ? System.nanoTime() : request.arrivedAt());
+        return times.admission(stream.begun() ? System.nanoTime() : request.arrivedAt());
     }
 
     private void giveUp(String reason, Duration retryAfter) {
-        if (streaming) {
+        if (stream.begun()) {
             breakOff(reason);
         } else if (mayHaveRun) {
             finish(HttpResponseStatus.BAD_GATEWAY, "the outcome is unknown: " + reason);
@@ -186,19 +207,22 @@
             giveUp("too many requests are sent a second time", SOON);
             return;
         }
-        boolean stream = route.kind() == RouteKind.STREAM;
-        attempt = new UpstreamAttempt(gateway, instance, need, stream, this);
+        attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), this);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
         log.sent(need, instance, history.sends() + 1, why, now - waitingSince, waitsFor, load);
         long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt() - now);
-        attempt.begin(RequestCopy.of(request, need, instance, leftMillis, lastEvent), request.id());
+        sentAt = now;
+        gateway.quarantine().sent(digest, instance, this);
+        attempt.begin(
+                RequestCopy.of(request, need, instance, leftMillis, stream.lastEvent()),
+                request.id());
     }
 
     private void outOfTime() {
         if (ended) {
             return;
         }
-        if (streaming) {
+        if (stream.begun()) {
             breakOff("its time has passed");
         } else if (history.sends() == 0) {
             refuse("its time has passed", SOON);
@@ -221,30 +245,26 @@
     }
 
     private void breakOff(String reason) {
-        log.brokenOff(reason, lastEvent, history.sends());
+        log.brokenOff(reason, stream.lastEvent(), history.sends());
         close();
         answers.abort();
     }
 
     private void close() {
         ended = true;
-        cancelDeadline();
+        timer.cancel();
         gateway.gone(this);
         if (attempt != null) {
             attempt.abandon();
-            attempt = null;
+            endAttempt();
         }
     }
 
-    private void endAt(long moment) {
-        long left = Math.max(0, moment - System.nanoTime());
-        deadline = gateway.loop().schedule(this::outOfTime, left, TimeUnit.NANOSECONDS);
-    }
-
-    private void cancelDeadline() {
-        if (deadline != null) {
-            deadline.cancel(false);
-        }
+    private Instance endAttempt() {
+        Instance instance = attempt.instance();
+        attempt = null;
+        gateway.quarantine().left(digest, instance.id(), this);
+        return instance;
     }
 
     @Override
@@ -254,35 +274,23 @@
 
     @Override
     public void event(HttpResponse head, EventAssembler.Event event) {
-        boolean old =
-                event.id().isPresent()
-                        && lastEvent.isPresent()
-                        && event.id().getAsLong() <= lastEvent.getAsLong();
-        if (old) {
-            event.bytes().release();
-            return;
-        }
-        writeHead(head);
-        if (event.id().isPresent()) {
-            lastEvent = event.id();
-        }
-        answers.part(event.bytes());
+        gateway.quarantine().begun(digest, attempt.instance().id());
+        stream.event(head, event);
     }
 
     @Override
     public void streamEnded(HttpResponse head, ByteBuf rest) {
-        logAnswer(head);
-        attempt = null;
-        writeHead(head);
-        answers.part(rest);
+        log.answered(head.status().code(), stream.lastEvent(), history.sends());
+        endAttempt();
+        gateway.quarantine().endedWell(digest);
+        stream.rest(head, rest);
         close();
         answers.end();
     }
 
     @Override
     public void answered(HttpResponse head, ByteBuf body) {
-        Instance instance = attempt.instance();
-        attempt = null;
+        Instance instance = endAttempt();
         boolean notRun =
                 head.headers().contains(Headers.NOT_RUN)
                         || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
@@ -290,7 +298,8 @@
             notRun(instance, head);
             return;
         }
-        logAnswer(head);
+        log.answered(head.status().code(), stream.lastEvent(), history.sends());
+        gateway.quarantine().endedWell(digest);
         mayHaveRun = true;
         boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
         if (failed) {
@@ -298,12 +307,10 @@
         } else {
             gateway.dispatcher().succeeded(instance.id());
         }
-        boolean another = route.repeatable() && history.another();
-        if (streaming) {
+        if (stream.begun()) {
             resume(instance);
-        } else if (failed && another) {
-            history.giveUp(instance.id());
-            again("the instance failed");
+        } else if (failed && mayGoOn()) {
+            goOn(instance, "the instance failed");
         } else if (Answers.looksLikeRefusal(head.status())) {
             finish(HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
         } else {
@@ -314,23 +321,41 @@
 
     @Override
     public void brokeOff(CallFailure failure) {
-        Instance instance = attempt.instance();
-        attempt = null;
-        log.attemptFailed(instance, failure.sent(), failure.reason(), lastEvent);
+        Instance instance = endAttempt();
+        log.attemptFailed(instance, failure.sent(), failure.reason(), stream.lastEvent());
         if (!failure.sent()) {
             gateway.notices().unreachable(instance, failure.stage());
-            history.giveUp(instance.id());
-            again("the instance cannot be reached");
+            goOn(instance, "the instance cannot be reached");
             return;
         }
         mayHaveRun = true;
-        if (streaming) {
-            resume(instance);
-        } else if (route.repeatable() && history.another()) {
-            history.giveUp(instance.id());
-            again("the instance broke off");
+        if (!mayGoOn()) {
+            endBroken();
+        }
+        gateway.quarantine().brokeOff(digest, instance, sentAt, () -> goOn(instance, BROKE_OFF));
+    }
+
+    /** Returns whether another instance may take up what broke off. */
+    private boolean mayGoOn() {
+        boolean may =
+                stream.begun()
+                        ? route.resumable() && stream.lastEvent().isPresent()
+                        : route.repeatable();
+        return may && history.another();
+    }
+
+    private void endBroken() {
+        if (stream.begun()) {
+            breakOff(BROKE_OFF);
         } else {
-            finish(HttpResponseStatus.BAD_GATEWAY, "the instance broke off");
+            finish(HttpResponseStatus.BAD_GATEWAY, BROKE_OFF);
+        }
+    }
+
+    private void goOn(Instance instance, String reason) {
+        if (!ended) {
+            history.giveUp(instance.id());
+            again(reason);
         }
     }
 
@@ -338,25 +363,22 @@
         log.notRun(instance, head.status().code());
         gateway.dispatcher().lacks(instance.id(), need, System.nanoTime());
         boolean comes = need.adapter().isPresent() && history.adapterMayCome();
-        if (streaming) {
+        if (stream.begun()) {
             resume(instance);
         } else if (comes) {
             again("its adapter is on its way");
         } else if (history.another()) {
-            history.giveUp(instance.id());
-            again("the instance did not run it");
+            goOn(instance, "the instance did not run it");
         } else {
             giveUp("the instance did not run it", SOON);
         }
     }
 
     private void resume(Instance instance) {
-        boolean may = route.resumable() && lastEvent.isPresent() && history.another();
-        if (may) {
-            history.giveUp(instance.id());
-            again("the stream broke off");
+        if (mayGoOn()) {
+            goOn(instance, BROKE_OFF);
         } else {
-            breakOff("the instance broke off");
+            endBroken();
         }
     }
 
@@ -372,16 +394,4 @@
             gateway.waits(this);
         }
     }
-
-    private void writeHead(HttpResponse head) {
-        if (!streaming) {
-            streaming = true;
-            log.begun();
-            answers.begin(Answers.head(head));
-        }
-    }
-
-    private void logAnswer(HttpResponse head) {
-        log.answered(head.status().code(), lastEvent, history.sends());
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -25,11 +25,11 @@
     private String route = "none";
     private long firstMillis = -1;
 
-    RequestLog(Gateway gateway, CallerRequest request) {
+    RequestLog(Gateway gateway, CallerRequest request, RequestDigest digest) {
         this.lines = gateway.lines();
         this.metrics = gateway.metrics();
         this.id = request.id();
-        this.digest = request.digest();
+        this.digest = digest;
         this.arrivedAt = request.arrivedAt();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.Sending;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.route.RouteKind;
 import io.stackhall.platform.RequestHeaders;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
@@ -32,17 +33,17 @@
     /**
      * Creates an attempt that counts as the instance's work from now on.
      *
-     * @param stream whether an answer with success is an event stream
+     * @param kind whether an answer with success is an event stream
      */
     UpstreamAttempt(
             Gateway gateway,
             Instance instance,
             Need need,
-            boolean stream,
+            RouteKind kind,
             AttemptListener listener) {
         this.gateway = gateway;
         this.instance = instance;
-        this.stream = stream;
+        this.stream = kind == RouteKind.STREAM;
         this.listener = listener;
         this.sending = gateway.dispatcher().began(instance.id(), need, System.nanoTime());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -21,6 +21,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
 /**
@@ -106,6 +107,21 @@
         return call;
     }
 
+    /**
+     * Finds out whether anybody listens at an address, without sending a byte.
+     *
+     * @param refused told whether the connection was refused
+     */
+    public void probe(Address address, Consumer<Boolean> refused) {
+        bootstrap
+                .connect(address.socket())
+                .addListener(
+                        done -> {
+                            ((ChannelFuture) done).channel().close();
+                            refused.accept(isRefusal(done.cause()));
+                        });
+    }
+
     /** Closes the resting connections to an address whose upstream has ended. */
     public void forget(Address address) {
         Deque<Resting> kept = resting.remove(address);
@@ -160,15 +176,16 @@
         }
         if (!done.isSuccess()) {
             Throwable cause = done.cause();
-            boolean timedOut = cause instanceof ConnectTimeoutException;
-            call.unreachable(
-                    cause instanceof ConnectException && !timedOut,
-                    "cannot connect: " + cause.getMessage());
+            call.unreachable(isRefusal(cause), "cannot connect: " + cause.getMessage());
             return;
         }
         write(call, channel);
     }
 
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     private void write(UpstreamCall call, Channel channel) {
         if (!call.sending()) {
             channel.close();
