--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/quarantine/CrashLedgerProperties.java
@@ -0,0 +1,104 @@
+package io.stackhall.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.UpstreamId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** Word of ends and acquittals in any order, late and twice. */
+class CrashLedgerProperties {
+
+    private static final int REQUESTS = 5;
+    private static final int LIVES = 4;
+
+    /** One thing that a host tells. */
+    record Word(boolean crash, int life, int request) {
+
+        private void tell(CrashLedger ledger) {
+            Set<UpstreamId> lives = Set.of(new UpstreamId("i-" + life));
+            if (crash) {
+                ledger.crashed(new Crash(lives.iterator().next(), Set.of(digest(request))), 0);
+            } else {
+                ledger.acquitted(new Acquittal(digest(request), lives));
+            }
+        }
+    }
+
+    @Property
+    void hostsThatHaveHeardTheSameAgree(@ForAll("words") List<Word> words, @ForAll long seed) {
+        List<Word> others = new ArrayList<>(words);
+        others.addAll(words);
+        Collections.shuffle(others, new Random(seed));
+        assertThat(standings(others)).isEqualTo(standings(words));
+    }
+
+    @Property
+    void whoWasAtOneEndAtMostIsNeverCondemned(@ForAll("words") List<Word> words) {
+        CrashLedger ledger = ledger(words);
+        for (int number = 0; number < REQUESTS; number++) {
+            int request = number;
+            long ends =
+                    words.stream()
+                            .filter(word -> word.crash() && word.request() == request)
+                            .map(Word::life)
+                            .distinct()
+                            .count();
+            if (ends <= 1) {
+                assertThat(ledger.standing(digest(request), 0))
+                        .isNotInstanceOf(Standing.Condemned.class);
+            }
+        }
+    }
+
+    @Property
+    void whoWasAtThreeEndsAndNeverEndedWellIsCondemned(@ForAll("words") List<Word> words) {
+        List<Word> all = new ArrayList<>(words);
+        for (int life = 0; life < 3; life++) {
+            all.add(new Word(true, life, REQUESTS));
+        }
+        assertThat(ledger(all).standing(digest(REQUESTS), 0))
+                .isInstanceOf(Standing.Condemned.class);
+    }
+
+    @Provide
+    Arbitrary<List<Word>> words() {
+        Arbitrary<Word> word =
+                Arbitraries.integers()
+                        .between(0, 4 * LIVES * REQUESTS - 1)
+                        .map(
+                                drawn ->
+                                        new Word(
+                                                drawn % 4 > 0,
+                                                drawn / 4 % LIVES,
+                                                drawn / 4 / LIVES));
+        return word.list().ofMaxSize(30);
+    }
+
+    private static List<Standing> standings(List<Word> words) {
+        CrashLedger ledger = ledger(words);
+        List<Standing> all = new ArrayList<>();
+        for (int request = 0; request < REQUESTS; request++) {
+            all.add(ledger.standing(digest(request), 0));
+        }
+        return all;
+    }
+
+    private static CrashLedger ledger(List<Word> words) {
+        CrashLedger ledger = new CrashLedger();
+        words.forEach(word -> word.tell(ledger));
+        return ledger;
+    }
+
+    private static RequestDigest digest(int request) {
+        return CrashLedgerTest.digest("request " + request);
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/quarantine/RequestDigestTest.java
@@ -0,0 +1,36 @@
+package io.stackhall.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** What a request is known again by. */
+class RequestDigestTest {
+
+    private static final byte[] BODY = "body".getBytes(StandardCharsets.UTF_8);
+
+    @Test
+    void sameContentHasTheSameDigestInWhicheverCaseItsHostIsWritten() {
+        assertThat(RequestDigest.of("POST", "A.Example", "/a", BODY))
+                .isEqualTo(RequestDigest.of("POST", "a.example", "/a", BODY));
+    }
+
+    @Test
+    void eachPartOfTheContentCounts() {
+        RequestDigest digest = RequestDigest.of("POST", "a.example", "/a", BODY);
+        assertThat(RequestDigest.of("PUT", "a.example", "/a", BODY)).isNotEqualTo(digest);
+        assertThat(RequestDigest.of("POST", "b.example", "/a", BODY)).isNotEqualTo(digest);
+        assertThat(RequestDigest.of("POST", "a.example", "/b", BODY)).isNotEqualTo(digest);
+        assertThat(RequestDigest.of("POST", "a.example", "/a", new byte[0])).isNotEqualTo(digest);
+        assertThat(RequestDigest.of("POST", "a.example/", "a", BODY)).isNotEqualTo(digest);
+    }
+
+    @Test
+    void otherTextsAreNoDigests() {
+        assertThatThrownBy(() -> new RequestDigest("xyz"))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("xyz");
+    }
+}
