--- a/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/ApiHandler.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.membership.Announcement;
 import io.stackhall.core.membership.Neighbours;
 import io.stackhall.core.outcome.RequestOutcome;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.metrics.NodeMetrics;
 import io.stackhall.server.node.ConfigStore;
@@ -156,7 +157,7 @@
 
     private void serve(Request request, Caller caller, ResponseSink sink, boolean completion)
             throws IOException {
-        long start = System.nanoTime();
+        long start = BootClock.nanos();
         Configuration configuration = config.current();
         Either<RequestReader.Rejection, AcceptedRequest> read =
                 reader.body(request)
@@ -177,7 +178,7 @@
         boolean deferred = wantsAsync(request);
         RequestOutcome outcome =
                 deferred ? work.accept(accepted, sink) : runner.run(accepted, sink);
-        long nanos = System.nanoTime() - start;
+        long nanos = BootClock.nanos() - start;
         boolean inTime =
                 outcome instanceof RequestOutcome.Ran
                         && !sink.refused()
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Exchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Exchange.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.admission.Arrival;
 import io.stackhall.core.outcome.RequestOutcome;
 import io.stackhall.core.routing.Ending;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.node.TrafficDriver;
 import io.stackhall.server.upstreams.UpstreamCall;
 import io.stackhall.server.upstreams.UpstreamClient;
@@ -194,7 +195,7 @@
     }
 
     private long remainingMillis() {
-        return Math.max(1, (arrival.deadline() - System.nanoTime()) / NANOS_PER_MILLI);
+        return Math.max(1, (arrival.deadline() - BootClock.nanos()) / NANOS_PER_MILLI);
     }
 
     /** What an upstream runs is worth more late than unknown, within a bound. */
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/RequestRunner.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/RequestRunner.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.outcome.ClaimResult;
 import io.stackhall.core.outcome.RequestOutcome;
 import io.stackhall.core.outcome.StoredAnswer;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.node.TrafficDriver;
 import io.stackhall.server.settings.Settings;
 import io.stackhall.server.upstreams.UpstreamClient;
@@ -85,7 +86,7 @@
                         request.caller().id(),
                         request.target(),
                         request.caller().priority(),
-                        System.nanoTime() + request.deadlineNanos(),
+                        BootClock.nanos() + request.deadlineNanos(),
                         request.prefix(),
                         request.repeatable(),
                         request.reach());
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/CompareCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/CompareCommand.java
@@ -6,6 +6,7 @@
 import io.stackhall.rpc.generated.operators.MeasuresReply;
 import io.stackhall.rpc.generated.operators.MeasuresRequest;
 import io.stackhall.rpc.generated.operators.OperatorsGrpc;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.compare.ComparisonPage;
 import io.stackhall.server.compare.PolicyComparison;
 import io.stackhall.server.json.Json;
@@ -91,7 +92,7 @@
 
     private PolicyComparison watch(StopSignal stop, double seconds, double every)
             throws InterruptedException {
-        long start = System.nanoTime();
+        long start = BootClock.nanos();
         PolicyComparison comparison = new PolicyComparison(ask());
         System.err.println("stackhall: comparing, until the time is over or a signal to stop");
         double passed = 0;
@@ -99,7 +100,7 @@
         while (passed < seconds && !stopped) {
             double pause = Math.min(every, seconds - passed);
             stopped = stop.await(Duration.ofNanos((long) (pause * NANOS_PER_SECOND)));
-            passed = (System.nanoTime() - start) / NANOS_PER_SECOND;
+            passed = (BootClock.nanos() - start) / NANOS_PER_SECOND;
             comparison.add(passed, ask());
         }
         return comparison;
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.cli;
 
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineLogging;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -17,7 +18,7 @@
     public static final String VERSION = "0.1.0";
 
     /** When this class was loaded, first of all, on the monotonic clock in nanoseconds. */
-    static final long ALIVE_SINCE = System.nanoTime();
+    static final long ALIVE_SINCE = BootClock.nanos();
 
     /** Names the level of logs as JSON lines on standard output; without it a file configures. */
     private static final String LINES_PROPERTY = "stackhall.lines";
--- a/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
@@ -11,6 +11,7 @@
 import io.stackhall.rpc.generated.fleet.CrashRecord;
 import io.stackhall.rpc.generated.fleet.Sentence;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.CrashCodec;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -54,7 +55,7 @@
 
     /** Takes in what an entry host or another control host tells, and passes on what is new. */
     void heard(CrashNotice notice) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         CrashNotice.Builder news = CrashCodec.notice();
         for (CrashRecord record : notice.getCrashesList()) {
             Crash crash = CrashCodec.decode(record);
@@ -81,7 +82,7 @@
             return;
         }
         sentenced = state.getSentencedList();
-        ledger.sentenced(CrashCodec.decode(sentenced), System.nanoTime());
+        ledger.sentenced(CrashCodec.decode(sentenced), BootClock.nanos());
         toOthers.accept(CrashCodec.frame(CrashCodec.notice().setSentenced(agreed())));
     }
 
@@ -95,13 +96,13 @@
 
     /** Forgets what no longer counts. */
     void sweep() {
-        ledger.sweep(System.nanoTime());
+        ledger.sweep(BootClock.nanos());
     }
 
     /** Has the group agree on what this host holds against requests; for the leader alone. */
     void agree() {
         List<ByteString> wanted =
-                CrashCodec.encode(ledger.condemned(System.nanoTime())).stream()
+                CrashCodec.encode(ledger.condemned(BootClock.nanos())).stream()
                         .limit(MOST_SENTENCED)
                         .toList();
         List<ByteString> added = without(wanted, sentenced);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.WorkCodec;
@@ -40,7 +41,7 @@
     private final Map<String, Follower> followers = new HashMap<>();
     private final Map<UpstreamId, Instance> untold = new LinkedHashMap<>();
     private boolean tellScheduled;
-    private long workToldAt = System.nanoTime();
+    private long workToldAt = BootClock.nanos();
     private int toldCount;
 
     /** An entry host that is told of changes. */
@@ -74,7 +75,7 @@
         boolean newlyPrimary = follow.getPrimary() && !follower.primary;
         follower.primary = follow.getPrimary();
         follower.replier = replier;
-        follower.heardAt = System.nanoTime();
+        follower.heardAt = BootClock.nanos();
         followers.put(follow.getHost(), follower);
         if (anew) {
             logger.info(
@@ -144,7 +145,7 @@
      * them there are.
      */
     void tellWork(WorkReports works) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         long primaries = followers.values().stream().filter(one -> one.primary).count();
         ReportPace pace = new ReportPace(Math.toIntExact(primaries));
         if (now - workToldAt < pace.interval().toNanos()) {
@@ -168,7 +169,7 @@
 
     /** Forgets those that have stopped asking, and tells the others how many are left. */
     void sweep() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         followers.values().removeIf(follower -> now - follower.heardAt > FORGET_NANOS);
         if (followers.size() != toldCount && !followers.isEmpty()) {
             toldCount = followers.size();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -21,6 +21,7 @@
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.NothingOnce;
@@ -102,7 +103,7 @@
     /** Notes a record that describes no upstream; some other program may have written it. */
     void refused(Finding finding) {
         refusedRecords++;
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (refusedRecords == 1 || now - refusalLoggedAt >= REFUSAL_LOG_NANOS) {
             refusalLoggedAt = now;
             logger.warn("upstream.record-refused count={} {}", refusedRecords, finding);
@@ -133,14 +134,14 @@
 
     /** Marks the upstreams that have said nothing for too long; for the leader alone. */
     void expire() {
-        List<Instance> changed = table.expire(System.nanoTime());
+        List<Instance> changed = table.expire(BootClock.nanos());
         toControlHosts(changed);
         toEntryHosts(changed, List.of());
     }
 
     /** Starts counting silence anew, for a host that may itself have been out of touch. */
     void refresh() {
-        table.refresh(System.nanoTime());
+        table.refresh(BootClock.nanos());
     }
 
     /**
@@ -197,7 +198,7 @@
 
     /** Takes in how many requests an entry host, or those of another control host, have where. */
     void worked(HostId host, Map<UpstreamId, InstanceWork> work) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         works.reported(host, WorkCodec.requests(work), now);
         if (followers.isPrimaryOf(host)) {
             sum.worked(host, work, now);
@@ -208,13 +209,13 @@
     void demanded(DemandReport report) {
         HostId host = new HostId(report.getHost());
         if (followers.isPrimaryOf(host)) {
-            sum.asked(host, WorkCodec.decode(report), System.nanoTime());
+            sum.asked(host, WorkCodec.decode(report), BootClock.nanos());
         }
     }
 
     /** Passes the reports of the entry hosts that rely on this host on to the other ones. */
     void passReportsOn() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         sum.shared(followers.count());
         Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
         if (worksToTell.isDue(!work.isEmpty())) {
@@ -276,7 +277,7 @@
         List<Instance> begun = new ArrayList<>();
         for (Instance instance : instances) {
             Instance before = table.find(instance.id()).orElse(null);
-            for (Instance after : table.merge(instance, System.nanoTime())) {
+            for (Instance after : table.merge(instance, BootClock.nanos())) {
                 heard.add(after);
                 if (begins(before, after)) {
                     begun.add(after);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -25,6 +25,7 @@
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.peer.DemandCount;
 import io.stackhall.rpc.generated.peer.DemandReport;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.FleetSettings;
@@ -106,7 +107,7 @@
             return;
         }
         takeRoutes();
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         keeper.known(fleet.instances(), now);
         carryOut(keeper.step(now));
     }
@@ -115,7 +116,7 @@
     void demanded(DemandReport report) {
         Map<ModelId, Integer> arrivals = new HashMap<>();
         Map<ModelId, Integer> waiting = new HashMap<>();
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         for (DemandCount count : report.getCountsList()) {
             int slash = count.getModel().indexOf('/');
             String model = slash < 0 ? count.getModel() : count.getModel().substring(0, slash);
@@ -130,7 +131,7 @@
 
     /** Takes in what an entry host says of its work at instances. */
     void worked(Map<UpstreamId, InstanceWork> work) {
-        keeper.worked(work, System.nanoTime());
+        keeper.worked(work, BootClock.nanos());
     }
 
     /** Takes in that an entry host cannot connect to an instance. */
@@ -157,8 +158,8 @@
                     UpstreamId.parse(wanted.getInstance()),
                     new ModelId(wanted.getModel()),
                     wanted.getAdapter(),
-                    System.nanoTime());
-            carryOut(keeper.step(System.nanoTime()));
+                    BootClock.nanos());
+            carryOut(keeper.step(BootClock.nanos()));
         }
     }
 
@@ -166,7 +167,7 @@
         if (!leading || !taken || !group.leads()) {
             return false;
         }
-        if (!begun && handover.mayBegin(knownOfPredecessor(), electedAt, System.nanoTime())) {
+        if (!begun && handover.mayBegin(knownOfPredecessor(), electedAt, BootClock.nanos())) {
             begun = true;
             logger.info("orders.begin fence={} predecessor={}", fence, knownOfPredecessor());
         }
@@ -188,7 +189,7 @@
         String self = settings.peerName().value();
         boolean afterAnother = !before.getHolder().isEmpty() && !before.getHolder().equals(self);
         predecessor = afterAnother ? Optional.of(new HostId(before.getHolder())) : Optional.empty();
-        electedAt = System.nanoTime();
+        electedAt = BootClock.nanos();
         Thread.startVirtualThread(
                 () -> {
                     CommandOutcome outcome =
@@ -207,7 +208,7 @@
         if (outcome instanceof CommandOutcome.Done && leading && group.view().term() == term) {
             fence = term;
             taken = true;
-            keeper.restart(afterAnother, System.nanoTime());
+            keeper.restart(afterAnother, BootClock.nanos());
         }
     }
 
@@ -296,7 +297,7 @@
                 status.orElse(0),
                 answer);
         if (active()) {
-            carryOut(keeper.answered(order, answer, System.nanoTime()));
+            carryOut(keeper.answered(order, answer, BootClock.nanos()));
         }
     }
 
@@ -305,7 +306,7 @@
     }
 
     private void reportRead(UpstreamId id, Optional<Integer> status, byte[] answer) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         Either<Finding, EngineReport> report =
                 status.equals(Optional.of(200))
                         ? ReportDecoder.decode(answer)
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/ControlHosts.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.fleet.Introduction;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
@@ -73,7 +74,7 @@
         for (HostId host : named) {
             boolean known = host.equals(settings.peerName()) || lastUp.containsKey(host);
             if (!known) {
-                lastUp.put(host, System.nanoTime());
+                lastUp.put(host, BootClock.nanos());
                 logger.info("control-host.learned host={}", host);
                 transport.link(host, Address.parse(host.value()), () -> connected(host));
             }
@@ -99,7 +100,7 @@
 
     /** Notes which connections are down, and forgets hosts that have been away for long. */
     public synchronized void sweep() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         for (HostId host : all()) {
             if (transport.connected(host)) {
                 lastUp.put(host, now);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.server.clock.BootClock;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -200,7 +201,7 @@
             return;
         }
         head = request;
-        headAt = System.nanoTime();
+        headAt = BootClock.nanos();
         body = new ByteArrayOutputStream();
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -18,6 +18,7 @@
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.WorkCodec;
@@ -122,7 +123,7 @@
 
     /** Takes another primary at once where that of before is no longer the best. */
     private void choosePrimary() {
-        Optional<HostId> best = primaries.among(hosts.connected(), System.nanoTime());
+        Optional<HostId> best = primaries.among(hosts.connected(), BootClock.nanos());
         if (best.equals(primary)) {
             return;
         }
@@ -166,7 +167,7 @@
 
     private void instances(InstancesUpdate update) {
         if (update.getOutOfTouch()) {
-            primary.ifPresent(host -> primaries.declined(host, System.nanoTime()));
+            primary.ifPresent(host -> primaries.declined(host, BootClock.nanos()));
             choosePrimary();
             return;
         }
@@ -180,7 +181,7 @@
         InstanceCodec.decode(record)
                 .peek(
                         instance ->
-                                table.merge(instance, System.nanoTime()).forEach(gateway::changed))
+                                table.merge(instance, BootClock.nanos()).forEach(gateway::changed))
                 .peekLeft(finding -> logger.warn("upstream.record-refused {}", finding));
     }
 
@@ -190,7 +191,7 @@
     }
 
     private void work(WorkReport report) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         works.shared(gateway.entryHosts());
         works.reported(
                 new HostId(report.getHost()), WorkCodec.requests(WorkCodec.decode(report)), now);
@@ -204,7 +205,7 @@
                             UpstreamId.parse(change.getInstance()),
                             new ModelId(change.getModel()),
                             Duration.ofMillis(change.getComingMillis()),
-                            System.nanoTime());
+                            BootClock.nanos());
             gateway.serveWaiting();
             return;
         }
@@ -214,7 +215,7 @@
                         new ModelId(change.getModel()),
                         Optional.of(change.getAdapter()).filter(name -> !name.isEmpty()),
                         change.getResident(),
-                        System.nanoTime());
+                        BootClock.nanos());
         gateway.serveWaiting();
     }
 
@@ -228,7 +229,7 @@
             newestBody = update.getBody().toByteArray();
         }
         if (firstRoutesAt == 0 && newest >= 0) {
-            firstRoutesAt = System.nanoTime();
+            firstRoutesAt = BootClock.nanos();
         }
         if (update.getConfirmed() && !confirmed && newest >= 0) {
             confirmed = true;
@@ -240,7 +241,7 @@
     /** Puts the newest routes into force once they are confirmed or nobody can confirm any. */
     void obey() {
         boolean patienceOver =
-                firstRoutesAt != 0 && System.nanoTime() - firstRoutesAt >= UNCONFIRMED_NANOS;
+                firstRoutesAt != 0 && BootClock.nanos() - firstRoutesAt >= UNCONFIRMED_NANOS;
         long held = gateway.knowsRoutes() ? gateway.routes().version() : -1;
         if (newest <= held || !(confirmed || patienceOver)) {
             return;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
@@ -6,6 +6,7 @@
 import io.stackhall.rpc.generated.fleet.AdapterWanted;
 import io.stackhall.rpc.generated.fleet.InstanceUnreachable;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure.Stage;
 import java.util.HashMap;
 import java.util.Map;
@@ -54,12 +55,12 @@
 
     /** Forgets what was told long ago. */
     void sweep() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         told.values().removeIf(at -> now - at >= AGAIN_NANOS);
     }
 
     private void tell(Frame frame) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         Long last = told.get(frame);
         if (last == null || now - last >= AGAIN_NANOS) {
             told.put(frame, now);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EndedLives.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EndedLives.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import java.util.ArrayList;
@@ -53,13 +54,13 @@
 
     /** Forgets what ended long ago. */
     void sweep() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         ended.values().removeIf(at -> now - at > REMEMBERED_NANOS);
     }
 
     private void found(UpstreamId life, boolean refused) {
         if (refused) {
-            ended.put(life, System.nanoTime());
+            ended.put(life, BootClock.nanos());
         }
         asking.remove(life).forEach(then -> then.accept(refused));
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -19,6 +19,7 @@
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
@@ -131,7 +132,7 @@
 
     @Override
     public void drain() {
-        long started = System.nanoTime();
+        long started = BootClock.nanos();
         logger.info("daemon.draining host={}", settings.host());
         loop.execute(gateway::drain);
         long leave = started + BALANCER_LEAVES.toNanos();
@@ -158,8 +159,8 @@
     }
 
     private void awaitNoCallers(long until) {
-        while (System.nanoTime() - until < 0 && gateway.connections() > 0) {
-            pauseUntil(System.nanoTime() + DRAIN_POLL.toNanos());
+        while (BootClock.nanos() - until < 0 && gateway.connections() > 0) {
+            pauseUntil(BootClock.nanos() + DRAIN_POLL.toNanos());
         }
     }
 
@@ -192,7 +193,7 @@
     }
 
     private static void pauseUntil(long time) {
-        long left = time - System.nanoTime();
+        long left = time - BootClock.nanos();
         if (left <= 0) {
             return;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/FirstRoutes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/FirstRoutes.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.stackhall.server.clock.BootClock;
 import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,7 +28,7 @@
     /** Where routes are overdue, no control host can be reached. */
     private static final Duration OVERDUE_RETRY = Duration.ofSeconds(1);
 
-    private final long expectedAt = System.nanoTime() + EXPECTED.toNanos();
+    private final long expectedAt = BootClock.nanos() + EXPECTED.toNanos();
     private final Set<RelayedRequest> waiting = new LinkedHashSet<>();
 
     /** Returns until when a request may wait, on the monotonic clock in nanoseconds. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.UpstreamClient;
@@ -246,7 +247,7 @@
     }
 
     void arrived(Need need) {
-        retries.requested(System.nanoTime());
+        retries.requested(BootClock.nanos());
         demand.arrived(need);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HostPauses.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HostPauses.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.stackhall.server.clock.BootClock;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -15,12 +16,12 @@
     /** Ten ticks missed in a row: no collection of garbage takes as long in so small a heap. */
     private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private long seenAt = System.nanoTime();
+    private long seenAt = BootClock.nanos();
     private long endedAt = seenAt;
 
     /** Notes that the process runs. */
     void tick() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (now - seenAt > PAUSE_NANOS) {
             endedAt = now;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
@@ -5,6 +5,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.settings.FleetSettings;
@@ -16,7 +17,7 @@
     private final FleetSettings settings;
     private final Gateway gateway;
     private final ControlFollower follower;
-    private long workToldAt = System.nanoTime();
+    private long workToldAt = BootClock.nanos();
     private final NothingOnce works = new NothingOnce();
     private final NothingOnce demands = new NothingOnce();
 
@@ -28,7 +29,7 @@
 
     /** Tells of the requests at each instance, if that is due. */
     void tellWork() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (now - workToldAt < new ReportPace(follower.sharing()).interval().toNanos()) {
             return;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -17,6 +17,7 @@
 import io.stackhall.rpc.generated.fleet.CrashNotice;
 import io.stackhall.rpc.generated.fleet.CrashRecord;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.CrashCodec;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.UpstreamClient;
@@ -79,7 +80,7 @@
     /** Notes that a request is sent to an instance. */
     void sent(RequestDigest request, Instance instance, RelayedRequest by) {
         underWay.computeIfAbsent(request, key -> new HashSet<>()).add(by);
-        if (ledger.standing(request, System.nanoTime()) instanceof Standing.Suspect suspect) {
+        if (ledger.standing(request, BootClock.nanos()) instanceof Standing.Suspect suspect) {
             trials.begin(instance.id(), request);
             logger.info(
                     "request.apart digest={} instance={} crashes={}",
@@ -131,7 +132,7 @@
 
     /** Takes in what a control host tells. */
     void received(CrashNotice notice) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         for (CrashRecord record : notice.getCrashesList()) {
             ledger.crashed(CrashCodec.decode(record), now);
         }
@@ -161,14 +162,14 @@
 
     /** Forgets what no longer counts. */
     void sweep() {
-        ledger.sweep(System.nanoTime());
+        ledger.sweep(BootClock.nanos());
         lives.sweep();
     }
 
     /** Brings the measures of the present state up to date. */
     void measure() {
         metrics.state("suspects", ledger.size());
-        metrics.state("refused_requests", ledger.condemned(System.nanoTime()).size());
+        metrics.state("refused_requests", ledger.condemned(BootClock.nanos()).size());
     }
 
     /** What drains, or has said that it ends, ends as planned. */
@@ -180,7 +181,7 @@
     }
 
     private void crashed(Crash crash) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (!ledger.crashed(crash, now)) {
             return;
         }
@@ -205,7 +206,7 @@
 
     /** Copies that are under way when a request is condemned may not have begun to run yet. */
     private void stopCondemned() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         for (RequestDigest request : List.copyOf(underWay.keySet())) {
             if (ledger.standing(request, now) instanceof Standing.Condemned) {
                 Set.copyOf(underWay.getOrDefault(request, Set.of()))
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -14,6 +14,7 @@
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.Route;
 import io.stackhall.platform.Headers;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
 import java.time.Duration;
 import java.util.Optional;
@@ -82,7 +83,7 @@
         timer.at(times.deadlineAt());
         admission = newAdmission();
         gateway.arrived(need);
-        waitingSince = System.nanoTime();
+        waitingSince = BootClock.nanos();
         if (!tryToSend()) {
             gateway.waits(this);
         }
@@ -90,7 +91,7 @@
 
     /** Waits for the first routes after this host's start, if they should come in time. */
     private void awaitRoutes() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         FirstRoutes first = gateway.firstRoutes();
         if (gateway.closing() || !first.worthWaiting(request, now)) {
             refuse("no configuration is known yet", first.retryAfter(now));
@@ -128,7 +129,7 @@
             giveUp("this host is about to stop", Duration.ZERO);
             return true;
         }
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         Standing standing = gateway.quarantine().standing(digest, now);
         if (standing instanceof Standing.Condemned(Duration left)) {
             giveUp("instances end under it", left);
@@ -188,7 +189,7 @@
     }
 
     private Admission newAdmission() {
-        return times.admission(stream.begun() ? System.nanoTime() : request.arrivedAt());
+        return times.admission(stream.begun() ? BootClock.nanos() : request.arrivedAt());
     }
 
     private void giveUp(String reason, Duration retryAfter) {
@@ -202,7 +203,7 @@
     }
 
     private void send(Instance instance, String why) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (history.sends() > 0 && !gateway.mayResend(now)) {
             giveUp("too many requests are sent a second time", SOON);
             return;
@@ -361,7 +362,7 @@
 
     private void notRun(Instance instance, HttpResponse head) {
         log.notRun(instance, head.status().code());
-        gateway.dispatcher().lacks(instance.id(), need, System.nanoTime());
+        gateway.dispatcher().lacks(instance.id(), need, BootClock.nanos());
         boolean comes = need.adapter().isPresent() && history.adapterMayCome();
         if (stream.begun()) {
             resume(instance);
@@ -383,11 +384,11 @@
     }
 
     private void again(String reason) {
-        if (System.nanoTime() - deadlineAt() >= 0) {
+        if (BootClock.nanos() - deadlineAt() >= 0) {
             giveUp(reason, SOON);
             return;
         }
-        waitingSince = System.nanoTime();
+        waitingSince = BootClock.nanos();
         waitsFor = WaitReason.NOTHING;
         admission = newAdmission();
         if (!tryToSend()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
@@ -40,7 +41,7 @@
 
     void noRoute(String host, String target, long routesVersion) {
         metrics.requestEnded(route, "no-route");
-        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.no-route id={} host={} target={} routesVersion={} leftOut={}",
@@ -62,7 +63,7 @@
             WaitReason waitedFor,
             double load) {
         metrics.reached("send", waitedNanos);
-        long leftOut = lines.take(LineBudget.Kind.SENT, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.SENT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.sent id={} digest={} instance={} service={} model={} adapter={}"
@@ -87,13 +88,13 @@
     /** Notes that the answer has begun to come. */
     void begun() {
         firstMillis = ageMillis();
-        metrics.reached("first", System.nanoTime() - arrivedAt);
+        metrics.reached("first", BootClock.nanos() - arrivedAt);
     }
 
     void answered(int status, OptionalLong lastEvent, int sends) {
         metrics.requestEnded(route, "answered");
-        metrics.reached("end", System.nanoTime() - arrivedAt);
-        long leftOut = lines.take(LineBudget.Kind.ANSWERED, System.nanoTime());
+        metrics.reached("end", BootClock.nanos() - arrivedAt);
+        long leftOut = lines.take(LineBudget.Kind.ANSWERED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.answered id={} status={} lastEvent={} firstMs={} ageMs={} sends={}"
@@ -110,7 +111,7 @@
 
     void notRun(Instance instance, int status) {
         metrics.attemptEnded(instance.service().value(), "not-run");
-        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "attempt.not-run id={} instance={} status={} ageMs={} leftOut={}",
@@ -125,7 +126,7 @@
     void attemptFailed(Instance instance, boolean sent, String reason, OptionalLong lastEvent) {
         String ending = sent ? "broke-off" : "unreached";
         metrics.attemptEnded(instance.service().value(), ending);
-        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "attempt.failed id={} digest={} instance={} sent={} reason={} lastEvent={}"
@@ -143,7 +144,7 @@
 
     void refused(Need need, String reason, Duration retryAfter, int sends, long routesVersion) {
         metrics.requestEnded(route, "refused");
-        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.refused id={} reason={} retryAfterMs={} service={} model={} adapter={}"
@@ -164,7 +165,7 @@
 
     void failed(int status, String reason, int sends) {
         metrics.requestEnded(route, "failed");
-        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.failed id={} status={} reason={} ageMs={} sends={} leftOut={}",
@@ -179,7 +180,7 @@
 
     void brokenOff(String reason, OptionalLong lastEvent, int sends) {
         metrics.requestEnded(route, "broken-off");
-        long leftOut = lines.take(LineBudget.Kind.FAILED, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.broken-off id={} reason={} lastEvent={} ageMs={} sends={} leftOut={}",
@@ -194,7 +195,7 @@
 
     void callerLeft(int sends) {
         metrics.requestEnded(route, "caller-left");
-        long leftOut = lines.take(LineBudget.Kind.LEFT, System.nanoTime());
+        long leftOut = lines.take(LineBudget.Kind.LEFT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.caller-left id={} ageMs={} sends={} leftOut={}",
@@ -206,6 +207,6 @@
     }
 
     private long ageMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedAt);
+        return TimeUnit.NANOSECONDS.toMillis(BootClock.nanos() - arrivedAt);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestTimer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestTimer.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.server.clock.BootClock;
 import java.util.concurrent.TimeUnit;
 
 /** Tells one request that its time has passed. Used on the event loop. */
@@ -18,7 +19,7 @@
 
     /** Runs the task at a moment of the monotonic clock in nanoseconds. */
     void at(long moment) {
-        long left = Math.max(0, moment - System.nanoTime());
+        long left = Math.max(0, moment - BootClock.nanos());
         scheduled = loop.schedule(task, left, TimeUnit.NANOSECONDS);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.route.RouteKind;
 import io.stackhall.platform.RequestHeaders;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
 import io.stackhall.server.relay.UpstreamCall;
@@ -45,7 +46,7 @@
         this.instance = instance;
         this.stream = kind == RouteKind.STREAM;
         this.listener = listener;
-        this.sending = gateway.dispatcher().began(instance.id(), need, System.nanoTime());
+        this.sending = gateway.dispatcher().began(instance.id(), need, BootClock.nanos());
     }
 
     void begin(FullHttpRequest request, String requestId) {
@@ -57,7 +58,7 @@
     /** Ends the attempt, breaking the call off where it is not over. */
     void abandon() {
         over = true;
-        gateway.dispatcher().ended(sending, System.nanoTime());
+        gateway.dispatcher().ended(sending, BootClock.nanos());
         if (call != null) {
             call.cancel();
         }
@@ -83,7 +84,7 @@
     @Override
     public void answered(HttpResponse answer) {
         head = answer;
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         RequestHeaders.load(answer.headers()::get)
                 .ifPresent(
                         load ->
@@ -105,7 +106,7 @@
         events.add(part);
         EventAssembler.Event event = events.next();
         while (event != null && !over) {
-            gateway.dispatcher().answered(sending, System.nanoTime());
+            gateway.dispatcher().answered(sending, BootClock.nanos());
             if (!firstSeen) {
                 firstSeen = true;
                 gateway.promptRead();
@@ -117,7 +118,7 @@
 
     @Override
     public void completed() {
-        gateway.dispatcher().ended(sending, System.nanoTime());
+        gateway.dispatcher().ended(sending, BootClock.nanos());
         if (plainBody != null) {
             listener.answered(head, plainBody);
         } else {
@@ -128,8 +129,8 @@
 
     @Override
     public void failed(CallFailure failure) {
-        gateway.dispatcher().ended(sending, System.nanoTime());
-        gateway.dispatcher().failed(instance.id(), System.nanoTime());
+        gateway.dispatcher().ended(sending, BootClock.nanos());
+        gateway.dispatcher().failed(instance.id(), BootClock.nanos());
         listener.brokeOff(failure);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.stackhall.server.clock.BootClock;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
@@ -38,7 +39,7 @@
     /** Returns how many requests for the same model come before one, which need not wait yet. */
     int before(RelayedRequest request) {
         int count = 0;
-        Comparator<RelayedRequest> order = order(System.nanoTime());
+        Comparator<RelayedRequest> order = order(BootClock.nanos());
         for (RelayedRequest other : requests) {
             boolean same = other.need().model().equals(request.need().model());
             if (same && other != request && order.compare(other, request) < 0) {
@@ -62,7 +63,7 @@
         trying = true;
         try {
             List<RelayedRequest> inOrder = new ArrayList<>(requests);
-            inOrder.sort(order(System.nanoTime()));
+            inOrder.sort(order(BootClock.nanos()));
             for (RelayedRequest request : inOrder) {
                 if (requests.contains(request)) {
                     request.tryAgain();
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupClient.java
@@ -5,6 +5,7 @@
 import io.stackhall.rpc.generated.peer.CommandReply;
 import io.stackhall.rpc.generated.peer.CommandRequest;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.peer.NotSentException;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -82,7 +83,7 @@
     }
 
     private CommandOutcome ask(String group, byte[] bytes, boolean query, Duration timeout) {
-        long deadline = System.nanoTime() + timeout.toNanos();
+        long deadline = BootClock.nanos() + timeout.toNanos();
         String uncertain = null;
         String refused = "no member of group " + group + " answers";
         int attempt = 0;
@@ -97,7 +98,7 @@
                 case CommandOutcome.Unknown(String reason) -> uncertain = reason;
             }
             pause();
-        } while (System.nanoTime() - deadline < 0 && !Thread.currentThread().isInterrupted());
+        } while (BootClock.nanos() - deadline < 0 && !Thread.currentThread().isInterrupted());
         boolean mayBeApplied = uncertain != null && !query;
         return mayBeApplied
                 ? new CommandOutcome.Unknown(uncertain)
--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -10,6 +10,7 @@
 import io.stackhall.core.replication.ReplicaSettings;
 import io.stackhall.core.replication.Role;
 import io.stackhall.core.replication.Snapshot;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.storage.StorageOpener;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -56,7 +57,7 @@
     private boolean unsynced;
     private boolean leading;
     private volatile boolean failed;
-    private long nextHandOver = System.nanoTime();
+    private long nextHandOver = BootClock.nanos();
     private volatile boolean closed;
     private volatile ReplicaView view;
 
@@ -134,7 +135,7 @@
 
     /** Returns whether this replica holds the leader's lease at this very moment. */
     public boolean holdsLeaseNow() {
-        return view.leaseUntil() - System.nanoTime() > 0;
+        return view.leaseUntil() - BootClock.nanos() > 0;
     }
 
     /** Reads the local state, which may lag behind the leader's. */
@@ -167,11 +168,11 @@
     }
 
     private void run() {
-        long nextTick = System.nanoTime();
+        long nextTick = BootClock.nanos();
         List<GroupInput> batch = new ArrayList<>();
         while (!closed) {
             try {
-                long wait = Math.max(0, nextTick - System.nanoTime());
+                long wait = Math.max(0, nextTick - BootClock.nanos());
                 GroupInput first = inputs.poll(wait, TimeUnit.NANOSECONDS);
                 if (first != null) {
                     batch.add(first);
@@ -179,8 +180,8 @@
                 }
                 take(batch);
                 batch.clear();
-                if (System.nanoTime() - nextTick >= 0) {
-                    nextTick = System.nanoTime() + TICK_NANOS;
+                if (BootClock.nanos() - nextTick >= 0) {
+                    nextTick = BootClock.nanos() + TICK_NANOS;
                     step(new ReplicaEvent.Tick());
                 }
                 afterSteps();
@@ -232,7 +233,7 @@
             logger.warn("group.storage-unusable group={} cause={}", group, e.toString());
             return false;
         }
-        replica = source.replica(System.nanoTime());
+        replica = source.replica(BootClock.nanos());
         unsynced = false;
         view = ReplicaView.of(replica);
         logger.info("group.storage-back group={} applied={}", group, appliedIndex);
@@ -272,7 +273,7 @@
 
     /** Not at once again: none of the others may have room either. */
     private void leaveLeadershipToOneWithRoom() throws IOException {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         if (now - nextHandOver >= 0) {
             nextHandOver = now + HAND_OVER_NANOS;
             logger.warn("group.disk-full group={}", group);
@@ -281,7 +282,7 @@
     }
 
     private void step(ReplicaEvent event) throws IOException {
-        for (ReplicaEffect effect : replica.step(event, System.nanoTime())) {
+        for (ReplicaEffect effect : replica.step(event, BootClock.nanos())) {
             carryOut(effect);
         }
     }
@@ -376,7 +377,7 @@
             step(new ReplicaEvent.Compact(appliedIndex, state.snapshot()));
         }
         view = ReplicaView.of(replica);
-        boolean leads = replica.holdsLease(System.nanoTime());
+        boolean leads = replica.holdsLease(BootClock.nanos());
         if (leads != leading) {
             leading = leads;
             listener.led(leads);
--- a/stackhall-server/src/main/java/io/stackhall/server/group/ReplicaView.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/ReplicaView.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.replication.Replica;
 import io.stackhall.core.replication.ReplicaId;
 import io.stackhall.core.replication.Role;
+import io.stackhall.server.clock.BootClock;
 import java.util.Optional;
 
 /**
@@ -34,6 +35,6 @@
                 replica.commitIndex(),
                 replica.leader(),
                 replica.membership(),
-                replica.leaseUntil(System.nanoTime()));
+                replica.leaseUntil(BootClock.nanos()));
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/load/LoadRunner.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/load/LoadRunner.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.load;
 
+import io.stackhall.server.clock.BootClock;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -100,14 +101,14 @@
         List<LoadPlan.Item> plan =
                 LoadPlan.draw(options.shape(), options.rate(), options.seconds(), options.seed());
         CountDownLatch open = new CountDownLatch(plan.size());
-        long start = System.nanoTime();
+        long start = BootClock.nanos();
         long nextProgress = start;
         for (int at = 0; at < plan.size(); at++) {
             LoadPlan.Item item = plan.get(at);
             long due = start + (long) (item.atSeconds() * 1e9);
             sleepUntil(due);
             send(item, urls.get(at % urls.size()), due, options, open);
-            if (System.nanoTime() - nextProgress >= 0) {
+            if (BootClock.nanos() - nextProgress >= 0) {
                 nextProgress += TimeUnit.SECONDS.toNanos(1);
                 progress.accept(at);
             }
@@ -141,7 +142,7 @@
                             public void onComplete(Result result) {
                                 int status =
                                         result.isSucceeded() ? result.getResponse().getStatus() : 0;
-                                long took = (System.nanoTime() - due) / 1_000_000;
+                                long took = (BootClock.nanos() - due) / 1_000_000;
                                 tally.end(status, took, deadline);
                                 open.countDown();
                             }
@@ -164,7 +165,7 @@
     }
 
     private static void sleepUntil(long due) throws InterruptedException {
-        long left = due - System.nanoTime();
+        long left = due - BootClock.nanos();
         if (left > 0) {
             TimeUnit.NANOSECONDS.sleep(left);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/ConfigExchange.java
@@ -7,6 +7,7 @@
 import io.stackhall.rpc.generated.peer.ConfigFollow;
 import io.stackhall.rpc.generated.peer.ConfigUpdate;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -59,7 +60,7 @@
     public record Follower(ZoneId zone, long revision, long millisToForce, long process, long at) {
         /** Returns whether it has spoken lately. */
         public boolean recent() {
-            return System.nanoTime() - at < FORGET_NANOS;
+            return BootClock.nanos() - at < FORGET_NANOS;
         }
     }
 
@@ -136,7 +137,7 @@
                         follow.getRevision(),
                         follow.getMillisToForce(),
                         follow.getProcess(),
-                        System.nanoTime()));
+                        BootClock.nanos()));
     }
 
     private Frame update() {
--- a/stackhall-server/src/main/java/io/stackhall/server/node/ConfigStore.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/ConfigStore.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.node;
 
 import io.stackhall.core.config.Configuration;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.storage.DataFolder;
 import java.io.IOException;
@@ -36,7 +37,7 @@
     private final AtomicReference<Offer> newest = new AtomicReference<>();
     private final ExecutorService thread =
             Executors.newSingleThreadExecutor(task -> new Thread(task, "configuration"));
-    private volatile InForce inForce = new InForce(Configuration.initial(), System.nanoTime(), 0);
+    private volatile InForce inForce = new InForce(Configuration.initial(), BootClock.nanos(), 0);
 
     /**
      * Opens the store.
@@ -59,7 +60,7 @@
     public record InForce(Configuration configuration, long acceptedAt, long millisToForce) {
         /** Returns the milliseconds since it was accepted. */
         public long ageMillis() {
-            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - acceptedAt);
+            return TimeUnit.NANOSECONDS.toMillis(BootClock.nanos() - acceptedAt);
         }
     }
 
@@ -99,7 +100,7 @@
         if (next.revision() <= current().revision() || thread.isShutdown()) {
             return;
         }
-        long acceptedAt = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+        long acceptedAt = BootClock.nanos() - TimeUnit.MILLISECONDS.toNanos(ageMillis);
         newest.accumulateAndGet(new Offer(next, acceptedAt), Offer::newer);
         thread.execute(this::putIntoForce);
     }
@@ -116,7 +117,7 @@
             return;
         }
         file.ifPresent(path -> save(path, next));
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - offer.acceptedAt());
+        long millis = TimeUnit.NANOSECONDS.toMillis(BootClock.nanos() - offer.acceptedAt());
         inForce = new InForce(next, offer.acceptedAt(), millis);
         logger.info("config.in-force revision={} afterMillis={}", next.revision(), millis);
         listeners.forEach(listener -> listener.accept(next));
@@ -125,7 +126,7 @@
     private void load(Path path) {
         try {
             Configuration saved = Json.read(Configuration.class, Files.readAllBytes(path));
-            inForce = new InForce(saved, System.nanoTime(), 0);
+            inForce = new InForce(saved, BootClock.nanos(), 0);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot read " + path, e);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Daemon.java
@@ -9,6 +9,7 @@
 import io.stackhall.core.placement.PlacementSettings;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.callers.CallerServer;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.group.ControlState;
 import io.stackhall.server.group.GroupClient;
 import io.stackhall.server.group.GroupListener;
@@ -181,10 +182,10 @@
         callers.stopTakingWork();
         neighbours.tell();
         groups.transferAll();
-        long grace = System.nanoTime() + settings.timing().drainGrace().toNanos();
-        long bound = System.nanoTime() + settings.timing().drainBound().toNanos();
-        while (System.nanoTime() - bound < 0) {
-            boolean graceOver = System.nanoTime() - grace >= 0;
+        long grace = BootClock.nanos() + settings.timing().drainGrace().toNanos();
+        long bound = BootClock.nanos() + settings.timing().drainBound().toNanos();
+        while (BootClock.nanos() - bound < 0) {
+            boolean graceOver = BootClock.nanos() - grace >= 0;
             if (graceOver && traffic.inFlight().get() == 0) {
                 return;
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/Housekeeping.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/Housekeeping.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.outcome.ClaimTable;
 import io.stackhall.core.outcome.WorkCommand;
 import io.stackhall.core.outcome.WorkItem;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.group.ControlCommand;
 import io.stackhall.server.group.ControlState;
 import io.stackhall.server.group.GroupHost;
@@ -121,11 +122,11 @@
     }
 
     private static long ageOf(Optional<ConfigExchange.Follower> host) {
-        return host.map(of -> System.nanoTime() - of.at()).orElse(Long.MAX_VALUE);
+        return host.map(of -> BootClock.nanos() - of.at()).orElse(Long.MAX_VALUE);
     }
 
     private boolean olderThan(Object key, long nanos) {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         return now - firstSeen.computeIfAbsent(key, ignored -> now) > nanos;
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NeighbourExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NeighbourExchange.java
@@ -11,6 +11,7 @@
 import io.stackhall.core.membership.UpstreamTable;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.rpc.generated.peer.NeighbourReport;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.settings.Settings;
 import java.util.ArrayList;
@@ -83,7 +84,7 @@
         }
         Optional<Announcement> kept;
         synchronized (neighbours) {
-            kept = neighbours.offer(announcement, System.nanoTime());
+            kept = neighbours.offer(announcement, BootClock.nanos());
         }
         kept.ifPresent(traffic::neighbourAnnounced);
     }
@@ -92,7 +93,7 @@
     void expire() {
         List<UpstreamId> lost;
         synchronized (neighbours) {
-            lost = neighbours.expire(System.nanoTime());
+            lost = neighbours.expire(BootClock.nanos());
         }
         lost.forEach(traffic::neighbourLost);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -7,6 +7,7 @@
 import io.stackhall.core.replication.ReplicaSettings;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.rpc.generated.peer.Raft;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.group.ControlState;
 import io.stackhall.server.group.GroupHost;
 import io.stackhall.server.group.GroupListener;
@@ -114,7 +115,7 @@
                         new Wire(members),
                         listener,
                         random,
-                        System.nanoTime());
+                        BootClock.nanos());
         hosts.put(group, host);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/node/PlacementDriver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/PlacementDriver.java
@@ -15,6 +15,7 @@
 import io.stackhall.core.placement.PlacementEffect;
 import io.stackhall.core.placement.PlacementEvent;
 import io.stackhall.core.placement.PlacementSettings;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupHost;
 import io.stackhall.server.group.ZoneCommand;
@@ -44,7 +45,7 @@
 
     /** Creates a driver for a zone. */
     public PlacementDriver(String zone, PlacementSettings settings, OrderClient orders) {
-        this.coordinator = new PlacementCoordinator(settings, System.nanoTime());
+        this.coordinator = new PlacementCoordinator(settings, BootClock.nanos());
         this.orders = orders;
         this.thread =
                 Executors.newSingleThreadScheduledExecutor(
@@ -137,7 +138,7 @@
 
     private void take(PlacementEvent event) {
         try {
-            for (PlacementEffect effect : coordinator.step(event, System.nanoTime())) {
+            for (PlacementEffect effect : coordinator.step(event, BootClock.nanos())) {
                 switch (effect) {
                     case PlacementEffect.Propose(OrderCommand command) -> propose(command);
                     case PlacementEffect.Send(Order order, String address) -> send(order, address);
--- a/stackhall-server/src/main/java/io/stackhall/server/node/TrafficDriver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/TrafficDriver.java
@@ -15,6 +15,7 @@
 import io.stackhall.core.routing.Ending;
 import io.stackhall.core.routing.Router;
 import io.stackhall.core.routing.RoutingSettings;
+import io.stackhall.server.clock.BootClock;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -158,7 +159,7 @@
     }
 
     private void step(TrafficEvent event) {
-        for (TrafficEffect effect : director.step(event, System.nanoTime())) {
+        for (TrafficEffect effect : director.step(event, BootClock.nanos())) {
             switch (effect) {
                 case TrafficEffect.Dispatch(RequestId id, UpstreamId upstream, String address) ->
                         decide(id, new Decision.Send(upstream, address));
--- a/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/UpstreamExchange.java
@@ -10,6 +10,7 @@
 import io.stackhall.rpc.generated.peer.UpstreamDigest;
 import io.stackhall.rpc.generated.peer.UpstreamReport;
 import io.stackhall.rpc.generated.peer.UpstreamVersion;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -117,7 +118,7 @@
         synchronized (this) {
             tables.forEach(
                     (zone, table) ->
-                            table.expire(System.nanoTime())
+                            table.expire(BootClock.nanos())
                                     .forEach(upstream -> lost.add(new Lost(zone, upstream))));
         }
         for (Lost item : lost) {
@@ -140,7 +141,7 @@
             if (table == null) {
                 return false;
             }
-            kept = table.offer(announcement, System.nanoTime());
+            kept = table.offer(announcement, BootClock.nanos());
         }
         kept.ifPresent(now -> listeners.forEach(listener -> listener.announced(now.zone(), now)));
         return kept.isPresent();
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.settings.Address;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
@@ -132,7 +133,7 @@
 
     /** Closes connections that have rested for too long. */
     public void sweep() {
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         for (Iterator<Deque<Resting>> all = resting.values().iterator(); all.hasNext(); ) {
             Deque<Resting> kept = all.next();
             while (!kept.isEmpty() && kept.peekFirst().until() - now <= 0) {
@@ -152,12 +153,12 @@
             channel.close();
             return;
         }
-        kept.addLast(new Resting(channel, System.nanoTime() + rest));
+        kept.addLast(new Resting(channel, BootClock.nanos() + rest));
     }
 
     private Channel takeResting(Address address) {
         Deque<Resting> kept = resting.get(address);
-        long now = System.nanoTime();
+        long now = BootClock.nanos();
         while (kept != null && !kept.isEmpty()) {
             Resting latest = kept.pollLast();
             if (latest.channel().isActive() && latest.until() - now > 0) {
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.TrainingMessages;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.control.ControlDaemon;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.gateway.EntryDaemon;
@@ -58,7 +59,7 @@
                 new ControlDaemon(
                         settings("control", CONTROL_IP, controlRole),
                         controlRole,
-                        System.nanoTime());
+                        BootClock.nanos());
         FleetSettings.Entry entryRole = new FleetSettings.Entry(callers, readiness);
         entry = new EntryDaemon(settings("entry", ENTRY_IP, entryRole), entryRole);
     }
@@ -93,7 +94,7 @@
     private String heartbeat() {
         return TrainingCalls.post(
                 TrainingMessages.HEARTBEAT_PATH,
-                TrainingMessages.heartbeat(upstream.address(), System.nanoTime()));
+                TrainingMessages.heartbeat(upstream.address(), BootClock.nanos()));
     }
 
     private static String plainRequest() {
@@ -130,10 +131,10 @@
     /** Repeats a call until it succeeds: the hosts may not have found each other yet. */
     private static void await(String what, Address address, String request)
             throws IOException, InterruptedException {
-        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        long deadline = BootClock.nanos() + PATIENCE.toNanos();
         int status = TrainingCalls.status(address, request);
         while (status != TrainingCalls.OK) {
-            if (System.nanoTime() - deadline > 0) {
+            if (BootClock.nanos() - deadline > 0) {
                 throw new IOException(what + " not seen in " + PATIENCE + ": status " + status);
             }
             Thread.sleep(PAUSE);
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/clock/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the clock. */
+package io.stackhall.server.clock;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/FirstRoutesTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/FirstRoutesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.server.clock.BootClock;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -52,21 +53,21 @@
     @Test
     void requestWithLittleTimeIsToldWhenToComeBack() throws Exception {
         fleet.startEntry(1);
-        long before = System.nanoTime();
+        long before = BootClock.nanos();
         RawHttp.Message answer = fleet.call(1, RawHttp.get("/once/x", "r1", "X-Deadline-Ms: 500"));
         assertThat(answer.status()).isEqualTo(503);
         assertThat(Double.parseDouble(answer.header("retry-after"))).isBetween(0.1, 2.0);
-        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - before)).isLessThan(400);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(BootClock.nanos() - before)).isLessThan(400);
     }
 
     @Test
     void requestIsRefusedAtOnceWhereNobodyTellsRoutes() throws Exception {
         fleet.startEntry(1);
         Thread.sleep(2100);
-        long before = System.nanoTime();
+        long before = BootClock.nanos();
         RawHttp.Message answer = fleet.call(1, RawHttp.get("/once/x", "r1", "X-Deadline-Ms: 9000"));
         assertThat(answer.status()).isEqualTo(503);
-        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - before)).isLessThan(400);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(BootClock.nanos() - before)).isLessThan(400);
     }
 
     private boolean routesTaken() {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.control.ControlDaemon;
 import io.stackhall.server.gateway.EntryDaemon;
 import io.stackhall.server.settings.Address;
@@ -59,7 +60,7 @@
                 new ControlDaemon(
                         settings("control-" + number, ip, control, firstStart),
                         control,
-                        System.nanoTime());
+                        BootClock.nanos());
         daemon.start();
         daemons.add(daemon);
         return daemon;
@@ -140,9 +141,9 @@
 
     /** Waits until something holds. */
     public static void await(String what, BooleanSupplier holds) throws InterruptedException {
-        long deadline = System.nanoTime() + PATIENCE.toNanos();
+        long deadline = BootClock.nanos() + PATIENCE.toNanos();
         while (!holds.getAsBoolean()) {
-            if (System.nanoTime() - deadline > 0) {
+            if (BootClock.nanos() - deadline > 0) {
                 throw new AssertionError("not seen within " + PATIENCE + ": " + what);
             }
             Thread.sleep(10);
--- a/stackhall-server/src/test/java/io/stackhall/server/group/FullDiskOfOneVoterTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/group/FullDiskOfOneVoterTest.java
@@ -5,6 +5,7 @@
 import io.stackhall.core.replication.Hello;
 import io.stackhall.core.replication.Message;
 import io.stackhall.core.replication.ReplicaSettings;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.storage.DiskStorage;
 import io.stackhall.server.storage.ReplicaStorage;
 import java.io.IOException;
@@ -127,9 +128,9 @@
     }
 
     private static void await(BooleanSupplier condition) {
-        long end = System.nanoTime() + PATIENCE_NANOS;
+        long end = BootClock.nanos() + PATIENCE_NANOS;
         while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime()).as("in time").isLessThan(end);
+            assertThat(BootClock.nanos()).as("in time").isLessThan(end);
             try {
                 TimeUnit.MILLISECONDS.sleep(20);
             } catch (InterruptedException e) {
@@ -153,7 +154,7 @@
                 new Wire(),
                 new Silent(),
                 random,
-                System.nanoTime());
+                BootClock.nanos());
     }
 
     private ReplicaStorage storage(String name, Random random) throws IOException {
