The drain test counts what a leaving upstream ran to its very end

The test asked a process that was still alive for its state after its listener had closed, and failed once with a refused connection; where the process had ended it checked nothing. The stand-in now says at its end when it last began to run something, measured from its notice, and the test holds that against the bound where the stand-in does not answer any more. It checks as much as before in all other cases.

--- a/stackhall-server/src/main/java/io/stackhall/server/standin/StandIn.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/standin/StandIn.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -27,6 +29,8 @@
  */
 public final class StandIn implements AutoCloseable {
 
+    private static final Logger logger = LogManager.getLogger(StandIn.class);
+
     private static final long ANNOUNCE_MILLIS = 500;
     private static final long TIMEOUT_MILLIS = 1000;
     private static final int ACCELERATORS = 4;
@@ -70,6 +74,7 @@
 
     /** Announces that it leaves, and returns once nothing runs any more. */
     public void leave() throws InterruptedException {
+        runs.leave();
         leaving = true;
         announceSoon();
         Thread.sleep(2 * ANNOUNCE_MILLIS);
@@ -82,6 +87,10 @@
     public void close() throws Exception {
         clock.shutdownNow();
         server.stop();
+        logger.info(
+                "stand-in.stopped runs={} lastBegunAfterLeaveMs={}",
+                runs.total(),
+                runs.lastBegunAfterLeave().toMillis());
     }
 
     private void announceSoon() {
--- a/stackhall-server/src/main/java/io/stackhall/server/standin/StandInRuns.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/standin/StandInRuns.java
@@ -1,5 +1,7 @@
 package io.stackhall.server.standin;
 
+import io.stackhall.server.clock.BootClock;
+import java.time.Duration;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -9,6 +11,19 @@
     private final Map<String, Integer> byUser = new TreeMap<>();
     private int running;
     private int total;
+    private long leftAt;
+    private long lastBegunAt;
+
+    /** Notes that its upstream has said that it leaves. */
+    synchronized void leave() {
+        leftAt = BootClock.nanos();
+        lastBegunAt = leftAt;
+    }
+
+    /** Returns how long after its upstream's notice the last run began, 0 where none did. */
+    synchronized Duration lastBegunAfterLeave() {
+        return Duration.ofNanos(lastBegunAt - leftAt);
+    }
 
     /** Takes a slot and counts the run, unless too much runs already. */
     synchronized boolean begin(String user, int limit) {
@@ -17,6 +32,7 @@
         }
         running++;
         total++;
+        lastBegunAt = BootClock.nanos();
         if (!user.isEmpty()) {
             byUser.merge(user, 1, Integer::sum);
         }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/DrainTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/DrainTest.java
@@ -12,6 +12,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -99,7 +100,7 @@
     /** Asks every host for a while, and counts what the leaving upstream ran after its bound. */
     private static void assertNothingNewAfterBound(Cluster cluster, Engine leaving) {
         Eventually.pause(DRAIN_BOUND_MILLIS);
-        int before = leaving.process().alive() ? leaving.state().path("runs").asInt() : 0;
+        OptionalInt before = leaving.runs();
         int served = 0;
         for (int at = 0; at < 60; at++) {
             for (String name : cluster.names()) {
@@ -110,8 +111,11 @@
             }
         }
         assertThat(served).isGreaterThan(100);
-        if (leaving.process().alive()) {
-            assertThat(leaving.state().path("runs").asInt()).isEqualTo(before);
+        OptionalInt after = leaving.runs();
+        if (after.isPresent()) {
+            assertThat(after).isEqualTo(before);
+        } else {
+            assertThat(leaving.lastBegunAfterLeave().toMillis()).isLessThan(DRAIN_BOUND_MILLIS);
         }
     }
 
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Engine.java
@@ -5,10 +5,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A stand-in upstream in a process of its own, behind a proxy. */
 public final class Engine implements AutoCloseable {
@@ -16,6 +20,8 @@
     /** An option of the harness: requests and orders do not pass the proxy. */
     private static final String DIRECT = "--direct";
 
+    private static final Pattern LAST_BEGUN = Pattern.compile("lastBegunAfterLeaveMs=(\\d+)");
+
     private final Path folder;
     private final String id;
     private final String zone;
@@ -81,6 +87,25 @@
         }
     }
 
+    /** Returns how much it has run, or nothing where it does not answer any more. */
+    public OptionalInt runs() {
+        try {
+            return OptionalInt.of(state().path("runs").asInt());
+        } catch (UncheckedIOException e) {
+            return OptionalInt.empty();
+        }
+    }
+
+    /** Waits until it has stopped, and returns when after its notice it began to run something. */
+    public Duration lastBegunAfterLeave() {
+        process.awaitExit();
+        Matcher matcher = LAST_BEGUN.matcher(process.log());
+        if (!matcher.find()) {
+            throw new AssertionError("it did not say what it has run: " + process.log());
+        }
+        return Duration.ofMillis(Long.parseLong(matcher.group(1)));
+    }
+
     /** Returns how often it has run what each user asked for. */
     public Map<String, Integer> runsByUser() {
         Map<String, Integer> runs = new HashMap<>();
