Tests of what hosts hold against a request across resets, planned ends and restarts

Lost connections and planned ends are held against nobody; a request that ended two upstreams is refused by a host that starts later and after all hosts have started again; a good end takes back what was held before. Pauses of a host are noted in the core.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -16,6 +16,7 @@
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryAllowance;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.quarantine.HostPauses;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -117,7 +118,7 @@
         RepeatedTask.every(loop, FOLLOW_MILLIS, this::follow);
         RepeatedTask.every(loop, DEMAND_MILLIS, reports::tellDemand);
         RepeatedTask.every(loop, WORK_MILLIS, reports::tellWork);
-        RepeatedTask.every(loop, HostPauses.TICK_MILLIS, gateway.quarantine()::tick);
+        RepeatedTask.every(loop, HostPauses.TICK.toMillis(), gateway.quarantine()::tick);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
                 settings.host(),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -10,6 +10,7 @@
 import io.stackhall.core.quarantine.Acquittal;
 import io.stackhall.core.quarantine.Crash;
 import io.stackhall.core.quarantine.CrashLedger;
+import io.stackhall.core.quarantine.HostPauses;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.quarantine.Trials;
@@ -47,7 +48,7 @@
     private final Consumer<Frame> toControlHosts;
     private final CrashLedger ledger = new CrashLedger();
     private final Trials trials = new Trials();
-    private final HostPauses pauses = new HostPauses();
+    private final HostPauses pauses = new HostPauses(BootClock.nanos());
     private final Map<RequestDigest, Set<RelayedRequest>> underWay = new HashMap<>();
 
     Quarantine(
@@ -116,7 +117,7 @@
      * @param sentAt when the request was sent, on the monotonic clock in nanoseconds
      */
     void brokeOff(RequestDigest request, Instance instance, long sentAt, Runnable goOn) {
-        if (pauses.since(sentAt) || isExpected(instance)) {
+        if (pauses.since(sentAt, BootClock.nanos()) || isExpected(instance)) {
             goOn.run();
             return;
         }
@@ -157,7 +158,7 @@
 
     /** Notes that the process runs. */
     void tick() {
-        pauses.tick();
+        pauses.tick(BootClock.nanos());
     }
 
     /** Forgets what no longer counts. */
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -85,6 +85,17 @@
         daemon.close();
     }
 
+    /** Ends all processes, and starts the control hosts and the first entry host again. */
+    public void restartAll() throws IOException {
+        for (FleetDaemon daemon : List.copyOf(daemons)) {
+            stop(daemon);
+        }
+        for (int number = 1; number <= 3; number++) {
+            startControl(number, false);
+        }
+        startEntry(1);
+    }
+
     /** Opens a caller's connection to an entry host. */
     public Socket callerOf(int number) throws IOException {
         Socket socket = new Socket();
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
@@ -0,0 +1,117 @@
+package io.stackhall.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What hosts hold against a request that ends upstreams, and how far that reaches. */
+class QuarantineTest extends RelayFixture {
+
+    private static final String FATAL = "/once/fatal";
+
+    private final AtomicInteger begun = new AtomicInteger();
+
+    @Test
+    void lostConnectionsAreHeldAgainstNobodyWhileTheUpstreamLives() throws Exception {
+        try (ScriptedUpstream upstream = upstream((request, to) -> to.reset())) {
+            for (int count = 0; count < 6; count++) {
+                assertThat(fleet.call(1, get(FATAL, "r" + count)).status()).isEqualTo(502);
+            }
+            assertThat(upstream.requests()).hasSize(6);
+        }
+    }
+
+    @Test
+    void upstreamThatSaidItWouldLeaveEndsUnderNobody() throws Exception {
+        for (int count = 0; count < 4; count++) {
+            ScriptedUpstream leaving = new Fatal("i-" + count).upstream;
+            fleet.heartbeat(2, leaving, leaving.heartbeat("plain", "ready", 1, "[]"));
+            pause(200);
+            Thread call = callLater("r" + count);
+            pause(100);
+            fleet.heartbeat(2, leaving, leaving.heartbeat("plain", "draining", 2, "[]"));
+            call.join();
+        }
+        assertThat(begun).hasValue(4);
+    }
+
+    @Test
+    void requestThatEndedTwoUpstreamsIsRefusedEverywhereAlsoAfterAllHostsStartAgain()
+            throws Exception {
+        fatal("i-1");
+        assertThat(fleet.call(1, get(FATAL, "r1")).status()).isEqualTo(502);
+        fatal("i-2");
+        assertThat(fleet.call(1, get(FATAL, "r2")).status()).isEqualTo(502);
+        fatal("i-3");
+        RawHttp.Message refusal = fleet.call(1, get(FATAL, "r3"));
+        assertThat(refusal.status()).isEqualTo(503);
+        assertThat(Double.parseDouble(refusal.header("retry-after"))).isBetween(500.0, 600.0);
+        fleet.startEntry(2);
+        LocalFleet.await("second host ready", () -> fleet.ready(2));
+        assertThat(fleet.call(2, get(FATAL, "r4")).status()).isEqualTo(503);
+        // The control group agrees within half a second.
+        pause(1500);
+        fleet.restartAll();
+        fatal("i-4");
+        LocalFleet.await("ready again", () -> fleet.ready(1));
+        assertThat(fleet.call(1, get(FATAL, "r5")).status()).isEqualTo(503);
+        assertThat(fleet.call(1, get("/once/other", "r6")).status()).isEqualTo(200);
+        assertThat(begun).hasValue(2);
+    }
+
+    @Test
+    void goodEndTakesBackWhatWasHeldAgainstARequest() throws Exception {
+        fatal("i-1");
+        fleet.call(1, get(FATAL, "r1"));
+        try (ScriptedUpstream good = upstream("i-2", (request, to) -> to.plain(request, 200, ""))) {
+            assertThat(fleet.call(1, get(FATAL, "r2")).status()).isEqualTo(200);
+        }
+        pause(300);
+        fatal("i-3");
+        LocalFleet.await("ends it", () -> begun.get() == 2 || status("r3") == 502);
+        fatal("i-4");
+        LocalFleet.await("is sent again", () -> begun.get() == 3 || status("r4") == 502);
+    }
+
+    private int status(String id) {
+        try {
+            return fleet.call(1, get(FATAL, id)).status();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Thread callLater(String id) {
+        return Thread.startVirtualThread(() -> status(id));
+    }
+
+    private void fatal(String id) throws IOException {
+        ScriptedUpstream upstream = new Fatal(id).upstream;
+        fleet.heartbeat(2, upstream, upstream.heartbeat("plain", "ready", 1, "[]"));
+        pause(300);
+    }
+
+    /** An upstream that ends a while after it has begun one request, and answers all others. */
+    private final class Fatal {
+
+        private final ScriptedUpstream upstream;
+
+        private Fatal(String id) throws IOException {
+            upstream = new ScriptedUpstream(id, this::answer);
+        }
+
+        private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
+                throws IOException {
+            if (!request.startLine().contains(FATAL)) {
+                to.plain(request, 200, "good");
+                return;
+            }
+            begun.incrementAndGet();
+            pause(300);
+            upstream.close();
+        }
+    }
+}
