--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
@@ -45,7 +45,7 @@
      */
     private static final Duration SENTENCE = Duration.ofMinutes(10);
 
-    /** Four hundred bytes each; an hour in which fifty instances with eighty requests each end. */
+    /** Fifty instances that end at once with eighty requests each; some two megabytes. */
     private static final int MOST_REQUESTS = 4000;
 
     private final Map<RequestDigest, Evidence> requests = new LinkedHashMap<>();
--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/Trials.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/Trials.java
@@ -18,13 +18,18 @@
  */
 public final class Trials {
 
+    /** The mixing steps of SplitMix64, by which close inputs get numbers that are far apart. */
+    private static final long FIRST_MIX = 0xbf58476d1ce4e5b9L;
+
+    private static final long SECOND_MIX = 0x94d049bb133111ebL;
+
     private final Map<UpstreamId, RequestDigest> running = new HashMap<>();
 
     /** Returns where an instance stands for a suspect: the lowest number is taken first. */
     public static long order(RequestDigest request, UpstreamId instance) {
         long hash = 31L * request.value().hashCode() + instance.toString().hashCode();
-        hash = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
-        hash = (hash ^ (hash >>> 27)) * 0x94d049bb133111ebL;
+        hash = (hash ^ (hash >>> 30)) * FIRST_MIX;
+        hash = (hash ^ (hash >>> 27)) * SECOND_MIX;
         return (hash ^ (hash >>> 31)) >>> 1;
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -105,7 +105,7 @@
         }
     }
 
-    /** Notes that a request has run to an end, which no instance does that it ends. */
+    /** Notes that an instance has run a request to an end, and lives on. */
     void endedWell(RequestDigest request) {
         ledger.endedWell(request).ifPresent(this::tell);
     }
@@ -114,7 +114,7 @@
      * Notes that an instance has broken a request off. If it has ended by itself, this is held
      * against the request, which goes on once that is known.
      *
-     * @param sentAt when the request was sent, on the monotonic clock in nanoseconds
+     * @param sentAt when the request was sent, on the process's clock in nanoseconds
      */
     void brokeOff(RequestDigest request, Instance instance, long sentAt, Runnable goOn) {
         if (pauses.since(sentAt, BootClock.nanos()) || isExpected(instance)) {
