--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -43,11 +43,6 @@
     private final List<CrashingUpstream> crashing = new CopyOnWriteArrayList<>();
     private HttpServer upstream;
 
-    static {
-        // Callers name the host that their route has, whichever entry host they reach.
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-    }
-
     /** Creates a system that does not run yet. */
     public SeededHosts(Path folder) {
         this.folder = folder;
