A host knows what is refused before it is told its first routes

The sentences of the state that a quorum has confirmed are now told ahead of its routes, on the same connection, and a host that lags behind no longer takes back by its silence what others have agreed on: what is lifted is named.

--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
@@ -98,28 +98,32 @@
     }
 
     /**
-     * Takes over exactly what all hosts have agreed to refuse.
+     * Takes over what all hosts have agreed to refuse. What a host that lags behind does not name
+     * is not taken back by that.
      *
      * @return the requests that are refused from now on
      */
     public List<RequestDigest> sentenced(Collection<RequestDigest> all, long now) {
-        Set<RequestDigest> those = Set.copyOf(all);
         List<RequestDigest> news = new ArrayList<>();
-        for (RequestDigest request : those) {
+        for (RequestDigest request : all) {
             if (evidence(request).sentence(now)) {
                 news.add(request);
             }
         }
-        requests.forEach(
-                (request, evidence) -> {
-                    if (!those.contains(request)) {
-                        evidence.lift();
-                    }
-                });
         bound();
         return news;
     }
 
+    /** Takes over what all hosts have agreed to refuse no more. */
+    public void lifted(Collection<RequestDigest> all) {
+        for (RequestDigest request : all) {
+            Evidence evidence = requests.get(request);
+            if (evidence != null) {
+                evidence.lift();
+            }
+        }
+    }
+
     /** Returns how a request stands. */
     public Standing standing(RequestDigest request, long now) {
         Evidence evidence = requests.get(request);
--- a/stackhall-core/src/test/java/io/stackhall/core/quarantine/CrashLedgerTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/quarantine/CrashLedgerTest.java
@@ -89,6 +89,8 @@
         assertThat(ledger.sentenced(List.of(GUILTY), 0)).containsExactly(GUILTY);
         assertThat(standing(GUILTY)).isInstanceOf(Standing.Condemned.class);
         ledger.sentenced(List.of(), 0);
+        assertThat(standing(GUILTY)).isInstanceOf(Standing.Condemned.class);
+        ledger.lifted(List.of(GUILTY));
         assertThat(standing(GUILTY)).isEqualTo(new Standing.Clear());
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -202,13 +202,18 @@
                 () -> {
                     CommandOutcome outcome = group.query(CONFIRM_TIMEOUT);
                     if (outcome instanceof CommandOutcome.Done(byte[] state)) {
-                        loop.execute(() -> fleet.confirm(replier, ControlLog.decodeState(state)));
+                        loop.execute(() -> confirmed(replier, ControlLog.decodeState(state)));
                     } else {
                         logger.info("routes.unconfirmed outcome={}", outcome);
                     }
                 });
     }
 
+    private void confirmed(Replier replier, ControlSnapshot state) {
+        replier.send(CrashKeeper.sentences(state));
+        fleet.confirm(replier, state);
+    }
+
     private AnswerServer.Answer metricsAnswer(String path) {
         metrics.state("term", (double) group.view().term());
         metrics.state("leads", group.leads() ? 1 : 0);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
@@ -81,9 +81,28 @@
         if (state.getSentencedList().equals(sentenced)) {
             return;
         }
+        List<ByteString> lifted = without(sentenced, state.getSentencedList());
         sentenced = state.getSentencedList();
         ledger.sentenced(CrashCodec.decode(sentenced), BootClock.nanos());
-        toOthers.accept(CrashCodec.frame(CrashCodec.notice().setSentenced(agreed())));
+        ledger.lifted(CrashCodec.decode(lifted));
+        toOthers.accept(sentences(state, lifted));
+    }
+
+    /**
+     * Returns what the group has agreed on, for an entry host that is about to be told its first
+     * routes: without it, a host sent a request that is refused 2 ms before it heard so.
+     */
+    static Frame sentences(ControlSnapshot state) {
+        return sentences(state, List.of());
+    }
+
+    private static Frame sentences(ControlSnapshot state, List<ByteString> lifted) {
+        return CrashCodec.frame(
+                CrashCodec.notice()
+                        .setSentenced(
+                                Sentence.newBuilder()
+                                        .addAllAdded(state.getSentencedList())
+                                        .addAllLifted(lifted)));
     }
 
     /** Returns all that is known, for a host that may know nothing. */
@@ -91,7 +110,7 @@
         return CrashCodec.frame(
                 CrashCodec.notice()
                         .addAllCrashes(ledger.crashes().stream().map(CrashCodec::encode).toList())
-                        .setSentenced(agreed()));
+                        .setSentenced(Sentence.newBuilder().addAllAdded(sentenced)));
     }
 
     /** Forgets what no longer counts. */
@@ -120,10 +139,6 @@
                 });
     }
 
-    private Sentence agreed() {
-        return Sentence.newBuilder().addAllAdded(sentenced).build();
-    }
-
     private static List<ByteString> without(List<ByteString> all, List<ByteString> those) {
         List<ByteString> rest = new ArrayList<>(all);
         rest.removeAll(those);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -144,6 +144,7 @@
             List<RequestDigest> all = CrashCodec.decode(notice.getSentenced().getAddedList());
             ledger.sentenced(all, now)
                     .forEach(request -> logger.info("request.sentenced digest={}", request));
+            ledger.lifted(CrashCodec.decode(notice.getSentenced().getLiftedList()));
         }
         stopCondemned();
     }
