--- a/stackhall-core/src/main/java/io/stackhall/core/admission/Arrival.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/Arrival.java
@@ -1,7 +1,7 @@
 package io.stackhall.core.admission;
 
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.RequestId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.routing.Reach;
@@ -24,7 +24,7 @@
  */
 public record Arrival(
         RequestId id,
-        CallerId caller,
+        CustomerId caller,
         Target target,
         Priority priority,
         long deadline,
--- a/stackhall-core/src/main/java/io/stackhall/core/admission/FairQueue.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/FairQueue.java
@@ -1,6 +1,6 @@
 package io.stackhall.core.admission;
 
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,7 +13,7 @@
  */
 final class FairQueue {
 
-    private final Map<CallerId, Line> lines = new HashMap<>();
+    private final Map<CustomerId, Line> lines = new HashMap<>();
     private double virtualTime;
     private int size;
 
--- a/stackhall-core/src/main/java/io/stackhall/core/admission/WaitingLines.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/admission/WaitingLines.java
@@ -1,7 +1,7 @@
 package io.stackhall.core.admission;
 
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.routing.Target;
 import java.util.EnumMap;
@@ -17,7 +17,7 @@
 final class WaitingLines {
 
     private final Map<Target, EnumMap<Priority, FairQueue>> lines = new LinkedHashMap<>();
-    private final Map<CallerId, Integer> byCaller = new HashMap<>();
+    private final Map<CustomerId, Integer> byCaller = new HashMap<>();
     private final Set<Waiting> all = new LinkedHashSet<>();
 
     int size() {
@@ -32,7 +32,7 @@
         return List.copyOf(lines.keySet());
     }
 
-    int ofCaller(CallerId caller) {
+    int ofCaller(CustomerId caller) {
         return byCaller.getOrDefault(caller, 0);
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/config/CallerSpec.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/config/CallerSpec.java
@@ -1,6 +1,6 @@
 package io.stackhall.core.config;
 
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import java.util.Objects;
 
 /**
@@ -10,7 +10,7 @@
  * @param keyHash SHA-256 of its key, in lower-case hexadecimal
  * @param priority how urgent its requests are
  */
-public record CallerSpec(CallerId id, String keyHash, Priority priority) {
+public record CallerSpec(CustomerId id, String keyHash, Priority priority) {
 
     /** Checks the parts. */
     public CallerSpec {
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/Customers.java
@@ -0,0 +1,58 @@
+package io.stackhall.core.customer;
+
+import io.stackhall.core.id.CustomerId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The customers of one configuration, found by name or by key. */
+public final class Customers {
+
+    private static final Customers UNKNOWN = new Customers(List.of(), false);
+
+    private final List<Customer> all;
+    private final boolean keysNeeded;
+    private final Map<CustomerId, Customer> byId = new HashMap<>();
+    private final Map<KeyDigest, Customer> byKey = new HashMap<>();
+
+    /** Creates the customers; a key that two of them share names the last one. */
+    public Customers(Collection<Customer> customers) {
+        this(customers, true);
+    }
+
+    private Customers(Collection<Customer> customers, boolean keysNeeded) {
+        this.keysNeeded = keysNeeded;
+        all = List.copyOf(customers);
+        for (Customer customer : all) {
+            byId.put(customer.id(), customer);
+            customer.keys().forEach(key -> byKey.put(key, customer));
+        }
+    }
+
+    /** Returns the customers of a configuration that speaks of none: everybody may send. */
+    public static Customers none() {
+        return UNKNOWN;
+    }
+
+    /** Returns whether requests need a customer's key; where a list is empty, nobody has one. */
+    public boolean keysNeeded() {
+        return keysNeeded;
+    }
+
+    /** Returns all, in the order in which they were named. */
+    public List<Customer> all() {
+        return all;
+    }
+
+    /** Returns the customer of that name. */
+    public Optional<Customer> named(CustomerId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /** Returns the customer that holds a key. */
+    public Optional<Customer> holding(KeyDigest key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
@@ -15,5 +15,7 @@
     /** An instance of its service. */
     NO_INSTANCE,
     /** An instance without another request that may have ended one. */
-    APART
+    APART,
+    /** Word whether its customer may have it run. */
+    ALLOWANCE
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/outcome/ClaimKey.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/outcome/ClaimKey.java
@@ -1,6 +1,6 @@
 package io.stackhall.core.outcome;
 
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.IdempotencyKey;
 import java.util.Objects;
 
@@ -10,7 +10,7 @@
  * @param caller whose request it is
  * @param key the caller's name for it
  */
-public record ClaimKey(CallerId caller, IdempotencyKey key) {
+public record ClaimKey(CustomerId caller, IdempotencyKey key) {
 
     /** Checks the parts. */
     public ClaimKey {
--- a/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkCommand.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkCommand.java
@@ -2,7 +2,7 @@
 
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.WorkId;
 import java.util.List;
 
@@ -12,7 +12,7 @@
     /** Keeps a piece of work; one with a known id is not kept twice. */
     record Accept(
             WorkId id,
-            CallerId caller,
+            CustomerId caller,
             Priority priority,
             WorkItem.Request request,
             boolean repeatable)
@@ -31,7 +31,7 @@
     record Lose(WorkId id, AttemptToken token) implements WorkCommand {}
 
     /** Its caller withdraws it; work that runs goes on. */
-    record Cancel(WorkId id, CallerId caller) implements WorkCommand {}
+    record Cancel(WorkId id, CustomerId caller) implements WorkCommand {}
 
     /** The leader has kept these ended pieces for as long as answers are kept. */
     record Forget(List<WorkId> ids) implements WorkCommand {
--- a/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkItem.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkItem.java
@@ -2,7 +2,7 @@
 
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.WorkId;
 import java.util.Objects;
 import java.util.Optional;
@@ -23,7 +23,7 @@
  */
 public record WorkItem(
         WorkId id,
-        CallerId caller,
+        CustomerId caller,
         Priority priority,
         Request request,
         boolean repeatable,
--- a/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/outcome/WorkLedger.java
@@ -1,7 +1,7 @@
 package io.stackhall.core.outcome;
 
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.WorkId;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -53,7 +53,7 @@
             case WorkCommand.PutBack(WorkId id, AttemptToken token) ->
                     move(id, token, WorkItem.Progress.WAITING, Optional.empty());
             case WorkCommand.Lose(WorkId id, AttemptToken token) -> lose(id, token);
-            case WorkCommand.Cancel(WorkId id, CallerId caller) -> cancel(id, caller);
+            case WorkCommand.Cancel(WorkId id, CustomerId caller) -> cancel(id, caller);
             case WorkCommand.Forget(List<WorkId> ids) -> forget(ids);
         };
     }
@@ -141,7 +141,7 @@
         return new WorkResult.Done();
     }
 
-    private WorkResult cancel(WorkId id, CallerId caller) {
+    private WorkResult cancel(WorkId id, CustomerId caller) {
         WorkItem item = items.get(id);
         if (item == null
                 || !item.caller().equals(caller)
--- a/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
@@ -20,6 +20,7 @@
  * @param longestPause the longest pause between events of a stream that is on time
  * @param callerPatience how long a caller stays without an answer, or without a further event of a
  *     stream
+ * @param open whether requests need no customer's key
  */
 public record Route(
         String name,
@@ -33,7 +34,8 @@
         int maxAttempts,
         boolean resumable,
         Duration longestPause,
-        Duration callerPatience) {
+        Duration callerPatience,
+        boolean open) {
 
     /** Copies the split. */
     public Route {
--- a/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
@@ -1,5 +1,6 @@
 package io.stackhall.core.route;
 
+import io.stackhall.core.customer.Customers;
 import io.stackhall.core.id.ServiceName;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -21,14 +22,20 @@
     private final List<Route> routes;
     private final Map<ServiceName, ServiceEntry> services = new HashMap<>();
     private final CallerLimits limits;
+    private final Customers customers;
     private final Map<String, List<Route>> byHost = new HashMap<>();
 
     /** Creates a table; routes may stand in any order. */
     public RouteTable(
-            long version, List<Route> routes, List<ServiceEntry> services, CallerLimits limits) {
+            long version,
+            List<Route> routes,
+            List<ServiceEntry> services,
+            CallerLimits limits,
+            Customers customers) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.limits = limits;
+        this.customers = customers;
         services.forEach(service -> this.services.put(service.name(), service));
         for (Route route : routes) {
             byHost.computeIfAbsent(route.host(), ignored -> new ArrayList<>()).add(route);
@@ -72,6 +79,11 @@
         return shortest;
     }
 
+    /** Returns who may send requests. */
+    public Customers customers() {
+        return customers;
+    }
+
     /** Returns the bounds on callers. */
     public CallerLimits limits() {
         return limits;
--- a/stackhall-core/src/main/java/io/stackhall/core/route/RouteTableChecker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/RouteTableChecker.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.route;
 
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.customer.CustomersChecker;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,7 @@
             }
             checkSplit(table, route, place, findings);
         }
+        findings.addAll(CustomersChecker.check(table.customers()));
         return findings;
     }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/admission/TrafficDirectorTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/admission/TrafficDirectorTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.RequestId;
 import io.stackhall.core.outcome.RequestOutcome;
@@ -163,7 +163,7 @@
                 new TrafficEvent.Arrived(
                         new Arrival(
                                 new RequestId(id),
-                                new CallerId(caller),
+                                new CustomerId(caller),
                                 TARGET,
                                 priority,
                                 now + deadlineSeconds * SECOND,
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/KeyAccessTest.java
@@ -0,0 +1,87 @@
+package io.stackhall.core.customer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.customer.KeyAccess.Verdict;
+import io.stackhall.core.id.CustomerId;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Whose request one is. */
+class KeyAccessTest {
+
+    private static final KeyDigest GOOD = KeyDigest.of("good");
+    private static final KeyDigest OTHER = KeyDigest.of("other");
+    private static final Customer NORTH =
+            new Customer(
+                    new CustomerId("north"), Set.of(GOOD), OptionalInt.of(2), Optional.empty());
+    private static final Customers CUSTOMERS = new Customers(List.of(NORTH));
+
+    @Test
+    void whereNoCustomersAreSpokenOfNoKeyIsNeeded() {
+        assertThat(KeyAccess.judge(Customers.none(), false, List.of(), false))
+                .isEqualTo(new Verdict.Anyone());
+    }
+
+    @Test
+    void emptyListOfCustomersLetsNobodyIn() {
+        assertThat(KeyAccess.judge(new Customers(List.of()), false, List.of(GOOD), true))
+                .isInstanceOf(Verdict.Unknown.class);
+    }
+
+    @Test
+    void knownKeyNamesItsHolder() {
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(GOOD), true))
+                .isEqualTo(new Verdict.Of(NORTH));
+    }
+
+    @Test
+    void missingUnknownAndSeveralKeysAreRefused() {
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(), true))
+                .isInstanceOf(Verdict.Unknown.class);
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(OTHER), true))
+                .isInstanceOf(Verdict.Unknown.class);
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(GOOD, OTHER), true))
+                .isInstanceOf(Verdict.Unknown.class);
+    }
+
+    @Test
+    void hostWithoutTrustSaysSoOfEachKey() {
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(GOOD), false))
+                .isEqualTo(new Verdict.Uncertain());
+        assertThat(KeyAccess.judge(CUSTOMERS, false, List.of(OTHER), false))
+                .isEqualTo(new Verdict.Uncertain());
+    }
+
+    @Test
+    void openRouteTakesAnybody() {
+        assertThat(KeyAccess.judge(CUSTOMERS, true, List.of(), true))
+                .isEqualTo(new Verdict.Anyone());
+        assertThat(KeyAccess.judge(CUSTOMERS, true, List.of(OTHER), false))
+                .isEqualTo(new Verdict.Anyone());
+        assertThat(KeyAccess.judge(CUSTOMERS, true, List.of(GOOD), true))
+                .isEqualTo(new Verdict.Of(NORTH));
+    }
+
+    @Test
+    void customersRankGoesBeforeTheRoutes() {
+        assertThat(NORTH.rankOn(0)).isLessThan(NORTH.rankOn(1));
+        assertThat(NORTH.rankOn(0))
+                .isGreaterThan(
+                        new Customer(
+                                        new CustomerId("south"),
+                                        Set.of(),
+                                        OptionalInt.of(1),
+                                        Optional.empty())
+                                .rankOn(7));
+    }
+
+    @Test
+    void digestSaysNothingOfItsKey() {
+        assertThat(GOOD.toString()).doesNotContain("good");
+        assertThat(NORTH.toString()).doesNotContain("good");
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/outcome/ClaimTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/outcome/ClaimTableTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.IdempotencyKey;
 import io.stackhall.core.id.ZoneId;
 import java.util.HashMap;
@@ -111,6 +111,6 @@
     }
 
     private static ClaimKey key(String text) {
-        return new ClaimKey(new CallerId("c"), new IdempotencyKey(text));
+        return new ClaimKey(new CustomerId("c"), new IdempotencyKey(text));
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/outcome/WorkLedgerTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/outcome/WorkLedgerTest.java
@@ -4,7 +4,7 @@
 
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.WorkId;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -14,7 +14,7 @@
 
     private static final AttemptToken FIRST = new AttemptToken("first");
     private static final AttemptToken SECOND = new AttemptToken("second");
-    private static final CallerId CALLER = new CallerId("c");
+    private static final CustomerId CALLER = new CustomerId("c");
 
     private final WorkLedger ledger = new WorkLedger();
 
@@ -90,7 +90,7 @@
     void onlyItsCallerCancelsWorkAndOnlyBeforeItRuns() {
         accept("a", Priority.DEFERRED, true);
         WorkId id = new WorkId("a");
-        assertThat(ledger.apply(new WorkCommand.Cancel(id, new CallerId("other"))))
+        assertThat(ledger.apply(new WorkCommand.Cancel(id, new CustomerId("other"))))
                 .isInstanceOf(WorkResult.Stale.class);
         ledger.apply(new WorkCommand.Take(FIRST));
         assertThat(ledger.apply(new WorkCommand.Cancel(id, CALLER)))
--- a/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.customer.Customers;
 import io.stackhall.core.id.ServiceName;
 import java.time.Duration;
 import java.util.List;
@@ -60,7 +61,8 @@
 
     private static RouteTable table(Route... routes) {
         ServiceEntry service = new ServiceEntry(PLAIN, 10, Optional.empty());
-        return new RouteTable(1, List.of(routes), List.of(service), CallerLimits.initial());
+        return new RouteTable(
+                1, List.of(routes), List.of(service), CallerLimits.initial(), Customers.none());
     }
 
     private static Route route(String name, String prefix, int weight) {
@@ -80,6 +82,7 @@
                 1,
                 false,
                 Duration.ZERO,
-                Duration.ofSeconds(1));
+                Duration.ofSeconds(1),
+                false);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Authenticator.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Authenticator.java
@@ -2,11 +2,9 @@
 
 import io.stackhall.core.config.CallerSpec;
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.customer.KeyDigest;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.server.node.ConfigStore;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -19,7 +17,7 @@
  */
 final class Authenticator {
 
-    private static final CallerId ANONYMOUS = new CallerId("anonymous");
+    private static final CustomerId ANONYMOUS = new CustomerId("anonymous");
     private static final String SCHEME = "Bearer ";
     static final String PRIORITY = "Stackhall-Priority";
 
@@ -40,15 +38,11 @@
         if (header == null || !header.startsWith(SCHEME)) {
             return Optional.empty();
         }
-        byte[] hash = sha256(header.substring(SCHEME.length()).strip());
-        Optional<CallerSpec> found = Optional.empty();
-        for (CallerSpec caller : callers) {
-            byte[] expected = HexFormat.of().parseHex(caller.keyHash());
-            if (MessageDigest.isEqual(hash, expected)) {
-                found = Optional.of(caller);
-            }
-        }
-        return found.map(spec -> new Caller(spec.id(), lower(spec.priority(), asked)));
+        KeyDigest key = KeyDigest.of(header.substring(SCHEME.length()).strip());
+        return callers.stream()
+                .filter(caller -> KeyDigest.parse(caller.keyHash()).equals(key))
+                .findFirst()
+                .map(spec -> new Caller(spec.id(), lower(spec.priority(), asked)));
     }
 
     /** A caller may ask for less urgency than it has, never for more. */
@@ -67,8 +61,4 @@
             return Optional.empty();
         }
     }
-
-    private static byte[] sha256(String text) {
-        return Digests.sha256(text.getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Caller.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Caller.java
@@ -1,7 +1,7 @@
 package io.stackhall.server.callers;
 
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 
 /**
  * Who asks, and how urgent it is.
@@ -9,4 +9,4 @@
  * @param id the caller
  * @param priority the priority of the request
  */
-record Caller(CallerId id, Priority priority) {}
+record Caller(CustomerId id, Priority priority) {}
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/WorkDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/WorkDesk.java
@@ -1,7 +1,7 @@
 package io.stackhall.server.callers;
 
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.IdempotencyKey;
 import io.stackhall.core.id.WorkId;
 import io.stackhall.core.outcome.RequestOutcome;
@@ -71,7 +71,7 @@
     }
 
     /** Tells how far a piece of work is, or gives its answer. */
-    void find(String name, CallerId caller, ResponseSink response) throws IOException {
+    void find(String name, CustomerId caller, ResponseSink response) throws IOException {
         byte[] question =
                 Json.write(ControlQuery.class, new ControlQuery.FindWork(new WorkId(name)));
         switch (groups.query(Settings.CONTROL_GROUP, question, TIMEOUT)) {
@@ -90,7 +90,7 @@
     }
 
     /** Withdraws a piece of work that has not begun to run. */
-    void cancel(String name, CallerId caller, ResponseSink response) throws IOException {
+    void cancel(String name, CustomerId caller, ResponseSink response) throws IOException {
         WorkCommand.Cancel cancel = new WorkCommand.Cancel(new WorkId(name), caller);
         switch (commands.send(cancel, TIMEOUT)) {
             case CommandOutcome.Done(byte[] bytes) -> {
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/AllowanceDesk.java
@@ -0,0 +1,72 @@
+package io.stackhall.server.control;
+
+import io.stackhall.core.customer.AllowanceKeeper;
+import io.stackhall.core.customer.AllowanceVerdict;
+import io.stackhall.core.customer.Customers;
+import io.stackhall.core.id.CustomerId;
+import io.stackhall.core.id.HostId;
+import io.stackhall.rpc.generated.fleet.AllowanceAnswer;
+import io.stackhall.rpc.generated.fleet.AllowanceAsk;
+import io.stackhall.rpc.generated.fleet.AllowanceClaim;
+import io.stackhall.rpc.generated.fleet.AllowanceDecision;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.peer.Replier;
+
+/** Answers entry hosts that ask for their customers' allowances. Used on one event loop. */
+final class AllowanceDesk {
+
+    private final ControlGroup group;
+    private final AllowanceKeeper keeper = new AllowanceKeeper();
+    private boolean leading;
+
+    AllowanceDesk(ControlGroup group) {
+        this.group = group;
+    }
+
+    /** Puts the customers of the newest configuration into force. */
+    void customers(Customers next) {
+        keeper.customers(next, BootClock.nanos());
+    }
+
+    /** Takes in whether this host leads the control group from now on. */
+    void led(boolean leads) {
+        leading = leads;
+        if (leads) {
+            keeper.begin(BootClock.nanos());
+        }
+    }
+
+    /** Decides about the claims of an entry host, or names who does. */
+    void asked(AllowanceAsk ask, Replier replier) {
+        AllowanceAnswer.Builder answer =
+                AllowanceAnswer.newBuilder()
+                        .setLeader(group.leader().map(HostId::value).orElse(""));
+        if (leading && group.leads()) {
+            answer.setLeads(true);
+            ask.getClaimsList().forEach(claim -> decide(claim, answer));
+        }
+        replier.send(Frame.newBuilder().setAllowanceAnswer(answer).build());
+    }
+
+    private void decide(AllowanceClaim claim, AllowanceAnswer.Builder answer) {
+        long now = BootClock.nanos();
+        CustomerId customer = new CustomerId(claim.getCustomer());
+        if (claim.getReturned() > 0) {
+            keeper.giveBack(customer, claim.getReturned(), now);
+        }
+        if (claim.getNumber() != 0) {
+            answer.addDecisions(
+                    encode(claim.getNumber(), keeper.take(customer, claim.getCost(), now)));
+        }
+    }
+
+    private static AllowanceDecision encode(long number, AllowanceVerdict verdict) {
+        AllowanceDecision.Builder decision = AllowanceDecision.newBuilder().setNumber(number);
+        return switch (verdict) {
+            case AllowanceVerdict.Granted() -> decision.setGranted(true).build();
+            case AllowanceVerdict.Denied(var retryAfter) ->
+                    decision.setRetryAfterMillis(retryAfter.toMillis()).build();
+        };
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/Confirmations.java
@@ -0,0 +1,88 @@
+package io.stackhall.server.control;
+
+import io.netty.channel.EventLoop;
+import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.FleetFollow;
+import io.stackhall.server.group.CommandOutcome;
+import io.stackhall.server.peer.Replier;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Has the quorum confirm for entry hosts which configuration is the newest. What is asked while one
+ * question is under way waits for the next, so that the quorum answers few questions however many
+ * hosts ask. Used on one event loop.
+ */
+final class Confirmations {
+
+    private static final Logger logger = LogManager.getLogger(Confirmations.class);
+
+    private static final Duration TIMEOUT = Duration.ofMillis(900);
+
+    private final EventLoop loop;
+    private final ControlGroup group;
+    private final LongSupplier heldVersion;
+    private final Listener listener;
+    private List<Ask> waiting = new ArrayList<>();
+    private boolean asking;
+
+    /** An entry host that asks, and the way back to it. */
+    record Ask(FleetFollow follow, Replier replier) {}
+
+    /** Hears what was confirmed. */
+    @FunctionalInterface
+    interface Listener {
+        /** The state is the newest as of some moment after the question. */
+        void confirmed(Ask ask, ControlSnapshot newest);
+    }
+
+    /**
+     * Creates one that nobody has asked.
+     *
+     * @param heldVersion the version of the configuration that this host holds, which the quorum
+     *     need not tell again: 30 KB a question, told between zones twice a second
+     */
+    Confirmations(EventLoop loop, ControlGroup group, LongSupplier heldVersion, Listener listener) {
+        this.loop = loop;
+        this.group = group;
+        this.heldVersion = heldVersion;
+        this.listener = listener;
+    }
+
+    /** Answers an entry host once the quorum has. */
+    void ask(FleetFollow follow, Replier replier) {
+        waiting.add(new Ask(follow, replier));
+        if (!asking) {
+            askQuorum();
+        }
+    }
+
+    private void askQuorum() {
+        List<Ask> asks = waiting;
+        waiting = new ArrayList<>();
+        asking = true;
+        byte[] question = ControlLog.question(heldVersion.getAsLong());
+        Thread.startVirtualThread(
+                () -> {
+                    CommandOutcome outcome = group.query(question, TIMEOUT);
+                    loop.execute(() -> answered(asks, outcome));
+                });
+    }
+
+    private void answered(List<Ask> asks, CommandOutcome outcome) {
+        asking = false;
+        if (outcome instanceof CommandOutcome.Done(byte[] state)) {
+            ControlSnapshot newest = ControlLog.decodeState(state);
+            asks.forEach(ask -> listener.confirmed(ask, newest));
+        } else {
+            logger.info("routes.unconfirmed asked={} outcome={}", asks.size(), outcome);
+        }
+        if (!waiting.isEmpty()) {
+            askQuorum();
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -24,7 +24,6 @@
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.fleet.WorkCodec;
-import io.stackhall.server.group.CommandOutcome;
 import io.stackhall.server.group.GroupListener;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.peer.PeerTransport;
@@ -56,8 +55,6 @@
     /** What newly waits is heard by the giver of orders, who decides every 100 ms, in time. */
     private static final long PASS_ON_MILLIS = 100;
 
-    private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
-
     private final FleetSettings settings;
     private final FleetSettings.Control control;
     private final MultiThreadIoEventLoopGroup threads =
@@ -70,6 +67,8 @@
     private final ControlLog log;
     private final OrderGiver orders;
     private final CrashKeeper crashes;
+    private final Confirmations confirmations;
+    private final AllowanceDesk allowances;
     private Channel listener;
     private Optional<Channel> metricsListener = Optional.empty();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -100,6 +99,8 @@
                         new Random(),
                         aliveSince);
         this.crashes = new CrashKeeper(loop, fleet::tellOthers, group);
+        this.confirmations = new Confirmations(loop, group, this::heldVersion, this::confirmed);
+        this.allowances = new AllowanceDesk(group);
         this.orders =
                 new OrderGiver(
                         settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
@@ -170,7 +171,7 @@
             case FLEET_FOLLOW -> {
                 fleet.followed(frame.getFleetFollow(), replier, crashes::whole);
                 if (frame.getFleetFollow().getWantsConfirmation()) {
-                    confirm(replier);
+                    confirmations.ask(frame.getFleetFollow(), replier);
                 }
             }
             case WORK -> worked(frame.getWork());
@@ -182,12 +183,13 @@
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
             case RESIDENCY -> fleet.passOn(frame);
             case CRASH_NOTICE -> crashes.heard(frame.getCrashNotice());
+            case ALLOWANCE_ASK -> allowances.asked(frame.getAllowanceAsk(), replier);
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
 
     private void committed(ControlSnapshot state) {
-        fleet.takeRoutes(state);
+        takeRoutes(state);
         crashes.committed(state);
     }
 
@@ -197,21 +199,23 @@
         orders.worked(work);
     }
 
-    private void confirm(Replier replier) {
-        Thread.startVirtualThread(
-                () -> {
-                    CommandOutcome outcome = group.query(CONFIRM_TIMEOUT);
-                    if (outcome instanceof CommandOutcome.Done(byte[] state)) {
-                        loop.execute(() -> confirmed(replier, ControlLog.decodeState(state)));
-                    } else {
-                        logger.info("routes.unconfirmed outcome={}", outcome);
-                    }
-                });
+    /** A host that holds no routes yet hears first which requests are refused. */
+    private void confirmed(Confirmations.Ask ask, ControlSnapshot state) {
+        takeRoutes(state);
+        if (ask.follow().getRoutesVersion() < 0) {
+            ask.replier().send(CrashKeeper.sentences(state));
+        }
+        fleet.confirm(ask);
     }
 
-    private void confirmed(Replier replier, ControlSnapshot state) {
-        replier.send(CrashKeeper.sentences(state));
-        fleet.confirm(replier, state);
+    private long heldVersion() {
+        return fleet.routes().getVersion();
+    }
+
+    private void takeRoutes(ControlSnapshot state) {
+        if (fleet.takeRoutes(state)) {
+            fleet.routeTable().ifPresent(table -> allowances.customers(table.customers()));
+        }
     }
 
     private AnswerServer.Answer metricsAnswer(String path) {
@@ -286,6 +290,7 @@
                         if (leading) {
                             fleet.refresh();
                         }
+                        allowances.led(leading);
                         orders.led(leading, log.state());
                     });
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -97,7 +97,12 @@
 
     /** Reads the newest state; to be called on a virtual thread. */
     CommandOutcome query(Duration timeout) {
-        return client.query(GROUP, new byte[0], timeout);
+        return query(new byte[0], timeout);
+    }
+
+    /** Asks the newest state a question; to be called on a virtual thread. */
+    CommandOutcome query(byte[] question, Duration timeout) {
+        return client.query(GROUP, question, timeout);
     }
 
     /** Takes a frame of the group, if it is one. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
@@ -52,10 +52,18 @@
         return new byte[0];
     }
 
-    /** Answers any question with the whole state. */
+    /** Answers with the whole state, without the configuration where the asker holds that one. */
     @Override
     public byte[] query(byte[] question) {
-        return state.toByteArray();
+        ControlSnapshot now = state;
+        boolean held =
+                question.length > 0 && decodeState(question).getVersion() == now.getVersion();
+        return held ? now.toBuilder().clearBody().build().toByteArray() : now.toByteArray();
+    }
+
+    /** Returns the question for the state by whoever holds a configuration already. */
+    static byte[] question(long heldVersion) {
+        return ControlSnapshot.newBuilder().setVersion(heldVersion).build().toByteArray();
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -110,6 +110,15 @@
         }
     }
 
+    /** Sends a frame to each that has another host as its primary. */
+    void sendToOthers(Frame frame) {
+        for (Follower follower : followers.values()) {
+            if (!follower.primary) {
+                follower.replier.send(frame);
+            }
+        }
+    }
+
     /** Tells each at once of instances that come, go, drain or serve a further model. */
     void begun(Collection<Instance> instances) {
         if (instances.isEmpty()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.control;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.dispatch.InstanceWork;
@@ -25,6 +26,7 @@
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.NothingOnce;
+import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -60,6 +62,7 @@
     private final ControlHosts hosts;
     private final InstanceTable table;
     private final EntryFollowers followers;
+    private ByteString packedRoutes = ByteString.EMPTY;
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
     private final WorkReports works = new WorkReports();
@@ -155,24 +158,43 @@
             replier.send(whole());
         }
         if (follow.getRoutesVersion() < routes.getVersion()) {
-            replier.send(routesFrame(false));
+            replier.send(routes(follow));
         }
     }
 
+    /**
+     * Only its primary tells an entry host the whole configuration, the others its version: told by
+     * each of six control hosts, one of 30 KB took 16 MB on its way to 89 entry hosts (reckoned).
+     */
+    private Frame routes(FleetFollow follow) {
+        boolean whole = follow.getPrimary() || follow.getWantsRoutes();
+        return frame(whole ? wholeRoutes() : routesVersion());
+    }
+
     /** Tells an entry host the routes as a quorum has just confirmed them. */
-    void confirm(Replier replier, ControlSnapshot confirmed) {
-        takeRoutes(confirmed);
-        replier.send(routesFrame(true));
+    void confirm(Confirmations.Ask ask) {
+        FleetFollow follow = ask.follow();
+        boolean lacks = follow.getRoutesVersion() < routes.getVersion();
+        boolean whole = lacks && (follow.getPrimary() || follow.getWantsRoutes());
+        RoutesUpdate.Builder update = whole ? wholeRoutes() : routesVersion();
+        ask.replier().send(frame(update.setConfirmed(true).setAskedAt(follow.getAskedAt())));
     }
 
-    /** Takes over a committed configuration, and pushes it. */
-    void takeRoutes(ControlSnapshot next) {
+    /**
+     * Takes over a committed configuration, and pushes it.
+     *
+     * @return whether it is a newer one
+     */
+    boolean takeRoutes(ControlSnapshot next) {
         if (next.getVersion() <= routes.getVersion()) {
-            return;
+            return false;
         }
         routes = next;
         decodeRoutes();
-        followers.send(routesFrame(false));
+        packedRoutes = RoutesCodec.pack(routes.getBody());
+        followers.sendToPrimaries(frame(wholeRoutes()));
+        followers.sendToOthers(frame(routesVersion()));
+        return true;
     }
 
     /** Tells every entry host what an instance holds now, or is about to hold no more. */
@@ -356,13 +378,15 @@
         return InstanceCodec.frame(table.all(), true, followers.count());
     }
 
-    private Frame routesFrame(boolean confirmed) {
-        return Frame.newBuilder()
-                .setRoutes(
-                        RoutesUpdate.newBuilder()
-                                .setVersion(routes.getVersion())
-                                .setBody(routes.getBody())
-                                .setConfirmed(confirmed))
-                .build();
+    private RoutesUpdate.Builder wholeRoutes() {
+        return routesVersion().setBody(packedRoutes);
+    }
+
+    private RoutesUpdate.Builder routesVersion() {
+        return RoutesUpdate.newBuilder().setVersion(routes.getVersion());
+    }
+
+    private static Frame frame(RoutesUpdate.Builder update) {
+        return Frame.newBuilder().setRoutes(update).build();
     }
 }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/RoutesCodec.java
@@ -0,0 +1,48 @@
+package io.stackhall.server.fleet;
+
+import com.google.protobuf.ByteString;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+/**
+ * Packs configurations on their way to entry hosts. One of 200 models has some 30 KB and goes to
+ * each of a hundred hosts; packed it has a sixth of that.
+ */
+public final class RoutesCodec {
+
+    /** More than any call with a configuration may have; more than this is no configuration. */
+    private static final int MOST_BYTES = 64 << 20;
+
+    private RoutesCodec() {}
+
+    /** Returns a configuration packed. */
+    public static ByteString pack(ByteString body) {
+        ByteArrayOutputStream packed = new ByteArrayOutputStream();
+        try (DeflaterOutputStream out = new DeflaterOutputStream(packed)) {
+            body.writeTo(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory cannot fail to be written", e);
+        }
+        return ByteString.copyFrom(packed.toByteArray());
+    }
+
+    /**
+     * Returns a configuration as it was before it was packed.
+     *
+     * @throws IOException if it was not packed so
+     */
+    public static byte[] unpack(ByteString packed) throws IOException {
+        try (InflaterInputStream in =
+                new InflaterInputStream(new ByteArrayInputStream(packed.toByteArray()))) {
+            byte[] body = in.readNBytes(MOST_BYTES);
+            if (in.read() >= 0) {
+                throw new IOException("more than " + MOST_BYTES + " bytes");
+            }
+            return body;
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -53,14 +53,20 @@
     }
 
     /** Returns a refusal of a request that has not run. */
-    static FullHttpResponse refusal(String reason, String requestId, Duration retryAfter) {
-        FullHttpResponse response =
-                failure(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, requestId);
+    static FullHttpResponse refusal(
+            HttpResponseStatus status, String reason, String requestId, Duration retryAfter) {
+        FullHttpResponse response = failure(status, reason, requestId);
         double seconds = retryAfter.toMillis() / MILLIS_PER_SECOND;
         response.headers().set(Headers.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
         return response;
     }
 
+    /** Returns whether an upstream says that it has not run the request. */
+    static boolean saysNotRun(HttpResponse head) {
+        return head.headers().contains(Headers.NOT_RUN)
+                || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+    }
+
     /** Returns whether callers read a status as the promise that their request has not run. */
     static boolean looksLikeRefusal(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptHistory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptHistory.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.route.Route;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -14,12 +15,28 @@
     private final Set<UpstreamId> sentTo = new HashSet<>();
     private final Set<UpstreamId> givenUp = new HashSet<>();
     private int maxAttempts = 1;
+    private boolean repeatable;
+    private boolean resumable;
     private int sends;
     private int adapterRefusals;
+    private boolean mayHaveRun;
 
-    /** Sets how many instances a request may be sent to. */
-    void allow(int attempts) {
-        maxAttempts = attempts;
+    /** Takes in what a request's route allows. */
+    void allow(Route route) {
+        maxAttempts = route.maxAttempts();
+        repeatable = route.repeatable();
+        resumable = route.resumable();
+    }
+
+    /**
+     * Returns whether another instance may take up what broke off.
+     *
+     * @param begun whether the caller has got a part of a stream
+     * @param atEvent whether that part ends with a whole event
+     */
+    boolean mayGoOn(boolean begun, boolean atEvent) {
+        boolean may = begun ? resumable && atEvent : repeatable;
+        return may && another();
     }
 
     /** Notes that its bytes are written to an instance; one that was not reached does not count. */
@@ -28,6 +45,16 @@
         sends++;
     }
 
+    /** Notes that an instance has run it, or may have. */
+    void ran() {
+        mayHaveRun = true;
+    }
+
+    /** Returns whether it may have run. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
     /** Notes that an instance is not to be tried again. */
     void giveUp(UpstreamId id) {
         givenUp.add(id);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -3,12 +3,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.stackhall.core.customer.KeyDigest;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.PromptPart;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.quarantine.RequestDigest;
-import io.stackhall.core.route.Route;
+import io.stackhall.platform.Headers;
 import io.stackhall.platform.RequestHeaders;
 import java.util.List;
 import java.util.Optional;
@@ -41,13 +42,28 @@
         return RequestDigest.of(method.name(), authority(), target, body);
     }
 
+    /** Returns the digests of the customers' keys that it carries. */
+    List<KeyDigest> keys() {
+        return RequestHeaders.keys(headers.getAll(Headers.AUTHORIZATION));
+    }
+
+    /** Returns the tokens of its prompt and the most of its answer, 0 where it does not say. */
+    int tokens() {
+        RequestHeaders.Prompt prompt = RequestHeaders.prompt(headers::get);
+        return prompt.promptTokens() + prompt.answerTokens();
+    }
+
     /** Returns how long the caller waits, in milliseconds, if it says so. */
     OptionalLong deadlineMillis() {
         return RequestHeaders.deadlineMillis(headers::get);
     }
 
-    /** Returns what it needs of an instance of a service. */
-    Need need(Route route, ServiceName service) {
+    /**
+     * Returns what it needs of an instance of a service.
+     *
+     * @param rank how urgent it is, 0 first
+     */
+    Need need(ServiceName service, int rank) {
         RequestHeaders.Prompt prompt = RequestHeaders.prompt(headers::get);
         Optional<String> model = prompt.model();
         List<PromptPart> parts = prompt.parts();
@@ -58,6 +74,6 @@
                 parts,
                 prompt.promptTokens(),
                 prompt.answerTokens(),
-                route.rank());
+                rank);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -21,13 +21,16 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
+import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.FleetSettings;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +52,12 @@
      */
     private static final long UNCONFIRMED_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** A quorum answers within some milliseconds; one question in a second may be lost. */
+    private static final Duration CONFIRMATION_OVERDUE = Duration.ofMillis(1500);
+
+    /** The primary tells within some milliseconds; routes have to be in force within seconds. */
+    private static final long ROUTES_OVERDUE_MILLIS = 250;
+
     /** An entry host never judges silence itself: control hosts tell. */
     private static final Duration NEVER = Duration.ofDays(365);
 
@@ -103,7 +112,22 @@
     /** Asks every control host again, so that what was lost is told again. */
     void followAll() {
         choosePrimary();
-        hosts.all().stream().filter(transport::connected).forEach(this::follow);
+        connected().forEach(this::follow);
+    }
+
+    /**
+     * Has a quorum confirm the routes in force, by way of the primary; once that has failed, by way
+     * of every control host.
+     */
+    void renewTrust() {
+        boolean overdue = gateway.customers().trustAge().compareTo(CONFIRMATION_OVERDUE) > 0;
+        connected().stream()
+                .filter(host -> overdue || primary.filter(host::equals).isPresent())
+                .forEach(host -> follow(host, true));
+    }
+
+    private List<HostId> connected() {
+        return hosts.all().stream().filter(transport::connected).toList();
     }
 
     /** Sends a report to the primary, which passes it on. */
@@ -157,10 +181,12 @@
                 }
             }
             case INSTANCES -> instances(frame.getInstances());
-            case ROUTES -> routes(frame.getRoutes());
+            case ROUTES -> routes(frame.getRoutes(), replier);
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
             case CRASH_NOTICE -> crashes(frame.getCrashNotice());
+            case ALLOWANCE_ANSWER ->
+                    gateway.customers().allowances().received(frame.getAllowanceAnswer());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
@@ -223,10 +249,9 @@
      * Holds routes back until a quorum has confirmed that they are not older than what this host
      * may have obeyed in an earlier life.
      */
-    private void routes(RoutesUpdate update) {
+    private void routes(RoutesUpdate update, Replier replier) {
         if (update.getVersion() > newest) {
-            newest = update.getVersion();
-            newestBody = update.getBody().toByteArray();
+            take(update, replier);
         }
         if (firstRoutesAt == 0 && newest >= 0) {
             firstRoutesAt = BootClock.nanos();
@@ -236,6 +261,36 @@
             logger.info("routes.confirmed version={}", newest);
         }
         obey();
+        boolean inForce =
+                gateway.knowsRoutes() && gateway.routes().version() >= update.getVersion();
+        if (update.getConfirmed() && inForce) {
+            gateway.customers().confirmed(update.getAskedAt());
+        }
+    }
+
+    /** Who tells the version alone is asked for the rest if the primary does not tell it soon. */
+    private void take(RoutesUpdate update, Replier replier) {
+        if (update.getBody().isEmpty()) {
+            loop.schedule(
+                    () -> askForRoutes(update.getVersion(), replier),
+                    ROUTES_OVERDUE_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return;
+        }
+        try {
+            newestBody = RoutesCodec.unpack(update.getBody());
+            newest = update.getVersion();
+        } catch (IOException e) {
+            logger.error("routes.unreadable version={} {}", update.getVersion(), e.toString());
+        }
+    }
+
+    private void askForRoutes(long version, Replier replier) {
+        if (version > newest) {
+            logger.info("routes.overdue version={} held={}", version, newest);
+            FleetFollow follow = newFollow(false).setWantsRoutes(true).build();
+            replier.send(Frame.newBuilder().setFleetFollow(follow).build());
+        }
     }
 
     /** Puts the newest routes into force once they are confirmed or nobody can confirm any. */
@@ -258,14 +313,23 @@
     }
 
     private void follow(HostId host) {
+        follow(host, !confirmed);
+    }
+
+    private void follow(HostId host, boolean wantsConfirmation) {
         FleetFollow follow =
-                FleetFollow.newBuilder()
-                        .setHost(settings.peerName().value())
+                newFollow(wantsConfirmation)
                         .setConnection(connections.getOrDefault(host, 0L))
-                        .setRoutesVersion(newest)
-                        .setWantsConfirmation(!confirmed)
                         .setPrimary(primary.filter(host::equals).isPresent())
                         .build();
         transport.send(host, Frame.newBuilder().setFleetFollow(follow).build());
     }
+
+    private FleetFollow.Builder newFollow(boolean wantsConfirmation) {
+        return FleetFollow.newBuilder()
+                .setHost(settings.peerName().value())
+                .setRoutesVersion(newest)
+                .setWantsConfirmation(wantsConfirmation)
+                .setAskedAt(BootClock.nanos());
+    }
 }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerGate.java
@@ -0,0 +1,74 @@
+package io.stackhall.server.gateway;
+
+import io.stackhall.core.customer.Customer;
+import io.stackhall.core.customer.CustomerLimit;
+import io.stackhall.core.customer.Customers;
+import io.stackhall.core.customer.KeyAccess;
+import io.stackhall.core.customer.KeyTrust;
+import io.stackhall.core.customer.OutageAllowance;
+import io.stackhall.core.route.Route;
+import io.stackhall.server.clock.BootClock;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Who may send requests through one entry host. Used on one event loop. */
+final class CustomerGate {
+
+    private final KeyTrust trust;
+    private final OutageAllowance outage;
+    private final AllowanceClient allowances;
+    private Customers customers = Customers.none();
+
+    /** Creates the gate of a host that knows no configuration yet. */
+    CustomerGate(KeyTrust trust, OutageAllowance outage, AllowanceClient allowances) {
+        this.trust = trust;
+        this.outage = outage;
+        this.allowances = allowances;
+    }
+
+    /** Puts the customers of a configuration into force. */
+    void customers(Customers next) {
+        customers = next;
+        long now = BootClock.nanos();
+        next.all().forEach(customer -> outage.known(customer.id(), now));
+    }
+
+    /**
+     * Notes that a quorum has confirmed the configuration in force.
+     *
+     * @param askedAt when this host asked for it, on the process's clock in nanoseconds
+     */
+    void confirmed(long askedAt) {
+        trust.confirmed(askedAt);
+    }
+
+    /** Returns whether requests with keys can be taken, if any are needed. */
+    boolean ready() {
+        return !customers.keysNeeded() || trust.holds(BootClock.nanos());
+    }
+
+    /** Returns how long ago a quorum confirmed the configuration in force. */
+    Duration trustAge() {
+        return trust.age(BootClock.nanos());
+    }
+
+    /** Judges whose request one is. */
+    KeyAccess.Verdict judge(CallerRequest request, Route route) {
+        return KeyAccess.judge(
+                customers, route.open(), request.keys(), trust.holds(BootClock.nanos()));
+    }
+
+    /** Returns whether a caller's key is known to this host, and to nobody behind it. */
+    boolean keysNeeded() {
+        return customers.keysNeeded();
+    }
+
+    /** Returns the limit of a customer as it is now. */
+    Optional<CustomerLimit> limit(Customer customer) {
+        return customers.named(customer.id()).flatMap(Customer::limit);
+    }
+
+    AllowanceClient allowances() {
+        return allowances;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -13,6 +13,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.stackhall.core.customer.KeyTrust;
+import io.stackhall.core.customer.OutageAllowance;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryAllowance;
 import io.stackhall.core.id.HostId;
@@ -30,6 +32,7 @@
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -58,6 +61,9 @@
 
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
+    /** Several confirmations may be lost before this host's keys stop counting. */
+    private static final int CONFIRMATIONS_IN_REVOCATION = 6;
+
     /** How many entry hosts share the slack for resends, until the control hosts have told. */
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
@@ -100,6 +106,7 @@
                                 ASSUMED_ENTRY_HOSTS,
                                 limits.retryWindow()),
                         new ControlNotices(settings.peerName(), this::tellControlHosts),
+                        customerGate(random),
                         this::tellControlHosts,
                         random);
         this.follower = new ControlFollower(settings, loop, transport, hosts, gateway, random);
@@ -118,6 +125,14 @@
         RepeatedTask.every(loop, FOLLOW_MILLIS, this::follow);
         RepeatedTask.every(loop, DEMAND_MILLIS, reports::tellDemand);
         RepeatedTask.every(loop, WORK_MILLIS, reports::tellWork);
+        settings.limits()
+                .keyRevocation()
+                .ifPresent(
+                        time ->
+                                RepeatedTask.every(
+                                        loop,
+                                        time.toMillis() / CONFIRMATIONS_IN_REVOCATION,
+                                        follower::renewTrust));
         RepeatedTask.every(loop, HostPauses.TICK.toMillis(), gateway.quarantine()::tick);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
@@ -165,6 +180,20 @@
         }
     }
 
+    private CustomerGate customerGate(Random random) {
+        FleetSettings.Limits limits = settings.limits();
+        OutageAllowance outage = new OutageAllowance(limits.limitTolerance(), random);
+        return new CustomerGate(
+                new KeyTrust(limits.keyRevocation()),
+                outage,
+                new AllowanceClient(loop, new ControlLinks(), outage, this::entryHosts));
+    }
+
+    /** Before the control hosts have told how many there are, few would each take too much. */
+    private int entryHosts() {
+        return Math.max(ASSUMED_ENTRY_HOSTS, gateway.entryHosts());
+    }
+
     private void connected(HostId host) {
         follower.connected(host);
     }
@@ -205,6 +234,19 @@
         }
     }
 
+    /** The way to the control hosts for questions about customers' allowances. */
+    private final class ControlLinks implements AllowanceClient.ControlWay {
+        @Override
+        public boolean send(HostId host, Frame frame) {
+            return transport.send(host, frame);
+        }
+
+        @Override
+        public List<HostId> connected() {
+            return hosts.all().stream().filter(transport::connected).toList();
+        }
+    }
+
     /** Connections of callers. */
     private final class CallerChannels extends ChannelInitializer<SocketChannel> {
         @Override
@@ -228,7 +270,11 @@
     }
 
     private AnswerServer.Answer readinessAnswer(String path) {
-        boolean ready = path.equals(Calls.READINESS) && follower.ready() && !gateway.draining();
+        boolean ready =
+                path.equals(Calls.READINESS)
+                        && follower.ready()
+                        && gateway.customers().ready()
+                        && !gateway.draining();
         return new AnswerServer.Answer(ready ? READY : NOT_READY, new byte[0]);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -1,12 +1,16 @@
 package io.stackhall.server.gateway;
 
 import io.netty.channel.EventLoop;
+import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.RetryAllowance;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.CallerLimits;
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
@@ -24,6 +28,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -46,6 +51,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final ControlNotices notices;
     private final Quarantine quarantine;
+    private final CustomerGate customers;
     private final FleetMetrics metrics = new FleetMetrics();
     private final LineBudget lines = new LineBudget();
     private RouteTable routes;
@@ -62,6 +68,7 @@
             UpstreamClient upstreams,
             RetryAllowance retries,
             ControlNotices notices,
+            CustomerGate customers,
             Consumer<Frame> toControlHosts,
             RandomGenerator random) {
         this.loop = loop;
@@ -69,6 +76,7 @@
         this.upstreams = upstreams;
         this.retries = retries;
         this.notices = notices;
+        this.customers = customers;
         this.quarantine = new Quarantine(dispatcher, upstreams, metrics, toControlHosts);
         this.random = random;
     }
@@ -90,6 +98,7 @@
         }
         dispatcher.engines(engines);
         dispatcher.objectives(next.shortestObjectives());
+        customers.customers(next.customers());
         firstRoutes.release();
         serveWaiting();
     }
@@ -123,6 +132,19 @@
         }
     }
 
+    /** Decides where a request goes now; one that may end instances goes apart from the others. */
+    Choice choose(
+            Standing standing,
+            RequestDigest digest,
+            Need need,
+            Predicate<UpstreamId> allowed,
+            boolean late,
+            long now) {
+        return standing instanceof Standing.Suspect
+                ? quarantine.choose(digest, need, allowed, late, now)
+                : dispatcher.choose(need, allowed, late, now);
+    }
+
     /** Tries to send what waits, the most urgent first. */
     void serveWaiting() {
         waiting.tryAll();
@@ -263,6 +285,10 @@
         return quarantine;
     }
 
+    CustomerGate customers() {
+        return customers;
+    }
+
     void waits(RelayedRequest request) {
         waiting.add(request);
         demand.waits(request.need());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -13,39 +13,31 @@
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.Route;
-import io.stackhall.platform.Headers;
 import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.gateway.RequestRights.Right;
 import io.stackhall.server.relay.CallFailure;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/**
- * One caller's request from its arrival to its final answer.
- *
- * <p>What a failure may say depends on how far the request came: until a byte of it was written to
- * an upstream, or after the upstream itself has said so, it has not run and may be refused. After
- * that it may have run, and unless it may run again its caller is told that the outcome is unknown.
- */
+/** One caller's request from its arrival to its final answer. */
 final class RelayedRequest implements AttemptListener {
 
-    private static final Duration SOON = Duration.ofMillis(300);
-    private static final String BROKE_OFF = "the instance broke off";
-
     private final Gateway gateway;
     private final CallerRequest request;
     private final AnswerWriter answers;
     private final RequestDigest digest;
     private final RequestLog log;
+    private final FinalAnswer last;
     private final AttemptHistory history = new AttemptHistory();
     private Route route;
     private Need need;
     private RequestTimes times;
+    private RequestRights rights;
     private long waitingSince;
     private long sentAt;
     private WaitReason waitsFor = WaitReason.NOTHING;
     private Admission admission;
-    private boolean mayHaveRun;
     private boolean ended;
     private final StreamedAnswer stream;
     private final RequestTimer timer;
@@ -59,6 +51,7 @@
         this.log = new RequestLog(gateway, request, digest);
         this.timer = new RequestTimer(gateway.loop(), this::outOfTime);
         this.stream = new StreamedAnswer(answers, log);
+        this.last = new FinalAnswer(gateway, request, answers, log, history, stream, this::close);
     }
 
     /** Begins to work on the request, or goes on once the first routes are known. */
@@ -72,15 +65,22 @@
         Optional<Route> found = gateway.routes().find(host, request.target());
         if (found.isEmpty()) {
             log.noRoute(host, request.target(), gateway.routes().version());
-            finish(HttpResponseStatus.NOT_FOUND, "no route leads here");
+            last.finish(HttpResponseStatus.NOT_FOUND, "no route leads here");
             return;
         }
         route = found.get();
         log.route(route.name());
-        history.allow(route.maxAttempts());
-        need = request.need(route, route.service(gateway.ticket()));
+        history.allow(route);
         times = RequestTimes.of(request, route);
         timer.at(times.deadlineAt());
+        rights = new RequestRights(gateway.customers(), request, route, this::tryAgain);
+        if (rights.judge() instanceof Right.Refused refused) {
+            last.deny(refused);
+            return;
+        }
+        log.customer(rights.customer());
+        need = request.need(route.service(gateway.ticket()), rights.rank());
+        last.about(need);
         admission = newAdmission();
         gateway.arrived(need);
         waitingSince = BootClock.nanos();
@@ -94,7 +94,7 @@
         long now = BootClock.nanos();
         FirstRoutes first = gateway.firstRoutes();
         if (gateway.closing() || !first.worthWaiting(request, now)) {
-            refuse("no configuration is known yet", first.retryAfter(now));
+            last.refuse("no configuration is known yet", first.retryAfter(now));
             return;
         }
         timer.at(first.latest(request));
@@ -126,20 +126,32 @@
             return true;
         }
         if (gateway.closing()) {
-            giveUp("this host is about to stop", Duration.ZERO);
+            last.giveUp("this host is about to stop", Duration.ZERO);
+            return true;
+        }
+        Right right = rights.judge();
+        if (right instanceof Right.Refused refused) {
+            last.deny(refused);
             return true;
         }
         long now = BootClock.nanos();
         Standing standing = gateway.quarantine().standing(digest, now);
         if (standing instanceof Standing.Condemned(Duration left)) {
-            giveUp("instances end under it", left);
+            last.giveUp("instances end under it", left);
             return true;
         }
-        Choice choice = choose(standing, now);
+        Choice choice = gateway.choose(standing, digest, need, history.allowed(), late(now), now);
         int ahead = choice instanceof Choice.Full ? gateway.waitingBefore(this) : 0;
         switch (admission.judge(choice, ahead, now)) {
-            case Verdict.Send(Instance instance, String why) -> send(instance, why);
-            case Verdict.GiveUp(String reason, Duration retryAfter) -> giveUp(reason, retryAfter);
+            case Verdict.Send(Instance instance, String why) -> {
+                if (right instanceof Right.Awaited) {
+                    waitsFor = WaitReason.ALLOWANCE;
+                    return false;
+                }
+                send(instance, why);
+            }
+            case Verdict.GiveUp(String reason, Duration retryAfter) ->
+                    last.giveUp(reason, retryAfter);
             case Verdict.WaitForAdapter(Instance instance) -> {
                 gateway.notices().wantAdapter(instance, need);
                 waitsFor = WaitReason.ADAPTER;
@@ -153,16 +165,10 @@
         return true;
     }
 
-    private Choice choose(Standing standing, long now) {
-        return standing instanceof Standing.Suspect
-                ? gateway.quarantine().choose(digest, need, history.allowed(), late(now), now)
-                : gateway.dispatcher().choose(need, history.allowed(), late(now), now);
-    }
-
     /** Ends a copy of a request that is refused by now, if it may not have begun to run yet. */
     void stopCondemned() {
         if (!ended && !stream.begun() && attempt != null) {
-            finish(HttpResponseStatus.BAD_GATEWAY, "instances end under it; it may have run");
+            last.finish(HttpResponseStatus.BAD_GATEWAY, "instances end under it; it may have run");
         }
     }
 
@@ -192,22 +198,13 @@
         return times.admission(stream.begun() ? BootClock.nanos() : request.arrivedAt());
     }
 
-    private void giveUp(String reason, Duration retryAfter) {
-        if (stream.begun()) {
-            breakOff(reason);
-        } else if (mayHaveRun) {
-            finish(HttpResponseStatus.BAD_GATEWAY, "the outcome is unknown: " + reason);
-        } else {
-            refuse(reason, retryAfter);
-        }
-    }
-
     private void send(Instance instance, String why) {
         long now = BootClock.nanos();
         if (history.sends() > 0 && !gateway.mayResend(now)) {
-            giveUp("too many requests are sent a second time", SOON);
+            last.giveUp("too many requests are sent a second time", FinalAnswer.SOON);
             return;
         }
+        rights.use();
         attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), this);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
         log.sent(need, instance, history.sends() + 1, why, now - waitingSince, waitsFor, load);
@@ -215,46 +212,30 @@
         sentAt = now;
         gateway.quarantine().sent(digest, instance, this);
         attempt.begin(
-                RequestCopy.of(request, need, instance, leftMillis, stream.lastEvent()),
+                RequestCopy.of(
+                        request,
+                        need,
+                        instance,
+                        rights.customer(),
+                        gateway.customers().keysNeeded(),
+                        leftMillis,
+                        stream.lastEvent()),
                 request.id());
     }
 
     private void outOfTime() {
-        if (ended) {
-            return;
-        }
-        if (stream.begun()) {
-            breakOff("its time has passed");
-        } else if (history.sends() == 0) {
-            refuse("its time has passed", SOON);
-        } else {
-            finish(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came in time");
+        if (!ended) {
+            last.outOfTime();
         }
     }
 
-    private void refuse(String reason, Duration retryAfter) {
-        long version = gateway.knowsRoutes() ? gateway.routes().version() : -1;
-        log.refused(need, reason, retryAfter, history.sends(), version);
-        close();
-        answers.answer(Answers.refusal(reason, request.id(), retryAfter));
-    }
-
-    private void finish(HttpResponseStatus status, String reason) {
-        log.failed(status.code(), reason, history.sends());
-        close();
-        answers.answer(Answers.failure(status, reason, request.id()));
-    }
-
-    private void breakOff(String reason) {
-        log.brokenOff(reason, stream.lastEvent(), history.sends());
-        close();
-        answers.abort();
-    }
-
     private void close() {
         ended = true;
         timer.cancel();
         gateway.gone(this);
+        if (rights != null) {
+            rights.close(history.mayHaveRun() || stream.begun() || attempt != null);
+        }
         if (attempt != null) {
             attempt.abandon();
             endAttempt();
@@ -292,16 +273,13 @@
     @Override
     public void answered(HttpResponse head, ByteBuf body) {
         Instance instance = endAttempt();
-        boolean notRun =
-                head.headers().contains(Headers.NOT_RUN)
-                        || head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-        if (notRun) {
+        if (Answers.saysNotRun(head)) {
             notRun(instance, head);
             return;
         }
         log.answered(head.status().code(), stream.lastEvent(), history.sends());
         gateway.quarantine().endedWell(digest);
-        mayHaveRun = true;
+        history.ran();
         boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
         if (failed) {
             gateway.dispatcher().erred(instance.id());
@@ -313,7 +291,8 @@
         } else if (failed && mayGoOn()) {
             goOn(instance, "the instance failed");
         } else if (Answers.looksLikeRefusal(head.status())) {
-            finish(HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
+            last.finish(
+                    HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
         } else {
             close();
             answers.answer(Answers.whole(head, body));
@@ -329,28 +308,16 @@
             goOn(instance, "the instance cannot be reached");
             return;
         }
-        mayHaveRun = true;
+        history.ran();
         if (!mayGoOn()) {
-            endBroken();
+            last.endBroken();
         }
-        gateway.quarantine().brokeOff(digest, instance, sentAt, () -> goOn(instance, BROKE_OFF));
+        gateway.quarantine()
+                .brokeOff(digest, instance, sentAt, () -> goOn(instance, FinalAnswer.BROKE_OFF));
     }
 
-    /** Returns whether another instance may take up what broke off. */
     private boolean mayGoOn() {
-        boolean may =
-                stream.begun()
-                        ? route.resumable() && stream.lastEvent().isPresent()
-                        : route.repeatable();
-        return may && history.another();
-    }
-
-    private void endBroken() {
-        if (stream.begun()) {
-            breakOff(BROKE_OFF);
-        } else {
-            finish(HttpResponseStatus.BAD_GATEWAY, BROKE_OFF);
-        }
+        return history.mayGoOn(stream.begun(), stream.lastEvent().isPresent());
     }
 
     private void goOn(Instance instance, String reason) {
@@ -371,21 +338,21 @@
         } else if (history.another()) {
             goOn(instance, "the instance did not run it");
         } else {
-            giveUp("the instance did not run it", SOON);
+            last.giveUp("the instance did not run it", FinalAnswer.SOON);
         }
     }
 
     private void resume(Instance instance) {
         if (mayGoOn()) {
-            goOn(instance, BROKE_OFF);
+            goOn(instance, FinalAnswer.BROKE_OFF);
         } else {
-            endBroken();
+            last.endBroken();
         }
     }
 
     private void again(String reason) {
         if (BootClock.nanos() - deadlineAt() >= 0) {
-            giveUp(reason, SOON);
+            last.giveUp(reason, FinalAnswer.SOON);
             return;
         }
         waitingSince = BootClock.nanos();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestCopy.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestCopy.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.customer.Customer;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.platform.Headers;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -23,6 +25,8 @@
     /**
      * Returns the request for an instance.
      *
+     * @param customer whose request it is, told to the instance in place of the key
+     * @param keysNeeded whether requests carry keys, which the instance is not to see
      * @param leftMillis how long the instance may work on it
      * @param lastEvent the last event that the caller holds of a stream that broke off
      */
@@ -30,6 +34,8 @@
             CallerRequest request,
             Need need,
             Instance instance,
+            Optional<Customer> customer,
+            boolean keysNeeded,
             long leftMillis,
             OptionalLong lastEvent) {
         FullHttpRequest copy =
@@ -40,6 +46,10 @@
                         Unpooled.wrappedBuffer(request.body()));
         Answers.copyHeaders(request.headers(), copy.headers());
         Headers.SYSTEM_ONLY.forEach(copy.headers()::remove);
+        if (keysNeeded) {
+            copy.headers().remove(Headers.AUTHORIZATION);
+        }
+        customer.ifPresent(one -> copy.headers().set(Headers.CUSTOMER, one.id().value()));
         boolean hasBody =
                 request.body().length > 0
                         || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.stackhall.core.customer.Customer;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
@@ -8,6 +9,7 @@
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -24,6 +26,7 @@
     private final RequestDigest digest;
     private final long arrivedAt;
     private String route = "none";
+    private String customer = "";
     private long firstMillis = -1;
 
     RequestLog(Gateway gateway, CallerRequest request, RequestDigest digest) {
@@ -39,6 +42,11 @@
         route = name;
     }
 
+    /** Notes whose request it is. */
+    void customer(Optional<Customer> holder) {
+        customer = holder.map(one -> one.id().value()).orElse("");
+    }
+
     void noRoute(String host, String target, long routesVersion) {
         metrics.requestEnded(route, "no-route");
         long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
@@ -68,7 +76,7 @@
             logger.info(
                     "request.sent id={} digest={} instance={} service={} model={} adapter={}"
                             + " send={} why={} waitedMs={} waitedFor={} occupancy={}"
-                            + " instanceSequence={} leftOut={}",
+                            + " instanceSequence={} customer={} leftOut={}",
                     id,
                     digest,
                     instance.id(),
@@ -81,6 +89,7 @@
                     waitedFor,
                     (long) load,
                     instance.sequence(),
+                    customer,
                     leftOut);
         }
     }
@@ -93,6 +102,7 @@
 
     void answered(int status, OptionalLong lastEvent, int sends) {
         metrics.requestEnded(route, "answered");
+        metrics.customerRequest(customer, "answered");
         metrics.reached("end", BootClock.nanos() - arrivedAt);
         long leftOut = lines.take(LineBudget.Kind.ANSWERED, BootClock.nanos());
         if (leftOut >= 0) {
@@ -144,11 +154,13 @@
 
     void refused(Need need, String reason, Duration retryAfter, int sends, long routesVersion) {
         metrics.requestEnded(route, "refused");
+        metrics.customerRequest(customer, "refused");
         long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.refused id={} digest={} reason={} retryAfterMs={} service={} model={}"
-                            + " adapter={} rank={} ageMs={} sends={} routesVersion={} leftOut={}",
+                            + " adapter={} rank={} ageMs={} sends={} routesVersion={} customer={}"
+                            + " leftOut={}",
                     id,
                     digest,
                     reason,
@@ -160,21 +172,25 @@
                     ageMillis(),
                     sends,
                     routesVersion,
+                    customer,
                     leftOut);
         }
     }
 
     void failed(int status, String reason, int sends) {
         metrics.requestEnded(route, "failed");
+        metrics.customerRequest(customer, "failed");
         long leftOut = lines.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "request.failed id={} status={} reason={} ageMs={} sends={} leftOut={}",
+                    "request.failed id={} status={} reason={} ageMs={} sends={} customer={}"
+                            + " leftOut={}",
                     id,
                     status,
                     reason,
                     ageMillis(),
                     sends,
+                    customer,
                     leftOut);
         }
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/json/IdModule.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/json/IdModule.java
@@ -8,8 +8,8 @@
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
 import io.stackhall.core.id.ChangeId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.Id;
 import io.stackhall.core.id.IdempotencyKey;
@@ -31,7 +31,7 @@
         SimpleModule module = new SimpleModule("ids");
         module.addSerializer(Id.class, new IdSerializer());
         add(module, AttemptToken.class, AttemptToken::new);
-        add(module, CallerId.class, CallerId::new);
+        add(module, CustomerId.class, CustomerId::new);
         add(module, ChangeId.class, ChangeId::new);
         add(module, HostId.class, HostId::new);
         add(module, IdempotencyKey.class, IdempotencyKey::new);
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -15,13 +15,14 @@
 /** The metrics of a process that finds the others by seeds. Labels are bounded. */
 public final class FleetMetrics {
 
-    /** More routes than this share one label: a configuration may grow by hundreds of routes. */
-    private static final int MOST_ROUTES = 100;
+    /** More routes or customers than this share one label: there may be hundreds of either. */
+    private static final int MOST_LABELS = 100;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Set<String> routes = new HashSet<>();
+    private final Set<String> customers = new HashSet<>();
     private final Counter requests =
             Counter.builder()
                     .name("stackhall_relayed_requests_total")
@@ -34,6 +35,12 @@
                     .help("Requests sent to upstreams, by service and how they ended.")
                     .labelNames("service", "ending")
                     .register(registry);
+    private final Counter customerRequests =
+            Counter.builder()
+                    .name("stackhall_customer_requests_total")
+                    .help("Customers' requests by how they ended.")
+                    .labelNames("customer", "outcome")
+                    .register(registry);
     private final Histogram seconds =
             Histogram.builder()
                     .name("stackhall_relay_seconds")
@@ -50,7 +57,14 @@
 
     /** Notes how a request ended. */
     public void requestEnded(String route, String outcome) {
-        requests.labelValues(bounded(route), outcome).inc();
+        requests.labelValues(bounded(routes, route), outcome).inc();
+    }
+
+    /** Notes how a customer's request ended; one without a customer is not noted. */
+    public void customerRequest(String customer, String outcome) {
+        if (!customer.isEmpty()) {
+            customerRequests.labelValues(bounded(customers, customer), outcome).inc();
+        }
     }
 
     /** Notes how a request to an upstream ended. */
@@ -80,10 +94,10 @@
         return out.toByteArray();
     }
 
-    private String bounded(String route) {
-        if (routes.size() < MOST_ROUTES) {
-            routes.add(route);
+    private static String bounded(Set<String> labels, String name) {
+        if (labels.size() < MOST_LABELS) {
+            labels.add(name);
         }
-        return routes.contains(route) ? route : "other";
+        return labels.contains(name) ? name : "other";
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/operators/DeploymentMapper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/operators/DeploymentMapper.java
@@ -9,7 +9,7 @@
 import io.stackhall.core.config.Priority;
 import io.stackhall.core.config.ServiceSpec;
 import io.stackhall.core.config.WeightStoreSpec;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.rpc.generated.operators.Adapter;
@@ -132,7 +132,7 @@
     private static CallerSpec caller(Caller from) {
         String priority = from.getPriority().isEmpty() ? "NORMAL" : from.getPriority();
         return new CallerSpec(
-                new CallerId(from.getId()), from.getKeyHash(), Priority.valueOf(priority));
+                new CustomerId(from.getId()), from.getKeyHash(), Priority.valueOf(priority));
     }
 
     private static PolicySpec policy(Policy from) {
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.settings;
 
+import io.stackhall.core.customer.LimitTolerance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
 import java.nio.file.Path;
@@ -66,6 +67,10 @@
      * @param retryWindow the window in which resends are counted
      * @param storeWindow the window in which loads from the weight store are counted
      * @param hostLossesBorne how many hosts of the control group may be lost at once
+     * @param keyRevocation within which time of its acknowledgement a configuration that takes a
+     *     customer's key away holds on every host; empty where a host that no word of it reaches
+     *     may go on
+     * @param limitTolerance by how much the hosts together may exceed a customer's limit
      */
     public record Limits(
             Duration heartbeat,
@@ -76,7 +81,9 @@
             double retrySlack,
             Duration retryWindow,
             Duration storeWindow,
-            int hostLossesBorne) {}
+            int hostLossesBorne,
+            Optional<Duration> keyRevocation,
+            LimitTolerance limitTolerance) {}
 
     /** Returns the name under which others reach a host's process: its peer address. */
     public HostId peerName() {
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -1,9 +1,11 @@
 package io.stackhall.server.settings;
 
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.customer.LimitTolerance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,6 +20,9 @@
     /** More than any deployment sends; a larger figure is a slip of the pen. */
     private static final double MOST_RESENDS = 1_000_000;
 
+    /** More tokens than any window of a deployment's whole traffic has. */
+    private static final double MOST_SLACK = 1e9;
+
     private final List<Finding> findings;
 
     FleetSettingsReader(List<Finding> findings) {
@@ -93,8 +98,21 @@
                         section.decimal("retrySlack", 50, 0, MOST_RESENDS),
                         section.decimalMillis("retryWindowMillis", 10_000, 100, MINUTE_MILLIS),
                         section.decimalMillis("storeWindowMillis", 5000, 100, MINUTE_MILLIS),
-                        section.number("hostLossesBorne", 1, 0, 100));
+                        section.number("hostLossesBorne", 1, 0, 100),
+                        Optional.of(
+                                        section.decimalMillis(
+                                                "keyRevocationMillis", 0, 0, MINUTE_MILLIS))
+                                .filter(Duration::isPositive),
+                        tolerance(section));
         section.finish();
         return limits;
     }
+
+    /** Where nothing is told, no limit is exceeded. */
+    private static LimitTolerance tolerance(Section section) {
+        return new LimitTolerance(
+                section.decimalMillis("limitWindowMillis", 10_000, 100, 10 * MINUTE_MILLIS),
+                section.decimal("limitOverage", 0, 0, 1),
+                section.decimal("limitSlack", 0, 0, MOST_SLACK));
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/storage/DataFolder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/DataFolder.java
@@ -9,10 +9,15 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** The one folder under which a process keeps its files; locked while the process runs. */
 public final class DataFolder implements Closeable {
 
+    private static final Logger logger = LogManager.getLogger(DataFolder.class);
+
     private static final String LOCK_FILE = "lock";
 
     private final Path path;
@@ -30,6 +35,7 @@
      */
     public static DataFolder open(Path path) throws IOException {
         Files.createDirectories(path);
+        keepPrivate(path);
         FileChannel channel =
                 FileChannel.open(
                         path.resolve(LOCK_FILE),
@@ -47,6 +53,15 @@
         throw new IOException("data folder " + path + " is held by another process");
     }
 
+    /** The configuration holds customers' keys. Storage without owners is left as it is. */
+    private static void keepPrivate(Path folder) {
+        try {
+            Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwx------"));
+        } catch (IOException | UnsupportedOperationException e) {
+            logger.warn("storage.not-private folder={} {}", folder, e.toString());
+        }
+    }
+
     /** Returns a path within the folder. */
     public Path resolve(String name) {
         return path.resolve(name);
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.training;
 
+import io.stackhall.core.customer.LimitTolerance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.platform.Calls;
@@ -37,6 +38,7 @@
     private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     private static final Duration PAUSE = Duration.ofMillis(50);
+    private static final Duration KEY_REVOCATION = Duration.ofSeconds(5);
     private static final Duration HEARTBEAT = Duration.ofMillis(300);
 
     private final Address controlApi = new Address(CONTROL_IP, freePort(CONTROL_IP));
@@ -124,7 +126,9 @@
                         0,
                         Duration.ofSeconds(10),
                         Duration.ofSeconds(5),
-                        0),
+                        0,
+                        Optional.of(KEY_REVOCATION),
+                        new LimitTolerance(Duration.ofSeconds(8), 0, 0)),
                 Optional.empty());
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/CapacityBenchmark.java
@@ -12,7 +12,7 @@
 import io.stackhall.core.config.Configuration;
 import io.stackhall.core.config.Deployment;
 import io.stackhall.core.config.Priority;
-import io.stackhall.core.id.CallerId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.RequestId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.membership.Announcement;
@@ -283,7 +283,7 @@
     private static Arrival arrival(int at) {
         return new Arrival(
                 new RequestId("request-" + at),
-                new CallerId("caller-" + at % 50),
+                new CustomerId("caller-" + at % 50),
                 new Target.Model(Samples.model(at % 240)),
                 Priority.NORMAL,
                 NOW + Duration.ofMinutes(10).toNanos(),
--- a/stackhall-server/src/test/java/io/stackhall/server/bench/Samples.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/bench/Samples.java
@@ -9,8 +9,8 @@
 import io.stackhall.core.config.PolicySpec;
 import io.stackhall.core.config.WeightStoreSpec;
 import io.stackhall.core.id.AttemptToken;
-import io.stackhall.core.id.CallerId;
 import io.stackhall.core.id.ChangeId;
+import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.IdempotencyKey;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
@@ -100,7 +100,7 @@
 
     static ClaimKey key(int number) {
         return new ClaimKey(
-                new CallerId("caller-" + number % 50),
+                new CustomerId("caller-" + number % 50),
                 new IdempotencyKey("3f2a9c1e-0000-4000-8000-" + number));
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.fleet;
 
+import io.stackhall.core.customer.LimitTolerance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.server.clock.BootClock;
@@ -31,6 +32,10 @@
     private static final int LOWEST_PORT = 20_000;
     private static final int PORT_STEP = 4;
     private static final int PORT_STEPS = 3000;
+
+    /** Within which time of its acknowledgement a key that was taken away ends everywhere. */
+    public static final Duration KEY_REVOCATION = Duration.ofSeconds(3);
+
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
     private final Path folder;
@@ -193,7 +198,9 @@
                         50,
                         Duration.ofSeconds(10),
                         Duration.ofSeconds(5),
-                        1),
+                        1,
+                        Optional.of(KEY_REVOCATION),
+                        new LimitTolerance(Duration.ofSeconds(8), 0.1, 2)),
                 Optional.empty());
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestTimesTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestTimesTest.java
@@ -41,7 +41,8 @@
                 1,
                 false,
                 Duration.ofMillis(250),
-                Duration.ofSeconds(2));
+                Duration.ofSeconds(2),
+                false);
     }
 
     private static long millis(long value) {
--- a/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.customer.LimitTolerance;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,6 +30,10 @@
                     Map.entry("{{bounds.budget-slack}}", "52"),
                     Map.entry("{{bounds.budget-window-s}}", "10"),
                     Map.entry("{{bounds.ceiling-window-s}}", "5"),
+                    Map.entry("{{bounds.revoke-ms}}", "5000"),
+                    Map.entry("{{bounds.quota-window-s}}", "8"),
+                    Map.entry("{{bounds.quota-overage}}", "0.1"),
+                    Map.entry("{{bounds.quota-slack}}", "17000"),
                     Map.entry("{{tolerate.machines}}", "1"),
                     Map.entry(
                             "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
@@ -65,6 +70,22 @@
         assertThat(settings.control().orElseThrow().dataFolder()).isEqualTo(Path.of("/data/x"));
     }
 
+    @Test
+    void boundsOfCustomersAreReadWhereTheyAreTold() throws IOException {
+        String text = fill("listen.front", "listen.control");
+        FleetSettings.Limits told = read(text).limits();
+        assertThat(told.keyRevocation()).contains(Duration.ofSeconds(5));
+        assertThat(told.limitTolerance())
+                .isEqualTo(new LimitTolerance(Duration.ofSeconds(8), 0.1, 17_000));
+        String less =
+                without(
+                        without(fillKeepingBounds(), "bounds.revoke-strict"),
+                        "bounds.quota-window-s");
+        FleetSettings.Limits untold = read(less).limits();
+        assertThat(untold.keyRevocation()).isEmpty();
+        assertThat(untold.limitTolerance().slack()).isZero();
+    }
+
     @Test
     void figuresMayBeFractions() throws IOException {
         Map<String, String> fractions =
@@ -158,15 +179,32 @@
 
     private static String fill(String present, String absent, Map<String, String> other)
             throws IOException {
-        String text = Files.readString(TEMPLATE);
-        text = text.replace("{{#" + present + "}}", "").replace("{{/" + present + "}}", "");
-        int from = text.indexOf("{{#" + absent + "}}");
-        String end = "{{/" + absent + "}}";
-        text = text.substring(0, from) + text.substring(text.indexOf(end) + end.length());
+        String text = with(Files.readString(TEMPLATE), present);
+        text = with(with(without(text, absent), "bounds.revoke-strict"), "bounds.quota-window-s");
+        return fillGaps(text, other);
+    }
+
+    private static String fillKeepingBounds() throws IOException {
+        String text = with(Files.readString(TEMPLATE), "listen.front");
+        return fillGaps(without(text, "listen.control"), Map.of());
+    }
+
+    private static String with(String text, String section) {
+        return text.replace("{{#" + section + "}}", "").replace("{{/" + section + "}}", "");
+    }
+
+    private static String without(String text, String section) {
+        int from = text.indexOf("{{#" + section + "}}");
+        String end = "{{/" + section + "}}";
+        return text.substring(0, from) + text.substring(text.indexOf(end) + end.length());
+    }
+
+    private static String fillGaps(String text, Map<String, String> other) {
+        String filled = text;
         for (Map.Entry<String, String> gap : COMMON.entrySet()) {
             String value = other.getOrDefault(gap.getKey(), gap.getValue());
-            text = text.replace(gap.getKey(), value);
+            filled = filled.replace(gap.getKey(), value);
         }
-        return text;
+        return filled;
     }
 }
