An instance that is back at once is held against the request that ended it

Cause: whether an instance that broke a request off has ended is asked by a connection to its address; one that is back within milliseconds answers, and its end was held against nobody. Now such break-offs are kept for five seconds, and a later life under the same name tells that the earlier one had ended. Before: the new process test gets 502 at the fourth try (seen with the call taken out). After: 503, three ends.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -107,6 +107,7 @@
     void changed(Instance instance) {
         logChange(instance);
         dispatcher.changed(instance);
+        quarantine.heardOf(instance.id());
         if (instance.state() == InstanceState.GONE) {
             upstreams.forget(Address.parse(instance.address()));
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -14,6 +14,7 @@
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.quarantine.Trials;
+import io.stackhall.core.quarantine.UnexplainedEnds;
 import io.stackhall.rpc.generated.fleet.AcquittalRecord;
 import io.stackhall.rpc.generated.fleet.CrashNotice;
 import io.stackhall.rpc.generated.fleet.CrashRecord;
@@ -47,6 +48,7 @@
     private final FleetMetrics metrics;
     private final Consumer<Frame> toControlHosts;
     private final CrashLedger ledger = new CrashLedger();
+    private final UnexplainedEnds unexplained = new UnexplainedEnds();
     private final Trials trials = new Trials();
     private final HostPauses pauses = new HostPauses(BootClock.nanos());
     private final Map<RequestDigest, Set<RelayedRequest>> underWay = new HashMap<>();
@@ -126,11 +128,18 @@
                 ended -> {
                     if (ended) {
                         crashed(new Crash(instance.id(), Set.of(request)));
+                    } else {
+                        unexplained.brokeOff(instance.id(), request, BootClock.nanos());
                     }
                     goOn.run();
                 });
     }
 
+    /** Takes in that a life of an instance is heard of. */
+    void heardOf(UpstreamId life) {
+        unexplained.heardOf(life, BootClock.nanos()).forEach(this::crashed);
+    }
+
     /** Takes in what a control host tells. */
     void received(CrashNotice notice) {
         long now = BootClock.nanos();
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
@@ -62,6 +62,31 @@
         assertThat(begun).hasValue(2);
     }
 
+    /** Each life answers the probe that follows its end: the next one is there already. */
+    @Test
+    void instanceThatIsBackAtOnceIsHeldAgainstWhatEndedIt() throws Exception {
+        ScriptedUpstream.Script breaksOff =
+                (request, to) -> {
+                    begun.incrementAndGet();
+                    to.reset();
+                };
+        try (ScriptedUpstream upstream = new ScriptedUpstream("i-1", breaksOff)) {
+            for (int life = 1; life <= 3; life++) {
+                heartbeatOfLife(upstream, life);
+                fleet.call(1, get(FATAL, "r" + life));
+            }
+            heartbeatOfLife(upstream, 4);
+            assertThat(fleet.call(1, get(FATAL, "r4")).status()).isEqualTo(503);
+        }
+        assertThat(begun.get()).isLessThanOrEqualTo(3);
+    }
+
+    private void heartbeatOfLife(ScriptedUpstream upstream, int life) throws IOException {
+        String body = upstream.heartbeat("plain", "ready", 1, "[]");
+        fleet.heartbeat(2, upstream, body.replaceFirst("\\{", "{\"born\":" + 1000 * life + ","));
+        pause(300);
+    }
+
     @Test
     void goodEndTakesBackWhatWasHeldAgainstARequest() throws Exception {
         fatal("i-1");
