A host that was frozen learns what requests end engines before it ends more than one

Process test with three entry hosts: one is stopped while the others learn of a fatal request, which also comes to the stopped one; it ends one engine more at most and refuses the next copy.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/FatalRequestTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/FatalRequestTest.java
@@ -4,6 +4,7 @@
 
 import io.stackhall.tests.harness.CrashingUpstream;
 import io.stackhall.tests.harness.Eventually;
+import io.stackhall.tests.harness.RunningProcess;
 import io.stackhall.tests.harness.SeededHosts;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
@@ -47,6 +48,7 @@
 
     @TempDir private Path folder;
     private SeededHosts hosts;
+    private final List<RunningProcess> entries = new ArrayList<>();
     private final ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
 
     /** What became of one request. */
@@ -59,7 +61,7 @@
             hosts.startControl(number, true);
         }
         for (int number = 1; number <= ENTRY_HOSTS; number++) {
-            hosts.startEntry(number, true);
+            entries.add(hosts.startEntry(number, true));
         }
         Eventually.holds("routes", () -> hosts.put(1, ROUTES) == 200);
         for (int number = 1; number <= UPSTREAMS; number++) {
@@ -110,6 +112,33 @@
                 .allMatch(outcome -> outcome.status() == 200);
     }
 
+    /**
+     * A host that stood still meanwhile has not heard what the others have seen; it hears it, from
+     * those that kept running, before it ends more than one engine.
+     */
+    @Test
+    void hostThatWasFrozenSoonKnowsWhatTheOthersHaveSeen() throws Exception {
+        entries.getLast().freeze();
+        Eventually.holds(
+                "known to the others",
+                () ->
+                        hosts.post(1, "/a/x", "f" + System.nanoTime(), CrashingUpstream.FATAL_BODY)
+                                        .statusCode()
+                                == 503);
+        int before = hosts.upstreamEnds().size();
+        Future<Outcome> arrivedWhileFrozen =
+                callers.submit(() -> send(ENTRY_HOSTS, "frozen", CrashingUpstream.FATAL_BODY));
+        TimeUnit.SECONDS.sleep(1);
+        entries.getLast().thaw();
+        arrivedWhileFrozen.get();
+        TimeUnit.NANOSECONDS.sleep(WORD_SPREADS.toNanos());
+        assertThat(send(ENTRY_HOSTS, "later", CrashingUpstream.FATAL_BODY).status()).isEqualTo(503);
+        assertThat(hosts.upstreamEnds().size() - before)
+                .as("engines that the frozen host has ended")
+                .isLessThanOrEqualTo(1);
+        assertThat(before).as("engines that ended before").isLessThanOrEqualTo(5);
+    }
+
     private Outcome send(int host, String id, String body) throws Exception {
         long sentAt = System.nanoTime();
         HttpResponse<String> answer = hosts.post(host, "/a/x", id, body);
