Hosts tell each other how much there is to read at each engine

Hypothesis: what is to be read, told with the reports of work, bounds them together and picks the engine better. The choice of plain instances and of engines stands in types of its own; a packed configuration has a field of its own, so that entry hosts understand control hosts of before.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -7,9 +7,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.quarantine.RequestDigest;
-import io.stackhall.core.quarantine.Trials;
 import io.stackhall.core.route.EngineSpec;
-import io.stackhall.core.route.ModelWeights;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -32,41 +30,20 @@
     /** Where the routes tell none any more: that of two of three deployments measured. */
     private static final Duration USUAL_OBJECTIVE = Duration.ofMillis(800);
 
-    /** A running request slows a batch about as much as this many prompt tokens delay it once. */
-    private static final double TOKENS_PER_RUNNING = 60;
-
-    /** An instance in another zone is taken if it has this many prompt tokens less to read. */
-    private static final double OTHER_ZONE_TOKENS = 150;
-
-    /** A plain service's instance in another zone counts as holding this many requests more. */
-    private static final double OTHER_ZONE_REQUESTS = 0.3;
-
-    /** Without an answer for this long, a plain instance counts as silent while others answer. */
-    private static final long PLAIN_SILENCE_NANOS = Duration.ofMillis(600).toNanos();
-
-    /** Without a first event for this long, an engine counts as silent while others answer. */
-    private static final long ENGINE_SILENCE_NANOS = Duration.ofMillis(1500).toNanos();
-
-    /** A plain instance queues a few requests beyond its slots. */
-    private static final double PLAIN_QUEUE_SHARE = 2.0;
-
-    private static final double SILENT_PENALTY = 1e6;
-    private static final double FAILURE_WEIGHT = 6;
-
-    private final ZoneId zone;
-    private final RandomGenerator random;
     private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
     private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
     private final ResidencyBelief belief = new ResidencyBelief();
     private Map<ServiceName, EngineSpec> engines = Map.of();
     private Map<ServiceName, Duration> objectives = Map.of();
+    private final Map<ServiceName, ReadingPace> paces = new HashMap<>();
 
-    private record Scored(Instance instance, double score) {}
+    private final PlainChoice plain;
+    private final EngineChoice holders;
 
     /** Creates a dispatcher that knows no instance. */
     public Dispatcher(ZoneId zone, RandomGenerator random) {
-        this.zone = zone;
-        this.random = random;
+        this.plain = new PlainChoice(zone, random, this::load);
+        this.holders = new EngineChoice(zone, random, this::load, belief);
     }
 
     /** Takes over what the services' engines are like. */
@@ -170,15 +147,17 @@
         }
         EngineSpec engine = engines.get(need.service());
         if (need.model().isEmpty() || engine == null) {
-            return plain(serving, apart, now);
+            return plain.choose(serving, apart, now);
         }
-        return resident(need, need.model().get(), serving, engine, late, apart, now);
+        Asked asked = new Asked(need, objective(need.service()), late, apart, now);
+        return holders.choose(asked, serving, engine, pace(need.service()));
     }
 
     /** Notes that a request is sent. */
     public Sending began(UpstreamId id, Need need, long now) {
         InstanceLoad load = load(id);
-        Sending sending = new Sending(id, need, unreadTokens(load, need), now);
+        boolean alone = load.unread(pace(need.service()), now) <= 0;
+        Sending sending = new Sending(id, need, load.unreadOf(need), alone, now);
         load.began(sending.tokens(), now);
         return sending;
     }
@@ -190,8 +169,10 @@
         }
         InstanceLoad load = load(sending.instance());
         load.answered(sending.tokens(), sending.startedAt());
-        Duration objective = objectives.getOrDefault(sending.need().service(), USUAL_OBJECTIVE);
-        load.firstEvent(sending.startedAt(), now, objective);
+        load.firstEvent(sending.startedAt(), now, objective(sending.need().service()));
+        if (sending.alone()) {
+            pace(sending.need().service()).read(sending.tokens(), now - sending.startedAt());
+        }
         load.trust();
         sending.need().parts().forEach(part -> load.read(part.id(), now));
     }
@@ -236,6 +217,25 @@
         }
     }
 
+    /** Takes in how many tokens of the other hosts' prompts each instance has not read yet. */
+    public void othersUnreadTold(Map<UpstreamId, Integer> tokens, long now) {
+        for (UpstreamId id : instances.keySet()) {
+            load(id).othersUnreadTold(tokens.getOrDefault(id, 0), now);
+        }
+    }
+
+    /** Returns how many tokens of this host's prompts each instance has not read yet. */
+    public Map<UpstreamId, Integer> unreadTokens() {
+        Map<UpstreamId, Integer> all = new HashMap<>();
+        loads.forEach(
+                (id, load) -> {
+                    if (load.pendingTokens() > 0) {
+                        all.put(id, (int) Math.min(Integer.MAX_VALUE, load.pendingTokens()));
+                    }
+                });
+        return all;
+    }
+
     /** Takes what this host has to tell of each instance since it told last. */
     public Map<UpstreamId, InstanceWork> takeWork() {
         Map<UpstreamId, InstanceWork> all = new HashMap<>();
@@ -254,138 +254,12 @@
         return load(id).occupancy(now);
     }
 
-    private Choice plain(List<Instance> serving, Optional<RequestDigest> apart, long now) {
-        List<Scored> scored = new ArrayList<>();
-        for (Instance instance : serving) {
-            InstanceLoad load = load(instance.id());
-            if (load.occupancy(now) >= instance.slots() * PLAIN_QUEUE_SHARE) {
-                continue;
-            }
-            double score = (load.occupancy(now) + 1) / Math.max(1, instance.slots());
-            score += instance.zone().equals(zone) ? 0 : OTHER_ZONE_REQUESTS / instance.slots();
-            score *= 1 + FAILURE_WEIGHT * load.failureShare();
-            score += load.suspected(now) ? SILENT_PENALTY : 0;
-            score += load.silentFor(PLAIN_SILENCE_NANOS, now) ? SILENT_PENALTY : 0;
-            scored.add(scored(instance, score, apart));
-        }
-        return scored.isEmpty() ? new Choice.Full(0) : new Choice.Send(least(scored), "load");
-    }
-
-    private Choice resident(
-            Need need,
-            ModelId model,
-            List<Instance> serving,
-            EngineSpec engine,
-            boolean late,
-            Optional<RequestDigest> apart,
-            long now) {
-        List<Instance> holders = new ArrayList<>();
-        for (Instance instance : serving) {
-            boolean reported = instance.copyOf(model).isPresent();
-            if (reported && belief.holds(instance, model, Optional.empty(), true, now)) {
-                holders.add(instance);
-            }
-        }
-        if (holders.isEmpty()) {
-            return missing(model, serving, engine, now);
-        }
-        List<Instance> trusted =
-                holders.stream().filter(holder -> !doubted(holder.id(), now)).toList();
-        return among(trusted.isEmpty() ? holders : trusted, need, engine, late, apart, now);
+    private Duration objective(ServiceName service) {
+        return objectives.getOrDefault(service, USUAL_OBJECTIVE);
     }
 
-    private Choice among(
-            List<Instance> holders,
-            Need need,
-            EngineSpec engine,
-            boolean late,
-            Optional<RequestDigest> apart,
-            long now) {
-        List<Scored> ready = new ArrayList<>();
-        List<Scored> lacking = new ArrayList<>();
-        double placesPerSecond = 0;
-        for (Instance instance : holders) {
-            InstanceLoad load = load(instance.id());
-            placesPerSecond += load.placesPerSecond(engine.slots(), now);
-            if (load.occupancy(now) >= engine.slots() || !load.takesPrompt(late, now)) {
-                continue;
-            }
-            Scored scored = scored(instance, engineScore(instance, load, need, now), apart);
-            boolean hasAdapter = need.adapter().isEmpty() || hasAdapter(instance, need, now);
-            (hasAdapter ? ready : lacking).add(scored);
-        }
-        if (!ready.isEmpty()) {
-            return new Choice.Send(least(ready), "resident");
-        }
-        if (!lacking.isEmpty()) {
-            return new Choice.AdapterMissing(least(lacking));
-        }
-        return new Choice.Full(placesPerSecond);
-    }
-
-    private boolean doubted(UpstreamId id, long now) {
-        InstanceLoad load = load(id);
-        return load.suspected(now) || load.silentFor(ENGINE_SILENCE_NANOS, now);
-    }
-
-    private Choice missing(ModelId model, List<Instance> serving, EngineSpec engine, long now) {
-        Optional<ModelWeights> weights = engine.model(model);
-        if (weights.isEmpty()) {
-            return new Choice.NobodyServes();
-        }
-        Duration load = weights.get().loadFromStore();
-        long soonest = Long.MAX_VALUE;
-        for (Instance instance : serving) {
-            Duration here = weights.get().loadTime(instance.inHostMemory(), instance.onDisk());
-            load = here.compareTo(load) < 0 ? here : load;
-            soonest = Math.min(soonest, belief.leftOfLoad(instance.id(), model, now));
-        }
-        return soonest == Long.MAX_VALUE
-                ? new Choice.ModelMissing(load)
-                : new Choice.ModelComing(Duration.ofNanos(soonest));
-    }
-
-    private double engineScore(Instance instance, InstanceLoad load, Need need, long now) {
-        double tokens = load.pendingTokens() + unreadTokens(load, need);
-        tokens += TOKENS_PER_RUNNING * load.occupancy(now);
-        tokens += instance.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
-        return tokens * (1 + FAILURE_WEIGHT * load.failureShare());
-    }
-
-    private boolean hasAdapter(Instance instance, Need need, long now) {
-        ModelId model = need.model().orElseThrow();
-        boolean reported =
-                instance.copyOf(model)
-                        .filter(copy -> copy.adapters().contains(need.adapter().orElseThrow()))
-                        .isPresent();
-        return belief.holds(instance, model, need.adapter(), reported, now);
-    }
-
-    private static long unreadTokens(InstanceLoad load, Need need) {
-        long unread = need.promptTokens();
-        for (PromptPart part : need.parts()) {
-            if (!load.hasRead(part.id())) {
-                break;
-            }
-            unread -= part.tokens();
-        }
-        return Math.max(0, unread);
-    }
-
-    private static Scored scored(Instance instance, double score, Optional<RequestDigest> apart) {
-        return new Scored(
-                instance,
-                apart.map(request -> (double) Trials.order(request, instance.id())).orElse(score));
-    }
-
-    private Instance least(List<Scored> scored) {
-        Scored best = scored.get(random.nextInt(scored.size()));
-        for (Scored candidate : scored) {
-            if (candidate.score() < best.score()) {
-                best = candidate;
-            }
-        }
-        return best.instance();
+    private ReadingPace pace(ServiceName service) {
+        return paces.computeIfAbsent(service, name -> new ReadingPace());
     }
 
     /** Nothing is kept of an instance that is not known, whose requests may still come back. */
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -41,6 +41,8 @@
     private int running;
     private long pendingTokens;
     private double others;
+    private long othersUnread;
+    private long othersUnreadAt;
     private long othersToldAt;
     private boolean tellsItself;
     private int answers;
@@ -128,6 +130,18 @@
         tellsItself = false;
     }
 
+    /** Takes in how many tokens of their prompts other hosts have here that are not read yet. */
+    void othersUnreadTold(long tokens, long now) {
+        othersUnread = tokens;
+        othersUnreadAt = now;
+    }
+
+    /** Returns the tokens of all hosts' prompts that are not read yet, as far as is known. */
+    double unread(ReadingPace pace, long now) {
+        double readSince = othersUnread == 0 ? 0 : pace.tokensIn(now - othersUnreadAt);
+        return pendingTokens + Math.max(0, othersUnread - readSince);
+    }
+
     void suspect(long now) {
         suspicions++;
         long period = FIRST_SUSPICION_NANOS << Math.min(suspicions - 1, 3);
@@ -173,8 +187,16 @@
         parts.put(part, now);
     }
 
-    boolean hasRead(String part) {
-        return parts.containsKey(part);
+    /** Returns the tokens of a request's prompt that this host did not see read here. */
+    long unreadOf(Need need) {
+        long unread = need.promptTokens();
+        for (PromptPart part : need.parts()) {
+            if (!parts.containsKey(part.id())) {
+                break;
+            }
+            unread -= part.tokens();
+        }
+        return Math.max(0, unread);
     }
 
     double othersNow(long now) {
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReadingPace.java
@@ -0,0 +1,56 @@
+package io.stackhall.core.dispatch;
+
+import java.time.Duration;
+
+/**
+ * How fast the engines of one service read prompts, learned from the answers of engines that had
+ * little else to read, and so how much may wait at one for the next prompt to be read in time.
+ */
+final class ReadingPace {
+
+    /** One in this many samples counts in the mean. */
+    private static final double MEMORY = 16;
+
+    /** So few answers may be odd ones. */
+    private static final int LEAST_SAMPLES = 4;
+
+    /**
+     * The rest of the objective is for what others have sent that was not told yet, and for
+     * waiting.
+     */
+    private static final double OBJECTIVE_SHARE = 0.5;
+
+    /** What can only be late leaves room for what can be in time. */
+    private static final double LATE_SHARE = 0.5;
+
+    private double nanosPerToken;
+    private int samples;
+
+    /** Takes in how long an engine with little else to read took to the first event. */
+    void read(long tokens, long nanos) {
+        if (tokens <= 0) {
+            return;
+        }
+        samples++;
+        double memory = Math.min(samples, MEMORY);
+        nanosPerToken += ((double) nanos / tokens - nanosPerToken) / memory;
+    }
+
+    /** Returns how many tokens an engine reads in a while, as many as you like if not known. */
+    double tokensIn(long nanos) {
+        return samples < LEAST_SAMPLES ? Double.POSITIVE_INFINITY : nanos / nanosPerToken;
+    }
+
+    /**
+     * Returns whether a prompt is read in time behind those that wait at an engine.
+     *
+     * @param waitingTokens tokens that are to be read before it
+     * @param objective the shortest of those who ask the engine
+     * @param late whether its answer can only be late
+     */
+    boolean inTime(double waitingTokens, long ownTokens, Duration objective, boolean late) {
+        double share = late ? OBJECTIVE_SHARE * LATE_SHARE : OBJECTIVE_SHARE;
+        long nanos = Math.round(objective.toNanos() * share);
+        return waitingTokens <= 0 || waitingTokens + ownTokens <= tokensIn(nanos);
+    }
+}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Sending.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Sending.java
@@ -8,14 +8,16 @@
     private final UpstreamId instance;
     private final Need need;
     private final long tokens;
+    private final boolean alone;
     private final long startedAt;
     private boolean answered;
     private boolean ended;
 
-    Sending(UpstreamId instance, Need need, long tokens, long startedAt) {
+    Sending(UpstreamId instance, Need need, long tokens, boolean alone, long startedAt) {
         this.instance = instance;
         this.need = need;
         this.tokens = tokens;
+        this.alone = alone;
         this.startedAt = startedAt;
     }
 
@@ -39,6 +41,13 @@
         return tokens;
     }
 
+    /**
+     * Returns whether the instance had nothing else to read when it was sent, as far as is known.
+     */
+    boolean alone() {
+        return alone;
+    }
+
     /** Returns whether this is the first mark. */
     boolean markAnswered() {
         boolean first = !answered;
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/ManyHostsReplay.java
@@ -0,0 +1,201 @@
+package io.stackhall.core.dispatch;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.instance;
+
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Demand that jumps at many hosts to a model of which one engine has a copy; further copies come
+ * one after the other. Engines read prompts one after another. Times are in milliseconds.
+ */
+final class ManyHostsReplay {
+
+    private static final long LENGTH = 8000;
+    private static final long OBJECTIVE = 800;
+    private static final long LOOK = 25;
+    private static final long PATIENCE = 5000;
+    private static final int TOKENS = 1800;
+    private static final double TOKENS_PER_MILLI = 19;
+    private static final long FIRST_COPY_AFTER = 1200;
+    private static final long COPY_EVERY = 600;
+    private static final int COPIES = 6;
+
+    private final Random random;
+    private final int hosts;
+    private final double perSecond;
+    private final boolean told;
+    private final List<Dispatcher> dispatchers = new ArrayList<>();
+    private final Map<UpstreamId, Long> readUntil = new HashMap<>();
+    private final PriorityQueue<Reading> readings =
+            new PriorityQueue<>((one, other) -> Long.compare(one.at(), other.at()));
+    private final List<Waiting> waiting = new ArrayList<>();
+    private int asked;
+    private int inTime;
+
+    /** A prompt that an engine will have read at a moment. */
+    private record Reading(long at, int host, Sending sending, long arrivedAt) {}
+
+    /** A request that waits at its host. */
+    private record Waiting(int host, long arrivedAt) {}
+
+    /**
+     * Creates a play.
+     *
+     * @param told whether hosts tell each other how much there is to read
+     */
+    ManyHostsReplay(long seed, int hosts, double perSecond, boolean told) {
+        this.random = new Random(seed);
+        this.hosts = hosts;
+        this.perSecond = perSecond;
+        this.told = told;
+        for (int host = 0; host < hosts; host++) {
+            dispatchers.add(dispatcher(seed * 1000 + host));
+        }
+    }
+
+    /** Returns the share of the requests whose first event comes within the objective. */
+    double play() {
+        for (long now = 1; now < LENGTH; now++) {
+            copiesCome(now);
+            read(now);
+            tell(now);
+            arrive(now);
+            if (now % LOOK == 0) {
+                lookAgain(now);
+            }
+        }
+        return (double) inTime / asked;
+    }
+
+    private static Dispatcher dispatcher(long seed) {
+        Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), new Random(seed));
+        ModelWeights weights =
+                new ModelWeights(
+                        new ModelId("m"),
+                        100,
+                        List.of(),
+                        1,
+                        Duration.ofSeconds(8),
+                        Duration.ofMillis(1700),
+                        Duration.ofMillis(800));
+        EngineSpec spec =
+                new EngineSpec(
+                        64, 93_922, 300, 2, 1, 200, 600, EngineSpec.byName(List.of(weights)));
+        dispatcher.engines(Map.of(SERVICE, spec));
+        dispatcher.objectives(Map.of(SERVICE, Duration.ofMillis(OBJECTIVE)));
+        warmUp(dispatcher);
+        return dispatcher;
+    }
+
+    /** The host has seen how fast engines read. */
+    private static void warmUp(Dispatcher dispatcher) {
+        dispatcher.changed(instance("warm", 1, "other"));
+        for (int count = 0; count < 8; count++) {
+            Sending sending = dispatcher.began(new UpstreamId("warm"), need(), 0);
+            long nanos = nanos(Math.round(TOKENS / TOKENS_PER_MILLI));
+            dispatcher.answered(sending, nanos);
+            dispatcher.ended(sending, nanos);
+        }
+    }
+
+    private void copiesCome(long now) {
+        long since = now - FIRST_COPY_AFTER;
+        boolean further = since >= 0 && since % COPY_EVERY == 0 && since / COPY_EVERY < COPIES - 1;
+        if (now == 1 || further) {
+            String name = now == 1 ? "a0" : "a" + (1 + since / COPY_EVERY);
+            dispatchers.forEach(dispatcher -> dispatcher.changed(instance(name, 1, "m")));
+            readUntil.put(new UpstreamId(name), now);
+        }
+    }
+
+    private void read(long now) {
+        while (!readings.isEmpty() && readings.peek().at() <= now) {
+            Reading reading = readings.poll();
+            Dispatcher dispatcher = dispatchers.get(reading.host());
+            dispatcher.answered(reading.sending(), nanos(now));
+            dispatcher.ended(reading.sending(), nanos(now));
+            inTime += now - reading.arrivedAt() <= OBJECTIVE ? 1 : 0;
+        }
+    }
+
+    /** Each host is told every 150 ms what the others had a while before. */
+    private void tell(long now) {
+        if (!told || now % 150 != 0) {
+            return;
+        }
+        Map<UpstreamId, Integer> all = new HashMap<>();
+        dispatchers.forEach(
+                dispatcher ->
+                        dispatcher
+                                .unreadTokens()
+                                .forEach((id, tokens) -> all.merge(id, tokens, Integer::sum)));
+        for (Dispatcher dispatcher : dispatchers) {
+            Map<UpstreamId, Integer> others = new HashMap<>(all);
+            dispatcher
+                    .unreadTokens()
+                    .forEach((id, tokens) -> others.merge(id, -tokens, Integer::sum));
+            dispatcher.othersUnreadTold(others, nanos(now));
+        }
+    }
+
+    private void arrive(long now) {
+        if (random.nextDouble() < perSecond / 1000) {
+            asked++;
+            Waiting request = new Waiting(random.nextInt(hosts), now);
+            if (!sent(request, now)) {
+                waiting.add(request);
+            }
+        }
+    }
+
+    private void lookAgain(long now) {
+        waiting.removeIf(request -> now - request.arrivedAt() > PATIENCE);
+        waiting.sort(
+                (one, other) ->
+                        Boolean.compare(late(one, now), late(other, now)) != 0
+                                ? Boolean.compare(late(one, now), late(other, now))
+                                : Long.compare(one.arrivedAt(), other.arrivedAt()));
+        waiting.removeIf(request -> sent(request, now));
+    }
+
+    private boolean sent(Waiting request, long now) {
+        Dispatcher dispatcher = dispatchers.get(request.host());
+        Choice choice = dispatcher.choose(need(), id -> true, late(request, now), nanos(now));
+        if (!(choice instanceof Choice.Send send)) {
+            return false;
+        }
+        UpstreamId engine = send.instance().id();
+        Sending sending = dispatcher.began(engine, need(), nanos(now));
+        long begins = Math.max(now, readUntil.get(engine));
+        long at = begins + Math.round(TOKENS / TOKENS_PER_MILLI);
+        readUntil.put(engine, at);
+        readings.add(new Reading(at, request.host(), sending, request.arrivedAt()));
+        return true;
+    }
+
+    private static boolean late(Waiting request, long now) {
+        return now - request.arrivedAt() > OBJECTIVE * 7 / 8;
+    }
+
+    private static Need need() {
+        return new Need(
+                SERVICE, Optional.of(new ModelId("m")), Optional.empty(), List.of(), TOKENS, 8, 1);
+    }
+
+    private static long nanos(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -195,7 +195,7 @@
 
     private void worked(WorkReport report) {
         Map<UpstreamId, InstanceWork> work = WorkCodec.decode(report);
-        fleet.worked(new HostId(report.getHost()), work);
+        fleet.worked(new HostId(report.getHost()), work, WorkCodec.unread(report));
         orders.worked(work);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -153,7 +153,7 @@
      * Tells each that has this host as its primary the work of the others, less often the more of
      * them there are.
      */
-    void tellWork(WorkReports works) {
+    void tellWork(WorkReports works, WorkReports unreads) {
         long now = BootClock.nanos();
         long primaries = followers.values().stream().filter(one -> one.primary).count();
         ReportPace pace = new ReportPace(Math.toIntExact(primaries));
@@ -162,17 +162,21 @@
         }
         workToldAt = now;
         works.shared(followers.size());
-        followers.forEach((host, follower) -> tellWork(works, host, follower, now));
+        unreads.shared(followers.size());
+        followers.forEach((host, follower) -> tellWork(works, unreads, host, follower, now));
     }
 
     /** What nobody works on is told once. */
-    private void tellWork(WorkReports works, String host, Follower follower, long now) {
+    private void tellWork(
+            WorkReports works, WorkReports unreads, String host, Follower follower, long now) {
         if (!follower.primary) {
             return;
         }
         Map<UpstreamId, Integer> others = works.sumWithout(new HostId(host), now);
         if (follower.works.isDue(!others.isEmpty())) {
-            follower.replier.send(WorkCodec.encodeOthers(self, others));
+            follower.replier.send(
+                    WorkCodec.encodeOthers(
+                            self, others, unreads.sumWithout(new HostId(host), now)));
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -66,6 +66,8 @@
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
     private final WorkReports works = new WorkReports();
+    private final WorkReports unreads = new WorkReports();
+    private final WorkReports ownUnreads = new WorkReports();
     private final ReportSum sum = new ReportSum();
     private final NothingOnce worksToTell = new NothingOnce();
     private final NothingOnce demandsToTell = new NothingOnce();
@@ -219,11 +221,13 @@
     }
 
     /** Takes in how many requests an entry host, or those of another control host, have where. */
-    void worked(HostId host, Map<UpstreamId, InstanceWork> work) {
+    void worked(HostId host, Map<UpstreamId, InstanceWork> work, Map<UpstreamId, Integer> unread) {
         long now = BootClock.nanos();
+        unreads.reported(host, unread, now);
         works.reported(host, WorkCodec.requests(work), now);
         if (followers.isPrimaryOf(host)) {
             sum.worked(host, work, now);
+            ownUnreads.reported(host, unread, now);
         }
     }
 
@@ -239,9 +243,10 @@
     void passReportsOn() {
         long now = BootClock.nanos();
         sum.shared(followers.count());
+        ownUnreads.shared(followers.count());
         Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
         if (worksToTell.isDue(!work.isEmpty())) {
-            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work));
+            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work, ownUnreads.sum(now)));
         }
         Map<String, ReportSum.Asked> asked = sum.takeAsked(now);
         if (demandsToTell.isDue(!asked.isEmpty())) {
@@ -259,7 +264,7 @@
 
     /** Tells each entry host the work of the others. */
     void tellWork() {
-        followers.tellWork(works);
+        followers.tellWork(works, unreads);
     }
 
     /** Forgets entry hosts that have stopped asking. */
@@ -379,7 +384,7 @@
     }
 
     private RoutesUpdate.Builder wholeRoutes() {
-        return routesVersion().setBody(packedRoutes);
+        return routesVersion().setPackedBody(packedRoutes);
     }
 
     private RoutesUpdate.Builder routesVersion() {
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/RoutesCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/RoutesCodec.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.fleet;
 
 import com.google.protobuf.ByteString;
+import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -31,11 +32,17 @@
     }
 
     /**
-     * Returns a configuration as it was before it was packed.
+     * Returns the configuration that an update brings, packed or as earlier versions send it.
      *
-     * @throws IOException if it was not packed so
+     * @throws IOException if it cannot be unpacked
      */
-    public static byte[] unpack(ByteString packed) throws IOException {
+    public static byte[] body(RoutesUpdate update) throws IOException {
+        return update.getPackedBody().isEmpty()
+                ? update.getBody().toByteArray()
+                : unpack(update.getPackedBody());
+    }
+
+    private static byte[] unpack(ByteString packed) throws IOException {
         try (InflaterInputStream in =
                 new InflaterInputStream(new ByteArrayInputStream(packed.toByteArray()))) {
             byte[] body = in.readNBytes(MOST_BYTES);
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkCodec.java
@@ -17,7 +17,8 @@
     private WorkCodec() {}
 
     /** Returns the frame in which an entry host tells of its own work. */
-    public static Frame encodeOwn(HostId host, Map<UpstreamId, InstanceWork> work) {
+    public static Frame encodeOwn(
+            HostId host, Map<UpstreamId, InstanceWork> work, Map<UpstreamId, Integer> unread) {
         WorkReport.Builder report = WorkReport.newBuilder().setHost(host.value());
         work.forEach(
                 (id, one) ->
@@ -26,15 +27,17 @@
                                         .setInstance(id.toString())
                                         .setRequests(one.requests())
                                         .setAnswered(one.answered())
-                                        .setSlow(one.slow())));
+                                        .setSlow(one.slow())
+                                        .setUnreadTokens(unread.getOrDefault(id, 0))));
         return Frame.newBuilder().setWork(report).build();
     }
 
     /** Returns the frame in which a control host tells of the work of others. */
-    public static Frame encodeOthers(HostId host, Map<UpstreamId, Integer> requests) {
+    public static Frame encodeOthers(
+            HostId host, Map<UpstreamId, Integer> requests, Map<UpstreamId, Integer> unread) {
         Map<UpstreamId, InstanceWork> work = new HashMap<>();
         requests.forEach((id, count) -> work.put(id, new InstanceWork(count, 0, 0)));
-        return encodeOwn(host, work);
+        return encodeOwn(host, work, unread);
     }
 
     /** Returns the frame in which a control host tells what its entry hosts are asked for. */
@@ -67,6 +70,18 @@
         return requests;
     }
 
+    /** Returns the tokens of prompts that are not read yet, by instance. */
+    public static Map<UpstreamId, Integer> unread(WorkReport report) {
+        Map<UpstreamId, Integer> unread = new HashMap<>();
+        report.getWorkList()
+                .forEach(
+                        item ->
+                                unread.put(
+                                        UpstreamId.parse(item.getInstance()),
+                                        item.getUnreadTokens()));
+        return unread;
+    }
+
     /** Returns the work by instance. */
     public static Map<UpstreamId, InstanceWork> decode(WorkReport report) {
         Map<UpstreamId, InstanceWork> work = new HashMap<>();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -73,6 +73,7 @@
     private boolean knowsInstances;
     private long firstRoutesAt;
     private final WorkReports works = new WorkReports();
+    private final WorkReports unread = new WorkReports();
     private final PrimaryChoice primaries;
     private Optional<HostId> primary = Optional.empty();
     private long newest = -1;
@@ -222,6 +223,9 @@
         works.reported(
                 new HostId(report.getHost()), WorkCodec.requests(WorkCodec.decode(report)), now);
         gateway.dispatcher().othersTold(works.most(now), now);
+        unread.shared(gateway.entryHosts());
+        unread.reported(new HostId(report.getHost()), WorkCodec.unread(report), now);
+        gateway.dispatcher().othersUnreadTold(unread.most(now), now);
     }
 
     private void residency(ResidencyChange change) {
@@ -270,7 +274,7 @@
 
     /** Who tells the version alone is asked for the rest if the primary does not tell it soon. */
     private void take(RoutesUpdate update, Replier replier) {
-        if (update.getBody().isEmpty()) {
+        if (update.getBody().isEmpty() && update.getPackedBody().isEmpty()) {
             loop.schedule(
                     () -> askForRoutes(update.getVersion(), replier),
                     ROUTES_OVERDUE_MILLIS,
@@ -278,7 +282,7 @@
             return;
         }
         try {
-            newestBody = RoutesCodec.unpack(update.getBody());
+            newestBody = RoutesCodec.body(update);
             newest = update.getVersion();
         } catch (IOException e) {
             logger.error("routes.unreadable version={} {}", update.getVersion(), e.toString());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnReports.java
@@ -36,7 +36,9 @@
         workToldAt = now;
         Map<UpstreamId, InstanceWork> work = gateway.dispatcher().takeWork();
         if (works.isDue(!work.isEmpty())) {
-            follower.tellPrimary(WorkCodec.encodeOwn(settings.peerName(), work));
+            follower.tellPrimary(
+                    WorkCodec.encodeOwn(
+                            settings.peerName(), work, gateway.dispatcher().unreadTokens()));
         }
     }
 
