--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -32,7 +32,7 @@
     private static final Logger logger = LogManager.getLogger(AllowanceClient.class);
 
     /** A sound leader answers within some milliseconds; the shortest objectives are 120 ms. */
-    private static final Duration PATIENCE = Duration.ofMillis(60);
+    private static final Duration PATIENCE = Duration.ofMillis(100);
 
     /** How often a leader that did not answer is asked whether it does again. */
     private static final Duration PROBE = Duration.ofMillis(150);
