--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportSum.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportSum.java
@@ -19,6 +19,7 @@
 public final class ReportSum {
 
     private final WorkReports works = new WorkReports();
+    private final WorkReports unread = new WorkReports();
     private final Map<HostId, Waiting> waiting = new HashMap<>();
     private final Map<UpstreamId, InstanceWork> answers = new HashMap<>();
     private final Map<String, Integer> arrivals = new TreeMap<>();
@@ -42,6 +43,7 @@
     /** Takes in how many entry hosts there are, by which reports come more or less often. */
     public void shared(int hosts) {
         works.shared(hosts);
+        unread.shared(hosts);
         lifetimeNanos = new ReportPace(hosts).lifetime().toNanos();
     }
 
@@ -56,6 +58,11 @@
         works.reported(host, requests, now);
     }
 
+    /** Takes in how many tokens of a host's prompts each instance has not read yet. */
+    public void unreadTold(HostId host, Map<UpstreamId, Integer> tokens, long now) {
+        unread.reported(host, tokens, now);
+    }
+
     /** Takes in what a host is asked for, by the names of models and adapters. */
     public void asked(HostId host, Map<String, Asked> asked, long now) {
         waiting.put(host, new Waiting(Map.copyOf(asked), now));
@@ -71,6 +78,11 @@
         return sum;
     }
 
+    /** Returns the sum of the tokens that are to be read at each instance. */
+    public Map<UpstreamId, Integer> unreadTokens(long now) {
+        return unread.sum(now);
+    }
+
     private static void add(Map<UpstreamId, InstanceWork> sum, UpstreamId id, InstanceWork work) {
         sum.merge(id, work, InstanceWork::plus);
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WorkReports.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WorkReports.java
@@ -35,7 +35,7 @@
     }
 
     /** Returns the work of all hosts, added up. */
-    public Map<UpstreamId, Integer> sum(long now) {
+    Map<UpstreamId, Integer> sum(long now) {
         return merged(null, Integer::sum, now);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -12,9 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
-import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.id.HostId;
-import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.WorkReport;
@@ -32,7 +30,6 @@
 import io.stackhall.server.settings.FleetSettings;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
@@ -194,9 +191,8 @@
     }
 
     private void worked(WorkReport report) {
-        Map<UpstreamId, InstanceWork> work = WorkCodec.decode(report);
-        fleet.worked(new HostId(report.getHost()), work, WorkCodec.unread(report));
-        orders.worked(work);
+        fleet.worked(report);
+        orders.worked(WorkCodec.decode(report));
     }
 
     /** A host that holds no routes yet hears first which requests are refused. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.stackhall.core.dispatch.ReportPace;
-import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
@@ -11,7 +10,7 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.NothingOnce;
-import io.stackhall.server.fleet.WorkCodec;
+import io.stackhall.server.fleet.WorkBoard;
 import io.stackhall.server.peer.Replier;
 import java.util.Collection;
 import java.util.HashMap;
@@ -153,7 +152,7 @@
      * Tells each that has this host as its primary the work of the others, less often the more of
      * them there are.
      */
-    void tellWork(WorkReports works, WorkReports unreads) {
+    void tellWork(WorkBoard works) {
         long now = BootClock.nanos();
         long primaries = followers.values().stream().filter(one -> one.primary).count();
         ReportPace pace = new ReportPace(Math.toIntExact(primaries));
@@ -162,21 +161,17 @@
         }
         workToldAt = now;
         works.shared(followers.size());
-        unreads.shared(followers.size());
-        followers.forEach((host, follower) -> tellWork(works, unreads, host, follower, now));
+        followers.forEach((host, follower) -> tellWork(works, new HostId(host), follower, now));
     }
 
     /** What nobody works on is told once. */
-    private void tellWork(
-            WorkReports works, WorkReports unreads, String host, Follower follower, long now) {
+    private void tellWork(WorkBoard works, HostId host, Follower follower, long now) {
         if (!follower.primary) {
             return;
         }
-        Map<UpstreamId, Integer> others = works.sumWithout(new HostId(host), now);
-        if (follower.works.isDue(!others.isEmpty())) {
-            follower.replier.send(
-                    WorkCodec.encodeOthers(
-                            self, others, unreads.sumWithout(new HostId(host), now)));
+        Frame others = works.withoutThatOf(host, self, now);
+        if (follower.works.isDue(others.getWork().getWorkCount() > 0)) {
+            follower.replier.send(others);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -5,7 +5,6 @@
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.dispatch.ReportSum;
-import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.id.HostId;
@@ -20,6 +19,7 @@
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
+import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
@@ -27,6 +27,7 @@
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.RoutesCodec;
+import io.stackhall.server.fleet.WorkBoard;
 import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
@@ -65,9 +66,7 @@
     private ByteString packedRoutes = ByteString.EMPTY;
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
-    private final WorkReports works = new WorkReports();
-    private final WorkReports unreads = new WorkReports();
-    private final WorkReports ownUnreads = new WorkReports();
+    private final WorkBoard works = new WorkBoard();
     private final ReportSum sum = new ReportSum();
     private final NothingOnce worksToTell = new NothingOnce();
     private final NothingOnce demandsToTell = new NothingOnce();
@@ -221,13 +220,13 @@
     }
 
     /** Takes in how many requests an entry host, or those of another control host, have where. */
-    void worked(HostId host, Map<UpstreamId, InstanceWork> work, Map<UpstreamId, Integer> unread) {
+    void worked(WorkReport report) {
         long now = BootClock.nanos();
-        unreads.reported(host, unread, now);
-        works.reported(host, WorkCodec.requests(work), now);
+        HostId host = new HostId(report.getHost());
+        works.reported(report, now);
         if (followers.isPrimaryOf(host)) {
-            sum.worked(host, work, now);
-            ownUnreads.reported(host, unread, now);
+            sum.worked(host, WorkCodec.decode(report), now);
+            sum.unreadTold(host, WorkCodec.unread(report), now);
         }
     }
 
@@ -243,10 +242,9 @@
     void passReportsOn() {
         long now = BootClock.nanos();
         sum.shared(followers.count());
-        ownUnreads.shared(followers.count());
         Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
         if (worksToTell.isDue(!work.isEmpty())) {
-            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work, ownUnreads.sum(now)));
+            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work, sum.unreadTokens(now)));
         }
         Map<String, ReportSum.Asked> asked = sum.takeAsked(now);
         if (demandsToTell.isDue(!asked.isEmpty())) {
@@ -264,7 +262,7 @@
 
     /** Tells each entry host the work of the others. */
     void tellWork() {
-        followers.tellWork(works, unreads);
+        followers.tellWork(works);
     }
 
     /** Forgets entry hosts that have stopped asking. */
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/WorkBoard.java
@@ -0,0 +1,53 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.core.dispatch.WorkReports;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.rpc.generated.fleet.WorkReport;
+import io.stackhall.rpc.generated.peer.Frame;
+import java.util.Map;
+
+/**
+ * What several hosts have said lately of their work at instances: the requests that are there, and
+ * the tokens of prompts that are to be read.
+ *
+ * <p>Not thread-safe: one thread uses it.
+ */
+public final class WorkBoard {
+
+    private final WorkReports requests = new WorkReports();
+    private final WorkReports unread = new WorkReports();
+
+    /** Takes in how many entry hosts there are, by which reports come more or less often. */
+    public void shared(int hosts) {
+        requests.shared(hosts);
+        unread.shared(hosts);
+    }
+
+    /** Takes in what a host says. */
+    public void reported(WorkReport report, long now) {
+        HostId host = new HostId(report.getHost());
+        requests.reported(host, WorkCodec.requests(WorkCodec.decode(report)), now);
+        unread.reported(host, WorkCodec.unread(report), now);
+    }
+
+    /**
+     * Returns the frame in which a host is told the work of all others.
+     *
+     * @param self who tells it
+     */
+    public Frame withoutThatOf(HostId host, HostId self, long now) {
+        return WorkCodec.encodeOthers(
+                self, requests.sumWithout(host, now), unread.sumWithout(host, now));
+    }
+
+    /** Returns the most requests that any host has said of each instance. */
+    public Map<UpstreamId, Integer> mostRequests(long now) {
+        return requests.most(now);
+    }
+
+    /** Returns the most tokens to be read that any host has said of each instance. */
+    public Map<UpstreamId, Integer> mostUnread(long now) {
+        return unread.most(now);
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
-import io.stackhall.core.dispatch.WorkReports;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.fleet.PrimaryChoice;
 import io.stackhall.core.id.HostId;
@@ -22,7 +21,7 @@
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.RoutesCodec;
-import io.stackhall.server.fleet.WorkCodec;
+import io.stackhall.server.fleet.WorkBoard;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.FleetSettings;
@@ -72,8 +71,7 @@
     private boolean confirmed;
     private boolean knowsInstances;
     private long firstRoutesAt;
-    private final WorkReports works = new WorkReports();
-    private final WorkReports unread = new WorkReports();
+    private final WorkBoard works = new WorkBoard();
     private final PrimaryChoice primaries;
     private Optional<HostId> primary = Optional.empty();
     private long newest = -1;
@@ -220,12 +218,9 @@
     private void work(WorkReport report) {
         long now = BootClock.nanos();
         works.shared(gateway.entryHosts());
-        works.reported(
-                new HostId(report.getHost()), WorkCodec.requests(WorkCodec.decode(report)), now);
-        gateway.dispatcher().othersTold(works.most(now), now);
-        unread.shared(gateway.entryHosts());
-        unread.reported(new HostId(report.getHost()), WorkCodec.unread(report), now);
-        gateway.dispatcher().othersUnreadTold(unread.most(now), now);
+        works.reported(report, now);
+        gateway.dispatcher().othersTold(works.mostRequests(now), now);
+        gateway.dispatcher().othersUnreadTold(works.mostUnread(now), now);
     }
 
     private void residency(ResidencyChange change) {
