Routes that the primary has not told are asked of one control host at a time

Found on reading: who told a version alone was asked for the rest on a connection that it took for a new follower's, and each word of a version began another round of questions. ControlHostsTest, FirstRoutesTest and the tests of keys are green; no test shows the case itself.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -76,6 +76,8 @@
     private Optional<HostId> primary = Optional.empty();
     private long newest = -1;
     private byte[] newestBody = new byte[0];
+    private long expected = -1;
+    private boolean asking;
 
     ControlFollower(
             FleetSettings settings,
@@ -180,7 +182,7 @@
                 }
             }
             case INSTANCES -> instances(frame.getInstances());
-            case ROUTES -> routes(frame.getRoutes(), replier);
+            case ROUTES -> routes(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
             case CRASH_NOTICE -> crashes(frame.getCrashNotice());
@@ -248,9 +250,9 @@
      * Holds routes back until a quorum has confirmed that they are not older than what this host
      * may have obeyed in an earlier life.
      */
-    private void routes(RoutesUpdate update, Replier replier) {
+    private void routes(RoutesUpdate update) {
         if (update.getVersion() > newest) {
-            take(update, replier);
+            take(update);
         }
         if (firstRoutesAt == 0 && newest >= 0) {
             firstRoutesAt = BootClock.nanos();
@@ -267,13 +269,9 @@
         }
     }
 
-    /** Who tells the version alone is asked for the rest if the primary does not tell it soon. */
-    private void take(RoutesUpdate update, Replier replier) {
+    private void take(RoutesUpdate update) {
         if (update.getBody().isEmpty() && update.getPackedBody().isEmpty()) {
-            loop.schedule(
-                    () -> askForRoutes(update.getVersion(), replier),
-                    ROUTES_OVERDUE_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            expectRoutes(update.getVersion());
             return;
         }
         try {
@@ -284,14 +282,27 @@
         }
     }
 
-    private void askForRoutes(long version, Replier replier) {
-        if (version > newest) {
-            logger.info("routes.overdue version={} held={}", version, newest);
-            FleetFollow follow = newFollow(false).setWantsRoutes(true).build();
-            replier.send(Frame.newBuilder().setFleetFollow(follow).build());
+    private void expectRoutes(long version) {
+        expected = Math.max(expected, version);
+        if (!asking) {
+            asking = true;
+            loop.schedule(this::askForRoutes, ROUTES_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    /** What the primary does not tell soon is asked of any control host, until one tells it. */
+    private void askForRoutes() {
+        asking = false;
+        List<HostId> connected = connected();
+        if (expected <= newest || connected.isEmpty()) {
+            return;
+        }
+        HostId host = connected.get(random.nextInt(connected.size()));
+        logger.info("routes.overdue version={} held={} asked={}", expected, newest, host);
+        send(host, newFollow(host, !confirmed).setWantsRoutes(true));
+        expectRoutes(expected);
+    }
+
     /** Puts the newest routes into force once they are confirmed or nobody can confirm any. */
     void obey() {
         boolean patienceOver =
@@ -316,19 +327,20 @@
     }
 
     private void follow(HostId host, boolean wantsConfirmation) {
-        FleetFollow follow =
-                newFollow(wantsConfirmation)
-                        .setConnection(connections.getOrDefault(host, 0L))
-                        .setPrimary(primary.filter(host::equals).isPresent())
-                        .build();
+        send(host, newFollow(host, wantsConfirmation));
+    }
+
+    private void send(HostId host, FleetFollow.Builder follow) {
         transport.send(host, Frame.newBuilder().setFleetFollow(follow).build());
     }
 
-    private FleetFollow.Builder newFollow(boolean wantsConfirmation) {
+    private FleetFollow.Builder newFollow(HostId host, boolean wantsConfirmation) {
         return FleetFollow.newBuilder()
                 .setHost(settings.peerName().value())
+                .setConnection(connections.getOrDefault(host, 0L))
                 .setRoutesVersion(newest)
                 .setWantsConfirmation(wantsConfirmation)
-                .setAskedAt(BootClock.nanos());
+                .setAskedAt(BootClock.nanos())
+                .setPrimary(primary.filter(host::equals).isPresent());
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerGate.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerGate.java
@@ -58,7 +58,7 @@
                 customers, route.open(), request.keys(), trust.holds(BootClock.nanos()));
     }
 
-    /** Returns whether a caller's key is known to this host, and to nobody behind it. */
+    /** Returns whether requests carry customers' keys, which no upstream is to see. */
     boolean keysNeeded() {
         return customers.keysNeeded();
     }
