--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -138,6 +138,21 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request with a customer's key through an entry host. */
+    public HttpResponse<String> callWithKey(int number, String path, String id, String key)
+            throws IOException, InterruptedException {
+        String uri = "http://127.0.6." + number + ":" + callers + path;
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(uri))
+                        .timeout(PATIENCE)
+                        .header("Host", "a.example")
+                        .header("X-Request-Id", id)
+                        .header("X-Deadline-Ms", "3000")
+                        .header("Authorization", "Token " + key)
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Sends a request with a body through an entry host, to the host that its route names. */
     public HttpResponse<String> post(int number, String path, String id, String body)
             throws IOException, InterruptedException {
