A request that waits asks for its allowance once, and a grant that comes too late is given back

Found on reading: a waiting request was judged at each look, every 25 ms, and asked anew each 300 ms although nothing was about to be sent; and a grant that came after its request had ended was lost to its customer. Now a grant that is too old is renewed only by a request that is about to be sent, and one that comes after the end is given back. RequestRightsTest; not run against the code before, which lacks the method that it calls.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -58,8 +58,7 @@
     }
 
     /** A request whose decision is awaited. */
-    private record Claim(
-            Customer customer, double cost, long askedAt, Consumer<AllowanceVerdict> decided) {}
+    private record Claim(Customer customer, double cost, Consumer<AllowanceVerdict> decided) {}
 
     /**
      * Creates a client that knows of no leader.
@@ -81,10 +80,9 @@
      * @param decided told of the decision, always later
      */
     void ask(Customer customer, double cost, double returned, Consumer<AllowanceVerdict> decided) {
-        long now = BootClock.nanos();
-        Claim claim = new Claim(customer, cost, now, decided);
+        Claim claim = new Claim(customer, cost, decided);
         if (silent) {
-            probe(now);
+            probe(BootClock.nanos());
             loop.execute(() -> decideAlone(claim));
             return;
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -145,7 +145,7 @@
         int ahead = choice instanceof Choice.Full ? gateway.waitingBefore(this) : 0;
         switch (admission.judge(choice, ahead, now)) {
             case Verdict.Send(Instance instance, String why) -> {
-                if (right instanceof Right.Awaited) {
+                if (right instanceof Right.Awaited || !rights.fresh()) {
                     waitsFor = WaitReason.ALLOWANCE;
                     return false;
                 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestRights.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestRights.java
@@ -32,6 +32,7 @@
     private Optional<Customer> customer = Optional.empty();
     private Grant grant = new Grant.None();
     private double cost;
+    private boolean closed;
 
     /** What is known of the request's part of its customer's allowance. */
     private sealed interface Grant {
@@ -121,24 +122,41 @@
                             HttpResponseStatus.TOO_MANY_REQUESTS,
                             "customer " + holder.id() + " is at its limit",
                             Optional.of(retryAfter));
-            case Grant.Given(long at) -> {
-                if (BootClock.nanos() - at < GRANT_HOLDS.toNanos()) {
-                    yield new Right.Good();
-                }
-                yield ask(holder, limit.get(), cost);
+            case Grant.Given ignored -> new Right.Good();
+            case Grant.None() -> {
+                ask(holder, limit.get(), 0);
+                yield new Right.Awaited();
             }
-            case Grant.None() -> ask(holder, limit.get(), 0);
         };
     }
 
-    private Right ask(Customer holder, CustomerLimit limit, double returned) {
+    /**
+     * Returns whether a request that was judged to be good may be sent this very moment; if its
+     * grant is too old, another is asked for.
+     */
+    boolean fresh() {
+        boolean old =
+                grant instanceof Grant.Given(long at)
+                        && BootClock.nanos() - at >= GRANT_HOLDS.toNanos();
+        Optional<CustomerLimit> limit = customer.flatMap(gate::limit);
+        if (!old || limit.isEmpty()) {
+            return true;
+        }
+        ask(customer.get(), limit.get(), cost);
+        return false;
+    }
+
+    private void ask(Customer holder, CustomerLimit limit, double returned) {
         cost = limit.cost(request.tokens());
         grant = new Grant.Asked();
         gate.allowances().ask(holder, cost, returned, this::answered);
-        return new Right.Awaited();
     }
 
     private void answered(AllowanceVerdict verdict) {
+        if (closed) {
+            giveBackLate(verdict);
+            return;
+        }
         grant =
                 switch (verdict) {
                     case AllowanceVerdict.Granted() -> new Grant.Given(BootClock.nanos());
@@ -147,6 +165,13 @@
         decided.run();
     }
 
+    /** The request has ended before its grant came. */
+    private void giveBackLate(AllowanceVerdict verdict) {
+        if (verdict instanceof AllowanceVerdict.Granted) {
+            customer.ifPresent(holder -> gate.allowances().giveBack(holder, cost));
+        }
+    }
+
     /** The request is sent to an upstream. */
     void use() {
         if (grant instanceof Grant.Given) {
@@ -165,5 +190,6 @@
             customer.ifPresent(holder -> gate.allowances().giveBack(holder, cost));
         }
         grant = new Grant.None();
+        closed = true;
     }
 }
