The test of secret keys waits until the lines that could tell them are written

Cause (one run of all tests beside three busy processes): log lines are written by a thread of their own, and the log of a process that had started 1.3 s before was read while it was empty. Now the last request of the entry host and both refusals of the control hosts must stand in the logs before they are searched, which is stricter than before. Green alone (one run).

--- a/stackhall-tests/src/test/java/io/stackhall/tests/KeysStaySecretTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/KeysStaySecretTest.java
@@ -53,7 +53,12 @@
         assertThat(hosts.put(3, configuration(3, "," + KEY))).isEqualTo(400);
         assertThat(hosts.put(1, configuration(4, ""))).isEqualTo(200);
         answers.add(call("after", KEY).body());
+        // Lines are written by a thread of their own: without this, a log was read empty.
+        Eventually.holds("last request logged", () -> logged("entry-1", "id=after"));
+        Eventually.holds("first refusal logged", () -> logged("control-2", "routes.refused"));
+        Eventually.holds("second refusal logged", () -> logged("control-3", "routes.refused"));
         for (String process : PROCESSES) {
+            Eventually.holds(process + " logged", () -> logged(process, "daemon.started"));
             assertThat(hosts.log(process))
                     .isNotEmpty()
                     .noneMatch(line -> line.contains(KEY) || line.contains(UNKNOWN));
@@ -62,6 +67,10 @@
         assertThat(hosts.read(1)).as("the configuration as it was sent").contains(KEY);
     }
 
+    private boolean logged(String process, String text) throws Exception {
+        return hosts.log(process).stream().anyMatch(line -> line.contains(text));
+    }
+
     private HttpResponse<String> call(String id, String key) throws Exception {
         return hosts.callWithKey(1, "/a/x", id, key);
     }
