--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerGate.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerGate.java
@@ -4,11 +4,13 @@
 import io.stackhall.core.customer.CustomerLimit;
 import io.stackhall.core.customer.Customers;
 import io.stackhall.core.customer.KeyAccess;
+import io.stackhall.core.customer.KeyDigest;
 import io.stackhall.core.customer.KeyTrust;
 import io.stackhall.core.customer.OutageAllowance;
 import io.stackhall.core.route.Route;
 import io.stackhall.server.clock.BootClock;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /** Who may send requests through one entry host. Used on one event loop. */
@@ -52,10 +54,9 @@
         return trust.age(BootClock.nanos());
     }
 
-    /** Judges whose request one is. */
-    KeyAccess.Verdict judge(CallerRequest request, Route route) {
-        return KeyAccess.judge(
-                customers, route.open(), request.keys(), trust.holds(BootClock.nanos()));
+    /** Judges whose request one is, by the keys that it carries. */
+    KeyAccess.Verdict judge(List<KeyDigest> keys, Route route) {
+        return KeyAccess.judge(customers, route.open(), keys, trust.holds(BootClock.nanos()));
     }
 
     /** Returns whether requests carry customers' keys, which no upstream is to see. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestRights.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestRights.java
@@ -5,9 +5,11 @@
 import io.stackhall.core.customer.Customer;
 import io.stackhall.core.customer.CustomerLimit;
 import io.stackhall.core.customer.KeyAccess;
+import io.stackhall.core.customer.KeyDigest;
 import io.stackhall.core.route.Route;
 import io.stackhall.server.clock.BootClock;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -27,6 +29,7 @@
 
     private final CustomerGate gate;
     private final CallerRequest request;
+    private final List<KeyDigest> keys;
     private final Route route;
     private final Runnable decided;
     private Optional<Customer> customer = Optional.empty();
@@ -79,6 +82,7 @@
     RequestRights(CustomerGate gate, CallerRequest request, Route route, Runnable decided) {
         this.gate = gate;
         this.request = request;
+        this.keys = request.keys();
         this.route = route;
         this.decided = decided;
     }
@@ -95,7 +99,7 @@
 
     /** Judges by the configuration in force, and asks for the allowance where that is needed. */
     Right judge() {
-        return switch (gate.judge(request, route)) {
+        return switch (gate.judge(keys, route)) {
             case KeyAccess.Verdict.Anyone() -> new Right.Good();
             case KeyAccess.Verdict.Of(Customer holder) -> allowed(holder);
             case KeyAccess.Verdict.Unknown(String reason) ->
