Hosts say which configurations they obey, have heard of, and pass on

After a restart of all hosts some entry hosts refused requests as only an older configuration allows. routes.in-force could not tell a host that was told history from one that nobody told anything, nor one that took a confirmation for another version. An entry host now says with each configuration that it obeys the newest it has heard of and the newest that a quorum has confirmed; a control host says what it passes on, and to how many. No decision is changed.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -190,6 +190,11 @@
         if (next.getVersion() <= routes.getVersion()) {
             return false;
         }
+        logger.info(
+                "routes.told version={} was={} followers={}",
+                next.getVersion(),
+                routes.getVersion(),
+                followers.count());
         routes = next;
         decodeRoutes();
         packedRoutes = RoutesCodec.pack(routes.getBody());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -69,6 +69,8 @@
     private final InstanceTable table = new InstanceTable(NEVER);
     private final Map<HostId, Long> connections = new HashMap<>();
     private boolean confirmed;
+    private long heard = -1;
+    private long heardConfirmed = -1;
     private boolean knowsInstances;
     private long firstRoutesAt;
     private final WorkBoard works = new WorkBoard();
@@ -251,6 +253,10 @@
      * may have obeyed in an earlier life.
      */
     private void routes(RoutesUpdate update) {
+        heard = Math.max(heard, update.getVersion());
+        if (update.getConfirmed()) {
+            heardConfirmed = Math.max(heardConfirmed, update.getVersion());
+        }
         if (update.getVersion() > newest) {
             take(update);
         }
@@ -319,6 +325,8 @@
         if (!confirmed) {
             logger.warn("routes.unconfirmed version={}: no quorum was reached", newest);
         }
+        logger.info(
+                "routes.obeyed version={} heard={} confirmed={}", newest, heard, heardConfirmed);
         gateway.routes(decoded.get());
     }
 
