--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -84,6 +84,11 @@
         return daemon;
     }
 
+    /** Returns where a process at an address talks to other hosts. */
+    Address peers(String ip) {
+        return new Address(ip, port);
+    }
+
     /** Ends one process as a kill would, as far as others see. */
     public void stop(FleetDaemon daemon) throws IOException {
         daemons.remove(daemon);
@@ -92,13 +97,18 @@
 
     /** Ends all processes, and starts the control hosts and the first entry host again. */
     public void restartAll() throws IOException {
+        restartControl();
+        startEntry(1);
+    }
+
+    /** Ends all processes, and starts the control hosts again. */
+    void restartControl() throws IOException {
         for (FleetDaemon daemon : List.copyOf(daemons)) {
             stop(daemon);
         }
         for (int number = 1; number <= 3; number++) {
             startControl(number, false);
         }
-        startEntry(1);
     }
 
     /** Opens a caller's connection to an entry host. */
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -138,6 +138,20 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a request through an entry host, on a route of the host a.example. */
+    public HttpResponse<String> callRoute(int number, String path, String id)
+            throws IOException, InterruptedException {
+        String uri = "http://127.0.6." + number + ":" + callers + path;
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create(uri))
+                        .timeout(PATIENCE)
+                        .header("Host", "a.example")
+                        .header("X-Request-Id", id)
+                        .header("X-Deadline-Ms", "3000")
+                        .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Sends a request with a customer's key through an entry host. */
     public HttpResponse<String> callWithKey(int number, String path, String id, String key)
             throws IOException, InterruptedException {
