--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -1,38 +1,30 @@
 package io.stackhall.server.gateway;
 
 import io.netty.channel.EventLoop;
-import io.stackhall.core.config.Finding;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.fleet.PrimaryChoice;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.route.RouteTable;
-import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.rpc.generated.fleet.CrashNotice;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
-import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
-import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.fleet.WorkBoard;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.FleetSettings;
-import io.vavr.control.Either;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -45,18 +37,9 @@
 
     private static final Logger logger = LogManager.getLogger(ControlFollower.class);
 
-    /**
-     * After this long without a quorum's word, routes that any control host holds are better than
-     * none: a zone that is cut off goes on serving.
-     */
-    private static final long UNCONFIRMED_NANOS = TimeUnit.SECONDS.toNanos(4);
-
     /** A quorum answers within some milliseconds; one question in a second may be lost. */
     private static final Duration CONFIRMATION_OVERDUE = Duration.ofMillis(1500);
 
-    /** The primary tells within some milliseconds; routes have to be in force within seconds. */
-    private static final long ROUTES_OVERDUE_MILLIS = 250;
-
     /** An entry host never judges silence itself: control hosts tell. */
     private static final Duration NEVER = Duration.ofDays(365);
 
@@ -68,18 +51,11 @@
     private final RandomGenerator random;
     private final InstanceTable table = new InstanceTable(NEVER);
     private final Map<HostId, Long> connections = new HashMap<>();
-    private boolean confirmed;
-    private long heard = -1;
-    private long heardConfirmed = -1;
     private boolean knowsInstances;
-    private long firstRoutesAt;
     private final WorkBoard works = new WorkBoard();
     private final PrimaryChoice primaries;
     private Optional<HostId> primary = Optional.empty();
-    private long newest = -1;
-    private byte[] newestBody = new byte[0];
-    private long expected = -1;
-    private boolean asking;
+    private final RoutesFollower routes;
 
     ControlFollower(
             FleetSettings settings,
@@ -95,6 +71,12 @@
         this.gateway = gateway;
         this.random = random;
         this.primaries = new PrimaryChoice(settings.peerName(), settings.zone());
+        this.routes = new RoutesFollower(loop, gateway, this::askForRoutes);
+    }
+
+    /** Puts routes into force that nobody has confirmed for long enough. */
+    void obeyRoutes() {
+        routes.obey();
     }
 
     /** Returns whether this host knows enough to take callers' requests. */
@@ -184,7 +166,7 @@
                 }
             }
             case INSTANCES -> instances(frame.getInstances());
-            case ROUTES -> routes(frame.getRoutes());
+            case ROUTES -> routes.told(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
             case CRASH_NOTICE -> crashes(frame.getCrashNotice());
@@ -248,90 +230,17 @@
         gateway.serveWaiting();
     }
 
-    /**
-     * Holds routes back until a quorum has confirmed that they are not older than what this host
-     * may have obeyed in an earlier life.
-     */
-    private void routes(RoutesUpdate update) {
-        heard = Math.max(heard, update.getVersion());
-        if (update.getConfirmed()) {
-            heardConfirmed = Math.max(heardConfirmed, update.getVersion());
-        }
-        if (update.getVersion() > newest) {
-            take(update);
-        }
-        if (firstRoutesAt == 0 && newest >= 0) {
-            firstRoutesAt = BootClock.nanos();
-        }
-        if (update.getConfirmed() && !confirmed && newest >= 0) {
-            confirmed = true;
-            logger.info("routes.confirmed version={}", newest);
-        }
-        obey();
-        boolean inForce =
-                gateway.knowsRoutes() && gateway.routes().version() >= update.getVersion();
-        if (update.getConfirmed() && inForce) {
-            gateway.customers().confirmed(update.getAskedAt());
-        }
-    }
-
-    private void take(RoutesUpdate update) {
-        if (update.getBody().isEmpty() && update.getPackedBody().isEmpty()) {
-            expectRoutes(update.getVersion());
-            return;
-        }
-        try {
-            newestBody = RoutesCodec.body(update);
-            newest = update.getVersion();
-        } catch (IOException e) {
-            logger.error("routes.unreadable version={} {}", update.getVersion(), e.toString());
-        }
-    }
-
-    private void expectRoutes(long version) {
-        expected = Math.max(expected, version);
-        if (!asking) {
-            asking = true;
-            loop.schedule(this::askForRoutes, ROUTES_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** What the primary does not tell soon is asked of any control host, until one tells it. */
+    /** Asks any control host for the whole of the newest configuration. */
     private void askForRoutes() {
-        asking = false;
         List<HostId> connected = connected();
-        if (expected <= newest || connected.isEmpty()) {
-            return;
+        if (!connected.isEmpty()) {
+            HostId host = connected.get(random.nextInt(connected.size()));
+            send(host, newFollow(host, routes.wantsConfirmation()).setWantsRoutes(true));
         }
-        HostId host = connected.get(random.nextInt(connected.size()));
-        logger.info("routes.overdue version={} held={} asked={}", expected, newest, host);
-        send(host, newFollow(host, !confirmed).setWantsRoutes(true));
-        expectRoutes(expected);
-    }
-
-    /** Puts the newest routes into force once they are confirmed or nobody can confirm any. */
-    void obey() {
-        boolean patienceOver =
-                firstRoutesAt != 0 && BootClock.nanos() - firstRoutesAt >= UNCONFIRMED_NANOS;
-        long held = gateway.knowsRoutes() ? gateway.routes().version() : -1;
-        if (newest <= held || !(confirmed || patienceOver)) {
-            return;
-        }
-        Either<Finding, RouteTable> decoded = ConfigurationDecoder.decode(newestBody);
-        if (decoded.isLeft()) {
-            logger.error("routes.unreadable version={} {}", newest, decoded.getLeft());
-            return;
-        }
-        if (!confirmed) {
-            logger.warn("routes.unconfirmed version={}: no quorum was reached", newest);
-        }
-        logger.info(
-                "routes.obeyed version={} heard={} confirmed={}", newest, heard, heardConfirmed);
-        gateway.routes(decoded.get());
     }
 
     private void follow(HostId host) {
-        follow(host, !confirmed);
+        follow(host, routes.wantsConfirmation());
     }
 
     private void follow(HostId host, boolean wantsConfirmation) {
@@ -346,7 +255,7 @@
         return FleetFollow.newBuilder()
                 .setHost(settings.peerName().value())
                 .setConnection(connections.getOrDefault(host, 0L))
-                .setRoutesVersion(newest)
+                .setRoutesVersion(routes.held())
                 .setWantsConfirmation(wantsConfirmation)
                 .setAskedAt(BootClock.nanos())
                 .setPrimary(primary.filter(host::equals).isPresent());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -208,7 +208,7 @@
         gateway.notices().sweep();
         gateway.quarantine().sweep();
         follower.followAll();
-        follower.obey();
+        follower.obeyRoutes();
     }
 
     private Channel listen(Address address, ChannelHandler channels) {
