What is read back at a start is synced before anything rests on it

A change that an operator had been told is kept could be gone after a kill and a loss of power. A replica that was killed between a write and its sync found the entry again at its next start, and told its leader that it has it. Nothing new was to be saved, so that nothing was synced; the leader counted the entry towards a quorum and acknowledged it. The file outlives a kill, but not a loss of power.

A replica now counts as having something to sync when it starts, so that a sync comes before its first message. This holds because whatever it says of its log or its vote goes through the same place. One sync a start.

--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -52,7 +52,10 @@
     private final Tickets tickets = new Tickets();
     private final Thread thread;
     private Replica replica;
-    private boolean unsynced;
+
+    /** At the start, too: a process that was killed may have written what it never synced. */
+    private boolean unsynced = true;
+
     private boolean leading;
     private volatile boolean failed;
     private long nextHandOver = BootClock.nanos();
