--- a/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/GroupHost.java
@@ -38,7 +38,6 @@
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int MAX_BATCH = 1000;
     private static final long HAND_OVER_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final int COMPACT_AFTER_ENTRIES = 4000;
 
     /** A disk is used again this long after it has room; a voter that flaps disturbs the others. */
     private static final long REOPEN_MILLIS = 500;
@@ -301,6 +300,7 @@
             }
             case ReplicaEffect.SaveSnapshot(Snapshot snapshot, boolean dropLog) -> {
                 source.storage().saveSnapshot(snapshot, dropLog);
+                machine.covered(snapshot);
                 unsynced = false;
             }
             case ReplicaEffect.Send(Message message) -> {
@@ -343,7 +343,7 @@
 
     private void afterSteps() throws IOException {
         syncIfNeeded();
-        if (machine.appliedIndex() - replica.snapshotIndex() >= COMPACT_AFTER_ENTRIES) {
+        if (machine.snapshotDue() && machine.appliedIndex() <= replica.commitIndex()) {
             step(new ReplicaEvent.Compact(machine.appliedIndex(), machine.state().snapshot()));
         }
         view = ReplicaView.of(replica);
--- a/stackhall-server/src/main/java/io/stackhall/server/group/StateMachine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/StateMachine.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.replication.Entry;
 import io.stackhall.core.replication.Payload;
 import io.stackhall.core.replication.Snapshot;
+import io.stackhall.core.replication.SnapshotPace;
 import java.util.List;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,6 +20,7 @@
     private final GroupState state;
     private final GroupListener listener;
     private final Tickets tickets;
+    private final SnapshotPace pace = new SnapshotPace();
     private long appliedIndex;
     private boolean caughtUp;
 
@@ -41,6 +43,16 @@
         return appliedIndex;
     }
 
+    /** Returns whether the state should be saved as a snapshot. */
+    boolean snapshotDue() {
+        return pace.due();
+    }
+
+    /** Notes that a snapshot of what is applied has been saved. */
+    void covered(Snapshot snapshot) {
+        pace.covered(snapshot);
+    }
+
     GroupState state() {
         return state;
     }
@@ -75,6 +87,7 @@
     private void takeOver(Snapshot snapshot) {
         state.restore(snapshot.state());
         appliedIndex = snapshot.lastIndex();
+        pace.covered(snapshot);
     }
 
     /**
@@ -98,6 +111,7 @@
             }
         }
         appliedIndex = entry.index();
+        pace.applied(entry);
         tickets.applied(entry.index(), result);
     }
 }
