A control host starts again after a loss of power that left a later write and not the one before

A control host could end at each of its starts after a loss of power, until its disk was emptied: 'the length of a record is damaged'. Records written since the last sync may each be there or missing on their own. A missing one before one that is there is a hole of zeros, which was taken for damage to what had been synced. Where several control hosts lose power at once, the group may be left without a quorum that way, and with it every configuration that was acknowledged.

Records are now gathered until the sync and written at once, so that what a loss of power leaves is whole, missing or torn sectors of one write; and a record at which a sector was never written is cut off with all behind it, wherever it stands in the last segment. A new segment begins only after a sync of the one before, which is then the only one that may end torn.

--- a/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/DiskStorage.java
@@ -197,7 +197,9 @@
         segment.write(Json.write(LogRecord.class, record));
     }
 
+    /** Only the last segment may end in what was never synced. */
     private void startSegment(long number) throws IOException {
+        segment.sync();
         segment.close();
         Path path = segmentPath(number);
         Files.deleteIfExists(path);
--- a/stackhall-server/src/main/java/io/stackhall/server/storage/RecordFile.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/RecordFile.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.storage;
 
+import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -14,8 +15,10 @@
 /**
  * A file of records, each behind its length and two checksums: of the length, and of the content.
  *
- * <p>A record that a crash has cut short at the end of the file was never synced, and is cut off. A
- * whole record with a wrong checksum is damage, which is reported with its offset and not repaired.
+ * <p>Records are gathered until the next sync and written at once, so that a loss of power leaves
+ * sectors of one write at the most: whole, missing or cut short. A record at which a sector is
+ * missing was never synced, and is cut off with all behind it. One with a wrong checksum and no
+ * missing sector is damage, which is reported with its offset and not repaired.
  */
 final class RecordFile implements Closeable {
 
@@ -26,6 +29,7 @@
 
     private final Path path;
     private final FileChannel channel;
+    private final ByteArrayOutputStream unwritten = new ByteArrayOutputStream();
 
     private RecordFile(Path path, FileChannel channel) {
         this.path = path;
@@ -63,29 +67,35 @@
         return records;
     }
 
-    void write(byte[] content) throws IOException {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + content.length);
-        buffer.putInt(content.length);
-        buffer.putInt(checksumOfLength(content.length));
-        buffer.putInt(checksum(content, 0, content.length));
-        buffer.put(content);
-        buffer.flip();
-        while (buffer.hasRemaining()) {
-            channel.write(buffer);
-        }
+    /** Adds a record, which is written with the next sync. */
+    void write(byte[] content) {
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+        header.putInt(content.length);
+        header.putInt(checksumOfLength(content.length));
+        header.putInt(checksum(content, 0, content.length));
+        unwritten.writeBytes(header.array());
+        unwritten.writeBytes(content);
     }
 
+    /** Writes what was added, and returns once it lasts. */
     void sync() throws IOException {
+        flush();
         channel.force(false);
     }
 
-    long size() throws IOException {
-        return channel.size();
-    }
-
     @Override
     public void close() throws IOException {
-        channel.close();
+        try (channel) {
+            flush();
+        }
+    }
+
+    private void flush() throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(unwritten.toByteArray());
+        unwritten.reset();
+        while (buffer.hasRemaining()) {
+            channel.write(buffer);
+        }
     }
 
     @Override
@@ -105,21 +115,14 @@
         if (header.getInt() != checksumOfLength(length)
                 || length < 0
                 || length > MAX_RECORD_BYTES) {
-            if (zeros(bytes, offset, bytes.length)) {
-                return torn(path, offset, cutTail);
-            }
-            throw new StorageException(path, offset, "the length of a record is damaged");
+            return tornOrDamaged(path, bytes, offset, offset + HEADER_BYTES, cutTail);
         }
         if (left - HEADER_BYTES < length) {
             return torn(path, offset, cutTail);
         }
         int start = offset + HEADER_BYTES;
         if (header.getInt() != checksum(bytes, start, length)) {
-            boolean last = start + length == bytes.length;
-            if (last && unwrittenSector(bytes, start, bytes.length)) {
-                return torn(path, offset, cutTail);
-            }
-            throw new StorageException(path, offset, "the content of a record is damaged");
+            return tornOrDamaged(path, bytes, offset, start + length, cutTail);
         }
         return length;
     }
@@ -138,17 +141,31 @@
         }
     }
 
-    /** A sector that the crash kept from being written reads as zeros. */
-    private static boolean unwrittenSector(byte[] bytes, int from, int to) {
-        int sector = from - from % SECTOR_BYTES + SECTOR_BYTES;
-        for (int start = sector; start < to; start += SECTOR_BYTES) {
-            if (zeros(bytes, start, Math.min(start + SECTOR_BYTES, to))) {
+    private static int tornOrDamaged(Path path, byte[] bytes, int from, int to, boolean cutTail)
+            throws StorageException {
+        if (missesSector(bytes, from, to)) {
+            return torn(path, from, cutTail);
+        }
+        throw new StorageException(path, from, "a record is damaged");
+    }
+
+    /**
+     * Returns whether a sector at which some of the bytes lie was never written: it reads as zeros,
+     * from where the record begins or to where the file ends.
+     */
+    private static boolean missesSector(byte[] bytes, int from, int to) {
+        for (int start = from; start < to; start = nextSector(start)) {
+            if (zeros(bytes, start, Math.min(nextSector(start), bytes.length))) {
                 return true;
             }
         }
         return false;
     }
 
+    private static int nextSector(int offset) {
+        return offset - offset % SECTOR_BYTES + SECTOR_BYTES;
+    }
+
     private static boolean zeros(byte[] bytes, int from, int to) {
         for (int at = from; at < to; at++) {
             if (bytes[at] != 0) {
--- a/stackhall-server/src/test/java/io/stackhall/server/storage/DiskStorageTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/storage/DiskStorageTest.java
@@ -141,6 +141,44 @@
         }
     }
 
+    /**
+     * A loss of power left the second of two writes after the last sync, and not the first. The
+     * host took the hole for damage to what had been synced, and ended at each of its starts: "the
+     * length of a record is damaged".
+     */
+    @Test
+    void writeThatIsMissingBeforeOneThatIsThereIsCut() throws IOException {
+        long before;
+        try (DiskStorage storage = open()) {
+            storage.saveEntries(List.of(entry(1, 1)));
+            storage.sync();
+            before = Files.size(log());
+            storage.saveEntries(List.of(largeEntry(2), largeEntry(3)));
+        }
+        byte[] whole = Files.readAllBytes(log());
+        int second = (int) (before + (whole.length - before) / 2);
+        Arrays.fill(whole, (int) before, second, (byte) 0);
+        Files.write(log(), whole);
+        try (DiskStorage storage = open()) {
+            assertThat(storage.saved().entries()).containsExactly(entry(1, 1));
+        }
+    }
+
+    /** Records of less than a sector could otherwise be missing one by one. */
+    @Test
+    void recordsBetweenTwoSyncsAreOneWrite() throws IOException {
+        try (DiskStorage storage = open()) {
+            storage.saveHardState(STATE);
+            storage.sync();
+            long before = Files.size(log());
+            storage.saveEntries(List.of(entry(1, 1)));
+            storage.saveEntries(List.of(entry(1, 2)));
+            assertThat(Files.size(log())).isEqualTo(before);
+            storage.sync();
+            assertThat(Files.size(log())).isGreaterThan(before);
+        }
+    }
+
     @Test
     void folderIsHeldByOneProcessAtATime() throws IOException {
         try (DataFolder held = DataFolder.open(folder)) {
@@ -184,6 +222,12 @@
         return new Snapshot(index, 1, membership, new byte[] {1, 2});
     }
 
+    private static Entry largeEntry(long index) {
+        byte[] command = new byte[3000];
+        Arrays.fill(command, (byte) 7);
+        return new Entry(1, index, new Payload.Command(command));
+    }
+
     private static Entry entry(long term, long index) {
         byte[] command = ("command " + index).getBytes(StandardCharsets.UTF_8);
         return new Entry(term, index, new Payload.Command(command));
