A request whose caller leaves is held to the end of its instance all the same

A request under which instances end was held to nothing if its callers had closed their connections by then: the host breaks the call off and sees no end. Three lives ended under it, and the fourth got it, too (504 instead of 503 in the test).

What is given up while an instance may run it is now remembered for 5 s beside what was broken off without an explanation. A later life of the instance, another request that finds the end, or another host's word holds the end against it. Not probed for: a connection for each caller who leaves would cost more than it finds. An innocent request that left is a suspect with one end at the most, which only sets it apart. requestWhoseCallersLeaveBeforeTheEndIsHeldToItToo failed before and passes.

--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/UnexplainedEnds.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/UnexplainedEnds.java
@@ -10,9 +10,10 @@
 import java.util.Set;
 
 /**
- * Requests that instances broke off while somebody still listened at their addresses: a connection
- * that was lost, or an instance that is back within milliseconds. In the second case a later life
- * under the same name tells of itself, and the end of the earlier one is known after all.
+ * Requests that left instances before an end of the instance could be seen: those that it broke off
+ * while somebody still listened at its address, and those whose callers gave them up. Where a later
+ * life under the same name tells of itself, or another request or host finds the end, it is known
+ * after all.
  *
  * <p>Not thread-safe: one thread uses it.
  */
@@ -24,15 +25,13 @@
     /** As many break-offs as a cut through a busy host makes; the oldest give way. */
     private static final int MOST_LIVES = 500;
 
-    private final Map<UpstreamId, BrokenOff> lives = new LinkedHashMap<>();
+    private final Map<UpstreamId, Left> lives = new LinkedHashMap<>();
 
-    private record BrokenOff(Set<RequestDigest> requests, long at) {}
+    private record Left(Set<RequestDigest> requests, long at) {}
 
-    /** Notes that an instance has broken a request off. */
-    public void brokeOff(UpstreamId life, RequestDigest request, long now) {
-        lives.computeIfAbsent(life, key -> new BrokenOff(new HashSet<>(), now))
-                .requests()
-                .add(request);
+    /** Notes that a request has left an instance, which may have ended under it. */
+    public void left(UpstreamId life, RequestDigest request, long now) {
+        lives.computeIfAbsent(life, key -> new Left(new HashSet<>(), now)).requests().add(request);
         if (lives.size() > MOST_LIVES) {
             lives.remove(lives.keySet().iterator().next());
         }
@@ -57,8 +56,15 @@
         return explained;
     }
 
+    /** Returns what left a life that is known to have ended, and forgets it. */
+    public Set<RequestDigest> takeThoseOf(UpstreamId life, long now) {
+        sweep(now);
+        Left of = lives.remove(life);
+        return of == null ? Set.of() : of.requests();
+    }
+
     /** Forgets what no life can explain any more. */
     public void sweep(long now) {
-        lives.values().removeIf(broken -> now - broken.at() > REMEMBERED.toNanos());
+        lives.values().removeIf(left -> now - left.at() > REMEMBERED.toNanos());
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/quarantine/UnexplainedEndsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/quarantine/UnexplainedEndsTest.java
@@ -20,7 +20,7 @@
 
     @Test
     void laterLifeExplainsTheEndOfTheOneBefore() {
-        ends.brokeOff(FIRST, REQUEST, 0);
+        ends.left(FIRST, REQUEST, 0);
         assertThat(ends.heardOf(SECOND, seconds(1)))
                 .containsExactly(new Crash(FIRST, Set.of(REQUEST)));
         assertThat(ends.heardOf(SECOND, seconds(1))).isEmpty();
@@ -28,12 +28,26 @@
 
     @Test
     void sameLifeOtherNamesAndLatecomersExplainNothing() {
-        ends.brokeOff(FIRST, REQUEST, 0);
+        ends.left(FIRST, REQUEST, 0);
         assertThat(ends.heardOf(FIRST, seconds(1))).isEmpty();
         assertThat(ends.heardOf(new UpstreamId("i-2", 1700), seconds(1))).isEmpty();
         assertThat(ends.heardOf(SECOND, seconds(6))).isEmpty();
     }
 
+    @Test
+    void endThatIsFoundOtherwiseIsHeldAgainstWhatLeftBefore() {
+        ends.left(FIRST, REQUEST, 0);
+        assertThat(ends.takeThoseOf(SECOND, seconds(1))).isEmpty();
+        assertThat(ends.takeThoseOf(FIRST, seconds(1))).containsExactly(REQUEST);
+        assertThat(ends.takeThoseOf(FIRST, seconds(1))).isEmpty();
+    }
+
+    @Test
+    void whatLeftLongBeforeIsHeldToNothing() {
+        ends.left(FIRST, REQUEST, 0);
+        assertThat(ends.takeThoseOf(FIRST, seconds(6))).isEmpty();
+    }
+
     private static long seconds(long seconds) {
         return Duration.ofSeconds(seconds).toNanos();
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -128,17 +128,26 @@
         lives.ask(
                 instance,
                 ended -> {
-                    Crash crash = new Crash(instance.id(), Set.of(request));
+                    unexplained.left(instance.id(), request, BootClock.nanos());
                     if (ended) {
-                        crashed(crash);
+                        ended(instance.id());
                     } else {
-                        unexplained.brokeOff(instance.id(), request, BootClock.nanos());
-                        lives.askAgain(instance, () -> crashed(crash));
+                        lives.askAgain(instance, () -> ended(instance.id()));
                     }
                     goOn.run();
                 });
     }
 
+    /**
+     * Notes that a request is given up whose instance may run it. The instance may end under it
+     * when no connection is left to see that by.
+     */
+    void abandoned(RequestDigest request, Instance instance) {
+        if (!isExpected(instance)) {
+            unexplained.left(instance.id(), request, BootClock.nanos());
+        }
+    }
+
     /** Takes in that a life of an instance is heard of. */
     void heardOf(UpstreamId life) {
         unexplained.heardOf(life, BootClock.nanos()).forEach(this::crashed);
@@ -148,7 +157,9 @@
     void received(CrashNotice notice) {
         long now = BootClock.nanos();
         for (CrashRecord record : notice.getCrashesList()) {
-            ledger.crashed(CrashCodec.decode(record), now);
+            Crash crash = CrashCodec.decode(record);
+            ledger.crashed(crash, now);
+            ended(crash.life());
         }
         for (AcquittalRecord record : notice.getAcquittalsList()) {
             ledger.acquitted(CrashCodec.decode(record));
@@ -195,6 +206,14 @@
                 .isEmpty();
     }
 
+    /** Holds the end of a life against what left it just before. */
+    private void ended(UpstreamId life) {
+        Set<RequestDigest> those = unexplained.takeThoseOf(life, BootClock.nanos());
+        if (!those.isEmpty()) {
+            crashed(new Crash(life, those));
+        }
+    }
+
     private void crashed(Crash crash) {
         long now = BootClock.nanos();
         if (!ledger.crashed(crash, now)) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -239,7 +239,7 @@
         }
         if (attempt != null) {
             attempt.abandon();
-            endAttempt();
+            gateway.quarantine().abandoned(digest, endAttempt());
         }
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
@@ -108,6 +110,35 @@
         assertThat(begun).hasValue(2);
     }
 
+    /**
+     * Its callers had closed their connections when each instance ended, so that no connection was
+     * left for the host to see the end by, and the request was held to nothing: the fourth instance
+     * got it, too.
+     */
+    @Test
+    void requestWhoseCallersLeaveBeforeTheEndIsHeldToItToo() throws Exception {
+        try (ScriptedUpstream upstream =
+                new ScriptedUpstream(
+                        "i-1",
+                        (request, to) -> {
+                            begun.incrementAndGet();
+                            pause(500);
+                        })) {
+            for (int life = 1; life <= 3; life++) {
+                heartbeatOfLife(upstream, life);
+                try (Socket caller = fleet.callerOf(1)) {
+                    caller.getOutputStream()
+                            .write(get(FATAL, "r" + life).getBytes(StandardCharsets.UTF_8));
+                    pause(200);
+                }
+                pause(200);
+            }
+            heartbeatOfLife(upstream, 4);
+            assertThat(fleet.call(1, get(FATAL, "r4")).status()).isEqualTo(503);
+        }
+        assertThat(begun.get()).isLessThanOrEqualTo(3);
+    }
+
     private void heartbeatOfLife(ScriptedUpstream upstream, int life) throws IOException {
         String body = upstream.heartbeat("plain", "ready", 1, "[]");
         fleet.heartbeat(2, upstream, body.replaceFirst("\\{", "{\"born\":" + 1000 * life + ","));
