An operator lists the requests that are refused as ending instances, and has one served again

A control host's calls list them with the lives that ended under them; a POST with the operator's name takes back what is held against one on all hosts and has the control group agree, which each host's log tells with the name. 'stackhall refused-requests' makes the calls. Ends that come later count anew. QuarantineTest and SeededHostsTest.

--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
@@ -149,6 +149,14 @@
                 .toList();
     }
 
+    /** Returns the lives that are held against a request, by name. */
+    public List<String> lives(RequestDigest request) {
+        Evidence evidence = requests.get(request);
+        return evidence == null
+                ? List.of()
+                : evidence.lives().stream().map(UpstreamId::toString).sorted().toList();
+    }
+
     /** Returns the ends of lives that are held against requests, for a host that knows none. */
     public List<Crash> crashes() {
         List<Crash> all = new ArrayList<>();
--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/RequestDigest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/RequestDigest.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -28,6 +29,13 @@
         }
     }
 
+    /** Returns the digest that a text names, if it is one. */
+    public static Optional<RequestDigest> parse(String text) {
+        return FORM.matcher(text).matches()
+                ? Optional.of(new RequestDigest(text))
+                : Optional.empty();
+    }
+
     /**
      * Computes the digest of a request.
      *
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -54,6 +54,7 @@
             case "load" -> LoadCommand.run(arguments);
             case "compare" -> CompareCommand.run(arguments);
             case "explain" -> ExplainCommand.run(arguments);
+            case RefusedRequestsCommand.NAME -> RefusedRequestsCommand.run(arguments);
             case "train" -> TrainCommand.run(arguments);
             case "version" -> version();
             default -> OperatorCommands.run(arguments.getString(COMMAND), arguments);
@@ -87,6 +88,7 @@
         LoadCommand.addTo(commands);
         CompareCommand.addTo(commands);
         ExplainCommand.addTo(commands);
+        RefusedRequestsCommand.addTo(commands);
         TrainCommand.addTo(commands);
         commands.addParser("version").help("print the version");
         return parser;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -47,10 +47,12 @@
 
     private final ControlGroup group;
     private final FleetKeeper fleet;
+    private final SentenceCalls sentences;
 
-    ControlApi(ControlGroup group, FleetKeeper fleet) {
+    ControlApi(ControlGroup group, FleetKeeper fleet, SentenceCalls sentences) {
         this.group = group;
         this.fleet = fleet;
+        this.sentences = sentences;
     }
 
     @Override
@@ -72,6 +74,17 @@
             put(context, bytes(request), keep);
         } else if (path.equals(Calls.READ_CONFIGURATION)) {
             read(context, keep);
+        } else if (SentenceCalls.names(path)) {
+            sentences.call(
+                    request.method(),
+                    path,
+                    bytes(request),
+                    done ->
+                            answer(
+                                    context,
+                                    HttpResponseStatus.valueOf(done.status()),
+                                    done.body(),
+                                    keep));
         } else {
             answer(context, HttpResponseStatus.NOT_FOUND, message("no such call: " + path), keep);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -246,6 +246,7 @@
     }
 
     private Channel listen() {
+        SentenceCalls sentences = new SentenceCalls(loop, crashes);
         return new ServerBootstrap()
                 .group(threads)
                 .channel(NioServerSocketChannel.class)
@@ -259,7 +260,7 @@
                                                 new IdleStateHandler(0, 0, 60),
                                                 new HttpServerCodec(),
                                                 new HttpObjectAggregator(MAX_CALL_BYTES),
-                                                new ControlApi(group, fleet));
+                                                new ControlApi(group, fleet, sentences));
                             }
                         })
                 .bind(control.api().socket())
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
@@ -91,10 +91,16 @@
     }
 
     static byte[] sentenceCommand(List<ByteString> added, List<ByteString> lifted) {
-        return ControlCommand.newBuilder()
-                .setSentence(Sentence.newBuilder().addAllAdded(added).addAllLifted(lifted))
-                .build()
-                .toByteArray();
+        return command(Sentence.newBuilder().addAllAdded(added).addAllLifted(lifted));
+    }
+
+    /** Returns the command by which an operator has a request served again. */
+    static byte[] liftCommand(ByteString request, String operator) {
+        return command(Sentence.newBuilder().addLifted(request).setOperator(operator));
+    }
+
+    private static byte[] command(Sentence.Builder sentence) {
+        return ControlCommand.newBuilder().setSentence(sentence).build().toByteArray();
     }
 
     static ControlSnapshot decodeState(byte[] bytes) {
@@ -125,10 +131,11 @@
         all.removeAll(sentence.getLiftedList());
         all.addAll(sentence.getAddedList());
         logger.info(
-                "sentences.committed added={} lifted={} inForce={}",
+                "sentences.committed added={} lifted={} inForce={} operator={}",
                 sentence.getAddedCount(),
                 sentence.getLiftedCount(),
-                all.size());
+                all.size(),
+                sentence.getOperator());
         state = state.toBuilder().clearSentenced().addAllSentenced(all).build();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
@@ -5,6 +5,8 @@
 import io.stackhall.core.quarantine.Acquittal;
 import io.stackhall.core.quarantine.Crash;
 import io.stackhall.core.quarantine.CrashLedger;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.quarantine.Standing;
 import io.stackhall.rpc.generated.fleet.AcquittalRecord;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.CrashNotice;
@@ -13,6 +15,8 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.CrashCodec;
+import io.stackhall.server.group.CommandOutcome;
+import io.stackhall.server.json.Json;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -41,6 +45,18 @@
     private List<ByteString> sentenced = List.of();
     private boolean committing;
 
+    /** The requests that are refused. */
+    record Refusals(List<Refusal> refused) {}
+
+    /**
+     * One request that is refused.
+     *
+     * @param digest names it, as in the logs
+     * @param instances the lives that ended under it, as far as this host remembers
+     * @param secondsLeft how much longer it is refused
+     */
+    record Refusal(String digest, List<String> instances, long secondsLeft) {}
+
     /**
      * Creates a keeper that knows of nothing.
      *
@@ -139,6 +155,37 @@
                 });
     }
 
+    /** Returns the requests that are refused now, as JSON that names each with its evidence. */
+    byte[] refused() {
+        long now = BootClock.nanos();
+        List<Refusal> all = new ArrayList<>();
+        for (RequestDigest request : ledger.condemned(now)) {
+            if (ledger.standing(request, now) instanceof Standing.Condemned(Duration left)) {
+                all.add(new Refusal(request.value(), ledger.lives(request), left.toSeconds()));
+            }
+        }
+        return Json.write(Refusals.class, new Refusals(all));
+    }
+
+    /**
+     * Has a request served again on all hosts: what was held against it counts no more, and the
+     * group agrees to refuse it no longer. Ends that come later are held against it anew.
+     *
+     * @param operator who asks for it, for the log
+     * @param then told whether the group has agreed, on another thread
+     */
+    void lift(RequestDigest request, String operator, Consumer<CommandOutcome> then) {
+        logger.info("sentence.lift digest={} operator={}", request, operator);
+        ledger.endedWell(request)
+                .map(CrashCodec::encode)
+                .map(CrashCodec.notice()::addAcquittals)
+                .map(CrashCodec::frame)
+                .ifPresent(toOthers);
+        byte[] command =
+                ControlLog.liftCommand(CrashCodec.encode(List.of(request)).getFirst(), operator);
+        Thread.startVirtualThread(() -> then.accept(group.command(command, COMMIT_TIMEOUT)));
+    }
+
     private static List<ByteString> without(List<ByteString> all, List<ByteString> those) {
         List<ByteString> rest = new ArrayList<>(all);
         rest.removeAll(those);
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/SentenceCalls.java
@@ -0,0 +1,81 @@
+package io.stackhall.server.control;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.server.fleet.AnswerServer;
+import io.stackhall.server.group.CommandOutcome;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * An operator's calls about requests that are refused because instances end under them: GET lists
+ * them, and a POST to one of them has it served again.
+ */
+final class SentenceCalls {
+
+    /** Lists the requests that are refused. */
+    static final String REFUSED_REQUESTS = "/-/refused-requests";
+
+    private static final String ONE = REFUSED_REQUESTS + "/";
+    private static final int MOST_NAME_CHARACTERS = 100;
+
+    private final EventLoop loop;
+    private final CrashKeeper crashes;
+
+    SentenceCalls(EventLoop loop, CrashKeeper crashes) {
+        this.loop = loop;
+        this.crashes = crashes;
+    }
+
+    /** Returns whether a path is one of these calls. */
+    static boolean names(String path) {
+        return path.equals(REFUSED_REQUESTS) || path.startsWith(ONE);
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param body of a POST, who asks
+     * @param answer told the outcome, on any thread
+     */
+    void call(HttpMethod method, String path, byte[] body, Consumer<AnswerServer.Answer> answer) {
+        if (path.equals(REFUSED_REQUESTS)) {
+            loop.execute(() -> answer.accept(ok(crashes.refused())));
+            return;
+        }
+        Optional<RequestDigest> request = RequestDigest.parse(path.substring(ONE.length()));
+        String operator = new String(body, StandardCharsets.UTF_8).strip();
+        if (!method.equals(HttpMethod.POST) || request.isEmpty()) {
+            answer.accept(answer(HttpResponseStatus.NOT_FOUND));
+        } else if (operator.isEmpty() || operator.length() > MOST_NAME_CHARACTERS) {
+            answer.accept(answer(HttpResponseStatus.BAD_REQUEST));
+        } else {
+            loop.execute(
+                    () ->
+                            crashes.lift(
+                                    request.get(),
+                                    operator,
+                                    outcome -> answer.accept(answer(outcome))));
+        }
+    }
+
+    private static AnswerServer.Answer answer(CommandOutcome outcome) {
+        return outcome instanceof CommandOutcome.Done
+                ? ok("{}".getBytes(StandardCharsets.US_ASCII))
+                : answer(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
+    private static AnswerServer.Answer ok(byte[] body) {
+        return new AnswerServer.Answer(HttpResponseStatus.OK.code(), body);
+    }
+
+    private static AnswerServer.Answer answer(HttpResponseStatus status) {
+        return new AnswerServer.Answer(
+                status.code(),
+                ("{\"message\":\"" + status.reasonPhrase() + "\"}")
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+}
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/QuarantineTest.java
@@ -8,6 +8,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
 /** What hosts hold against a request that ends upstreams, and how far that reaches. */
@@ -139,6 +141,32 @@
         assertThat(begun.get()).isLessThanOrEqualTo(3);
     }
 
+    @Test
+    void operatorListsWhatIsRefusedAndHasItServedAgain() throws Exception {
+        fatal("i-1");
+        fleet.call(1, get(FATAL, "r1"));
+        fatal("i-2");
+        fleet.call(1, get(FATAL, "r2"));
+        try (ScriptedUpstream good = upstream("i-3", (request, to) -> to.plain(request, 200, ""))) {
+            assertThat(fleet.call(1, get(FATAL, "r3")).status()).isEqualTo(503);
+            // The control group agrees within half a second.
+            pause(1500);
+            String list = fleet.control(3, "GET", "/-/refused-requests", "").text();
+            Matcher digest = Pattern.compile("[0-9a-f]{32}").matcher(list);
+            assertThat(digest.find()).as("a digest in %s", list).isTrue();
+            assertThat(list).contains("i-1").contains("i-2");
+            String one = "/-/refused-requests/" + digest.group();
+            assertThat(fleet.control(3, "POST", one, "").status()).isEqualTo(400);
+            assertThat(fleet.control(3, "POST", one, "maria").status()).isEqualTo(200);
+            LocalFleet.await("served again", () -> status("r4") == 200);
+            // The group does not agree on it again.
+            pause(1500);
+            assertThat(status("r5")).isEqualTo(200);
+            assertThat(fleet.control(1, "GET", "/-/refused-requests", "").text())
+                    .doesNotContain(digest.group());
+        }
+    }
+
     private void heartbeatOfLife(ScriptedUpstream upstream, int life) throws IOException {
         String body = upstream.heartbeat("plain", "ready", 1, "[]");
         fleet.heartbeat(2, upstream, body.replaceFirst("\\{", "{\"born\":" + 1000 * life + ","));
--- a/stackhall-tests/src/test/java/io/stackhall/tests/SeededHostsTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/SeededHostsTest.java
@@ -98,6 +98,32 @@
         Eventually.holds("loss told", () -> story("lost").contains("request.refused"));
     }
 
+    @Test
+    void commandListsWhatIsRefused() throws Exception {
+        serve();
+        Path log = folder.resolve("refused.log");
+        assertThat(
+                        RunningProcess.startSeeded(log, "refused-requests", hosts.controlCalls(2))
+                                .awaitExit())
+                .isZero();
+        assertThat(Files.readString(log)).contains("{\"refused\":[]}");
+        String digest = "0123456789abcdef0123456789abcdef";
+        assertThat(
+                        RunningProcess.startSeeded(
+                                        folder.resolve("lift.log"),
+                                        "refused-requests",
+                                        hosts.controlCalls(3),
+                                        "--lift",
+                                        digest,
+                                        "--operator",
+                                        "maria")
+                                .awaitExit())
+                .isZero();
+        Eventually.holds(
+                "lift told",
+                () -> hosts.log("control-3").stream().anyMatch(line -> line.contains(digest)));
+    }
+
     @Test
     void settingsThatAreWrongEndTheProcessWithAMessage() throws Exception {
         Path file = folder.resolve("wrong.json");
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -118,6 +118,11 @@
         return post("http://127.0.5." + number + ":" + api + "/-/config/put", configuration);
     }
 
+    /** Returns the address of a control host's calls. */
+    public String controlCalls(int number) {
+        return "127.0.5." + number + ":" + api;
+    }
+
     /** Reads the configuration from a control host. */
     public String read(int number) throws IOException, InterruptedException {
         String uri = "http://127.0.5." + number + ":" + api + "/-/config/get";
