--- a/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/FakeGroup.java
@@ -89,6 +89,11 @@
         return new FakeGroup(seed, true, settings, founders);
     }
 
+    /** Returns the time, in nanoseconds. */
+    long now() {
+        return now;
+    }
+
     /** Starts a host that no setting names. */
     void join(String name) {
         hosts.put(name, new Host(name, true));
