An operator empties a zone, and has it used again

The calls were answered with 404, and requests went on to the zone's upstreams. The order is now a command of the control group, acknowledged once it is kept, so that it outlives a change of leader and a restart of all. Each change has a revision: hosts that are told in any order agree on the newest, and an order that is sent again changes nothing. Entry hosts are told by their primary at once and ask each second; the zone's upstreams are no choice for any request, and the placement of models takes their copies for none, so that models are loaded elsewhere. Engines of the zone keep their accounts, for when they are used again. The ways weighed: to mark each upstream as draining in the list, which an upstream's next heartbeat takes back; a field of the configuration, which is the operator's to write. Not built: how much an upstream that has turned cold may be sent.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.stackhall.core.dispatch;
 
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ModelId;
@@ -35,6 +36,7 @@
     private final ResidencyBelief belief = new ResidencyBelief();
     private Map<ServiceName, EngineSpec> engines = Map.of();
     private Map<ServiceName, Duration> objectives = Map.of();
+    private EvacuatedZones evacuated = EvacuatedZones.none();
     private final Map<ServiceName, ReadingPace> paces = new HashMap<>();
 
     private final PlainChoice plain;
@@ -51,6 +53,11 @@
         engines = Map.copyOf(next);
     }
 
+    /** Takes over which zones' instances get nothing. */
+    public void evacuated(EvacuatedZones next) {
+        evacuated = next;
+    }
+
     /** Takes over the shortest objective of the routes that lead to each service. */
     public void objectives(Map<ServiceName, Duration> next) {
         objectives = Map.copyOf(next);
@@ -156,6 +163,7 @@
         for (Instance instance : instances.values()) {
             boolean fits =
                     instance.state() == InstanceState.READY
+                            && !evacuated.contains(instance.zone())
                             && instance.service().equals(need.service());
             known |= fits;
             if (fits && allowed.test(instance.id())) {
--- a/stackhall-core/src/main/java/io/stackhall/core/id/Names.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/id/Names.java
@@ -9,6 +9,13 @@
 
     private Names() {}
 
+    /** Returns whether a text may be an id. */
+    static boolean valid(String value) {
+        return !value.isBlank()
+                && value.length() <= MAX_LENGTH
+                && value.chars().noneMatch(Character::isISOControl);
+    }
+
     /** Returns the text, or throws with the offending value. */
     static String require(String kind, String value) {
         Objects.requireNonNull(value, kind);
--- a/stackhall-core/src/main/java/io/stackhall/core/id/ZoneId.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/id/ZoneId.java
@@ -1,5 +1,7 @@
 package io.stackhall.core.id;
 
+import java.util.Optional;
+
 /**
  * Names an availability zone.
  *
@@ -12,6 +14,11 @@
         Names.require("zone", value);
     }
 
+    /** Returns the zone that a text names, if it may be a name. */
+    public static Optional<ZoneId> parse(String text) {
+        return Names.valid(text) ? Optional.of(new ZoneId(text)) : Optional.empty();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.residency;
 
 import io.stackhall.core.dispatch.InstanceWork;
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.fleet.ModelCopy;
@@ -51,6 +52,7 @@
     private final Map<AdapterKey, Long> adapterUsed = new HashMap<>();
     private final Map<UpstreamId, EngineLedger> engines = new LinkedHashMap<>();
     private Map<ServiceName, EngineSpec> specs = Map.of();
+    private EvacuatedZones evacuated = EvacuatedZones.none();
     private long nextDecision;
     private boolean learning;
     private long firstEngineAt;
@@ -102,6 +104,17 @@
         engines.keySet().retainAll(usable);
     }
 
+    /** Takes over in which zones engines serve nobody, so that copies are wanted elsewhere. */
+    public void evacuated(EvacuatedZones next) {
+        evacuated = next;
+    }
+
+    private List<EngineLedger> inUse() {
+        return engines.values().stream()
+                .filter(engine -> !evacuated.contains(engine.instance().zone()))
+                .toList();
+    }
+
     /** Takes in an entry host's counts of arrivals and waiting requests. */
     public void demanded(
             HostId host, Map<ModelId, Integer> arrivals, Map<ModelId, Integer> waiting, long now) {
@@ -227,7 +240,7 @@
         if (engines.isEmpty()) {
             return;
         }
-        EngineViews views = new EngineViews(engines.values(), service, spec);
+        EngineViews views = new EngineViews(inUse(), service, spec);
         if (learning) {
             views.copies().forEach(demand::expect);
             learning = now - firstEngineAt < SETTLE_NANOS;
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -1,10 +1,12 @@
 package io.stackhall.core.dispatch;
 
 import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.elsewhere;
 import static io.stackhall.core.fleet.Instances.instance;
 import static io.stackhall.core.fleet.Instances.life;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
@@ -70,6 +72,21 @@
                 .isEqualTo(new Choice.NobodyServes());
     }
 
+    @Test
+    void instancesOfAnEvacuatedZoneGetNothingUntilThatIsTakenBack() {
+        EvacuatedZones evacuated = EvacuatedZones.none().with(new ZoneId("plateau"));
+        dispatcher.changed(instance("a", 1, "m"));
+        dispatcher.changed(elsewhere("yoff", "bb", 1, "m"));
+        dispatcher.evacuated(evacuated);
+        for (int count = 0; count < 20; count++) {
+            assertThat(sentTo(need(Optional.empty()))).contains("bb");
+        }
+        dispatcher.changed(elsewhere("yoff", "bb", 2, "m").withState(InstanceState.GONE));
+        assertThat(sentTo(need(Optional.empty()))).isEmpty();
+        dispatcher.evacuated(evacuated.without(new ZoneId("plateau")));
+        assertThat(sentTo(need(Optional.empty()))).contains("a");
+    }
+
     @Test
     void instancesThatWereTriedAreNotUnknown() {
         dispatcher.changed(instance("a", 1, "m"));
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/EvacuatedZonesTest.java
@@ -0,0 +1,43 @@
+package io.stackhall.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Which zones are evacuated, whatever is told again, late or in another order. */
+class EvacuatedZonesTest {
+
+    private static final ZoneId ZONE = new ZoneId("plateau");
+
+    @Test
+    void repeatedOrdersChangeNothing() {
+        EvacuatedZones once = EvacuatedZones.none().with(ZONE);
+        assertThat(once.with(ZONE)).isEqualTo(once);
+        assertThat(once.without(ZONE).without(ZONE)).isEqualTo(once.without(ZONE));
+        assertThat(once.without(ZONE).contains(ZONE)).isFalse();
+    }
+
+    @Property
+    boolean hostsThatAreToldTheSameAgreeInWhateverOrder(@ForAll List<Boolean> orders) {
+        EvacuatedZones state = EvacuatedZones.none();
+        EvacuatedZones forth = state;
+        EvacuatedZones back = state;
+        List<EvacuatedZones> told = new ArrayList<>();
+        for (boolean starts : orders) {
+            state = starts ? state.with(ZONE) : state.without(ZONE);
+            told.add(state);
+        }
+        for (EvacuatedZones each : told) {
+            forth = forth.newer(each);
+        }
+        for (EvacuatedZones each : told.reversed()) {
+            back = back.newer(each);
+        }
+        return forth.equals(state) && back.equals(state);
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -22,6 +22,24 @@
         return instance(id, "10.0.0." + id.length() + ":" + id.hashCode(), sequence, models);
     }
 
+    /** Returns an instance of another zone that holds some models. */
+    public static Instance elsewhere(String zone, String id, long sequence, String... models) {
+        Instance instance = instance(id, sequence, models);
+        return new Instance(
+                instance.id(),
+                instance.service(),
+                instance.address(),
+                new ZoneId(zone),
+                instance.slots(),
+                instance.state(),
+                instance.sequence(),
+                instance.cold(),
+                instance.models(),
+                instance.inHostMemory(),
+                instance.onDisk(),
+                instance.ordersTaken());
+    }
+
     /** Returns one life of an instance that tells when it started. */
     public static Instance life(String id, long bornMillis, long sequence, String... models) {
         Instance instance = instance(id, sequence, models);
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyKeeperTest.java
@@ -1,12 +1,15 @@
 package io.stackhall.core.residency;
 
+import static io.stackhall.core.fleet.Instances.elsewhere;
 import static io.stackhall.core.fleet.Instances.instance;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.ModelCopy;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -44,6 +47,19 @@
         assertThat(onlyOrder()).isEqualTo(order);
     }
 
+    @Test
+    void modelsOfAnEvacuatedZoneAreLoadedInAnotherOne() {
+        keeper.known(List.of(instance("e", 1, "a"), elsewhere("yoff", "other", 1)), now);
+        keeper.step(now);
+        keeper.read(ENGINE, new EngineReport(0, 4, false, List.of()), now);
+        keeper.read(new UpstreamId("other"), new EngineReport(0, 4, false, List.of()), now);
+        keeper.evacuated(EvacuatedZones.none().with(new ZoneId("plateau")));
+        waitsFor("a");
+        EngineOrder order = onlyOrder();
+        assertThat(order.instance().value()).isEqualTo("other");
+        assertThat(order.model()).isEqualTo(new ModelId("a"));
+    }
+
     @Test
     void loadThatWasCarriedOutThoughItsAnswerWasLostStaysCharged() {
         count(7, false);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -17,6 +17,7 @@
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.RouteTableChecker;
 import io.stackhall.platform.Calls;
@@ -48,11 +49,17 @@
     private final ControlGroup group;
     private final FleetKeeper fleet;
     private final SentenceCalls sentences;
+    private final EvacuationDesk evacuations;
 
-    ControlApi(ControlGroup group, FleetKeeper fleet, SentenceCalls sentences) {
+    ControlApi(
+            ControlGroup group,
+            FleetKeeper fleet,
+            SentenceCalls sentences,
+            EvacuationDesk evacuations) {
         this.group = group;
         this.fleet = fleet;
         this.sentences = sentences;
+        this.evacuations = evacuations;
     }
 
     @Override
@@ -74,6 +81,10 @@
             put(context, bytes(request), keep);
         } else if (path.equals(Calls.READ_CONFIGURATION)) {
             read(context, keep);
+        } else if (posted && Calls.evacuationOf(path).isPresent()) {
+            evacuate(context, Calls.evacuationOf(path).get(), false, keep);
+        } else if (posted && Calls.evacuationEndOf(path).isPresent()) {
+            evacuate(context, Calls.evacuationEndOf(path).get(), true, keep);
         } else if (SentenceCalls.names(path)) {
             sentences.call(
                     request.method(),
@@ -150,6 +161,25 @@
                 });
     }
 
+    private void evacuate(ChannelHandlerContext context, String zone, boolean ends, boolean keep) {
+        Optional<ZoneId> named = ZoneId.parse(zone);
+        if (named.isEmpty()) {
+            answer(context, HttpResponseStatus.BAD_REQUEST, message("no zone's name"), keep);
+            return;
+        }
+        evacuations.order(
+                named.get(),
+                ends,
+                outcome ->
+                        answer(
+                                context,
+                                outcome instanceof CommandOutcome.Done
+                                        ? HttpResponseStatus.OK
+                                        : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                ACKNOWLEDGED,
+                                keep));
+    }
+
     private void read(ChannelHandlerContext context, boolean keep) {
         Thread.startVirtualThread(
                 () -> {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -19,6 +19,7 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.AnswerServer;
 import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.fleet.EvacuationCodec;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.fleet.WorkCodec;
@@ -71,6 +72,7 @@
     private final CrashKeeper crashes;
     private final Confirmations confirmations;
     private final AllowanceDesk allowances;
+    private final EvacuationDesk evacuations;
     private Channel listener;
     private Optional<Channel> metricsListener = Optional.empty();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -106,6 +108,7 @@
         this.orders =
                 new OrderGiver(
                         settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
+        this.evacuations = new EvacuationDesk(group, fleet::passOn, orders::evacuated);
     }
 
     @Override
@@ -171,6 +174,7 @@
             }
             case INSTANCES -> fleet.heard(frame.getInstances());
             case FLEET_FOLLOW -> {
+                evacuations.followed(frame.getFleetFollow(), replier);
                 fleet.followed(frame.getFleetFollow(), replier, crashes::whole);
                 if (frame.getFleetFollow().getWantsConfirmation()) {
                     confirmations.ask(frame.getFleetFollow(), replier);
@@ -195,6 +199,7 @@
         ControlSnapshot state = log.state();
         takeRoutes(state);
         crashes.committed(state);
+        evacuations.committed(EvacuationCodec.decode(state.getEvacuated()));
     }
 
     private void worked(WorkReport report) {
@@ -260,7 +265,8 @@
                                                 new IdleStateHandler(0, 0, 60),
                                                 new HttpServerCodec(),
                                                 new HttpObjectAggregator(MAX_CALL_BYTES),
-                                                new ControlApi(group, fleet, sentences));
+                                                new ControlApi(
+                                                        group, fleet, sentences, evacuations));
                             }
                         })
                 .bind(control.api().socket())
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlLog.java
@@ -2,11 +2,15 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.stackhall.core.fleet.EvacuatedZones;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.fleet.ControlCommand;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.PutRoutes;
 import io.stackhall.rpc.generated.fleet.Sentence;
 import io.stackhall.rpc.generated.fleet.TakeOver;
+import io.stackhall.rpc.generated.fleet.ZoneEvacuation;
+import io.stackhall.server.fleet.EvacuationCodec;
 import io.stackhall.server.group.GroupState;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,6 +40,7 @@
             case PUT_ROUTES -> put(decoded.getPutRoutes());
             case TAKE_OVER -> takeOver(decoded.getTakeOver());
             case SENTENCE -> sentence(decoded.getSentence());
+            case EVACUATION -> evacuate(decoded.getEvacuation());
             case COMMAND_NOT_SET -> logger.error("control.command-unknown");
         }
         return new byte[0];
@@ -103,6 +108,13 @@
         return ControlCommand.newBuilder().setSentence(sentence).build().toByteArray();
     }
 
+    static byte[] evacuationCommand(ZoneId zone, boolean ends) {
+        return ControlCommand.newBuilder()
+                .setEvacuation(ZoneEvacuation.newBuilder().setZone(zone.value()).setEnds(ends))
+                .build()
+                .toByteArray();
+    }
+
     static ControlSnapshot decodeState(byte[] bytes) {
         try {
             return ControlSnapshot.parseFrom(bytes);
@@ -126,6 +138,18 @@
                         .build();
     }
 
+    private void evacuate(ZoneEvacuation order) {
+        ZoneId zone = new ZoneId(order.getZone());
+        EvacuatedZones before = EvacuationCodec.decode(state.getEvacuated());
+        EvacuatedZones after = order.getEnds() ? before.without(zone) : before.with(zone);
+        logger.info(
+                "evacuation.committed zone={} ends={} revision={}",
+                zone,
+                order.getEnds(),
+                after.revision());
+        state = state.toBuilder().setEvacuated(EvacuationCodec.encode(after)).build();
+    }
+
     private void sentence(Sentence sentence) {
         Set<ByteString> all = new LinkedHashSet<>(state.getSentencedList());
         all.removeAll(sentence.getLiftedList());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.config.PolicyName;
 import io.stackhall.core.dispatch.InstanceWork;
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
@@ -105,6 +106,11 @@
         }
     }
 
+    /** Takes over in which zones engines serve nobody. */
+    void evacuated(EvacuatedZones zones) {
+        keeper.evacuated(zones);
+    }
+
     /** Does what is due. */
     void tick() {
         if (!active()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.netty.channel.EventLoop;
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.fleet.PrimaryChoice;
 import io.stackhall.core.id.HostId;
@@ -15,6 +16,7 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
+import io.stackhall.server.fleet.EvacuationCodec;
 import io.stackhall.server.fleet.InstanceCodec;
 import io.stackhall.server.fleet.WorkBoard;
 import io.stackhall.server.peer.PeerTransport;
@@ -56,6 +58,7 @@
     private final PrimaryChoice primaries;
     private Optional<HostId> primary = Optional.empty();
     private final RoutesFollower routes;
+    private EvacuatedZones evacuated = EvacuatedZones.none();
 
     ControlFollower(
             FleetSettings settings,
@@ -169,6 +172,7 @@
             case ROUTES -> routes.told(frame.getRoutes());
             case RESIDENCY -> residency(frame.getResidency());
             case WORK -> work(frame.getWork());
+            case EVACUATED -> evacuated(EvacuationCodec.decode(frame.getEvacuated()));
             case CRASH_NOTICE -> crashes(frame.getCrashNotice());
             case ALLOWANCE_ANSWER ->
                     gateway.customers().allowances().received(frame.getAllowanceAnswer());
@@ -209,6 +213,17 @@
         gateway.dispatcher().othersUnreadTold(works.mostUnread(now), now);
     }
 
+    private void evacuated(EvacuatedZones told) {
+        EvacuatedZones newest = evacuated.newer(told);
+        if (newest.equals(evacuated)) {
+            return;
+        }
+        evacuated = newest;
+        logger.info("evacuations.in-force revision={} zones={}", newest.revision(), newest.zones());
+        gateway.dispatcher().evacuated(newest);
+        gateway.serveWaiting();
+    }
+
     private void residency(ResidencyChange change) {
         if (change.getComingMillis() > 0) {
             gateway.dispatcher()
@@ -258,6 +273,7 @@
                 .setRoutesVersion(routes.held())
                 .setWantsConfirmation(wantsConfirmation)
                 .setAskedAt(BootClock.nanos())
+                .setEvacuations(evacuated.revision())
                 .setPrimary(primary.filter(host::equals).isPresent());
     }
 }
