A cold upstream gets no more than it bears from all hosts together

An upstream that comes back cold was taken for the least loaded one by each host. Its service's figure of what it bears while cold was not read, and a change to cold was not told to entry hosts until something else of the upstream changed: in ColdUpstreamTest it got 40 requests in the first second where 4 a second, and 11 at the most, are allowed.

Each host now has short turns at a cold upstream, one in every period that is as many times as long as there are hosts, at a moment drawn at random; a turn that is not used is lost, so that a burst finds no more turns than any other second. Ways weighed: tokens that are saved up (75 hosts may all hold one when a burst comes), grants by the leader (exact, but a way there and back for each request, where a warm upstream is at hand), turns (kept).

What entry hosts hear of an instance, and how soon, is a decision of the core now (InstanceNews).

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -36,14 +36,17 @@
     private final ResidencyBelief belief = new ResidencyBelief();
     private Map<ServiceName, EngineSpec> engines = Map.of();
     private Map<ServiceName, Duration> objectives = Map.of();
+    private Map<ServiceName, Double> coldPerSecond = Map.of();
     private EvacuatedZones evacuated = EvacuatedZones.none();
     private final Map<ServiceName, ReadingPace> paces = new HashMap<>();
 
+    private final ColdShare cold;
     private final PlainChoice plain;
     private final EngineChoice holders;
 
     /** Creates a dispatcher that knows no instance. */
     public Dispatcher(ZoneId zone, RandomGenerator random) {
+        this.cold = new ColdShare(random);
         this.plain = new PlainChoice(zone, random, this::load);
         this.holders = new EngineChoice(zone, random, this::load, belief);
     }
@@ -53,6 +56,16 @@
         engines = Map.copyOf(next);
     }
 
+    /** Takes over how many requests a second the services' instances bear while they are cold. */
+    public void coldPerSecond(Map<ServiceName, Double> next) {
+        coldPerSecond = Map.copyOf(next);
+    }
+
+    /** Takes in how many hosts there are, which share what a cold instance bears. */
+    public void shared(int hosts) {
+        cold.shared(hosts);
+    }
+
     /** Takes over which zones' instances get nothing. */
     public void evacuated(EvacuatedZones next) {
         evacuated = next;
@@ -66,11 +79,13 @@
     /** Takes in what is newly known of an instance. */
     public void changed(Instance instance) {
         if (instance.state() == InstanceState.GONE) {
+            cold.forget(instance.id());
             instances.remove(instance.id());
             loads.remove(instance.id());
             belief.forget(instance.id());
             return;
         }
+        cold.reported(instance);
         belief.reported(instances.put(instance.id(), instance), instance);
     }
 
@@ -159,7 +174,9 @@
             Optional<RequestDigest> apart,
             long now) {
         List<Instance> serving = new ArrayList<>();
+        double bearsCold = coldPerSecond.getOrDefault(need.service(), 0.0);
         boolean known = false;
+        boolean spared = false;
         for (Instance instance : instances.values()) {
             boolean fits =
                     instance.state() == InstanceState.READY
@@ -167,9 +184,16 @@
                             && instance.service().equals(need.service());
             known |= fits;
             if (fits && allowed.test(instance.id())) {
-                serving.add(instance);
+                if (cold.allows(instance.id(), bearsCold, now)) {
+                    serving.add(instance);
+                } else {
+                    spared = true;
+                }
             }
         }
+        if (serving.isEmpty() && spared) {
+            return new Choice.Full(0);
+        }
         if (serving.isEmpty()) {
             return known ? new Choice.AllTried() : new Choice.NobodyServes();
         }
@@ -183,6 +207,7 @@
 
     /** Notes that a request is sent. */
     public Sending began(UpstreamId id, Need need, long now) {
+        cold.sent(id, coldPerSecond.getOrDefault(need.service(), 0.0), now);
         InstanceLoad load = load(id);
         boolean alone = load.unread(pace(need.service()), now) <= 0;
         Sending sending = new Sending(id, need, load.unreadOf(need), alone, now);
--- a/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
@@ -79,6 +79,13 @@
         return shortest;
     }
 
+    /** Returns how many requests a second upstreams of each service bear while they are cold. */
+    public Map<ServiceName, Double> coldPerSecond() {
+        Map<ServiceName, Double> all = new HashMap<>();
+        services.forEach((name, service) -> all.put(name, service.coldPerSecond()));
+        return all;
+    }
+
     /** Returns who may send requests. */
     public Customers customers() {
         return customers;
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -22,6 +22,24 @@
         return instance(id, "10.0.0." + id.length() + ":" + id.hashCode(), sequence, models);
     }
 
+    /** Returns an instance that stays slow for a while. */
+    public static Instance cold(String id, Duration left) {
+        Instance instance = instance(id, 1);
+        return new Instance(
+                instance.id(),
+                instance.service(),
+                instance.address(),
+                instance.zone(),
+                instance.slots(),
+                instance.state(),
+                instance.sequence(),
+                left,
+                instance.models(),
+                instance.inHostMemory(),
+                instance.onDisk(),
+                instance.ordersTaken());
+    }
+
     /** Returns an instance of another zone that holds some models. */
     public static Instance elsewhere(String zone, String id, long sequence, String... models) {
         Instance instance = instance(id, sequence, models);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.dispatch.InstanceWork;
 import io.stackhall.core.dispatch.ReportSum;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceNews;
 import io.stackhall.core.fleet.InstanceTable;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
@@ -306,13 +307,15 @@
         List<Instance> changed = new ArrayList<>();
         List<Instance> begun = new ArrayList<>();
         for (Instance instance : instances) {
-            Instance before = table.find(instance.id()).orElse(null);
+            Optional<Instance> before = table.find(instance.id());
             for (Instance after : table.merge(instance, BootClock.nanos())) {
                 heard.add(after);
-                if (begins(before, after)) {
-                    begun.add(after);
-                } else if (differs(before, after)) {
-                    changed.add(after);
+                switch (InstanceNews.of(before, after)) {
+                    case URGENT -> begun.add(after);
+                    case SOON -> changed.add(after);
+                    case NONE -> {
+                        // Only its sequence has risen.
+                    }
                 }
             }
         }
@@ -350,22 +353,6 @@
                 instance.models());
     }
 
-    /** Returns whether an instance comes, goes, drains, moves or serves a further model. */
-    private static boolean begins(Instance before, Instance after) {
-        if (before == null || !before.id().equals(after.id()) || before.state() != after.state()) {
-            return true;
-        }
-        return !before.address().equals(after.address())
-                || after.models().stream().anyMatch(copy -> before.copyOf(copy.model()).isEmpty());
-    }
-
-    private static boolean differs(Instance before, Instance after) {
-        return !before.models().equals(after.models())
-                || !before.inHostMemory().equals(after.inHostMemory())
-                || !before.onDisk().equals(after.onDisk())
-                || before.slots() != after.slots();
-    }
-
     private void decodeRoutes() {
         ConfigurationDecoder.decode(routes.getBody().toByteArray())
                 .peek(this::takeTable)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -99,6 +99,7 @@
         }
         dispatcher.engines(engines);
         dispatcher.objectives(next.shortestObjectives());
+        dispatcher.coldPerSecond(next.coldPerSecond());
         customers.customers(next.customers());
         firstRoutes.release();
         serveWaiting();
@@ -254,6 +255,7 @@
     void entryHosts(int seen) {
         entryHosts = seen;
         retries.shared(seen);
+        dispatcher.shared(seen);
     }
 
     /** Returns how many entry hosts there are, as far as the control hosts have told. */
