--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -25,51 +25,31 @@
     /** Returns an instance that stays slow for a while. */
     public static Instance cold(String id, Duration left) {
         Instance instance = instance(id, 1);
-        return new Instance(
-                instance.id(),
-                instance.service(),
-                instance.address(),
-                instance.zone(),
-                instance.slots(),
-                instance.state(),
-                instance.sequence(),
-                left,
-                instance.models(),
-                instance.inHostMemory(),
-                instance.onDisk(),
-                instance.ordersTaken());
+        return with(instance, instance.id(), instance.zone(), left);
     }
 
     /** Returns an instance of another zone that holds some models. */
     public static Instance elsewhere(String zone, String id, long sequence, String... models) {
         Instance instance = instance(id, sequence, models);
-        return new Instance(
-                instance.id(),
-                instance.service(),
-                instance.address(),
-                new ZoneId(zone),
-                instance.slots(),
-                instance.state(),
-                instance.sequence(),
-                instance.cold(),
-                instance.models(),
-                instance.inHostMemory(),
-                instance.onDisk(),
-                instance.ordersTaken());
+        return with(instance, instance.id(), new ZoneId(zone), instance.cold());
     }
 
     /** Returns one life of an instance that tells when it started. */
     public static Instance life(String id, long bornMillis, long sequence, String... models) {
         Instance instance = instance(id, sequence, models);
+        return with(instance, new UpstreamId(id, bornMillis), instance.zone(), instance.cold());
+    }
+
+    private static Instance with(Instance instance, UpstreamId id, ZoneId zone, Duration cold) {
         return new Instance(
-                new UpstreamId(id, bornMillis),
+                id,
                 instance.service(),
                 instance.address(),
-                instance.zone(),
+                zone,
                 instance.slots(),
                 instance.state(),
                 instance.sequence(),
-                instance.cold(),
+                cold,
                 instance.models(),
                 instance.inHostMemory(),
                 instance.onDisk(),
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -27,6 +27,7 @@
 public final class SeededHosts implements AutoCloseable {
 
     private static final Duration PATIENCE = Duration.ofSeconds(15);
+    private static final String ROUTE_HOST = "a.example";
     private static final int HEARTBEAT_MILLIS = 300;
 
     private final Path folder;
@@ -133,58 +134,44 @@
     /** Sends a request through an entry host. */
     public HttpResponse<String> call(int number, String path, String id)
             throws IOException, InterruptedException {
-        String uri = "http://127.0.6." + number + ":" + callers + path;
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create(uri))
-                        .timeout(PATIENCE)
-                        .header("X-Request-Id", id)
-                        .header("X-Deadline-Ms", "3000")
-                        .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return send(request(number, path, id));
     }
 
     /** Sends a request through an entry host, on a route of the host a.example. */
     public HttpResponse<String> callRoute(int number, String path, String id)
             throws IOException, InterruptedException {
-        String uri = "http://127.0.6." + number + ":" + callers + path;
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create(uri))
-                        .timeout(PATIENCE)
-                        .header("Host", "a.example")
-                        .header("X-Request-Id", id)
-                        .header("X-Deadline-Ms", "3000")
-                        .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return send(request(number, path, id).header("Host", ROUTE_HOST));
     }
 
     /** Sends a request with a customer's key through an entry host. */
     public HttpResponse<String> callWithKey(int number, String path, String id, String key)
             throws IOException, InterruptedException {
-        String uri = "http://127.0.6." + number + ":" + callers + path;
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create(uri))
-                        .timeout(PATIENCE)
-                        .header("Host", "a.example")
-                        .header("X-Request-Id", id)
-                        .header("X-Deadline-Ms", "3000")
-                        .header("Authorization", "Token " + key)
-                        .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return send(
+                request(number, path, id)
+                        .header("Host", ROUTE_HOST)
+                        .header("Authorization", "Token " + key));
     }
 
     /** Sends a request with a body through an entry host, to the host that its route names. */
     public HttpResponse<String> post(int number, String path, String id, String body)
             throws IOException, InterruptedException {
+        return send(
+                request(number, path, id)
+                        .header("Host", ROUTE_HOST)
+                        .POST(HttpRequest.BodyPublishers.ofString(body)));
+    }
+
+    private HttpRequest.Builder request(int number, String path, String id) {
         String uri = "http://127.0.6." + number + ":" + callers + path;
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create(uri))
-                        .timeout(PATIENCE)
-                        .header("Host", "a.example")
-                        .header("X-Request-Id", id)
-                        .header("X-Deadline-Ms", "3000")
-                        .POST(HttpRequest.BodyPublishers.ofString(body))
-                        .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+        return HttpRequest.newBuilder(URI.create(uri))
+                .timeout(PATIENCE)
+                .header("X-Request-Id", id)
+                .header("X-Deadline-Ms", "3000");
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request)
+            throws IOException, InterruptedException {
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
     /** Returns whether an entry host says that it is ready. */
