A fault soak of real processes, drawn by a seed

Kills, freezes, stops and hang-ups of single hosts and of all, one upon the other, while an operator changes the configuration and callers go on using their connections. Held against what callers and the operator see: no route is unknown that every configuration has; a host that has not been disturbed for 4 s obeys what was acknowledged 2 s before, and never goes back within one life; reads are never older than what was acknowledged; whole answers; refused requests have not run; what may run once runs once; only who is disturbed cuts a connection; all is back after the trouble.

--- /dev/null
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -0,0 +1,392 @@
+package io.stackhall.tests.harness;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Real processes under trouble from outside that a seed draws: kills, freezes, stops and hang-ups
+ * of single hosts and of all, one upon the other, while an operator changes the configuration and
+ * callers go on using their connections. What callers and the operator see is held against the
+ * promises.
+ *
+ * <p>Each change adds a route that all later ones keep, so that an answer of 404 on it tells that
+ * an older configuration is in force.
+ */
+public final class FaultSoak implements AutoCloseable {
+
+    private static final int CONTROL_HOSTS = 3;
+    private static final int ENTRY_HOSTS = 3;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+
+    /** A host that was disturbed, or whose group was, is held to times only after this. */
+    private static final Duration CONTACT = Duration.ofSeconds(4);
+
+    /** The time within which an acknowledged change has to be in force. */
+    private static final Duration APPLIED = Duration.ofSeconds(2);
+
+    /** What is cut by a kill or a stop may be seen this much later. */
+    private static final Duration SEEN_LATER = Duration.ofSeconds(2);
+
+    private static final long CALL_PAUSE_MILLIS = 30;
+
+    private final Random random;
+    private final SeededHosts hosts;
+    private final Map<String, RunningProcess> processes = new ConcurrentHashMap<>();
+    private final Map<String, Long> disturbedAt = new ConcurrentHashMap<>();
+    private final Map<String, AtomicLong> lives = new ConcurrentHashMap<>();
+    private final Map<Long, Long> acknowledgedAt = new ConcurrentHashMap<>();
+    private final AtomicLong acknowledged = new AtomicLong();
+    private final AtomicLong calls = new AtomicLong();
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private long version;
+
+    /** Creates a run that has not begun. */
+    public FaultSoak(Path folder, long seed) {
+        this.random = new Random(seed);
+        this.hosts = new SeededHosts(folder);
+    }
+
+    /**
+     * Plays the trouble for a while, and lets all come back.
+     *
+     * @return which promises were broken, empty where none was
+     */
+    public List<String> run(Duration lasts) throws Exception {
+        startAll(true);
+        Eventually.holds("first change", this::change);
+        hosts.startUpstream();
+        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+            int host = number;
+            Eventually.holds("served", () -> status(host, "/base/x") == OK);
+        }
+        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+            int host = number;
+            threads.submit(() -> callAgainAndAgain(host));
+        }
+        threads.submit(this::readAgainAndAgain);
+        long end = System.nanoTime() + lasts.toNanos();
+        while (System.nanoTime() - end < 0) {
+            disturb();
+            Eventually.pause(200 + random.nextInt(1200));
+        }
+        recover();
+        over.set(true);
+        checkRuns();
+        return List.copyOf(broken);
+    }
+
+    /** Returns how many calls were made, and how many were served. */
+    public String account() {
+        return "calls=%d served=%d changes=%d".formatted(calls.get(), served.get(), version);
+    }
+
+    @Override
+    public void close() {
+        over.set(true);
+        threads.shutdownNow();
+        hosts.close();
+    }
+
+    private void disturb() {
+        switch (random.nextInt(12)) {
+            case 0, 1, 2, 3 -> threads.submit(this::change);
+            case 4, 5 -> kill(anyControl(), random.nextInt(1500));
+            case 6 -> kill(anyEntry(), random.nextInt(1500));
+            case 7 -> freeze(random.nextBoolean() ? anyControl() : anyEntry());
+            case 8 -> stop(anyEntry());
+            case 9 -> signal(anyEntry(), RunningProcess::hangUp);
+            case 10 -> restartAll();
+            default -> stop(anyControl());
+        }
+    }
+
+    private void kill(String name, int downMillis) {
+        signal(name, RunningProcess::kill);
+        later(downMillis, () -> start(name, false));
+    }
+
+    private void stop(String name) {
+        RunningProcess leaving = processes.get(name);
+        signal(name, RunningProcess::requestStop);
+        later(
+                0,
+                () -> {
+                    leaving.awaitExit();
+                    start(name, false);
+                });
+    }
+
+    private void freeze(String name) {
+        RunningProcess frozen = processes.get(name);
+        signal(name, RunningProcess::freeze);
+        later(
+                300 + random.nextInt(2500),
+                () -> {
+                    touch(name);
+                    if (frozen.alive()) {
+                        frozen.thaw();
+                    }
+                });
+    }
+
+    private void restartAll() {
+        names().forEach(name -> signal(name, RunningProcess::kill));
+        later(random.nextInt(1000), () -> names().forEach(name -> start(name, false)));
+    }
+
+    private void recover() {
+        Eventually.pause(3500);
+        for (String name : names()) {
+            signal(name, RunningProcess::thaw);
+            start(name, false);
+        }
+        Eventually.holds("change after all", this::change);
+        long newest = acknowledged.get();
+        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+            int host = number;
+            Eventually.holds("newest on " + host, () -> status(host, route(newest)) == OK);
+        }
+        Eventually.holds("newest read", () -> read(1) >= newest);
+    }
+
+    private synchronized void start(String name, boolean firstStart) {
+        RunningProcess before = processes.get(name);
+        if (over.get() || (before != null && before.alive())) {
+            return;
+        }
+        touch(name);
+        lives.computeIfAbsent(name, key -> new AtomicLong()).incrementAndGet();
+        int number = name.charAt(name.length() - 1) - '0';
+        processes.put(
+                name,
+                name.startsWith("control")
+                        ? hosts.startControl(number, firstStart)
+                        : hosts.startEntry(number, true));
+    }
+
+    private void startAll(boolean firstStart) {
+        names().forEach(name -> start(name, firstStart));
+    }
+
+    private boolean change() {
+        long next;
+        synchronized (this) {
+            next = ++version;
+        }
+        try {
+            if (hosts.put(1 + (int) (next % CONTROL_HOSTS), configuration(next)) != OK) {
+                return false;
+            }
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+        acknowledgedAt.put(next, System.nanoTime());
+        acknowledged.accumulateAndGet(next, Math::max);
+        return true;
+    }
+
+    private void callAgainAndAgain(int host) {
+        String name = "entry-" + host;
+        long obeyed = 0;
+        long life = 0;
+        while (!over.get()) {
+            long lifeNow = lives.get(name).get();
+            obeyed = lifeNow == life ? obeyed : 0;
+            life = lifeNow;
+            long asked = acknowledged.get();
+            long sentAt = System.nanoTime();
+            int base = statusOrCut(host, "/base/x", name, sentAt);
+            int newest = statusOrCut(host, route(asked), name, sentAt);
+            statusOrCut(host, "/once/x", name, sentAt);
+            boolean sameLife = lives.get(name).get() == life;
+            if (base == NOT_FOUND) {
+                broken.add(name + " knows no route that every configuration has");
+            }
+            if (newest == OK && sameLife) {
+                obeyed = Math.max(obeyed, asked);
+            }
+            if (newest == NOT_FOUND && sameLife && asked <= obeyed) {
+                broken.add(name + " went back from " + obeyed + ", within one life");
+            }
+            if (newest == NOT_FOUND && isHeldTo(name, asked, sentAt)) {
+                broken.add(name + " obeys an older configuration than " + asked);
+            }
+            Eventually.pause(CALL_PAUSE_MILLIS);
+        }
+    }
+
+    /** Returns whether a host had to obey a change when a request was sent. */
+    private boolean isHeldTo(String name, long change, long sentAt) {
+        boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
+        boolean calm =
+                quietSince(name, sentAt)
+                        && names().stream()
+                                .filter(other -> other.startsWith("control"))
+                                .allMatch(other -> quietSince(other, sentAt));
+        return longAgo && calm;
+    }
+
+    private boolean quietSince(String name, long at) {
+        return at - disturbedAt.getOrDefault(name, 0L) > CONTACT.toNanos();
+    }
+
+    private void readAgainAndAgain() {
+        while (!over.get()) {
+            long before = acknowledged.get();
+            long sentAt = System.nanoTime();
+            long read = read(1 + random(CONTROL_HOSTS));
+            boolean longAgo = sentAt - acknowledgedAt.get(before) > APPLIED.toNanos();
+            if (read >= 0 && read < before && longAgo) {
+                broken.add("read " + read + " though " + before + " had been acknowledged");
+            }
+            Eventually.pause(CALL_PAUSE_MILLIS);
+        }
+    }
+
+    /** Returns the version that a control host reads, or -1 where it is not certain. */
+    private long read(int number) {
+        try {
+            String text = hosts.read(number);
+            int at = text.indexOf("{\"version\":");
+            return at == 0 ? Long.parseLong(text.substring(11, text.indexOf(','))) : -1;
+        } catch (IOException e) {
+            return -1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+
+    /** Returns the answer's status, or 0 where a disturbed host cut the connection. */
+    private int statusOrCut(int host, String path, String name, long sentAt) {
+        String id = "s" + calls.incrementAndGet();
+        try {
+            HttpResponse<String> answer = hosts.callRoute(host, path, id);
+            if (answer.statusCode() == OK) {
+                served.incrementAndGet();
+                if (!answer.body().equals(path)) {
+                    broken.add(id + " was answered " + answer.body() + " for " + path);
+                }
+            }
+            if (answer.statusCode() == UNAVAILABLE && hosts.runs(path, id) > 0) {
+                broken.add(id + " ran though it was refused");
+            }
+            return answer.statusCode();
+        } catch (IOException e) {
+            long since = Math.min(sentAt, System.nanoTime() - SEEN_LATER.toNanos());
+            if (since - disturbedAt.getOrDefault(name, 0L) > SEEN_LATER.toNanos()) {
+                broken.add(id + " was cut by " + name + ", which nobody had disturbed: " + e);
+            }
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    private int status(int host, String path) throws IOException, InterruptedException {
+        return hosts.callRoute(host, path, "s" + calls.incrementAndGet()).statusCode();
+    }
+
+    private void checkRuns() {
+        for (long call = 1; call <= calls.get(); call++) {
+            if (hosts.runs("/once/x", "s" + call) > 1) {
+                broken.add("s" + call + " ran more than once");
+            }
+        }
+    }
+
+    private void later(int millis, Runnable task) {
+        threads.submit(
+                () -> {
+                    Eventually.pause(millis);
+                    try {
+                        task.run();
+                    } catch (RuntimeException | AssertionError e) {
+                        broken.add("a step of the run itself failed: " + e);
+                    }
+                });
+    }
+
+    private void touch(String name) {
+        disturbedAt.put(name, System.nanoTime());
+    }
+
+    /** Signals a process, unless it has ended already by what came before. */
+    private synchronized void signal(String name, Consumer<RunningProcess> kind) {
+        touch(name);
+        RunningProcess process = processes.get(name);
+        if (process.alive()) {
+            kind.accept(process);
+        }
+    }
+
+    private synchronized int random(int bound) {
+        return random.nextInt(bound);
+    }
+
+    private String anyControl() {
+        return "control-" + (1 + random(CONTROL_HOSTS));
+    }
+
+    private String anyEntry() {
+        return "entry-" + (1 + random(ENTRY_HOSTS));
+    }
+
+    private static List<String> names() {
+        List<String> names = new ArrayList<>();
+        IntStream.rangeClosed(1, CONTROL_HOSTS).forEach(number -> names.add("control-" + number));
+        IntStream.rangeClosed(1, ENTRY_HOSTS).forEach(number -> names.add("entry-" + number));
+        return names;
+    }
+
+    private static String route(long version) {
+        return "/v" + version + "/x";
+    }
+
+    private static String configuration(long version) {
+        String added =
+                IntStream.rangeClosed(1, (int) version)
+                        .mapToObj(number -> route("v" + number, "/v" + number + "/", "safe"))
+                        .collect(Collectors.joining(","));
+        return """
+        {"version":%d,"routes":[%s,%s,%s],"services":[\
+        {"name":"plain","health-path":"/h","max-connections":200}]}"""
+                .formatted(
+                        version,
+                        route("base", "/base/", "safe"),
+                        route("once", "/once/", "unsafe"),
+                        added);
+    }
+
+    private static String route(String name, String prefix, String kind) {
+        return """
+        {"name":"%s","host":"a.example","path-prefix":"%s","kind":"%s",\
+        "timeout-ms":3000,"target-latency-ms":100,"priority":1,"service":"plain",\
+        "max-attempts":2}"""
+                .formatted(name, prefix, kind);
+    }
+}
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -17,10 +17,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Real processes that find each other by seeds, and one plain upstream that announces itself. */
@@ -42,6 +44,7 @@
     private final ScheduledExecutorService heartbeats =
             Executors.newSingleThreadScheduledExecutor();
     private final List<CrashingUpstream> crashing = new CopyOnWriteArrayList<>();
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private HttpServer upstream;
 
     /** Creates a system that does not run yet. */
@@ -82,6 +85,8 @@
                     }
                     byte[] body = path.getBytes(StandardCharsets.UTF_8);
                     String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
+                    runs.computeIfAbsent(path + " " + id, key -> new AtomicInteger())
+                            .incrementAndGet();
                     exchange.getResponseHeaders().set("X-Request-Id", id);
                     exchange.sendResponseHeaders(200, body.length);
                     exchange.getResponseBody().write(body);
@@ -91,6 +96,12 @@
         heartbeats.scheduleAtFixedRate(this::heartbeat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns how often the upstream has run a request, by its path and id. */
+    public int runs(String path, String id) {
+        AtomicInteger count = runs.get(path + " " + id);
+        return count == null ? 0 : count.get();
+    }
+
     /** Starts an upstream that ends under one request, and comes back. */
     public void startCrashing(String name) {
         CrashingUpstream started = new CrashingUpstream(name);
