--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/PlacementReplay.java
@@ -0,0 +1,358 @@
+package io.stackhall.core.residency;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.membership.Artifact;
+import io.stackhall.core.policy.Move;
+import io.stackhall.core.policy.PlacementPolicy;
+import io.stackhall.core.policy.PlacementView;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Models that are asked for, more than there are places for, by urgent callers, whose demand moves
+ * on to other models, and by patient ones, who ask for many models rarely. The real policy and the
+ * real count of demand decide over modelled engines: places, weights in host memory and on disk,
+ * loads, and prompts that are read one after the other. Times are in milliseconds.
+ */
+final class PlacementReplay {
+
+    /** How a model's demand is told to the policy. */
+    interface Way {
+        /** Returns the requests a second that a model is taken for. */
+        double rate(Model model, double asked, long nearestLoad);
+    }
+
+    /** Whoever asks for a model. */
+    enum Kind {
+        URGENT(400, 5_000),
+        PATIENT(6_000, 20_000);
+
+        private final long objective;
+        private final long deadline;
+
+        Kind(long objective, long deadline) {
+            this.objective = objective;
+            this.deadline = deadline;
+        }
+
+        long objective() {
+            return objective;
+        }
+    }
+
+    /** What became of the requests of each kind, as shares of those asked, and the loads. */
+    record Outcome(double urgentInTime, double patientInTime, int loads, int storeLoads) {}
+
+    /** A model and who asks for it. */
+    record Model(ModelId id, Kind kind) {
+        Artifact artifact() {
+            return new Artifact(id, "");
+        }
+    }
+
+    private static final long LENGTH = 60_000;
+    private static final long STEP = 10;
+    private static final long DECIDE_EVERY = 100;
+    private static final long SHIFT_EVERY = 8_000;
+    private static final int SHIFT_BY = 3;
+    private static final int ENGINES = 13;
+    private static final int ZONES = 3;
+    private static final int PLACES = 3;
+    private static final int IN_MEMORY = 2;
+    private static final int ON_DISK = 6;
+    private static final int URGENT_MODELS = 20;
+    private static final int BUSY_MODELS = 7;
+    private static final int PATIENT_MODELS = 37;
+    private static final double URGENT_PER_SECOND = 26;
+    private static final double PATIENT_PER_SECOND = 6.6;
+    private static final long PROMPT = 70;
+    private static final long FROM_MEMORY = 800;
+    private static final long FROM_DISK = 1_700;
+    private static final long FROM_STORE = 8_000;
+    private static final long UNLOAD = 150;
+    private static final int STORE_LOADS_AT_ONCE = 4;
+    private static final HostId HOST = new HostId("host");
+
+    private final Random random;
+    private final Way way;
+    private final PlacementPolicy policy;
+    private final ModelDemand demand = new ModelDemand();
+    private final List<Model> models = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final Map<Model, Deque<Request>> waiting = new LinkedHashMap<>();
+    private final Map<ModelId, Integer> arrivals = new HashMap<>();
+    private final Map<Kind, Integer> asked = new EnumMap<>(Kind.class);
+    private final Map<Kind, Integer> inTime = new EnumMap<>(Kind.class);
+    private int loads;
+    private int storeLoads;
+    private int firstBusy;
+
+    private record Request(long at) {}
+
+    /** An engine: what it serves, keeps at hand and is doing. */
+    private static final class Engine {
+        private final UpstreamId id;
+        private final ZoneId zone;
+        private final Map<ModelId, Long> held = new LinkedHashMap<>();
+        private final Deque<ModelId> memory = new ArrayDeque<>();
+        private final Deque<ModelId> disk = new ArrayDeque<>();
+        private Optional<ModelId> loading = Optional.empty();
+        private boolean fromStore;
+        private long orderEnds;
+        private final Deque<ModelId> nextLoads = new ArrayDeque<>();
+        private long promptsReadAt;
+
+        private Engine(int number) {
+            id = new UpstreamId("e" + number);
+            zone = new ZoneId("z" + number % ZONES);
+        }
+
+        private Optional<Long> nearLoad(ModelId model) {
+            if (memory.contains(model)) {
+                return Optional.of(FROM_MEMORY);
+            }
+            return disk.contains(model) ? Optional.of(FROM_DISK) : Optional.empty();
+        }
+
+        private void keep(ModelId model) {
+            touch(memory, model, IN_MEMORY);
+            touch(disk, model, ON_DISK);
+        }
+
+        private static void touch(Deque<ModelId> kept, ModelId model, int most) {
+            kept.remove(model);
+            kept.addFirst(model);
+            while (kept.size() > most) {
+                kept.removeLast();
+            }
+        }
+    }
+
+    PlacementReplay(long seed, PlacementPolicy policy, Way way) {
+        this.random = new Random(seed);
+        this.policy = policy;
+        this.way = way;
+        for (int number = 0; number < URGENT_MODELS; number++) {
+            models.add(new Model(new ModelId("u" + number), Kind.URGENT));
+        }
+        for (int number = 0; number < PATIENT_MODELS; number++) {
+            models.add(new Model(new ModelId("p" + number), Kind.PATIENT));
+        }
+        for (int number = 0; number < ENGINES; number++) {
+            engines.add(new Engine(number));
+        }
+        models.forEach(model -> waiting.put(model, new ArrayDeque<>()));
+        fill();
+    }
+
+    Outcome play() {
+        for (long now = 0; now < LENGTH; now += STEP) {
+            if (now % SHIFT_EVERY == 0 && now > 0) {
+                firstBusy = (firstBusy + SHIFT_BY) % URGENT_MODELS;
+            }
+            arrive(now);
+            endOrders(now);
+            if (now % DECIDE_EVERY == 0) {
+                decide(now);
+            }
+            serve(now);
+        }
+        return new Outcome(share(Kind.URGENT), share(Kind.PATIENT), loads, storeLoads);
+    }
+
+    private double share(Kind kind) {
+        return inTime.getOrDefault(kind, 0) / (double) asked.getOrDefault(kind, 1);
+    }
+
+    /** Busy models first, on several engines, then one copy of each while there is room. */
+    private void fill() {
+        int at = 0;
+        for (int copy = 0; copy < 2; copy++) {
+            for (int number = 0; number < BUSY_MODELS; number++) {
+                hold(engines.get(at++ % ENGINES), models.get(number).id());
+            }
+        }
+        for (Model model : models.subList(BUSY_MODELS, models.size())) {
+            Engine engine = engines.get(at++ % ENGINES);
+            if (engine.held.size() < PLACES) {
+                hold(engine, model.id());
+            } else {
+                engine.keep(model.id());
+            }
+        }
+    }
+
+    private static void hold(Engine engine, ModelId model) {
+        engine.held.put(model, 0L);
+        engine.keep(model);
+    }
+
+    private void arrive(long now) {
+        for (int number = 0; number < BUSY_MODELS; number++) {
+            Model model = models.get((firstBusy + number) % URGENT_MODELS);
+            double share = 2.0 * (BUSY_MODELS - number) / (BUSY_MODELS * (BUSY_MODELS + 1));
+            arrive(model, URGENT_PER_SECOND * share, now);
+        }
+        for (Model model : models.subList(URGENT_MODELS, models.size())) {
+            arrive(model, PATIENT_PER_SECOND / PATIENT_MODELS, now);
+        }
+    }
+
+    private void arrive(Model model, double perSecond, long now) {
+        if (random.nextDouble() < perSecond * STEP / 1000) {
+            asked.merge(model.kind(), 1, Integer::sum);
+            arrivals.merge(model.id(), 1, Integer::sum);
+            waiting.get(model).addLast(new Request(now));
+        }
+    }
+
+    private void serve(long now) {
+        waiting.forEach(
+                (model, requests) -> {
+                    requests.removeIf(request -> now - request.at() > model.kind().deadline);
+                    Optional<Engine> holder = leastLoaded(model.id());
+                    while (holder.isPresent() && !requests.isEmpty()) {
+                        Request request = requests.removeFirst();
+                        Engine engine = holder.get();
+                        engine.promptsReadAt = Math.max(now, engine.promptsReadAt) + PROMPT;
+                        engine.keep(model.id());
+                        if (engine.promptsReadAt - request.at() <= model.kind().objective) {
+                            inTime.merge(model.kind(), 1, Integer::sum);
+                        }
+                        holder = leastLoaded(model.id());
+                    }
+                });
+    }
+
+    private Optional<Engine> leastLoaded(ModelId model) {
+        return engines.stream()
+                .filter(engine -> engine.held.containsKey(model))
+                .min((one, other) -> Long.compare(one.promptsReadAt, other.promptsReadAt));
+    }
+
+    private void endOrders(long now) {
+        for (Engine engine : engines) {
+            if (engine.orderEnds > now) {
+                continue;
+            }
+            engine.loading.ifPresent(
+                    model -> {
+                        engine.held.put(model, nanos(now));
+                        engine.keep(model);
+                    });
+            engine.loading = Optional.empty();
+            engine.fromStore = false;
+            if (!engine.nextLoads.isEmpty()) {
+                load(engine, engine.nextLoads.removeFirst(), now);
+            }
+        }
+    }
+
+    private void load(Engine engine, ModelId model, long now) {
+        Optional<Long> near = engine.nearLoad(model);
+        loads++;
+        storeLoads += near.isEmpty() ? 1 : 0;
+        engine.loading = Optional.of(model);
+        engine.fromStore = near.isEmpty();
+        engine.orderEnds = now + near.orElse(FROM_STORE);
+    }
+
+    private void decide(long now) {
+        Map<ModelId, Integer> waits = new HashMap<>();
+        waiting.forEach(
+                (model, requests) -> {
+                    if (!requests.isEmpty()) {
+                        waits.put(model.id(), requests.size());
+                    }
+                });
+        demand.reported(HOST, Map.copyOf(arrivals), waits, nanos(now));
+        arrivals.clear();
+        for (Move move : policy.decide(view(now))) {
+            Engine engine =
+                    engines.stream()
+                            .filter(each -> each.id.equals(move.upstream()))
+                            .findFirst()
+                            .orElseThrow();
+            switch (move) {
+                case Move.Unload unload -> {
+                    engine.held.remove(unload.artifact().id());
+                    engine.orderEnds = now + UNLOAD;
+                }
+                case Move.Load load -> {
+                    if (engine.orderEnds > now) {
+                        engine.nextLoads.addLast(load.artifact().id());
+                    } else {
+                        load(engine, load.artifact().id(), now);
+                    }
+                }
+            }
+        }
+    }
+
+    private PlacementView view(long now) {
+        List<PlacementView.Seat> seats = new ArrayList<>();
+        for (Engine engine : engines) {
+            List<PlacementView.Held> held = new ArrayList<>();
+            engine.held.forEach(
+                    (model, since) ->
+                            held.add(new PlacementView.Held(new Artifact(model, ""), 100, since)));
+            Map<ModelId, Duration> near = new HashMap<>();
+            engine.disk.forEach(model -> near.put(model, Duration.ofMillis(FROM_DISK)));
+            engine.memory.forEach(model -> near.put(model, Duration.ofMillis(FROM_MEMORY)));
+            boolean busy = engine.orderEnds > now || !engine.nextLoads.isEmpty();
+            long free = (PLACES - held.size() - (engine.loading.isPresent() ? 1 : 0)) * 100L;
+            seats.add(
+                    new PlacementView.Seat(
+                            engine.id,
+                            free,
+                            64,
+                            held,
+                            busy,
+                            engine.loading.map(model -> new Artifact(model, "")),
+                            near,
+                            Optional.of(engine.zone)));
+        }
+        List<PlacementView.Want> wants = new ArrayList<>();
+        models.forEach(model -> wants.add(want(model, now)));
+        int storeLoadsNow = (int) engines.stream().filter(engine -> engine.fromStore).count();
+        return new PlacementView(
+                seats, wants, STORE_LOADS_AT_ONCE - storeLoadsNow, 1000.0 / PROMPT, nanos(now));
+    }
+
+    private PlacementView.Want want(Model model, long now) {
+        boolean resident = leastLoaded(model.id()).isPresent();
+        double asked = demand.ratePerSecond(model.id(), nanos(now));
+        long nearest =
+                engines.stream()
+                        .flatMap(engine -> engine.nearLoad(model.id()).stream())
+                        .mapToLong(Long::longValue)
+                        .min()
+                        .orElse(FROM_STORE);
+        return new PlacementView.Want(
+                model.artifact(),
+                100,
+                Optional.empty(),
+                1,
+                way.rate(model, asked, nearest),
+                demand.waiting(model.id(), nanos(now)),
+                demand.starvedSeconds(model.id(), resident, nanos(now)),
+                demand.lastUsed(model.id()),
+                Duration.ofMillis(FROM_STORE));
+    }
+
+    private static long nanos(long millis) {
+        return Duration.ofMillis(1_000_000 + millis).toNanos();
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/PlacementReplayTest.java
@@ -0,0 +1,32 @@
+package io.stackhall.core.residency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.policy.PlacementPolicy;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Demand that moves on every eight seconds among more models than there are places for, beside many
+ * models that patient callers ask for rarely.
+ */
+class PlacementReplayTest {
+
+    private static final int SEEDS = 3;
+
+    @Test
+    void nearestCopiesServeBothKindsBetterThanTheLeastRecentlyUsed() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            PlacementReplay.Outcome nearest = play(seed, PolicyName.NEAREST_COPY);
+            PlacementReplay.Outcome least = play(seed, PolicyName.LEAST_RECENTLY_USED);
+            assertThat(nearest.urgentInTime()).isGreaterThan(least.urgentInTime());
+            assertThat(nearest.patientInTime()).isGreaterThan(least.patientInTime());
+        }
+    }
+
+    private static PlacementReplay.Outcome play(long seed, PolicyName policy) {
+        return new PlacementReplay(
+                        seed, PlacementPolicy.of(policy), (model, asked, nearest) -> asked)
+                .play();
+    }
+}
