--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/CrashLedger.java
@@ -149,12 +149,10 @@
                 .toList();
     }
 
-    /** Returns the lives that are held against a request, by name. */
-    public List<String> lives(RequestDigest request) {
+    /** Returns the lives that are held against a request. */
+    public Set<UpstreamId> lives(RequestDigest request) {
         Evidence evidence = requests.get(request);
-        return evidence == null
-                ? List.of()
-                : evidence.lives().stream().map(UpstreamId::toString).sorted().toList();
+        return evidence == null ? Set.of() : Set.copyOf(evidence.lives());
     }
 
     /** Returns the ends of lives that are held against requests, for a host that knows none. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -72,6 +72,8 @@
         String path = path(request.uri());
         Optional<String> heartbeat = Calls.heartbeatOf(path);
         Optional<String> leaving = Calls.deregistrationOf(path);
+        Optional<String> emptied = Calls.evacuationOf(path);
+        Optional<String> usedAgain = Calls.evacuationEndOf(path);
         boolean posted = request.method().equals(HttpMethod.POST);
         if (posted && heartbeat.isPresent()) {
             heartbeat(context, heartbeat.get(), bytes(request), keep);
@@ -81,10 +83,10 @@
             put(context, bytes(request), keep);
         } else if (path.equals(Calls.READ_CONFIGURATION)) {
             read(context, keep);
-        } else if (posted && Calls.evacuationOf(path).isPresent()) {
-            evacuate(context, Calls.evacuationOf(path).get(), false, keep);
-        } else if (posted && Calls.evacuationEndOf(path).isPresent()) {
-            evacuate(context, Calls.evacuationEndOf(path).get(), true, keep);
+        } else if (posted && emptied.isPresent()) {
+            evacuate(context, emptied.get(), false, keep);
+        } else if (posted && usedAgain.isPresent()) {
+            evacuate(context, usedAgain.get(), true, keep);
         } else if (SentenceCalls.names(path)) {
             sentences.call(
                     request.method(),
--- a/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CrashKeeper.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.quarantine.Acquittal;
 import io.stackhall.core.quarantine.Crash;
 import io.stackhall.core.quarantine.CrashLedger;
@@ -161,7 +162,9 @@
         List<Refusal> all = new ArrayList<>();
         for (RequestDigest request : ledger.condemned(now)) {
             if (ledger.standing(request, now) instanceof Standing.Condemned(Duration left)) {
-                all.add(new Refusal(request.value(), ledger.lives(request), left.toSeconds()));
+                List<String> lives =
+                        ledger.lives(request).stream().map(UpstreamId::toString).sorted().toList();
+                all.add(new Refusal(request.value(), lives, left.toSeconds()));
             }
         }
         return Json.write(Refusals.class, new Refusals(all));
