The soak tells its steps, and a host may refuse connections only while it is away

Traced in six by the hosts' logs: a host that is told to stop drains for 2.5 s, ends and starts anew 1 to 6 s later, while the check allowed 2 s from the signal. The check is replaced by one as strict: a host refuses connections from its leaving until its next life has answered once, within 15 s of its start at most; one that has answered and was not told to leave refuses none. All other checks stay.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -1,10 +1,11 @@
 package io.stackhall.tests.harness;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -14,7 +15,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -29,8 +29,6 @@
  */
 public final class FaultSoak implements AutoCloseable {
 
-    private static final int CONTROL_HOSTS = 3;
-    private static final int ENTRY_HOSTS = 3;
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
@@ -48,9 +46,7 @@
 
     private final Random random;
     private final SeededHosts hosts;
-    private final Map<String, RunningProcess> processes = new ConcurrentHashMap<>();
-    private final Map<String, Long> disturbedAt = new ConcurrentHashMap<>();
-    private final Map<String, AtomicLong> lives = new ConcurrentHashMap<>();
+    private final TroubledHosts trouble;
     private final Map<Long, Long> acknowledgedAt = new ConcurrentHashMap<>();
     private final AtomicLong acknowledged = new AtomicLong();
     private final AtomicLong calls = new AtomicLong();
@@ -64,6 +60,7 @@
     public FaultSoak(Path folder, long seed) {
         this.random = new Random(seed);
         this.hosts = new SeededHosts(folder);
+        this.trouble = new TroubledHosts(hosts, folder);
     }
 
     /**
@@ -75,11 +72,11 @@
         startAll(true);
         Eventually.holds("first change", this::change);
         hosts.startUpstream();
-        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+        for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             Eventually.holds("served", () -> status(host, "/base/x") == OK);
         }
-        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+        for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             threads.submit(() -> callAgainAndAgain(host));
         }
@@ -103,6 +100,7 @@
     @Override
     public void close() {
         over.set(true);
+        trouble.end();
         threads.shutdownNow();
         hosts.close();
     }
@@ -114,78 +112,54 @@
             case 6 -> kill(anyEntry(), random.nextInt(1500));
             case 7 -> freeze(random.nextBoolean() ? anyControl() : anyEntry());
             case 8 -> stop(anyEntry());
-            case 9 -> signal(anyEntry(), RunningProcess::hangUp);
+            case 9 -> trouble.signal(anyEntry(), "hang up", RunningProcess::hangUp);
             case 10 -> restartAll();
             default -> stop(anyControl());
         }
     }
 
     private void kill(String name, int downMillis) {
-        signal(name, RunningProcess::kill);
-        later(downMillis, () -> start(name, false));
+        trouble.leave(name, RunningProcess::kill);
+        later(downMillis, () -> trouble.start(name, false));
     }
 
     private void stop(String name) {
-        RunningProcess leaving = processes.get(name);
-        signal(name, RunningProcess::requestStop);
+        RunningProcess leaving = trouble.leave(name, RunningProcess::requestStop);
         later(
                 0,
                 () -> {
                     leaving.awaitExit();
-                    start(name, false);
+                    trouble.start(name, false);
                 });
     }
 
     private void freeze(String name) {
-        RunningProcess frozen = processes.get(name);
-        signal(name, RunningProcess::freeze);
-        later(
-                300 + random.nextInt(2500),
-                () -> {
-                    touch(name);
-                    if (frozen.alive()) {
-                        frozen.thaw();
-                    }
-                });
+        RunningProcess frozen = trouble.signal(name, "freeze", RunningProcess::freeze);
+        later(300 + random.nextInt(2500), () -> trouble.thaw(name, frozen));
     }
 
     private void restartAll() {
-        names().forEach(name -> signal(name, RunningProcess::kill));
-        later(random.nextInt(1000), () -> names().forEach(name -> start(name, false)));
+        TroubledHosts.names().forEach(name -> trouble.leave(name, RunningProcess::kill));
+        later(random.nextInt(1000), () -> startAll(false));
     }
 
     private void recover() {
         Eventually.pause(3500);
-        for (String name : names()) {
-            signal(name, RunningProcess::thaw);
-            start(name, false);
+        for (String name : TroubledHosts.names()) {
+            trouble.signal(name, "thaw", RunningProcess::thaw);
+            trouble.start(name, false);
         }
         Eventually.holds("change after all", this::change);
         long newest = acknowledged.get();
-        for (int number = 1; number <= ENTRY_HOSTS; number++) {
+        for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             Eventually.holds("newest on " + host, () -> status(host, route(newest)) == OK);
         }
         Eventually.holds("newest read", () -> read(1) >= newest);
     }
 
-    private synchronized void start(String name, boolean firstStart) {
-        RunningProcess before = processes.get(name);
-        if (over.get() || (before != null && before.alive())) {
-            return;
-        }
-        touch(name);
-        lives.computeIfAbsent(name, key -> new AtomicLong()).incrementAndGet();
-        int number = name.charAt(name.length() - 1) - '0';
-        processes.put(
-                name,
-                name.startsWith("control")
-                        ? hosts.startControl(number, firstStart)
-                        : hosts.startEntry(number, true));
-    }
-
     private void startAll(boolean firstStart) {
-        names().forEach(name -> start(name, firstStart));
+        TroubledHosts.names().forEach(name -> trouble.start(name, firstStart));
     }
 
     private boolean change() {
@@ -194,7 +168,8 @@
             next = ++version;
         }
         try {
-            if (hosts.put(1 + (int) (next % CONTROL_HOSTS), configuration(next)) != OK) {
+            if (hosts.put(1 + (int) (next % TroubledHosts.CONTROL_HOSTS), configuration(next))
+                    != OK) {
                 return false;
             }
         } catch (IOException e) {
@@ -213,7 +188,7 @@
         long obeyed = 0;
         long life = 0;
         while (!over.get()) {
-            long lifeNow = lives.get(name).get();
+            long lifeNow = trouble.life(name);
             obeyed = lifeNow == life ? obeyed : 0;
             life = lifeNow;
             long asked = acknowledged.get();
@@ -221,7 +196,7 @@
             int base = statusOrCut(host, "/base/x", name, sentAt);
             int newest = statusOrCut(host, route(asked), name, sentAt);
             statusOrCut(host, "/once/x", name, sentAt);
-            boolean sameLife = lives.get(name).get() == life;
+            boolean sameLife = trouble.life(name) == life;
             if (base == NOT_FOUND) {
                 broken.add(name + " knows no route that every configuration has");
             }
@@ -242,22 +217,17 @@
     private boolean isHeldTo(String name, long change, long sentAt) {
         boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
         boolean calm =
-                quietSince(name, sentAt)
-                        && names().stream()
-                                .filter(other -> other.startsWith("control"))
-                                .allMatch(other -> quietSince(other, sentAt));
+                trouble.quietFor(CONTACT, name, sentAt)
+                        && TroubledHosts.controlNames().stream()
+                                .allMatch(other -> trouble.quietFor(CONTACT, other, sentAt));
         return longAgo && calm;
     }
 
-    private boolean quietSince(String name, long at) {
-        return at - disturbedAt.getOrDefault(name, 0L) > CONTACT.toNanos();
-    }
-
     private void readAgainAndAgain() {
         while (!over.get()) {
             long before = acknowledged.get();
             long sentAt = System.nanoTime();
-            long read = read(1 + random(CONTROL_HOSTS));
+            long read = read(1 + random(TroubledHosts.CONTROL_HOSTS));
             boolean longAgo = sentAt - acknowledgedAt.get(before) > APPLIED.toNanos();
             if (read >= 0 && read < before && longAgo) {
                 broken.add("read " + read + " though " + before + " had been acknowledged");
@@ -283,8 +253,10 @@
     /** Returns the answer's status, or 0 where a disturbed host cut the connection. */
     private int statusOrCut(int host, String path, String name, long sentAt) {
         String id = "s" + calls.incrementAndGet();
+        long life = trouble.life(name);
         try {
             HttpResponse<String> answer = hosts.callRoute(host, path, id);
+            trouble.answered(name, life);
             if (answer.statusCode() == OK) {
                 served.incrementAndGet();
                 if (!answer.body().equals(path)) {
@@ -295,9 +267,14 @@
                 broken.add(id + " ran though it was refused");
             }
             return answer.statusCode();
+        } catch (ConnectException e) {
+            if (!trouble.isAway(name)) {
+                broken.add(id + " was refused by " + name + " at " + Instant.now() + ": " + e);
+            }
+            return 0;
         } catch (IOException e) {
             long since = Math.min(sentAt, System.nanoTime() - SEEN_LATER.toNanos());
-            if (since - disturbedAt.getOrDefault(name, 0L) > SEEN_LATER.toNanos()) {
+            if (trouble.quietFor(SEEN_LATER, name, since)) {
                 broken.add(id + " was cut by " + name + ", which nobody had disturbed: " + e);
             }
             return 0;
@@ -331,36 +308,16 @@
                 });
     }
 
-    private void touch(String name) {
-        disturbedAt.put(name, System.nanoTime());
-    }
-
-    /** Signals a process, unless it has ended already by what came before. */
-    private synchronized void signal(String name, Consumer<RunningProcess> kind) {
-        touch(name);
-        RunningProcess process = processes.get(name);
-        if (process.alive()) {
-            kind.accept(process);
-        }
-    }
-
     private synchronized int random(int bound) {
         return random.nextInt(bound);
     }
 
     private String anyControl() {
-        return "control-" + (1 + random(CONTROL_HOSTS));
+        return "control-" + (1 + random(TroubledHosts.CONTROL_HOSTS));
     }
 
     private String anyEntry() {
-        return "entry-" + (1 + random(ENTRY_HOSTS));
-    }
-
-    private static List<String> names() {
-        List<String> names = new ArrayList<>();
-        IntStream.rangeClosed(1, CONTROL_HOSTS).forEach(number -> names.add("control-" + number));
-        IntStream.rangeClosed(1, ENTRY_HOSTS).forEach(number -> names.add("entry-" + number));
-        return names;
+        return "entry-" + (1 + random(TroubledHosts.ENTRY_HOSTS));
     }
 
     private static String route(long version) {
