A process that is told of changed settings while it starts goes on

An entry host that was told 0.4 s before it was ready left as soon as it was, and one that was told earlier ended without a line; callers were refused until somebody started it again. Found by the fault soak: 'daemon.started' at 48.956, 'daemon.draining' at 48.957 after a hang-up at 48.541. The signal was heard only once the host had been made, a second and more after the start, and an unheard one ends the process. Ruled out: a signal to stop, as the soak's own steps show.

It is now heard from the first line of the program on, before logs are set up, and what it asks for is done once the host is there, on a thread of its own. While the JVM itself starts it still ends the process, which no program can prevent. SeededHostsTest.hostThatIsToldOfItsSettingsWhileItStartsGoesOn failed before and passes; it feeds the settings through a pipe, so that the host is known to be starting.

--- a/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
@@ -18,9 +18,12 @@
 
     private FleetProcess() {}
 
-    static ExitCode run(FleetSettings settings, Path file, StopSignal stop) {
+    static ExitCode run(FleetSettings settings, Path file, StopSignal stop, HangUpSignal hangUp) {
         try (FleetDaemon daemon = create(settings)) {
-            HangUpSignal.install(() -> reload(daemon, file));
+            if (!hangUp.available()) {
+                logger.warn("signal.unavailable: settings are read at the start only");
+            }
+            hangUp.onSignal(() -> reload(daemon, file));
             daemon.start();
             stop.await();
             daemon.drain();
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/HangUpSignal.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/HangUpSignal.java
@@ -1,41 +1,76 @@
 package io.stackhall.server.cli;
 
 import java.lang.reflect.Proxy;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Hears the signal by which a process is told that its settings have changed. Unheard, it would end
  * the process.
  *
+ * <p>It is heard from the first line of the program on: a process takes a second and more to start,
+ * and one that was told in that time ended, or left as soon as it was ready.
+ *
  * <p>The only API for signals is in {@code jdk.unsupported}; it is called by reflection, because a
  * compiler warning about it cannot be suppressed.
  */
 final class HangUpSignal {
 
-    private static final Logger logger = LogManager.getLogger(HangUpSignal.class);
+    private boolean available;
+    private boolean heard;
+    private Runnable reload = () -> {};
+    private boolean reloads;
 
     private HangUpSignal() {}
 
-    static void install(Runnable reload) {
+    /** Hears the signal from now on. */
+    static HangUpSignal install() {
+        HangUpSignal installed = new HangUpSignal();
+        installed.available = installed.listen();
+        return installed;
+    }
+
+    /** Returns whether the signal can be heard on this machine. */
+    boolean available() {
+        return available;
+    }
+
+    /**
+     * Has something done at each signal, on a thread of its own; at once if the signal has come
+     * before.
+     */
+    synchronized void onSignal(Runnable action) {
+        reload = action;
+        reloads = true;
+        if (heard) {
+            heard();
+        }
+    }
+
+    private synchronized void heard() {
+        heard = true;
+        if (reloads) {
+            Thread.ofPlatform().name("hang-up").daemon().start(reload);
+        }
+    }
+
+    private boolean listen() {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object hangUp = signal.getConstructor(String.class).newInstance("HUP");
-            Object heard =
+            Object listener =
                     Proxy.newProxyInstance(
                             HangUpSignal.class.getClassLoader(),
                             new Class<?>[] {handler},
                             (proxy, method, arguments) -> {
                                 if (method.getName().equals("handle")) {
-                                    reload.run();
+                                    heard();
                                 }
                                 return null;
                             });
-            signal.getMethod("handle", signal, handler).invoke(null, hangUp, heard);
+            signal.getMethod("handle", signal, handler).invoke(null, hangUp, listener);
+            return true;
         } catch (ReflectiveOperationException e) {
-            logger.warn(
-                    "signal.unavailable: settings are read at the start only: {}", e.toString());
+            return false;
         }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -30,13 +30,14 @@
 
     /** Runs a command and exits with its code. */
     public static void main(String[] arguments) {
+        HangUpSignal hangUp = HangUpSignal.install();
         String lines = System.getProperty(LINES_PROPERTY);
         if (lines != null) {
             LineLogging.install(Level.toLevel(lines, Level.INFO));
         }
         ArgumentParser parser = parser();
         try {
-            ExitCode code = run(parser.parseArgs(arguments));
+            ExitCode code = run(parser.parseArgs(arguments), hangUp);
             System.out.flush();
             System.exit(code.code());
         } catch (ArgumentParserException e) {
@@ -45,9 +46,9 @@
         }
     }
 
-    private static ExitCode run(Namespace arguments) {
+    private static ExitCode run(Namespace arguments, HangUpSignal hangUp) {
         return switch (arguments.getString(COMMAND)) {
-            case "serve" -> ServeCommand.run(arguments);
+            case "serve" -> ServeCommand.run(arguments, hangUp);
             case "check-settings" -> ServeCommand.check(arguments);
             case "stand-in" -> StandInCommand.run(arguments);
             case "demo-files" -> DemoFilesCommand.run(arguments);
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/ServeCommand.java
@@ -26,7 +26,7 @@
     /** Everything that is wrong with a file. */
     record Findings(List<Finding> findings) {}
 
-    static ExitCode run(Namespace arguments) {
+    static ExitCode run(Namespace arguments, HangUpSignal hangUp) {
         Path file = Path.of(arguments.getString("settings"));
         Either<List<Finding>, ProcessSettings> settings = SettingsReader.readAny(file);
         if (settings.isLeft()) {
@@ -37,7 +37,7 @@
         return stop.finish(
                 switch (settings.get()) {
                     case Settings named -> serve(named, stop);
-                    case FleetSettings fleet -> FleetProcess.run(fleet, file, stop);
+                    case FleetSettings fleet -> FleetProcess.run(fleet, file, stop, hangUp);
                 });
     }
 
--- a/stackhall-tests/src/test/java/io/stackhall/tests/SeededHostsTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/SeededHostsTest.java
@@ -8,6 +8,8 @@
 import io.stackhall.tests.harness.RunningProcess;
 import io.stackhall.tests.harness.SeededHosts;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -124,6 +126,28 @@
                 () -> hosts.log("control-3").stream().anyMatch(line -> line.contains(digest)));
     }
 
+    /**
+     * A host that was told of changed settings 0.4 s before it was ready left as soon as it was:
+     * "daemon.started" at 48.956, "daemon.draining" at 48.957. The settings are a pipe here, so
+     * that the host is known to be starting when it is told.
+     */
+    @Test
+    void hostThatIsToldOfItsSettingsWhileItStartsGoesOn() throws Exception {
+        serve();
+        Path pipe = folder.resolve("pipe.json");
+        new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor();
+        RunningProcess starting =
+                RunningProcess.startSeeded(folder.resolve("pipe.log"), "serve", pipe.toString());
+        try (OutputStream settings = Files.newOutputStream(pipe)) {
+            starting.hangUp();
+            Eventually.pause(500);
+            assertThat(starting.alive()).isTrue();
+            settings.write(hosts.entrySettings(4).getBytes(StandardCharsets.UTF_8));
+        }
+        Eventually.holds("ready", () -> hosts.ready(4));
+        starting.kill();
+    }
+
     @Test
     void settingsThatAreWrongEndTheProcessWithAMessage() throws Exception {
         Path file = folder.resolve("wrong.json");
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -64,10 +64,7 @@
     /** Starts one entry host, which lives at 127.0.6.number. */
     public RunningProcess startEntry(int number, boolean logIsRead) {
         String ip = "127.0.6." + number;
-        String role =
-                "\"entry\": {\"callers\": \"%s:%d\", \"readiness\": \"%s:%d\"}"
-                        .formatted(ip, callers, ip, readiness);
-        return start("entry-" + number, ip, role, false, !logIsRead);
+        return start("entry-" + number, ip, entryRole(ip), false, !logIsRead);
     }
 
     /** Starts the upstream, which answers every request with its path. */
@@ -208,25 +205,31 @@
         }
     }
 
-    private RunningProcess start(
-            String name, String ip, String role, boolean firstStart, boolean unread) {
-        String settings =
-                """
+    /** Returns the settings of an entry host, which lives at 127.0.6.number. */
+    public String entrySettings(int number) {
+        String ip = "127.0.6." + number;
+        return settings("entry-" + number, ip, entryRole(ip), false);
+    }
+
+    private String entryRole(String ip) {
+        return "\"entry\": {\"callers\": \"%s:%d\", \"readiness\": \"%s:%d\"}"
+                .formatted(ip, callers, ip, readiness);
+    }
+
+    private String settings(String name, String ip, String role, boolean firstStart) {
+        return """
                 {"host": "%s", "zone": "z", "peers": "%s:%d", %s,
                  "discovery": {"seeds": ["127.0.5.1:%d", "127.0.5.2:%d", "127.0.5.3:%d"],
                                "firstStart": %d},
                  "limits": {"heartbeatMillis": %d, "stopGraceMillis": 6000}}
                 """
-                        .formatted(
-                                name,
-                                ip,
-                                peers,
-                                role,
-                                api,
-                                api,
-                                api,
-                                firstStart ? 1 : 0,
-                                HEARTBEAT_MILLIS);
+                .formatted(
+                        name, ip, peers, role, api, api, api, firstStart ? 1 : 0, HEARTBEAT_MILLIS);
+    }
+
+    private RunningProcess start(
+            String name, String ip, String role, boolean firstStart, boolean unread) {
+        String settings = settings(name, ip, role, firstStart);
         Path file = folder.resolve(name + ".json");
         try {
             Files.writeString(file, settings);
