Hosts say which limits upstreams name, and how often they send beside them

The choice among the hypotheses of limits that upstreams name could not be made from the logs: no line told who had heard of a limit, or when. An entry host now writes a line when an answer names a limit, another one or none any more, and counts what it sends to upstreams with one (stackhall_limited_requests_total, limited_upstreams). What cannot be read is ignored and written once for each upstream. Nothing is decided by it.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -54,6 +54,7 @@
     private final Quarantine quarantine;
     private final CustomerGate customers;
     private final FleetMetrics metrics = new FleetMetrics();
+    private final UpstreamLimits limits = new UpstreamLimits(metrics);
     private final LineBudget lines = new LineBudget();
     private RouteTable routes;
     private final FirstRoutes firstRoutes = new FirstRoutes();
@@ -112,6 +113,7 @@
         quarantine.heardOf(instance.id());
         if (instance.state() == InstanceState.GONE) {
             upstreams.forget(Address.parse(instance.address()));
+            limits.forget(instance.id());
         }
     }
 
@@ -215,6 +217,7 @@
         metrics.state("resends_left", retries.left());
         metrics.state("caller_connections", connections.size());
         quarantine.measure();
+        limits.measure();
     }
 
     /** Returns how many callers are connected. */
@@ -293,6 +296,10 @@
         return customers;
     }
 
+    UpstreamLimits upstreamLimits() {
+        return limits;
+    }
+
     void waits(RelayedRequest request) {
         waiting.add(request);
         demand.waits(request.need());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -47,6 +47,7 @@
         this.stream = kind == RouteKind.STREAM;
         this.listener = listener;
         this.sending = gateway.dispatcher().began(instance.id(), need, BootClock.nanos());
+        gateway.upstreamLimits().sent(instance.id());
     }
 
     void begin(FullHttpRequest request, String requestId) {
@@ -85,6 +86,7 @@
     public void answered(HttpResponse answer) {
         head = answer;
         long now = BootClock.nanos();
+        gateway.upstreamLimits().answered(instance.id(), answer);
         RequestHeaders.load(answer.headers()::get)
                 .ifPresent(
                         load ->
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -41,6 +41,12 @@
                     .help("Customers' requests by how they ended.")
                     .labelNames("customer", "outcome")
                     .register(registry);
+    private final Counter limitedRequests =
+            Counter.builder()
+                    .name("stackhall_limited_requests_total")
+                    .help("Requests at upstreams that have named a limit, by what became of them.")
+                    .labelNames("outcome")
+                    .register(registry);
     private final Histogram seconds =
             Histogram.builder()
                     .name("stackhall_relay_seconds")
@@ -72,6 +78,11 @@
         attempts.labelValues(service, ending).inc();
     }
 
+    /** Notes what became of a request for which an upstream with a limit came into question. */
+    public void limitedRequest(String outcome) {
+        limitedRequests.labelValues(outcome).inc();
+    }
+
     /** Notes how long after a request's arrival it was sent, first answered or wholly answered. */
     public void reached(String until, long nanos) {
         seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
