Tests that fail: limits that upstreams name are kept by all hosts together

Six entry hosts on loopback: an upstream that names 1 request a second gets 40 in its worst 4 s where 11 are allowed, long after it first named it; the only upstream of its service, at 4 a second, 80 where 29 are; at 2 a second beside restarts of hosts and control hosts 73 where 17 are.

--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
@@ -0,0 +1,241 @@
+package io.stackhall.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.control.ControlDaemon;
+import io.stackhall.server.gateway.EntryDaemon;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Upstreams that name, in the middle of traffic, how many requests a second they take. */
+class UpstreamLimitTest {
+
+    private static final int HOSTS = 6;
+    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** What an upstream forgives in any four seconds. */
+    private static final double FORGIVEN_SHARE = 1.5;
+
+    private static final int FORGIVEN_REQUESTS = 5;
+
+    /** Within this time of the first answer that names a limit, all hosts keep it. */
+    private static final Duration TOLD_WITHIN = Duration.ofSeconds(1);
+
+    private static final String ROUTES =
+            """
+            {"version":3,"routes":[
+             {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+              "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":2}],
+             "services":[{"name":"plain","health-path":"/health","max-connections":50}]}
+            """;
+
+    @TempDir private Path folder;
+    private final Random random = new Random(7);
+    private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+    private final List<EntryDaemon> entries = new ArrayList<>();
+    private final List<ControlDaemon> controls = new ArrayList<>();
+    private LocalFleet fleet;
+
+    /** What a caller got, and when it had sent its request. */
+    private record Outcome(long sentAt, int status, Duration took, String retryAfter) {}
+
+    /** An upstream that names a limit while it is told to. */
+    private static final class Limited implements AutoCloseable {
+        private volatile String limit = "";
+        private volatile long namedAt;
+        private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
+        private final ScriptedUpstream upstream;
+
+        Limited(String id) throws IOException {
+            upstream =
+                    new ScriptedUpstream(
+                            id,
+                            (request, to) -> {
+                                arrivals.add(BootClock.nanos());
+                                RelayFixture.pause(5);
+                                if (limit.isEmpty()) {
+                                    to.plain(request, 200, "ok");
+                                } else {
+                                    to.plain(request, 200, "ok", "Server-Limit: " + limit);
+                                }
+                            });
+        }
+
+        void names(String next) {
+            limit = next;
+            namedAt = BootClock.nanos();
+        }
+
+        int since(long moment) {
+            return (int) arrivals.stream().filter(at -> at - moment >= 0).count();
+        }
+
+        /** Returns the most requests that came in four seconds after a moment. */
+        int worstFourSeconds(long from) {
+            List<Long> counted = arrivals.stream().filter(at -> at - from >= 0).toList();
+            int worst = 0;
+            for (long first : counted) {
+                long together =
+                        counted.stream()
+                                .filter(at -> at - first >= 0 && at - first < WINDOW_NANOS)
+                                .count();
+                worst = Math.max(worst, (int) together);
+            }
+            return worst;
+        }
+
+        @Override
+        public void close() throws IOException {
+            upstream.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new LocalFleet(folder);
+        for (int number = 1; number <= 3; number++) {
+            controls.add(fleet.startControl(number, true));
+        }
+        for (int number = 1; number <= HOSTS; number++) {
+            entries.add(fleet.startEntry(number));
+        }
+        LocalFleet.await(
+                "routes taken",
+                () -> {
+                    try {
+                        return fleet.control(1, "POST", "/-/config/put", ROUTES).status() == 200;
+                    } catch (IOException e) {
+                        return false;
+                    }
+                });
+        for (int number = 1; number <= HOSTS; number++) {
+            int host = number;
+            LocalFleet.await("ready", () -> fleet.ready(host));
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fleet.close();
+    }
+
+    @Test
+    void limitOfOneAmongThreeIsKeptByAllHostsTogetherUntilItEnds() throws Exception {
+        try (Limited limited = upstream("i-1");
+                Limited second = upstream("i-2");
+                Limited third = upstream("i-3")) {
+            traffic(40, Duration.ofSeconds(1));
+            limited.names("1");
+            traffic(40, Duration.ofSeconds(7));
+            assertThat(limited.worstFourSeconds(limited.namedAt + TOLD_WITHIN.toNanos()))
+                    .isLessThanOrEqualTo(allowed(1));
+            limited.names("");
+            long ended = limited.namedAt;
+            traffic(40, Duration.ofSeconds(9));
+            long late = ended + Duration.ofSeconds(8).toNanos();
+            assertThat(limited.since(late)).as("used as before").isGreaterThan(5);
+            assertThat(outcomes).allMatch(outcome -> outcome.status() == 200);
+            assertThat(second.arrivals.size() + third.arrivals.size()).isGreaterThan(200);
+        }
+    }
+
+    @Test
+    void onlyUpstreamIsUsedToItsLimitAndTheRestIsRefusedAtOnce() throws Exception {
+        try (Limited limited = upstream("i-1")) {
+            traffic(20, Duration.ofSeconds(1));
+            limited.names("4");
+            traffic(20, Duration.ofSeconds(8));
+            long kept = limited.namedAt + TOLD_WITHIN.toNanos();
+            assertThat(limited.worstFourSeconds(kept)).isLessThanOrEqualTo(allowed(4));
+            assertThat(limited.since(kept)).isGreaterThanOrEqualTo((int) (0.7 * 4 * 7));
+            List<Outcome> refused =
+                    outcomes.stream().filter(outcome -> outcome.status() == 503).toList();
+            assertThat(refused).isNotEmpty();
+            assertThat(refused).allMatch(outcome -> !outcome.retryAfter().isEmpty());
+            assertThat(outcomes).allMatch(one -> one.status() == 200 || one.status() == 503);
+        }
+    }
+
+    @Test
+    void limitIsKeptByHostsThatStartAnewAndWhileLeadersAreLost() throws Exception {
+        try (Limited limited = upstream("i-1")) {
+            traffic(20, Duration.ofSeconds(1));
+            limited.names("2");
+            traffic(20, Duration.ofSeconds(2));
+            for (int number = 1; number <= 2; number++) {
+                int host = number;
+                fleet.stop(entries.get(host - 1));
+                fleet.stop(controls.get(host - 1));
+                traffic(20, Duration.ofSeconds(2));
+                entries.set(host - 1, fleet.startEntry(host));
+                controls.set(host - 1, fleet.startControl(host, false));
+                LocalFleet.await("ready again", () -> fleet.ready(host));
+                traffic(20, Duration.ofSeconds(2));
+            }
+            assertThat(limited.worstFourSeconds(limited.namedAt + TOLD_WITHIN.toNanos()))
+                    .isLessThanOrEqualTo(allowed(2));
+        }
+    }
+
+    @Test
+    void whatCannotBeReadAsLimitIsIgnored() throws Exception {
+        try (Limited limited = upstream("i-1")) {
+            for (String junk : List.of("-3", "many", "NaN", "1;2")) {
+                limited.names(junk);
+                traffic(20, Duration.ofMillis(500));
+            }
+            assertThat(outcomes).allMatch(outcome -> outcome.status() == 200);
+        }
+    }
+
+    private static int allowed(double perSecond) {
+        return (int) (FORGIVEN_SHARE * perSecond * 4) + FORGIVEN_REQUESTS;
+    }
+
+    private Limited upstream(String id) throws Exception {
+        Limited limited = new Limited(id);
+        fleet.heartbeat(3, limited.upstream, limited.upstream.heartbeat("plain", "ready", 1, "[]"));
+        RelayFixture.pause(200);
+        return limited;
+    }
+
+    /** Sends requests for some time, each to a host drawn at random that runs. */
+    private void traffic(int perSecond, Duration time) throws InterruptedException {
+        long end = BootClock.nanos() + time.toNanos();
+        List<Thread> callers = new ArrayList<>();
+        while (BootClock.nanos() - end < 0) {
+            int host = 1 + random.nextInt(HOSTS);
+            callers.add(Thread.startVirtualThread(() -> call(host)));
+            Thread.sleep(1000 / perSecond);
+        }
+        for (Thread caller : callers) {
+            caller.join();
+        }
+    }
+
+    private void call(int host) {
+        long sentAt = BootClock.nanos();
+        String id = "c" + host + "-" + sentAt;
+        try {
+            RawHttp.Message answer =
+                    fleet.call(host, RawHttp.get("/safe/x", id, "X-Deadline-Ms: 2000"));
+            Duration took = Duration.ofNanos(BootClock.nanos() - sentAt);
+            outcomes.add(new Outcome(sentAt, answer.status(), took, answer.header("retry-after")));
+        } catch (IOException e) {
+            // A host that is down takes no request.
+        }
+    }
+}
