--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -1,7 +1,9 @@
 package io.stackhall.core.dispatch;
 
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.limit.PermitWaits;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Judges for one request, each time it is looked at, whether it is sent, waits on or is given up.
@@ -29,6 +31,8 @@
     /** Places come free at any moment. */
     private static final Duration SOON = Duration.ofMillis(300);
 
+    private static final String AT_LIMIT = "its instances are at the limits that they name";
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final Patience patience;
@@ -75,6 +79,8 @@
                             ? new Verdict.GiveUp("its adapter is not resident", ADAPTER_ARRIVAL)
                             : new Verdict.WaitForAdapter(instance);
             case Choice.Full(double placesPerSecond) -> full(placesPerSecond, ahead, now);
+            case Choice.Limited(PermitWaits waits, var otherwise) ->
+                    limited(waits.behind(ahead), otherwise, ahead, now);
             case Choice.ModelMissing(Duration load) -> missing(load, now);
             case Choice.ModelComing(Duration left) ->
                     patience.isTooLate(left, now)
@@ -114,6 +120,22 @@
                 : new Verdict.Wait(wait);
     }
 
+    /** What cannot have a permit in time may still be served without; or else it is given up. */
+    private Verdict limited(Duration permit, Optional<Choice> otherwise, int ahead, long now) {
+        if (!patience.isTooLate(permit, now)) {
+            return new Verdict.Wait(WaitReason.LIMIT);
+        }
+        if (otherwise.isEmpty()) {
+            return new Verdict.GiveUp(AT_LIMIT, permit);
+        }
+        return switch (judge(otherwise.get(), ahead, now)) {
+            case Verdict.GiveUp(String reason, Duration after) ->
+                    new Verdict.GiveUp(
+                            AT_LIMIT + ", " + reason, after.compareTo(permit) < 0 ? after : permit);
+            case Verdict without -> without;
+        };
+    }
+
     private Verdict full(double placesPerSecond, int ahead, long now) {
         if (placesPerSecond > 0) {
             long millis = Math.round(ahead / placesPerSecond * MILLIS_PER_SECOND);
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -1,7 +1,9 @@
 package io.stackhall.core.dispatch;
 
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.limit.PermitWaits;
 import java.time.Duration;
+import java.util.Optional;
 
 /** What is to become of a request now. */
 public sealed interface Choice {
@@ -17,6 +19,16 @@
      */
     record Full(double placesPerSecond) implements Choice {}
 
+    /**
+     * It waits for a permit: whoever could run it now takes only so many requests a second from all
+     * hosts.
+     *
+     * @param waits when permits may be expected
+     * @param otherwise what would become of it without those instances; nothing where there is no
+     *     other one
+     */
+    record Limited(PermitWaits waits, Optional<Choice> otherwise) implements Choice {}
+
     /** It waits for the adapter, which is to be made resident on this instance. */
     record AdapterMissing(Instance instance) implements Choice {}
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.route.EngineSpec;
 import java.time.Duration;
@@ -41,12 +42,18 @@
     private final Map<ServiceName, ReadingPace> paces = new HashMap<>();
 
     private final ColdShare cold;
+    private final LimitedUpstreams limits;
     private final PlainChoice plain;
     private final EngineChoice holders;
 
-    /** Creates a dispatcher that knows no instance. */
-    public Dispatcher(ZoneId zone, RandomGenerator random) {
+    /**
+     * Creates a dispatcher that knows no instance.
+     *
+     * @param limits which instances have named a limit, as this host knows it
+     */
+    public Dispatcher(ZoneId zone, LimitedUpstreams limits, RandomGenerator random) {
         this.cold = new ColdShare(random);
+        this.limits = limits;
         this.plain = new PlainChoice(zone, random, this::load);
         this.holders = new EngineChoice(zone, random, this::load, belief);
     }
@@ -64,6 +71,7 @@
     /** Takes in how many hosts there are, which share what a cold instance bears. */
     public void shared(int hosts) {
         cold.shared(hosts);
+        limits.shared(hosts);
     }
 
     /** Takes over which zones' instances get nothing. */
@@ -80,6 +88,7 @@
     public void changed(Instance instance) {
         if (instance.state() == InstanceState.GONE) {
             cold.forget(instance.id());
+            limits.forget(instance.id());
             instances.remove(instance.id());
             loads.remove(instance.id());
             belief.forget(instance.id());
@@ -174,6 +183,7 @@
             Optional<RequestDigest> apart,
             long now) {
         List<Instance> serving = new ArrayList<>();
+        List<Instance> limited = new ArrayList<>();
         double bearsCold = coldPerSecond.getOrDefault(need.service(), 0.0);
         boolean known = false;
         boolean spared = false;
@@ -184,30 +194,65 @@
                             && instance.service().equals(need.service());
             known |= fits;
             if (fits && allowed.test(instance.id())) {
-                if (cold.allows(instance.id(), bearsCold, now)) {
+                if (!cold.allows(instance.id(), bearsCold, now)) {
+                    spared = true;
+                } else if (limits.allows(instance.id(), now)) {
                     serving.add(instance);
                 } else {
-                    spared = true;
+                    limited.add(instance);
                 }
             }
         }
-        if (serving.isEmpty() && spared) {
+        Asked asked = new Asked(need, objective(need.service()), left, apart, now);
+        Optional<Choice> choice =
+                serving.isEmpty() ? Optional.empty() : Optional.of(among(serving, asked));
+        Optional<Choice> held =
+                limited.isEmpty() ? Optional.empty() : limited(limited, choice, asked);
+        if (held.or(() -> choice).isPresent()) {
+            return held.or(() -> choice).get();
+        }
+        if (spared) {
             return new Choice.Full(0);
         }
-        if (serving.isEmpty()) {
-            return known ? new Choice.AllTried() : new Choice.NobodyServes();
+        return known ? new Choice.AllTried() : new Choice.NobodyServes();
+    }
+
+    private Choice among(List<Instance> serving, Asked asked) {
+        EngineSpec engine = engines.get(asked.need().service());
+        if (asked.need().model().isEmpty() || engine == null) {
+            return plain.choose(serving, asked.apart(), asked.now());
         }
-        EngineSpec engine = engines.get(need.service());
-        if (need.model().isEmpty() || engine == null) {
-            return plain.choose(serving, apart, now);
+        return holders.choose(asked, serving, engine, pace(asked.need().service()));
+    }
+
+    /**
+     * Decides about instances that could be sent nothing without a permit: a request that another
+     * one takes goes there at once, any other waits for the permit.
+     */
+    private Optional<Choice> limited(
+            List<Instance> limited, Optional<Choice> otherwise, Asked asked) {
+        boolean elsewhere = otherwise.filter(Choice.Send.class::isInstance).isPresent();
+        if (elsewhere) {
+            limited.stream()
+                    .filter(one -> limits.spareDue(one.id(), asked.now()))
+                    .filter(one -> among(List.of(one), asked) instanceof Choice.Send)
+                    .forEach(one -> limits.spare(one.id(), asked.now()));
+            return Optional.empty();
         }
-        Asked asked = new Asked(need, objective(need.service()), left, apart, now);
-        return holders.choose(asked, serving, engine, pace(need.service()));
+        return switch (among(limited, asked)) {
+            case Choice.Send(Instance instance, String why) ->
+                    Optional.of(
+                            new Choice.Limited(
+                                    limits.await(instance.id(), asked.now()), otherwise));
+            case Choice.AdapterMissing missing -> Optional.of(missing);
+            case Choice other -> otherwise.isPresent() ? Optional.empty() : Optional.of(other);
+        };
     }
 
     /** Notes that a request is sent. */
     public Sending began(UpstreamId id, Need need, long now) {
         cold.sent(id, coldPerSecond.getOrDefault(need.service(), 0.0), now);
+        limits.sent(id, now);
         InstanceLoad load = load(id);
         boolean alone = load.unread(pace(need.service()), now) <= 0;
         Sending sending = new Sending(id, need, load.unreadOf(need), alone, now);
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
@@ -16,6 +16,8 @@
     NO_INSTANCE,
     /** An instance without another request that may have ended one. */
     APART,
+    /** A permit for an instance that takes only so many requests a second. */
+    LIMIT,
     /** Word whether its customer may have it run. */
     ALLOWANCE
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -4,7 +4,6 @@
 import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
-import io.stackhall.core.fleet.ModelCopy;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
@@ -44,15 +43,19 @@
      */
     private static final long SETTLE_NANOS = Duration.ofMillis(2500).toNanos();
 
+    /** An engine that takes less than this share of what others bear counts as no copy. */
+    private static final double LEAST_CAPACITY_SHARE = 0.5;
+
     private final PlacementPolicy policy;
     private final Duration heartbeat;
     private final StoreWindow store;
     private final ModelDemand demand = new ModelDemand();
     private final EngineCapacity capacity = new EngineCapacity();
-    private final Map<AdapterKey, Long> adapterUsed = new HashMap<>();
+    private final AdapterSteps adapters = new AdapterSteps();
     private final Map<UpstreamId, EngineLedger> engines = new LinkedHashMap<>();
     private Map<ServiceName, EngineSpec> specs = Map.of();
     private EvacuatedZones evacuated = EvacuatedZones.none();
+    private Map<UpstreamId, Double> limits = Map.of();
     private long nextDecision;
     private boolean learning;
     private long firstEngineAt;
@@ -109,12 +112,24 @@
         evacuated = next;
     }
 
+    /** Takes over how many requests a second those engines take that have named a limit. */
+    public void limited(Map<UpstreamId, Double> perSecond) {
+        limits = Map.copyOf(perSecond);
+    }
+
     private List<EngineLedger> inUse() {
         return engines.values().stream()
                 .filter(engine -> !evacuated.contains(engine.instance().zone()))
+                .filter(engine -> !inNeed(engine))
                 .toList();
     }
 
+    /** An engine that takes little serves its models as good as nobody: they want other copies. */
+    private boolean inNeed(EngineLedger engine) {
+        double limit = limits.getOrDefault(engine.instance().id(), Double.POSITIVE_INFINITY);
+        return limit < capacity.perSecond() * LEAST_CAPACITY_SHARE;
+    }
+
     /** Takes in an entry host's counts of arrivals and waiting requests. */
     public void demanded(
             HostId host, Map<ModelId, Integer> arrivals, Map<ModelId, Integer> waiting, long now) {
@@ -142,7 +157,7 @@
 
     /** Notes that an adapter was asked for. */
     public void adapterUsed(ModelId model, String adapter, long now) {
-        adapterUsed.put(new AdapterKey(model, adapter), now);
+        adapters.used(new AdapterKey(model, adapter), now);
     }
 
     /** Notes that requests wait for an adapter on an engine that holds its model. */
@@ -275,11 +290,11 @@
     private Optional<EngineOrder> nextOrder(EngineLedger engine, long now) {
         EngineSpec spec = specs.get(engine.instance().service());
         Optional<ModelId> next = engine.takeNextLoad(now);
-        Optional<EngineOrder> load =
-                spec == null
-                        ? Optional.empty()
-                        : next.flatMap(model -> modelLoad(engine, spec, model, now));
-        return load.or(() -> nextAdapterOrder(engine)).or(() -> spareAdapterOrder(engine));
+        if (spec == null) {
+            return Optional.empty();
+        }
+        return next.flatMap(model -> modelLoad(engine, spec, model, now))
+                .or(() -> adapterOrder(engine, spec));
     }
 
     private Optional<EngineOrder> modelLoad(
@@ -294,76 +309,16 @@
         return Optional.of(newOrder(engine, true, model, Optional.empty(), fromStore));
     }
 
-    private Optional<EngineOrder> nextAdapterOrder(EngineLedger engine) {
-        EngineSpec spec = specs.get(engine.instance().service());
-        Optional<AdapterKey> next = engine.wanted().next();
-        while (next.isPresent()) {
-            AdapterKey key = next.get();
-            Set<AdapterKey> held = engine.adapters();
-            boolean possible = spec != null && engine.instance().copyOf(key.model()).isPresent();
-            if (!possible || held.contains(key)) {
-                engine.wanted().dropNext();
-                next = engine.wanted().next();
-                continue;
-            }
-            boolean fits =
-                    held.size() < spec.adapterSlots()
-                            && adapterMb(spec, key) <= engine.freeMb(spec);
-            if (fits) {
-                engine.wanted().dropNext();
-                return Optional.of(
-                        newOrder(engine, true, key.model(), Optional.of(key.adapter()), false));
-            }
-            return leastUsed(held)
-                    .map(
-                            old ->
-                                    newOrder(
-                                            engine,
-                                            false,
-                                            old.model(),
-                                            Optional.of(old.adapter()),
-                                            false));
-        }
-        return Optional.empty();
-    }
-
-    /**
-     * Fills a free slot with an adapter that may be asked for: the one used last, or the first that
-     * the engine lacks. On one calm day 14 requests were refused for want of adapters while their
-     * engine loaded another model for 9 s, though it had had slots free before.
-     */
-    private Optional<EngineOrder> spareAdapterOrder(EngineLedger engine) {
-        EngineSpec spec = specs.get(engine.instance().service());
-        Set<AdapterKey> held = engine.adapters();
-        if (spec == null || held.size() >= spec.adapterSlots()) {
-            return Optional.empty();
-        }
-        AdapterKey best = null;
-        for (ModelCopy copy : engine.instance().models()) {
-            ModelId model = copy.model();
-            for (String name : spec.model(model).map(ModelWeights::adapters).orElse(List.of())) {
-                AdapterKey key = new AdapterKey(model, name);
-                boolean better = best == null || lastUsed(key) > lastUsed(best);
-                best = !held.contains(key) && better ? key : best;
-            }
-        }
-        if (best == null || adapterMb(spec, best) > engine.freeMb(spec)) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                newOrder(engine, true, best.model(), Optional.of(best.adapter()), false));
-    }
-
-    private long lastUsed(AdapterKey key) {
-        return adapterUsed.getOrDefault(key, Long.MIN_VALUE);
-    }
-
-    private static double adapterMb(EngineSpec spec, AdapterKey key) {
-        return spec.model(key.model()).map(ModelWeights::adapterMb).orElse(0.0);
-    }
-
-    private Optional<AdapterKey> leastUsed(Set<AdapterKey> held) {
-        return held.stream().min(Comparator.comparingLong(this::lastUsed));
+    private Optional<EngineOrder> adapterOrder(EngineLedger engine, EngineSpec spec) {
+        return adapters.next(engine, spec, !inNeed(engine))
+                .map(
+                        step ->
+                                newOrder(
+                                        engine,
+                                        step.load(),
+                                        step.key().model(),
+                                        Optional.of(step.key().adapter()),
+                                        false));
     }
 
     private static EngineOrder newOrder(
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/ApartDispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/ApartDispatcherTest.java
@@ -5,7 +5,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Trials;
 import java.nio.charset.StandardCharsets;
@@ -74,7 +73,7 @@
     }
 
     private static ApartDispatcher host(Trials trials, int seed) {
-        Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), new Random(seed));
+        Dispatcher dispatcher = Dispatchers.of(new Random(seed));
         for (String name : List.of("a", "b", "c", "d")) {
             dispatcher.changed(instance(name, 1));
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -27,7 +27,7 @@
     private static final long NOW = Duration.ofSeconds(100).toNanos();
     private static final ModelId MODEL = new ModelId("m");
 
-    private final Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), new Random(1));
+    private final Dispatcher dispatcher = Dispatchers.of(new Random(1));
 
     @BeforeEach
     void configure() {
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/Dispatchers.java
@@ -0,0 +1,17 @@
+package io.stackhall.core.dispatch;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.limit.LimitedUpstreams;
+import java.util.Random;
+
+/** Dispatchers of tests in which no instance has a limit at first. */
+final class Dispatchers {
+
+    private Dispatchers() {}
+
+    static Dispatcher of(Random random) {
+        LimitedUpstreams limits = new LimitedUpstreams(new HostId("entry-1"), random);
+        return new Dispatcher(new ZoneId("plateau"), limits, random);
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/LimitedDispatchTest.java
@@ -0,0 +1,125 @@
+package io.stackhall.core.dispatch;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.instance;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.limit.LimitRevision;
+import io.stackhall.core.limit.LimitWord;
+import io.stackhall.core.limit.LimitedUpstreams;
+import io.stackhall.core.limit.PermitAnswer;
+import io.stackhall.core.limit.PermitWaits;
+import io.stackhall.core.limit.PermitWant;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Where requests go while one of the instances takes only a few of them. */
+class LimitedDispatchTest {
+
+    private static final long NOW = Duration.ofSeconds(100).toNanos();
+    private static final HostId HOST = new HostId("entry-1");
+    private static final ModelId MODEL = new ModelId("m");
+    private static final UpstreamId LIMITED = new UpstreamId("a");
+    private static final Duration LOAD = Duration.ofSeconds(9);
+    private static final Need NEED =
+            new Need(SERVICE, Optional.of(MODEL), Optional.empty(), List.of(), 1000, 20, 1);
+
+    private final Random random = new Random(1);
+    private final LimitedUpstreams limits = new LimitedUpstreams(HOST, random);
+    private final Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), limits, random);
+
+    @BeforeEach
+    void limitOne() {
+        ModelWeights weights =
+                new ModelWeights(
+                        MODEL,
+                        100,
+                        List.of(),
+                        1,
+                        LOAD,
+                        Duration.ofSeconds(2),
+                        Duration.ofMillis(800));
+        EngineSpec spec =
+                new EngineSpec(4, 1000, 300, 2, 1, 200, 600, EngineSpec.byName(List.of(weights)));
+        dispatcher.engines(Map.of(SERVICE, spec));
+        dispatcher.changed(instance("a", 1, "m"));
+        limits.told(new LimitWord(LIMITED, OptionalDouble.of(1), false, new LimitRevision(1, 1)));
+    }
+
+    @Test
+    void requestGoesToAnotherInstanceAtOnce() {
+        dispatcher.changed(instance("bb", 1, "m"));
+        assertThat(choice())
+                .isInstanceOfSatisfying(Choice.Send.class, LimitedDispatchTest::sparesIt);
+        assertThat(limits.wants(NOW)).extracting(PermitWant::spare).containsExactly(true);
+    }
+
+    private static void sparesIt(Choice.Send sent) {
+        assertThat(sent.instance().id()).isNotEqualTo(LIMITED);
+    }
+
+    @Test
+    void requestThatNobodyElseServesWaitsForAPermit() {
+        dispatcher.changed(instance("bb", 1, "other"));
+        Choice choice = choice();
+        assertThat(choice).isInstanceOf(Choice.Limited.class);
+        PermitWant want = limits.wants(NOW).getFirst();
+        assertThat(want.alone()).isEqualTo(1);
+        limits.answered(
+                new PermitAnswer(HOST, LIMITED, want.askedAt(), true, PermitWaits.unknown()), NOW);
+        assertThat(choice()).isInstanceOf(Choice.Send.class);
+        dispatcher.began(LIMITED, NEED, NOW);
+        assertThat(choice()).isInstanceOf(Choice.Limited.class);
+    }
+
+    @Test
+    void requestWhosePermitComesTooLateIsRefusedAtOnceWithThatTime() {
+        choice();
+        PermitWant want = limits.wants(NOW).getFirst();
+        PermitWaits waits =
+                new PermitWaits(
+                        List.of(Duration.ofSeconds(7)),
+                        Duration.ofSeconds(8),
+                        Duration.ofSeconds(1));
+        limits.answered(new PermitAnswer(HOST, LIMITED, want.askedAt(), false, waits), NOW);
+        Admission admission = new Admission(NOW + Duration.ofSeconds(4).toNanos());
+        assertThat(admission.judge(choice(), 0, NOW))
+                .isInstanceOfSatisfying(
+                        Admission.Verdict.GiveUp.class,
+                        refused ->
+                                assertThat(refused.retryAfter()).isEqualTo(Duration.ofSeconds(7)));
+    }
+
+    @Test
+    void requestWhosePermitComesTooLateWaitsForACopyElsewhereThatComesInTime() {
+        dispatcher.changed(instance("bb", 1, "other"));
+        dispatcher.coming(new UpstreamId("bb"), MODEL, Duration.ofSeconds(2), NOW);
+        choice();
+        PermitWant want = limits.wants(NOW).getFirst();
+        PermitWaits waits =
+                new PermitWaits(
+                        List.of(Duration.ofSeconds(7)),
+                        Duration.ofSeconds(8),
+                        Duration.ofSeconds(1));
+        limits.answered(new PermitAnswer(HOST, LIMITED, want.askedAt(), false, waits), NOW);
+        Admission admission = new Admission(NOW + Duration.ofSeconds(4).toNanos());
+        assertThat(admission.judge(choice(), 0, NOW))
+                .isEqualTo(new Admission.Verdict.Wait(WaitReason.MODEL_LOADING));
+    }
+
+    private Choice choice() {
+        return dispatcher.choose(NEED, id -> true, false, NOW);
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/ManyHostsReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/ManyHostsReplay.java
@@ -6,7 +6,6 @@
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.ModelWeights;
 import java.time.Duration;
@@ -95,7 +94,7 @@
     }
 
     private static Dispatcher dispatcher(long seed) {
-        Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), new Random(seed));
+        Dispatcher dispatcher = Dispatchers.of(new Random(seed));
         ModelWeights weights =
                 new ModelWeights(
                         new ModelId("m"),
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplay.java
@@ -5,7 +5,6 @@
 
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.id.ZoneId;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -81,7 +80,7 @@
                 new PriorityQueue<>(
                         (one, other) -> Long.compare(end.applyAsLong(one), end.applyAsLong(other)));
         for (int host = 0; host < hosts; host++) {
-            dispatchers.add(new Dispatcher(new ZoneId("plateau"), new Random(seed * 1000 + host)));
+            dispatchers.add(Dispatchers.of(new Random(seed * 1000 + host)));
         }
         for (int number = 0; number < instances; number++) {
             Instance instance = instance("p" + number, 1, "m");
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitKeeperProperties.java
@@ -0,0 +1,66 @@
+package io.stackhall.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.OptionalDouble;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+
+/** A limit that is named while hosts and keepers are cut off, frozen, restarted and replaced. */
+class LimitKeeperProperties {
+
+    private static final Duration NAMED = Duration.ofSeconds(2);
+    private static final Duration KEPT = Duration.ofSeconds(3);
+    private static final Duration END = Duration.ofSeconds(20);
+
+    @Property(tries = 150)
+    void limitIsKeptWhateverHappensToHostsAndKeepers(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 40) int hosts,
+            @ForAll @DoubleRange(min = 0.2, max = 20) double limit,
+            @ForAll @DoubleRange(min = 0, max = 1) double cut,
+            @ForAll @IntRange(min = 3000, max = 12000) int cutAt,
+            @ForAll @IntRange(min = 0, max = 9000) int cutFor,
+            @ForAll @IntRange(min = 3000, max = 15000) int frozenAt,
+            @ForAll @IntRange(min = 300, max = 4000) int leaderLostFor) {
+        LimitPlay play =
+                new LimitPlay(seed, hosts)
+                        .names(NAMED, OptionalDouble.of(limit))
+                        .cut(cut, Duration.ofMillis(cutAt), Duration.ofMillis(cutFor))
+                        .freeze(0.2, Duration.ofMillis(frozenAt), Duration.ofMillis(1500))
+                        .restart(0.3, Duration.ofMillis(frozenAt + 2500))
+                        .loseLeader(
+                                Duration.ofMillis(3000 + cutFor), Duration.ofMillis(leaderLostFor))
+                        .play(END, 4 * limit + 5);
+        assertThat(play.worstFourSeconds(KEPT, END)).isLessThanOrEqualTo(forgiven(limit));
+    }
+
+    @Property(tries = 100)
+    void limitsThatChangeAndEndAreHeardByAllHosts(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 40) int hosts,
+            @ForAll @DoubleRange(min = 2, max = 5) double first) {
+        LimitPlay play =
+                new LimitPlay(seed, hosts)
+                        .names(NAMED, OptionalDouble.of(first))
+                        .names(Duration.ofSeconds(7), OptionalDouble.of(first / 2))
+                        .names(Duration.ofSeconds(12), OptionalDouble.empty())
+                        .play(Duration.ofSeconds(24), 12);
+        assertThat(play.worstFourSeconds(Duration.ofSeconds(8), Duration.ofSeconds(12)))
+                .isLessThanOrEqualTo(forgiven(first / 2));
+        assertThat(play.worstFourSeconds(Duration.ofSeconds(12), Duration.ofSeconds(14)))
+                .as("no return of all at once")
+                .isLessThanOrEqualTo(forgiven(2 * first));
+        assertThat(play.perSecond(Duration.ofSeconds(20), Duration.ofSeconds(24)))
+                .as("used as before")
+                .isGreaterThan(8);
+    }
+
+    /** What an upstream forgives in any four seconds. */
+    private static int forgiven(double limit) {
+        return (int) (1.5 * 4 * limit) + 5;
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits that upstreams name, in virtual time. */
+package io.stackhall.core.limit;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -48,17 +48,17 @@
 
     private final ControlGroup group;
     private final FleetKeeper fleet;
-    private final SentenceCalls sentences;
+    private final OperatorCalls operators;
     private final EvacuationDesk evacuations;
 
     ControlApi(
             ControlGroup group,
             FleetKeeper fleet,
-            SentenceCalls sentences,
+            OperatorCalls operators,
             EvacuationDesk evacuations) {
         this.group = group;
         this.fleet = fleet;
-        this.sentences = sentences;
+        this.operators = operators;
         this.evacuations = evacuations;
     }
 
@@ -87,8 +87,8 @@
             evacuate(context, emptied.get(), false, keep);
         } else if (posted && usedAgain.isPresent()) {
             evacuate(context, usedAgain.get(), true, keep);
-        } else if (SentenceCalls.names(path)) {
-            sentences.call(
+        } else if (OperatorCalls.names(path)) {
+            operators.call(
                     request.method(),
                     path,
                     bytes(request),
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
@@ -31,9 +32,11 @@
 import io.stackhall.server.settings.FleetSettings;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -48,6 +51,9 @@
     private static final long SWEEP_MILLIS = 500;
     private static final long ORDER_MILLIS = 50;
 
+    /** A request that waits for a permit of an upstream is sent this much later at most. */
+    private static final long PERMIT_MILLIS = 20;
+
     /** As often as entry hosts tell of their work. */
     private static final long WORK_MILLIS = 150;
 
@@ -73,6 +79,7 @@
     private final Confirmations confirmations;
     private final AllowanceDesk allowances;
     private final EvacuationDesk evacuations;
+    private final LimitDesk limits;
     private Channel listener;
     private Optional<Channel> metricsListener = Optional.empty();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -105,9 +112,14 @@
         this.crashes = new CrashKeeper(loop, fleet::tellOthers, group);
         this.confirmations = new Confirmations(loop, group, this::heldVersion, this::confirmed);
         this.allowances = new AllowanceDesk(group);
+        this.limits = new LimitDesk(group, fleet, hosts.self());
         this.orders =
                 new OrderGiver(
-                        settings, group, fleet, new UpstreamClient(loop, Headers.REQUEST_ID));
+                        settings,
+                        group,
+                        fleet,
+                        limits,
+                        new UpstreamClient(loop, Headers.REQUEST_ID));
         this.evacuations = new EvacuationDesk(group, fleet::passOn, orders::evacuated);
     }
 
@@ -123,6 +135,7 @@
         RepeatedTask.every(loop, WORK_MILLIS, fleet::tellWork);
         RepeatedTask.every(loop, PASS_ON_MILLIS, fleet::passReportsOn);
         RepeatedTask.every(loop, ORDER_MILLIS, orders::tick);
+        RepeatedTask.every(loop, PERMIT_MILLIS, limits::tick);
         logger.info(
                 "daemon.started host={} zone={} api={}",
                 settings.host(),
@@ -169,13 +182,15 @@
                     if (frame.getIntroduction().getControl()) {
                         replier.send(crashes.whole());
                         fleet.tellAll(replier);
+                        replier.send(limits.whole());
                     }
                 }
             }
             case INSTANCES -> fleet.heard(frame.getInstances());
             case FLEET_FOLLOW -> {
                 evacuations.followed(frame.getFleetFollow(), replier);
-                fleet.followed(frame.getFleetFollow(), replier, crashes::whole);
+                limits.followed(new HostId(frame.getFleetFollow().getHost()));
+                fleet.followed(frame.getFleetFollow(), replier, this::first);
                 if (frame.getFleetFollow().getWantsConfirmation()) {
                     confirmations.ask(frame.getFleetFollow(), replier);
                 }
@@ -189,11 +204,19 @@
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
             case RESIDENCY -> fleet.passOn(frame);
             case CRASH_NOTICE -> crashes.heard(frame.getCrashNotice());
+            case LIMIT_WORDS -> limits.told(frame.getLimitWords());
+            case LIMIT_HEARD -> limits.heard(frame.getLimitHeard());
+            case PERMIT_ASK -> limits.asked(frame.getPermitAsk(), replier);
             case ALLOWANCE_ASK -> allowances.asked(frame.getAllowanceAsk(), replier);
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
         }
     }
 
+    /** What an entry host that newly relies on this one is told before it can serve. */
+    private List<Frame> first() {
+        return List.of(crashes.whole(), limits.whole());
+    }
+
     private void takeCommitted() {
         taking.set(false);
         ControlSnapshot state = log.state();
@@ -232,6 +255,7 @@
         metrics.state("commit_index", (double) group.view().commitIndex());
         metrics.state("routes_version", (double) fleet.routes().getVersion());
         metrics.state("instances", fleet.instances().size());
+        metrics.state("limited_upstreams", limits.inForce().size());
         metrics.state("followers", fleet.followers());
         metrics.state("refused_records", (double) fleet.refusedRecords());
         return new AnswerServer.Answer(HttpResponseStatus.OK.code(), metrics.scrape());
@@ -241,6 +265,7 @@
         hosts.sweep();
         fleet.sweep();
         crashes.sweep();
+        limits.retain(fleet.instances().stream().map(Instance::id).collect(Collectors.toSet()));
         if (group.leads()) {
             fleet.expire();
             crashes.agree();
@@ -251,7 +276,7 @@
     }
 
     private Channel listen() {
-        SentenceCalls sentences = new SentenceCalls(loop, crashes);
+        OperatorCalls operators = new OperatorCalls(loop, new SentenceCalls(loop, crashes), limits);
         return new ServerBootstrap()
                 .group(threads)
                 .channel(NioServerSocketChannel.class)
@@ -266,7 +291,7 @@
                                                 new HttpServerCodec(),
                                                 new HttpObjectAggregator(MAX_CALL_BYTES),
                                                 new ControlApi(
-                                                        group, fleet, sentences, evacuations));
+                                                        group, fleet, operators, evacuations));
                             }
                         })
                 .bind(control.api().socket())
@@ -303,6 +328,7 @@
                             fleet.refresh();
                         }
                         allowances.led(leading);
+                        limits.led(leading);
                         orders.led(leading, log.state());
                     });
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
+import io.stackhall.platform.RequestHeaders;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
 import io.stackhall.server.relay.UpstreamCall;
@@ -39,7 +40,7 @@
     private final EventLoop loop;
     private final UpstreamClient upstreams;
     private final BooleanSupplier allowed;
-    private final UnreachableListener unreachable;
+    private final CallWatcher watcher;
     private final Set<Call> underWay = new HashSet<>();
 
     /** Hears the answer to one call. */
@@ -48,9 +49,15 @@
         void answered(Optional<Integer> status, byte[] body);
     }
 
-    /** Hears that an engine cannot be connected to. */
-    interface UnreachableListener {
-        /** Takes whether the connection was refused. */
+    /** Hears what becomes of all calls. */
+    interface CallWatcher {
+        /** A call is written to an engine. */
+        void sent(UpstreamId id);
+
+        /** An engine names how many requests a second it takes. */
+        void limited(UpstreamId id, double perSecond);
+
+        /** An engine cannot be connected to; takes whether the connection was refused. */
         void unreachable(UpstreamId id, boolean refused);
     }
 
@@ -63,11 +70,11 @@
             EventLoop loop,
             UpstreamClient upstreams,
             BooleanSupplier allowed,
-            UnreachableListener unreachable) {
+            CallWatcher watcher) {
         this.loop = loop;
         this.upstreams = upstreams;
         this.allowed = allowed;
-        this.unreachable = unreachable;
+        this.watcher = watcher;
     }
 
     void post(UpstreamId id, String address, String path, byte[] body, AnswerListener listener) {
@@ -121,12 +128,18 @@
 
         @Override
         public boolean sending() {
-            return allowed.getAsBoolean();
+            boolean may = allowed.getAsBoolean();
+            if (may) {
+                watcher.sent(id);
+            }
+            return may;
         }
 
         @Override
         public void answered(HttpResponse head) {
             status = head.status().code();
+            RequestHeaders.limit(head.headers()::get)
+                    .forEach(limit -> limit.ifPresent(one -> watcher.limited(id, one)));
         }
 
         @Override
@@ -144,7 +157,7 @@
             logger.info("order.unanswered address={} reason={}", address, failure.reason());
             boolean refused = failure.stage() == CallFailure.Stage.REFUSED;
             if (refused || failure.stage() == CallFailure.Stage.NO_CONNECTION) {
-                unreachable.unreachable(id, refused);
+                watcher.unreachable(id, refused);
             }
             finish(Optional.empty());
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -154,9 +154,9 @@
      *
      * @param first what a host is told that newly relies on this one, before it can serve
      */
-    void followed(FleetFollow follow, Replier replier, Supplier<Frame> first) {
+    void followed(FleetFollow follow, Replier replier, Supplier<List<Frame>> first) {
         if (followers.asked(follow, replier)) {
-            replier.send(first.get());
+            first.get().forEach(replier::send);
             replier.send(whole());
         }
         if (follow.getRoutesVersion() < routes.getVersion()) {
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -0,0 +1,197 @@
+package io.stackhall.server.control;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.HeardLimit;
+import io.stackhall.core.limit.LimitKeeper;
+import io.stackhall.core.limit.LimitWord;
+import io.stackhall.core.limit.PermitAnswer;
+import io.stackhall.core.limit.PermitWant;
+import io.stackhall.rpc.generated.fleet.LimitHeard;
+import io.stackhall.rpc.generated.fleet.LimitWords;
+import io.stackhall.rpc.generated.fleet.PermitAsk;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.fleet.LimitCodec;
+import io.stackhall.server.json.Json;
+import io.stackhall.server.peer.Replier;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps the limits that upstreams name on a control host, and grants permits while it leads. Used
+ * on one event loop.
+ */
+final class LimitDesk {
+
+    private static final Logger logger = LogManager.getLogger(LimitDesk.class);
+
+    private final ControlGroup group;
+    private final FleetKeeper fleet;
+    private final HostId self;
+    private final LimitKeeper keeper = new LimitKeeper();
+    private final Map<HostId, Replier> asking = new HashMap<>();
+    private boolean leading;
+
+    /** A limit in force, as an operator is told. */
+    private record Listed(String upstream, double perSecond, boolean ending) {}
+
+    /** All limits in force. */
+    private record Listing(List<Listed> limits) {}
+
+    LimitDesk(ControlGroup group, FleetKeeper fleet, HostId self) {
+        this.group = group;
+        this.fleet = fleet;
+        this.self = self;
+    }
+
+    /** Takes in whether this host leads the control group from now on. */
+    void led(boolean leads) {
+        leading = leads;
+        asking.clear();
+        if (leads) {
+            keeper.lead(group.view().term(), BootClock.nanos());
+        }
+    }
+
+    private boolean leads() {
+        return leading && group.leads();
+    }
+
+    /** Takes in that an entry host has reported. */
+    void followed(HostId host) {
+        keeper.reported(host, BootClock.nanos());
+    }
+
+    /** Takes in what whoever leads says, and passes on what is news. */
+    void told(LimitWords words) {
+        List<LimitWord> news = LimitCodec.words(words).stream().filter(keeper::told).toList();
+        if (!news.isEmpty()) {
+            log(news, "");
+            fleet.passOn(LimitCodec.words(news));
+        }
+    }
+
+    /** Takes in what an upstream has told an entry host. */
+    void heard(LimitHeard heard) {
+        if (leads()) {
+            tell(keeper.heard(LimitCodec.heard(heard), BootClock.nanos()), heard.getHost());
+        }
+    }
+
+    /**
+     * Takes in what an upstream has told this host itself. Answers to a control host's calls need
+     * not name a limit for it to be in force.
+     */
+    void heardHere(UpstreamId upstream, double perSecond) {
+        if (leads()) {
+            HeardLimit heard =
+                    new HeardLimit(
+                            upstream,
+                            OptionalDouble.of(perSecond),
+                            keeper.table().find(upstream).revision());
+            tell(keeper.heard(heard, BootClock.nanos()), self.value());
+        }
+    }
+
+    /** Takes in what an entry host would send. */
+    void asked(PermitAsk ask, Replier replier) {
+        if (!leads()) {
+            return;
+        }
+        LimitWord known = LimitCodec.known(ask);
+        if (keeper.told(known)) {
+            tell(List.of(known), ask.getHost());
+        }
+        PermitWant want = LimitCodec.want(ask);
+        asking.put(want.host(), replier);
+        answer(keeper.wanted(want, BootClock.nanos()));
+    }
+
+    /** Notes that this host sends an upstream a call of its own. */
+    void sent(UpstreamId upstream) {
+        keeper.sent(upstream, BootClock.nanos());
+    }
+
+    /** Grants what there is room for, and lets limits that have ended go. */
+    void tick() {
+        if (leads()) {
+            LimitKeeper.Step step = keeper.step(BootClock.nanos());
+            tell(step.words(), "");
+            answer(step.answers());
+        }
+    }
+
+    /** Forgets the limits of upstreams that are gone. */
+    void retain(Set<UpstreamId> upstreams) {
+        keeper.retain(upstreams);
+    }
+
+    /** Returns all that is known, for a host that may know nothing. */
+    Frame whole() {
+        return LimitCodec.words(keeper.table().all());
+    }
+
+    /** Returns the limits in force, in requests a second. */
+    Map<UpstreamId, Double> inForce() {
+        Map<UpstreamId, Double> limits = new HashMap<>();
+        keeper.table()
+                .all()
+                .forEach(
+                        word ->
+                                word.perSecond()
+                                        .ifPresent(limit -> limits.put(word.upstream(), limit)));
+        return limits;
+    }
+
+    /** Returns the limits in force as JSON, for an operator. */
+    byte[] listed() {
+        List<Listed> all = new ArrayList<>();
+        for (LimitWord word : keeper.table().all()) {
+            word.perSecond()
+                    .ifPresent(
+                            limit ->
+                                    all.add(
+                                            new Listed(
+                                                    word.upstream().toString(),
+                                                    limit,
+                                                    word.ending())));
+        }
+        return Json.write(Listing.class, new Listing(all));
+    }
+
+    private void tell(List<LimitWord> words, String by) {
+        if (!words.isEmpty()) {
+            log(words, by);
+            fleet.tellOthers(LimitCodec.words(words));
+        }
+    }
+
+    private static void log(List<LimitWord> words, String by) {
+        for (LimitWord word : words) {
+            logger.info(
+                    "upstream.limit-told id={} perSecond={} ending={} term={} count={} by={}",
+                    word.upstream(),
+                    word.perSecond(),
+                    word.ending(),
+                    word.revision().term(),
+                    word.revision().count(),
+                    by);
+        }
+    }
+
+    private void answer(List<PermitAnswer> answers) {
+        for (PermitAnswer answer : answers) {
+            Replier replier = asking.get(answer.host());
+            if (replier != null) {
+                replier.send(LimitCodec.reply(answer, self));
+            }
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -61,6 +61,7 @@
     private final FleetSettings settings;
     private final ControlGroup group;
     private final FleetKeeper fleet;
+    private final LimitDesk limits;
     private final EngineCalls calls;
     private final ResidencyKeeper keeper;
     private long routesVersion = -1;
@@ -76,11 +77,13 @@
             FleetSettings settings,
             ControlGroup group,
             FleetKeeper fleet,
+            LimitDesk limits,
             UpstreamClient upstreams) {
         this.settings = settings;
         this.group = group;
         this.fleet = fleet;
-        this.calls = new EngineCalls(fleet.loop(), upstreams, this::active, this::cannotConnect);
+        this.limits = limits;
+        this.calls = new EngineCalls(fleet.loop(), upstreams, this::active, new Calling());
         this.handover =
                 new OrderHandover(
                         settings.limits().fenceChecked(),
@@ -119,6 +122,7 @@
         takeRoutes();
         long now = BootClock.nanos();
         keeper.known(fleet.instances(), now);
+        keeper.limited(limits.inForce());
         carryOut(keeper.step(now));
     }
 
@@ -157,8 +161,22 @@
                 told.getRefused());
     }
 
-    private void cannotConnect(UpstreamId id, boolean refused) {
-        keeper.unreachable(id, settings.peerName(), refused);
+    /** Hears what becomes of calls to engines. */
+    private final class Calling implements EngineCalls.CallWatcher {
+        @Override
+        public void sent(UpstreamId id) {
+            limits.sent(id);
+        }
+
+        @Override
+        public void limited(UpstreamId id, double perSecond) {
+            limits.heardHere(id, perSecond);
+        }
+
+        @Override
+        public void unreachable(UpstreamId id, boolean refused) {
+            keeper.unreachable(id, settings.peerName(), refused);
+        }
     }
 
     /** Takes in that requests wait for an adapter. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -48,15 +48,6 @@
     private boolean silent;
     private long probedAt;
 
-    /** The connections to the control hosts. */
-    interface ControlWay {
-        /** Sends a frame to a control host, if it is connected. */
-        boolean send(HostId host, Frame frame);
-
-        /** Returns the control hosts that are connected. */
-        List<HostId> connected();
-    }
-
     /** A request whose decision is awaited. */
     private record Claim(Customer customer, double cost, Consumer<AllowanceVerdict> decided) {}
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -11,6 +11,8 @@
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
+import io.stackhall.rpc.generated.fleet.LimitWords;
+import io.stackhall.rpc.generated.fleet.PermitReply;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -174,6 +176,8 @@
             case WORK -> work(frame.getWork());
             case EVACUATED -> evacuated(EvacuationCodec.decode(frame.getEvacuated()));
             case CRASH_NOTICE -> crashes(frame.getCrashNotice());
+            case LIMIT_WORDS -> limitsTold(frame.getLimitWords());
+            case PERMIT_REPLY -> permitReplied(frame.getPermitReply());
             case ALLOWANCE_ANSWER ->
                     gateway.customers().allowances().received(frame.getAllowanceAnswer());
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
@@ -200,6 +204,18 @@
                 .peekLeft(finding -> logger.warn("upstream.record-refused {}", finding));
     }
 
+    private void limitsTold(LimitWords words) {
+        if (gateway.upstreamLimits().told(words)) {
+            gateway.serveWaiting();
+        }
+    }
+
+    private void permitReplied(PermitReply reply) {
+        if (gateway.upstreamLimits().answered(reply)) {
+            gateway.serveWaiting();
+        }
+    }
+
     private void crashes(CrashNotice notice) {
         gateway.quarantine().received(notice);
         gateway.serveWaiting();
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlWay.java
@@ -0,0 +1,15 @@
+package io.stackhall.server.gateway;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.rpc.generated.peer.Frame;
+import java.util.List;
+
+/** The connections of an entry host to the control hosts. */
+interface ControlWay {
+
+    /** Sends a frame to a control host, if it is connected. */
+    boolean send(HostId host, Frame frame);
+
+    /** Returns the control hosts that are connected. */
+    List<HostId> connected();
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -18,6 +18,7 @@
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryAllowance;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.quarantine.HostPauses;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
@@ -27,6 +28,7 @@
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.fleet.RepeatedTask;
+import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
@@ -82,6 +84,7 @@
     private final ControlFollower follower;
     private final OwnReports reports;
     private final UpstreamClient upstreams;
+    private final UpstreamLimits upstreamLimits;
     private Channel callers;
     private Channel readiness;
     private Optional<Channel> metrics = Optional.empty();
@@ -95,10 +98,15 @@
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
         this.hosts = new ControlHosts(settings, transport, this::connected);
         this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID);
+        LimitedUpstreams limited = new LimitedUpstreams(settings.peerName(), random);
+        limited.shared(ASSUMED_ENTRY_HOSTS);
+        FleetMetrics figures = new FleetMetrics();
+        this.upstreamLimits =
+                new UpstreamLimits(settings.peerName(), loop, limited, new ControlLinks(), figures);
         this.gateway =
                 new Gateway(
                         loop,
-                        new Dispatcher(settings.zone(), random),
+                        new Dispatcher(settings.zone(), limited, random),
                         upstreams,
                         new RetryAllowance(
                                 limits.retryRatio(),
@@ -108,6 +116,8 @@
                         new ControlNotices(settings.peerName(), this::tellControlHosts),
                         customerGate(random),
                         this::tellControlHosts,
+                        upstreamLimits,
+                        figures,
                         random);
         this.follower = new ControlFollower(settings, loop, transport, hosts, gateway, random);
         this.reports = new OwnReports(settings, gateway, follower);
@@ -133,6 +143,7 @@
                                         loop,
                                         time.toMillis() / CONFIRMATIONS_IN_REVOCATION,
                                         follower::renewTrust));
+        upstreamLimits.start();
         RepeatedTask.every(loop, HostPauses.TICK.toMillis(), gateway.quarantine()::tick);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
@@ -234,8 +245,8 @@
         }
     }
 
-    /** The way to the control hosts for questions about customers' allowances. */
-    private final class ControlLinks implements AllowanceClient.ControlWay {
+    /** The way to the control hosts for questions about allowances and limits. */
+    private final class ControlLinks implements ControlWay {
         @Override
         public boolean send(HostId host, Frame frame) {
             return transport.send(host, frame);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -47,14 +47,14 @@
     private final UpstreamClient upstreams;
     private final RetryAllowance retries;
     private final RandomGenerator random;
-    private final WaitingRequests waiting = new WaitingRequests();
+    private final WaitingRequests waiting;
     private final DemandCounts demand = new DemandCounts();
     private final Set<CallerConnection> connections = new HashSet<>();
     private final ControlNotices notices;
     private final Quarantine quarantine;
     private final CustomerGate customers;
-    private final FleetMetrics metrics = new FleetMetrics();
-    private final UpstreamLimits limits = new UpstreamLimits(metrics);
+    private final FleetMetrics metrics;
+    private final UpstreamLimits limits;
     private final LineBudget lines = new LineBudget();
     private RouteTable routes;
     private final FirstRoutes firstRoutes = new FirstRoutes();
@@ -72,6 +72,8 @@
             ControlNotices notices,
             CustomerGate customers,
             Consumer<Frame> toControlHosts,
+            UpstreamLimits limits,
+            FleetMetrics metrics,
             RandomGenerator random) {
         this.loop = loop;
         this.dispatcher = dispatcher;
@@ -79,6 +81,9 @@
         this.retries = retries;
         this.notices = notices;
         this.customers = customers;
+        this.limits = limits;
+        this.waiting = new WaitingRequests(limits::recount);
+        this.metrics = metrics;
         this.quarantine = new Quarantine(loop, dispatcher, upstreams, metrics, toControlHosts);
         this.random = random;
     }
@@ -153,6 +158,7 @@
     /** Tries to send what waits, the most urgent first. */
     void serveWaiting() {
         waiting.tryAll();
+        limits.lookSoon();
     }
 
     /** While something waits, it is looked at again and again: time alone may decide about it. */
@@ -303,6 +309,7 @@
     void waits(RelayedRequest request) {
         waiting.add(request);
         demand.waits(request.need());
+        limits.lookSoon();
         lookAgainLater();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -142,7 +142,7 @@
         }
         Choice choice =
                 gateway.choose(standing, digest, need, history.allowed(), times.left(now), now);
-        int ahead = choice instanceof Choice.Full ? gateway.waitingBefore(this) : 0;
+        int ahead = waitsInTurn(choice) ? gateway.waitingBefore(this) : 0;
         switch (admission.judge(choice, ahead, now)) {
             case Verdict.Send(Instance instance, String why) -> {
                 if (right instanceof Right.Awaited || !rights.fresh()) {
@@ -151,8 +151,12 @@
                 }
                 send(instance, why);
             }
-            case Verdict.GiveUp(String reason, Duration retryAfter) ->
-                    last.giveUp(reason, retryAfter);
+            case Verdict.GiveUp(String reason, Duration retryAfter) -> {
+                if (choice instanceof Choice.Limited) {
+                    gateway.upstreamLimits().refused();
+                }
+                last.giveUp(reason, retryAfter);
+            }
             case Verdict.WaitForAdapter(Instance instance) -> {
                 gateway.notices().wantAdapter(instance, need);
                 waitsFor = WaitReason.ADAPTER;
@@ -166,6 +170,10 @@
         return true;
     }
 
+    private static boolean waitsInTurn(Choice choice) {
+        return choice instanceof Choice.Full || choice instanceof Choice.Limited;
+    }
+
     /** Ends a copy of a request that is refused by now, if it may not have begun to run yet. */
     void stopCondemned() {
         if (!ended && !stream.begun() && attempt != null) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.Sending;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.core.route.RouteKind;
 import io.stackhall.platform.RequestHeaders;
 import io.stackhall.server.clock.BootClock;
@@ -24,6 +25,7 @@
     private final boolean stream;
     private final AttemptListener listener;
     private final Sending sending;
+    private final LimitRevision limitKnown;
     private final EventAssembler events = new EventAssembler();
     private UpstreamCall call;
     private HttpResponse head;
@@ -47,7 +49,7 @@
         this.stream = kind == RouteKind.STREAM;
         this.listener = listener;
         this.sending = gateway.dispatcher().began(instance.id(), need, BootClock.nanos());
-        gateway.upstreamLimits().sent(instance.id());
+        this.limitKnown = gateway.upstreamLimits().sent(instance.id());
     }
 
     void begin(FullHttpRequest request, String requestId) {
@@ -86,7 +88,7 @@
     public void answered(HttpResponse answer) {
         head = answer;
         long now = BootClock.nanos();
-        gateway.upstreamLimits().answered(instance.id(), answer);
+        gateway.upstreamLimits().answered(instance.id(), answer, limitKnown);
         RequestHeaders.load(answer.headers()::get)
                 .ifPresent(
                         load ->
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -1,34 +1,93 @@
 package io.stackhall.server.gateway;
 
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
+import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.HeardLimit;
+import io.stackhall.core.limit.LimitRevision;
+import io.stackhall.core.limit.LimitWord;
+import io.stackhall.core.limit.LimitedUpstreams;
+import io.stackhall.core.limit.PermitWant;
 import io.stackhall.platform.RequestHeaders;
+import io.stackhall.rpc.generated.fleet.LimitWords;
+import io.stackhall.rpc.generated.fleet.PermitReply;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.fleet.LimitCodec;
+import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.metrics.FleetMetrics;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** What instances say of how many requests they take, at one entry host. Used on one loop. */
+/**
+ * Tells the leader of the control group which limits upstreams name to one entry host, and asks it
+ * for permits to send to them. Used on one event loop.
+ */
 final class UpstreamLimits {
 
     private static final Logger logger = LogManager.getLogger(UpstreamLimits.class);
 
+    /** Between two looks at what is due, beside what requests bring up themselves. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** A leader answers within some milliseconds; once it does not, all control hosts are asked. */
+    private static final long LEADER_ANSWERS_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    private final HostId self;
+    private final EventLoop loop;
+    private final LimitedUpstreams limits;
+    private final ControlWay way;
     private final FleetMetrics metrics;
-    private final Map<UpstreamId, Double> named = new HashMap<>();
     private final Set<UpstreamId> unreadable = new HashSet<>();
+    private Optional<HostId> leader = Optional.empty();
+    private long leaderAnsweredAt;
+    private boolean lookScheduled;
 
-    UpstreamLimits(FleetMetrics metrics) {
+    UpstreamLimits(
+            HostId self,
+            EventLoop loop,
+            LimitedUpstreams limits,
+            ControlWay way,
+            FleetMetrics metrics) {
+        this.self = self;
+        this.loop = loop;
+        this.limits = limits;
+        this.way = way;
         this.metrics = metrics;
     }
 
-    /** Takes in the head of an answer. */
-    void answered(UpstreamId id, HttpResponse head) {
+    /** Begins to look at what is due. */
+    void start() {
+        RepeatedTask.every(loop, LOOK_MILLIS, this::look);
+    }
+
+    /** Returns what is known of an instance's limit as a request is sent to it. */
+    LimitRevision sent(UpstreamId id) {
+        if (limits.limit(id).isPresent()) {
+            metrics.limitedRequest("sent");
+        }
+        return limits.revision(id);
+    }
+
+    /** Notes that a request was refused since only instances at their limits could serve it. */
+    void refused() {
+        metrics.limitedRequest("refused");
+    }
+
+    /**
+     * Takes in the head of an answer.
+     *
+     * @param basis what was known of the limit when the request was sent
+     */
+    void answered(UpstreamId id, HttpResponse head, LimitRevision basis) {
         RequestHeaders.limit(head.headers()::get)
-                .peek(limit -> told(id, limit))
+                .peek(limit -> named(id, limit, basis))
                 .peekLeft(
                         finding -> {
                             if (unreadable.add(id)) {
@@ -37,29 +96,93 @@
                         });
     }
 
-    private void told(UpstreamId id, OptionalDouble limit) {
-        Double before = limit.isPresent() ? named.put(id, limit.getAsDouble()) : named.remove(id);
-        Double now = limit.isPresent() ? limit.getAsDouble() : null;
-        if (now == null ? before != null : !now.equals(before)) {
-            logger.info("upstream.limit-heard id={} perSecond={} before={}", id, now, before);
+    private void named(UpstreamId id, OptionalDouble limit, LimitRevision basis) {
+        OptionalDouble before = limits.limit(id);
+        limits.answered(id, limit, basis, BootClock.nanos())
+                .ifPresent(
+                        heard -> {
+                            logger.info(
+                                    "upstream.limit-heard id={} perSecond={} before={} term={}"
+                                            + " count={}",
+                                    id,
+                                    limit,
+                                    before,
+                                    basis.term(),
+                                    basis.count());
+                            tellAll(heard);
+                        });
+    }
+
+    /** Takes in what the leader says of limits, and returns whether it changes anything. */
+    boolean told(LimitWords words) {
+        boolean changed = false;
+        for (LimitWord word : LimitCodec.words(words)) {
+            if (limits.told(word)) {
+                changed = true;
+                logger.info(
+                        "upstream.limit-in-force id={} perSecond={} ending={} term={} count={}",
+                        word.upstream(),
+                        word.perSecond(),
+                        word.ending(),
+                        word.revision().term(),
+                        word.revision().count());
+            }
         }
+        return changed;
     }
 
-    /** Notes that a request is sent to an instance. */
-    void sent(UpstreamId id) {
-        if (named.containsKey(id)) {
-            metrics.limitedRequest("sent");
+    /** Takes in an answer of the leader, and returns whether a request may be sent. */
+    boolean answered(PermitReply reply) {
+        leader = Optional.of(new HostId(reply.getLeader()));
+        leaderAnsweredAt = BootClock.nanos();
+        return limits.answered(LimitCodec.answer(self, reply), leaderAnsweredAt);
+    }
+
+    /** All requests that wait are about to be looked at anew. */
+    void recount() {
+        limits.recount();
+    }
+
+    /** Has what requests want asked for at once. */
+    void lookSoon() {
+        if (!lookScheduled && limits.size() > 0) {
+            lookScheduled = true;
+            loop.execute(
+                    () -> {
+                        lookScheduled = false;
+                        look();
+                    });
         }
     }
 
+    private void look() {
+        long now = BootClock.nanos();
+        for (PermitWant want : limits.wants(now)) {
+            ask(LimitCodec.ask(want, limits.word(want.upstream())), now);
+        }
+        limits.unconfirmed(now).forEach(this::tellAll);
+    }
+
+    private void ask(Frame frame, long now) {
+        boolean answers = now - leaderAnsweredAt < LEADER_ANSWERS_NANOS;
+        boolean sent = answers && leader.filter(host -> way.send(host, frame)).isPresent();
+        if (!sent) {
+            way.connected().forEach(host -> way.send(host, frame));
+        }
+    }
+
+    private void tellAll(HeardLimit heard) {
+        Frame frame = LimitCodec.heard(self, heard);
+        way.connected().forEach(host -> way.send(host, frame));
+    }
+
     /** Forgets an instance that is gone. */
     void forget(UpstreamId id) {
-        named.remove(id);
         unreadable.remove(id);
     }
 
     /** Brings the measures of the present state up to date. */
     void measure() {
-        metrics.state("limited_upstreams", named.size());
+        metrics.state("limited_upstreams", limits.size());
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/WaitingRequests.java
@@ -18,8 +18,18 @@
 final class WaitingRequests {
 
     private final Set<RelayedRequest> requests = new LinkedHashSet<>();
+    private final Runnable beforeAll;
     private boolean trying;
 
+    /**
+     * Creates a line in which nobody waits.
+     *
+     * @param beforeAll run before all that wait are tried anew
+     */
+    WaitingRequests(Runnable beforeAll) {
+        this.beforeAll = beforeAll;
+    }
+
     void add(RelayedRequest request) {
         requests.add(request);
     }
@@ -62,6 +72,7 @@
         }
         trying = true;
         try {
+            beforeAll.run();
             List<RelayedRequest> inOrder = new ArrayList<>(requests);
             inOrder.sort(order(BootClock.nanos()));
             for (RelayedRequest request : inOrder) {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
@@ -47,7 +47,9 @@
     private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
     private final List<EntryDaemon> entries = new ArrayList<>();
     private final List<ControlDaemon> controls = new ArrayList<>();
+    private final List<Limited> running = new ArrayList<>();
     private LocalFleet fleet;
+    private long beats;
 
     /** What a caller got, and when it had sent its request. */
     private record Outcome(long sentAt, int status, Duration took, String retryAfter) {}
@@ -201,13 +203,26 @@
         }
     }
 
+    private void heartbeats() {
+        beats++;
+        for (Limited limited : running) {
+            String body = limited.upstream.heartbeat("plain", "ready", beats, "[]");
+            try {
+                fleet.heartbeat(3, limited.upstream, body);
+            } catch (IOException e) {
+                throw new AssertionError("the third control host runs all the time", e);
+            }
+        }
+    }
+
     private static int allowed(double perSecond) {
         return (int) (FORGIVEN_SHARE * perSecond * 4) + FORGIVEN_REQUESTS;
     }
 
     private Limited upstream(String id) throws Exception {
         Limited limited = new Limited(id);
-        fleet.heartbeat(3, limited.upstream, limited.upstream.heartbeat("plain", "ready", 1, "[]"));
+        running.add(limited);
+        heartbeats();
         RelayFixture.pause(200);
         return limited;
     }
@@ -216,7 +231,12 @@
     private void traffic(int perSecond, Duration time) throws InterruptedException {
         long end = BootClock.nanos() + time.toNanos();
         List<Thread> callers = new ArrayList<>();
+        long nextBeat = BootClock.nanos();
         while (BootClock.nanos() - end < 0) {
+            if (BootClock.nanos() - nextBeat >= 0) {
+                heartbeats();
+                nextBeat += TimeUnit.SECONDS.toNanos(1);
+            }
             int host = 1 + random.nextInt(HOSTS);
             callers.add(Thread.startVirtualThread(() -> call(host)));
             Thread.sleep(1000 / perSecond);
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestRightsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestRightsTest.java
@@ -51,7 +51,7 @@
     private AllowanceClient client;
 
     /** Takes down what it is asked, and answers when a test says so. */
-    private static final class FakeLeader implements AllowanceClient.ControlWay {
+    private static final class FakeLeader implements ControlWay {
         private final List<AllowanceClaim> claims = new ArrayList<>();
 
         @Override
