--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/AskAgainPlay.java
@@ -0,0 +1,82 @@
+package io.stackhall.core.limit;
+
+import io.stackhall.core.customer.AllowanceKeeper;
+import io.stackhall.core.customer.AllowanceVerdict;
+import io.stackhall.core.customer.Customer;
+import io.stackhall.core.customer.CustomerLimit;
+import io.stackhall.core.customer.Customers;
+import io.stackhall.core.id.CustomerId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Another way to keep a limit, for comparison: each request asks the leader, as for a customer's
+ * allowance, and asks again at the time that it is told.
+ */
+final class AskAgainPlay {
+
+    private static final CustomerId ID = new CustomerId("upstream");
+    private static final long PATIENCE = Duration.ofSeconds(4).toNanos();
+    private static final long DELAY = Duration.ofMillis(3).toNanos();
+
+    private final Random random;
+    private final AllowanceKeeper keeper = new AllowanceKeeper();
+    private final PriorityQueue<Ask> asks = new PriorityQueue<>(Comparator.comparingLong(Ask::at));
+    private final List<Long> arrivals = new ArrayList<>();
+    private long refused;
+    private long waitedInVain;
+
+    private record Ask(long at, long arrivedAt) {}
+
+    AskAgainPlay(long seed, double limit) {
+        random = new Random(seed);
+        CustomerLimit rate = new CustomerLimit(CustomerLimit.Unit.REQUESTS, limit, 1, 1);
+        Customer one = new Customer(ID, Set.of(), OptionalInt.empty(), Optional.of(rate));
+        keeper.customers(new Customers(List.of(one)), 0);
+    }
+
+    /** Plays requests that come at a rate and only the upstream can serve. */
+    AskAgainPlay play(Duration length, double perSecond) {
+        long next = 0;
+        while (next < length.toNanos()) {
+            asks.add(new Ask(next + DELAY, next));
+            next += (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
+        }
+        while (!asks.isEmpty() && asks.peek().at() < length.toNanos()) {
+            ask(asks.poll());
+        }
+        return this;
+    }
+
+    private void ask(Ask ask) {
+        switch (keeper.take(ID, 1, ask.at())) {
+            case AllowanceVerdict.Granted() -> arrivals.add(ask.at() + 2 * DELAY);
+            case AllowanceVerdict.Denied(Duration after) -> {
+                long again = ask.at() + 2 * DELAY + after.toNanos();
+                if (again - ask.arrivedAt() > PATIENCE) {
+                    refused++;
+                    waitedInVain += ask.at() + DELAY - ask.arrivedAt();
+                } else {
+                    asks.add(new Ask(again, ask.arrivedAt()));
+                }
+            }
+        }
+    }
+
+    double perSecond(Duration from, Duration to) {
+        long count =
+                arrivals.stream().filter(at -> at >= from.toNanos() && at < to.toNanos()).count();
+        return count / (to.minus(from).toMillis() / 1000.0);
+    }
+
+    Duration meanWaitInVain() {
+        return Duration.ofNanos(waitedInVain / Math.max(1, refused));
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
@@ -39,6 +39,8 @@
     private long order;
     private long now;
     private long frames;
+    private long refused;
+    private long waitedInVain;
 
     private record Event(long at, long order, Runnable run) {}
 
@@ -69,7 +71,7 @@
         }
 
         void serve() {
-            waiting.removeIf(until -> now - until >= 0);
+            waiting.removeIf(this::outOfTime);
             while (!waiting.isEmpty() && limits.allows(UPSTREAM, now)) {
                 waiting.removeFirst();
                 send();
@@ -78,11 +80,24 @@
             for (int ahead = 0; ahead < waiting.size(); ahead++) {
                 Duration expected = limits.await(UPSTREAM, now).behind(ahead);
                 if (now + expected.toNanos() - waiting.get(ahead) > 0) {
-                    waiting.remove(ahead--);
+                    refuse(waiting.remove(ahead--));
                 }
             }
         }
 
+        private boolean outOfTime(long until) {
+            boolean over = now - until >= 0;
+            if (over) {
+                refuse(until);
+            }
+            return over;
+        }
+
+        private void refuse(long until) {
+            refused++;
+            waitedInVain += now - (until - PATIENCE);
+        }
+
         void send() {
             limits.sent(UPSTREAM, now);
             LimitRevision basis = limits.revision(UPSTREAM);
@@ -366,4 +381,9 @@
     long frames() {
         return frames;
     }
+
+    /** Returns how long a request that was refused had waited, in the mean. */
+    Duration meanWaitInVain() {
+        return Duration.ofNanos(waitedInVain / Math.max(1, refused));
+    }
 }
