Account of limits that upstreams name, and the way from a refused request to the limit that decided

A request that comes to wait for a limited instance writes request.limited once, which names the instance and when its permit was expected; explain adds the limit in force by then. `stackhall upstream-limits` lists the limits; the call is shared with refused-requests. Words on the wire have a test of their own.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -79,7 +79,7 @@
                             ? new Verdict.GiveUp("its adapter is not resident", ADAPTER_ARRIVAL)
                             : new Verdict.WaitForAdapter(instance);
             case Choice.Full(double placesPerSecond) -> full(placesPerSecond, ahead, now);
-            case Choice.Limited(PermitWaits waits, var otherwise) ->
+            case Choice.Limited(var ignored, PermitWaits waits, var otherwise) ->
                     limited(waits.behind(ahead), otherwise, ahead, now);
             case Choice.ModelMissing(Duration load) -> missing(load, now);
             case Choice.ModelComing(Duration left) ->
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -23,11 +23,13 @@
      * It waits for a permit: whoever could run it now takes only so many requests a second from all
      * hosts.
      *
+     * @param instance whose permit it waits for
      * @param waits when permits may be expected
      * @param otherwise what would become of it without those instances; nothing where there is no
      *     other one
      */
-    record Limited(PermitWaits waits, Optional<Choice> otherwise) implements Choice {}
+    record Limited(Instance instance, PermitWaits waits, Optional<Choice> otherwise)
+            implements Choice {}
 
     /** It waits for the adapter, which is to be made resident on this instance. */
     record AdapterMissing(Instance instance) implements Choice {}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -243,7 +243,7 @@
             case Choice.Send(Instance instance, String why) ->
                     Optional.of(
                             new Choice.Limited(
-                                    limits.await(instance.id(), asked.now()), otherwise));
+                                    instance, limits.await(instance.id(), asked.now()), otherwise));
             case Choice.AdapterMissing missing -> Optional.of(missing);
             case Choice other -> otherwise.isPresent() ? Optional.empty() : Optional.of(other);
         };
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/Main.java
@@ -56,6 +56,7 @@
             case "compare" -> CompareCommand.run(arguments);
             case "explain" -> ExplainCommand.run(arguments);
             case RefusedRequestsCommand.NAME -> RefusedRequestsCommand.run(arguments);
+            case UpstreamLimitsCommand.NAME -> UpstreamLimitsCommand.run(arguments);
             case "train" -> TrainCommand.run(arguments);
             case "version" -> version();
             default -> OperatorCommands.run(arguments.getString(COMMAND), arguments);
@@ -90,6 +91,7 @@
         CompareCommand.addTo(commands);
         ExplainCommand.addTo(commands);
         RefusedRequestsCommand.addTo(commands);
+        UpstreamLimitsCommand.addTo(commands);
         TrainCommand.addTo(commands);
         commands.addParser("version").help("print the version");
         return parser;
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/RefusedRequestsCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/RefusedRequestsCommand.java
@@ -1,12 +1,6 @@
 package io.stackhall.server.cli;
 
 import io.stackhall.server.settings.Address;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
@@ -19,8 +13,6 @@
     static final String NAME = "refused-requests";
 
     private static final String PATH = "/-/refused-requests";
-    private static final Duration TIMEOUT = Duration.ofSeconds(5);
-    private static final int OK = 200;
 
     private RefusedRequestsCommand() {}
 
@@ -37,24 +29,10 @@
     }
 
     static ExitCode run(Namespace arguments) {
-        Address control = Address.parse(arguments.getString("control"));
+        OperatorCall call = new OperatorCall(Address.parse(arguments.getString("control")));
         String lifted = arguments.getString("lift");
-        URI uri = URI.create("http://" + control + PATH + (lifted == null ? "" : "/" + lifted));
-        HttpRequest.Builder call = HttpRequest.newBuilder(uri).timeout(TIMEOUT);
-        if (lifted != null) {
-            call.POST(HttpRequest.BodyPublishers.ofString(arguments.getString("operator")));
-        }
-        try (HttpClient client = HttpClient.newHttpClient()) {
-            HttpResponse<String> answer =
-                    client.send(call.build(), HttpResponse.BodyHandlers.ofString());
-            System.out.println(answer.body());
-            return answer.statusCode() == OK ? ExitCode.OK : ExitCode.FAILED;
-        } catch (IOException e) {
-            System.err.println("stackhall: " + control + " cannot be asked: " + e);
-            return ExitCode.FAILED;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return ExitCode.FAILED;
-        }
+        return lifted == null
+                ? call.get(PATH)
+                : call.post(PATH + "/" + lifted, arguments.getString("operator"));
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
@@ -36,7 +36,8 @@
         String last = own.getLast().time();
         Set<LogLine> story = new LinkedHashSet<>(own);
         for (String instance : instances) {
-            latest(sorted, first, line -> isBeliefOf(line, instance)).ifPresent(story::add);
+            latest(sorted, first, line -> isStateOf(line, instance)).ifPresent(story::add);
+            latest(sorted, first, line -> isLimitOf(line, instance)).ifPresent(story::add);
         }
         Set<String> digests = values(own, DIGEST);
         sorted.stream()
@@ -66,13 +67,23 @@
         };
     }
 
-    private static boolean isBeliefOf(LogLine line, String instance) {
+    private static boolean isStateOf(LogLine line, String instance) {
         return line.event().equals("instance.changed") && line.field(ID).equals(instance);
     }
 
+    private static boolean isLimitOf(LogLine line, String instance) {
+        return line.event().equals("upstream.limit-in-force") && line.field(ID).equals(instance);
+    }
+
     private static boolean concerns(LogLine line, Set<String> instances, Set<String> models) {
         return switch (line.event()) {
-            case "instance.changed", "upstream.changed", "upstream.left", "upstream.unreachable" ->
+            case "instance.changed",
+                    "upstream.changed",
+                    "upstream.left",
+                    "upstream.unreachable",
+                    "upstream.limit-heard",
+                    "upstream.limit-told",
+                    "upstream.limit-in-force" ->
                     instances.contains(line.field(ID));
             case "order.answered" ->
                     instances.contains(line.field(INSTANCE)) || models.contains(line.field(MODEL));
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -143,6 +143,9 @@
         Choice choice =
                 gateway.choose(standing, digest, need, history.allowed(), times.left(now), now);
         int ahead = waitsInTurn(choice) ? gateway.waitingBefore(this) : 0;
+        if (choice instanceof Choice.Limited held) {
+            log.limited(held.instance(), held.waits().behind(ahead));
+        }
         switch (admission.judge(choice, ahead, now)) {
             case Verdict.Send(Instance instance, String why) -> {
                 if (right instanceof Right.Awaited || !rights.fresh()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -28,6 +28,7 @@
     private String route = "none";
     private String customer = "";
     private long firstMillis = -1;
+    private boolean limitTold;
 
     RequestLog(Gateway gateway, CallerRequest request, RequestDigest digest) {
         this.lines = gateway.lines();
@@ -94,6 +95,25 @@
         }
     }
 
+    /** Notes, once, that it comes to wait for an instance that takes only so many requests. */
+    void limited(Instance instance, Duration expected) {
+        if (limitTold) {
+            return;
+        }
+        limitTold = true;
+        metrics.limitedRequest("held");
+        long leftOut = lines.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.limited id={} instance={} expectedMs={} ageMs={} leftOut={}",
+                    id,
+                    instance.id(),
+                    expected.toMillis(),
+                    ageMillis(),
+                    leftOut);
+        }
+    }
+
     /** Notes that the answer has begun to come. */
     void begun() {
         firstMillis = ageMillis();
--- a/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
@@ -49,6 +49,16 @@
                 .containsExactly("request.suspected", "request.suspected", "request.refused");
     }
 
+    @Test
+    void requestRefusedForALimitIsToldWithWhatItsInstanceNamed() {
+        line("front-2", "01", "upstream.limit-heard id=i-1 perSecond=1.0");
+        line("front-1", "02", "upstream.limit-in-force id=i-1 perSecond=1.0 term=2 count=1");
+        line("front-1", "03", "request.limited id=r1 instance=i-1 expectedMs=9000");
+        line("front-1", "04", "request.refused id=r1 reason=its instances are at the limits");
+        assertThat(events("r1"))
+                .containsExactly("upstream.limit-in-force", "request.limited", "request.refused");
+    }
+
     @Test
     void requestThatNobodyNamesHasNoStory() {
         line("front-1", "01", "request.sent id=r1 instance=i-1");
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LimitCodecTest.java
@@ -0,0 +1,59 @@
+package io.stackhall.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.HeardLimit;
+import io.stackhall.core.limit.LimitRevision;
+import io.stackhall.core.limit.LimitWord;
+import io.stackhall.core.limit.PermitAnswer;
+import io.stackhall.core.limit.PermitWaits;
+import io.stackhall.core.limit.PermitWant;
+import io.stackhall.rpc.generated.peer.Frame;
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+
+/** Limits and permits on the wire. */
+class LimitCodecTest {
+
+    private static final HostId HOST = new HostId("10.1.0.20:7160");
+    private static final UpstreamId UPSTREAM = new UpstreamId("i-87481e2b0a", 1_700_000_000_000L);
+    private static final LimitRevision REVISION = new LimitRevision(12, 345);
+
+    @Test
+    void wordsAreReadAsTheyWereWritten() {
+        LimitWord limit = new LimitWord(UPSTREAM, OptionalDouble.of(0.5), true, REVISION);
+        LimitWord none = new LimitWord(UPSTREAM, OptionalDouble.empty(), false, REVISION);
+        Frame frame = LimitCodec.words(List.of(limit, none));
+        assertThat(LimitCodec.words(frame.getLimitWords())).containsExactly(limit, none);
+    }
+
+    @Test
+    void whatUpstreamsSayIsReadAsItWasWritten() {
+        for (OptionalDouble named : List.of(OptionalDouble.of(0), OptionalDouble.empty())) {
+            HeardLimit heard = new HeardLimit(UPSTREAM, named, REVISION);
+            Frame frame = LimitCodec.heard(HOST, heard);
+            assertThat(LimitCodec.heard(frame.getLimitHeard())).isEqualTo(heard);
+        }
+    }
+
+    @Test
+    void wantsAndAnswersAreReadAsTheyWereWritten() {
+        LimitWord known = new LimitWord(UPSTREAM, OptionalDouble.of(2), false, REVISION);
+        PermitWant want = new PermitWant(HOST, UPSTREAM, 3, true, 123_456_789L, -1, true);
+        Frame ask = LimitCodec.ask(want, known);
+        assertThat(LimitCodec.want(ask.getPermitAsk())).isEqualTo(want);
+        assertThat(LimitCodec.known(ask.getPermitAsk())).isEqualTo(known);
+        PermitWaits waits =
+                new PermitWaits(
+                        List.of(Duration.ofMillis(5), Duration.ofMillis(1005)),
+                        Duration.ofMillis(2005),
+                        Duration.ofSeconds(1));
+        PermitAnswer answer = new PermitAnswer(HOST, UPSTREAM, 123_456_789L, true, waits);
+        Frame reply = LimitCodec.reply(answer, HOST);
+        assertThat(LimitCodec.answer(HOST, reply.getPermitReply())).isEqualTo(answer);
+    }
+}
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
@@ -144,6 +144,7 @@
             traffic(40, Duration.ofSeconds(7));
             assertThat(limited.worstFourSeconds(limited.namedAt + TOLD_WITHIN.toNanos()))
                     .isLessThanOrEqualTo(allowed(1));
+            assertThat(listedLimits()).contains("\"upstream\":\"i-1\",\"perSecond\":1.0");
             limited.names("");
             long ended = limited.namedAt;
             traffic(40, Duration.ofSeconds(9));
@@ -215,6 +216,10 @@
         }
     }
 
+    private String listedLimits() throws IOException {
+        return fleet.control(2, "GET", "/-/upstream-limits", "").text();
+    }
+
     private static int allowed(double perSecond) {
         return (int) (FORGIVEN_SHARE * perSecond * 4) + FORGIVEN_REQUESTS;
     }
