Engines with a limit are placed on as any other, and orders take no permits

Causes, as far as a replay and reading show:

- Engines that take little were left out of placement.
And once nobody asked for what such an engine held, nobody could hear that its limit had ended.
Going by demand is kept; LimitedEnginesReplayTest holds it against leaving out.
- Orders of the leader took permits.
They are no requests, and nobody who gives orders passes on answers; a few adapters kept all requests from an engine for seconds.
- An adapter that another engine lacked was waited for at the limited one.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -231,14 +231,16 @@
      */
     private Optional<Choice> limited(
             List<Instance> limited, Optional<Choice> otherwise, Asked asked) {
-        boolean elsewhere = otherwise.filter(Choice.Send.class::isInstance).isPresent();
-        if (elsewhere) {
+        if (otherwise.filter(Choice.Send.class::isInstance).isPresent()) {
             limited.stream()
                     .filter(one -> limits.spareDue(one.id(), asked.now()))
                     .filter(one -> among(List.of(one), asked) instanceof Choice.Send)
                     .forEach(one -> limits.spare(one.id(), asked.now()));
             return Optional.empty();
         }
+        if (otherwise.filter(Choice.AdapterMissing.class::isInstance).isPresent()) {
+            return Optional.empty();
+        }
         return switch (among(limited, asked)) {
             case Choice.Send(Instance instance, String why) ->
                     Optional.of(
--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
@@ -137,13 +137,6 @@
         return queue.wanted(want, now);
     }
 
-    /** Notes that the keeper's own host sends an upstream something; for the leader alone. */
-    public void sent(UpstreamId upstream, long now) {
-        if (table.find(upstream).limited()) {
-            queue(upstream, now).spent(1, now);
-        }
-    }
-
     /** Returns what is due; for the leader alone, to be called several times in a tenth second. */
     public Step step(long now) {
         List<LimitWord> words = new ArrayList<>();
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -43,9 +43,6 @@
      */
     private static final long SETTLE_NANOS = Duration.ofMillis(2500).toNanos();
 
-    /** An engine that takes less than this share of what others bear counts as no copy. */
-    private static final double LEAST_CAPACITY_SHARE = 0.5;
-
     private final PlacementPolicy policy;
     private final Duration heartbeat;
     private final StoreWindow store;
@@ -55,7 +52,7 @@
     private final Map<UpstreamId, EngineLedger> engines = new LinkedHashMap<>();
     private Map<ServiceName, EngineSpec> specs = Map.of();
     private EvacuatedZones evacuated = EvacuatedZones.none();
-    private Map<UpstreamId, Double> limits = Map.of();
+    private Set<UpstreamId> limited = Set.of();
     private long nextDecision;
     private boolean learning;
     private long firstEngineAt;
@@ -112,24 +109,21 @@
         evacuated = next;
     }
 
-    /** Takes over how many requests a second those engines take that have named a limit. */
-    public void limited(Map<UpstreamId, Double> perSecond) {
-        limits = Map.copyOf(perSecond);
+    /**
+     * Takes over which engines have named a limit. They are placed on as all others are: a model
+     * that is asked for more than its engine takes gets a further copy for that demand, while those
+     * asked for rarely are served where they are.
+     */
+    public void limited(Set<UpstreamId> named) {
+        limited = Set.copyOf(named);
     }
 
     private List<EngineLedger> inUse() {
         return engines.values().stream()
                 .filter(engine -> !evacuated.contains(engine.instance().zone()))
-                .filter(engine -> !inNeed(engine))
                 .toList();
     }
 
-    /** An engine that takes little serves its models as good as nobody: they want other copies. */
-    private boolean inNeed(EngineLedger engine) {
-        double limit = limits.getOrDefault(engine.instance().id(), Double.POSITIVE_INFINITY);
-        return limit < capacity.perSecond() * LEAST_CAPACITY_SHARE;
-    }
-
     /** Takes in an entry host's counts of arrivals and waiting requests. */
     public void demanded(
             HostId host, Map<ModelId, Integer> arrivals, Map<ModelId, Integer> waiting, long now) {
@@ -310,7 +304,9 @@
     }
 
     private Optional<EngineOrder> adapterOrder(EngineLedger engine, EngineSpec spec) {
-        return adapters.next(engine, spec, !inNeed(engine))
+        // An engine in need is not given work that nobody waits for.
+        boolean spare = !limited.contains(engine.instance().id());
+        return adapters.next(engine, spec, spare)
                 .map(
                         step ->
                                 newOrder(
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/AdapterStepsTest.java
@@ -0,0 +1,53 @@
+package io.stackhall.core.residency;
+
+import static io.stackhall.core.fleet.Instances.instance;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.ModelId;
+import io.stackhall.core.route.EngineSpec;
+import io.stackhall.core.route.ModelWeights;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which adapters an engine with free slots loads. */
+class AdapterStepsTest {
+
+    private static final ModelId MODEL = new ModelId("a");
+    private static final AdapterKey ADAPTER = new AdapterKey(MODEL, "a1");
+
+    private final AdapterSteps steps = new AdapterSteps();
+    private final EngineLedger engine =
+            new EngineLedger(instance("e", 1, "a"), Duration.ofMillis(1200));
+    private final EngineSpec spec =
+            new EngineSpec(
+                    4,
+                    1000,
+                    300,
+                    2,
+                    1,
+                    200,
+                    600,
+                    EngineSpec.byName(
+                            List.of(
+                                    new ModelWeights(
+                                            MODEL,
+                                            100,
+                                            List.of("a1"),
+                                            1,
+                                            Duration.ofSeconds(9),
+                                            Duration.ofSeconds(2),
+                                            Duration.ofMillis(800)))));
+
+    @Test
+    void freeSlotsAreFilled() {
+        assertThat(steps.next(engine, spec, true)).contains(new AdapterSteps.Step(true, ADAPTER));
+    }
+
+    @Test
+    void engineWithALimitGetsOnlyAdaptersThatSomebodyWaitsFor() {
+        assertThat(steps.next(engine, spec, false)).isEmpty();
+        engine.wanted().add(ADAPTER);
+        assertThat(steps.next(engine, spec, false)).contains(new AdapterSteps.Step(true, ADAPTER));
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/LimitedEnginesReplayTest.java
@@ -0,0 +1,48 @@
+package io.stackhall.core.residency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.policy.PlacementPolicy;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two engines of thirteen that take one request a second, among more models than there are places:
+ * placement that leaves them out, and placement that goes by demand alone.
+ */
+class LimitedEnginesReplayTest {
+
+    private static final int SEEDS = 6;
+    private static final int LIMITED = 2;
+    private static final double PER_SECOND = 1;
+
+    @Test
+    void engineThatTakesLittleIsBetterPlacedOnThanLeftOut() {
+        assertThat(urgentInTime(false)).isGreaterThan(urgentInTime(true));
+        assertThat(patientInTime(false)).isGreaterThan(patientInTime(true));
+    }
+
+    private static double urgentInTime(boolean leftOut) {
+        return LongStream.range(0, SEEDS)
+                .mapToDouble(seed -> play(seed, leftOut).urgentInTime())
+                .average()
+                .orElseThrow();
+    }
+
+    private static double patientInTime(boolean leftOut) {
+        return LongStream.range(0, SEEDS)
+                .mapToDouble(seed -> play(seed, leftOut).patientInTime())
+                .average()
+                .orElseThrow();
+    }
+
+    private static PlacementReplay.Outcome play(long seed, boolean leftOut) {
+        return new PlacementReplay(
+                        seed,
+                        PlacementPolicy.of(PolicyName.NEAREST_COPY),
+                        (model, asked, nearest) -> asked)
+                .limited(LIMITED, PER_SECOND, leftOut)
+                .play();
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
@@ -51,9 +51,6 @@
 
     /** Hears what becomes of all calls. */
     interface CallWatcher {
-        /** A call is written to an engine. */
-        void sent(UpstreamId id);
-
         /** An engine names how many requests a second it takes. */
         void limited(UpstreamId id, double perSecond);
 
@@ -128,11 +125,7 @@
 
         @Override
         public boolean sending() {
-            boolean may = allowed.getAsBoolean();
-            if (may) {
-                watcher.sent(id);
-            }
-            return may;
+            return allowed.getAsBoolean();
         }
 
         @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -114,11 +114,6 @@
         answer(keeper.wanted(want, BootClock.nanos()));
     }
 
-    /** Notes that this host sends an upstream a call of its own. */
-    void sent(UpstreamId upstream) {
-        keeper.sent(upstream, BootClock.nanos());
-    }
-
     /** Grants what there is room for, and lets limits that have ended go. */
     void tick() {
         if (leads()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -122,7 +122,7 @@
         takeRoutes();
         long now = BootClock.nanos();
         keeper.known(fleet.instances(), now);
-        keeper.limited(limits.inForce());
+        keeper.limited(limits.inForce().keySet());
         carryOut(keeper.step(now));
     }
 
@@ -163,11 +163,6 @@
 
     /** Hears what becomes of calls to engines. */
     private final class Calling implements EngineCalls.CallWatcher {
-        @Override
-        public void sent(UpstreamId id) {
-            limits.sent(id);
-        }
-
         @Override
         public void limited(UpstreamId id, double perSecond) {
             limits.heardHere(id, perSecond);
