--- a/stackhall-core/src/test/java/io/stackhall/core/residency/PlacementReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/PlacementReplay.java
@@ -2,8 +2,6 @@
 
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
-import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.membership.Artifact;
 import io.stackhall.core.policy.Move;
 import io.stackhall.core.policy.PlacementPolicy;
@@ -64,25 +62,18 @@
     }
 
     private static final long LENGTH = 60_000;
-    private static final long STEP = 10;
     private static final long DECIDE_EVERY = 100;
     private static final long SHIFT_EVERY = 8_000;
     private static final long LIMITED_FROM = 8_000;
-    private static final double MOST_PERMITS = 2;
     private static final int SHIFT_BY = 3;
     private static final int ENGINES = 13;
-    private static final int ZONES = 3;
     private static final int PLACES = 3;
-    private static final int IN_MEMORY = 2;
-    private static final int ON_DISK = 6;
     private static final int URGENT_MODELS = 20;
     private static final int BUSY_MODELS = 7;
     private static final int PATIENT_MODELS = 37;
     private static final double URGENT_PER_SECOND = 26;
     private static final double PATIENT_PER_SECOND = 6.6;
     private static final long PROMPT = 70;
-    private static final long FROM_MEMORY = 800;
-    private static final long FROM_DISK = 1_700;
     private static final long FROM_STORE = 8_000;
     private static final long UNLOAD = 150;
     private static final int STORE_LOADS_AT_ONCE = 4;
@@ -93,7 +84,7 @@
     private final PlacementPolicy policy;
     private final ModelDemand demand = new ModelDemand();
     private final List<Model> models = new ArrayList<>();
-    private final List<Engine> engines = new ArrayList<>();
+    private final List<ReplayEngine> engines = new ArrayList<>();
     private final Map<Model, Deque<Request>> waiting = new LinkedHashMap<>();
     private final Map<ModelId, Integer> arrivals = new HashMap<>();
     private final Map<Kind, Integer> asked = new EnumMap<>(Kind.class);
@@ -107,62 +98,6 @@
 
     private record Request(long at) {}
 
-    /** An engine: what it serves, keeps at hand and is doing. */
-    private static final class Engine {
-        private final UpstreamId id;
-        private final ZoneId zone;
-        private final Map<ModelId, Long> held = new LinkedHashMap<>();
-        private final Deque<ModelId> memory = new ArrayDeque<>();
-        private final Deque<ModelId> disk = new ArrayDeque<>();
-        private Optional<ModelId> loading = Optional.empty();
-        private boolean fromStore;
-        private long orderEnds;
-        private final Deque<ModelId> nextLoads = new ArrayDeque<>();
-        private long promptsReadAt;
-        private double perSecond = Double.POSITIVE_INFINITY;
-        private double permits = Double.POSITIVE_INFINITY;
-
-        private Engine(int number) {
-            id = new UpstreamId("e" + number);
-            zone = new ZoneId("z" + number % ZONES);
-        }
-
-        private void limit(double most) {
-            perSecond = most;
-            permits = 0;
-        }
-
-        private void earnPermits() {
-            if (limited()) {
-                permits = Math.min(MOST_PERMITS, permits + perSecond * STEP / 1000);
-            }
-        }
-
-        private boolean limited() {
-            return perSecond < Double.POSITIVE_INFINITY;
-        }
-
-        private Optional<Long> nearLoad(ModelId model) {
-            if (memory.contains(model)) {
-                return Optional.of(FROM_MEMORY);
-            }
-            return disk.contains(model) ? Optional.of(FROM_DISK) : Optional.empty();
-        }
-
-        private void keep(ModelId model) {
-            touch(memory, model, IN_MEMORY);
-            touch(disk, model, ON_DISK);
-        }
-
-        private static void touch(Deque<ModelId> kept, ModelId model, int most) {
-            kept.remove(model);
-            kept.addFirst(model);
-            while (kept.size() > most) {
-                kept.removeLast();
-            }
-        }
-    }
-
     PlacementReplay(long seed, PlacementPolicy policy, Way way) {
         this.random = new Random(seed);
         this.policy = policy;
@@ -174,7 +109,7 @@
             models.add(new Model(new ModelId("p" + number), Kind.PATIENT));
         }
         for (int number = 0; number < ENGINES; number++) {
-            engines.add(new Engine(number));
+            engines.add(new ReplayEngine(number));
         }
         models.forEach(model -> waiting.put(model, new ArrayDeque<>()));
         fill();
@@ -193,14 +128,14 @@
     }
 
     Outcome play() {
-        for (long now = 0; now < LENGTH; now += STEP) {
+        for (long now = 0; now < LENGTH; now += ReplayEngine.STEP) {
             if (now % SHIFT_EVERY == 0 && now > 0) {
                 firstBusy = (firstBusy + SHIFT_BY) % URGENT_MODELS;
             }
             if (now == LIMITED_FROM) {
                 engines.subList(0, limitedEngines).forEach(engine -> engine.limit(limitPerSecond));
             }
-            engines.forEach(Engine::earnPermits);
+            engines.forEach(ReplayEngine::earnPermits);
             arrive(now);
             endOrders(now);
             if (now % DECIDE_EVERY == 0) {
@@ -224,7 +159,7 @@
             }
         }
         for (Model model : models.subList(BUSY_MODELS, models.size())) {
-            Engine engine = engines.get(at++ % ENGINES);
+            ReplayEngine engine = engines.get(at++ % ENGINES);
             if (engine.held.size() < PLACES) {
                 hold(engine, model.id());
             } else {
@@ -233,7 +168,7 @@
         }
     }
 
-    private static void hold(Engine engine, ModelId model) {
+    private static void hold(ReplayEngine engine, ModelId model) {
         engine.held.put(model, 0L);
         engine.keep(model);
     }
@@ -250,7 +185,7 @@
     }
 
     private void arrive(Model model, double perSecond, long now) {
-        if (random.nextDouble() < perSecond * STEP / 1000) {
+        if (random.nextDouble() < perSecond * ReplayEngine.STEP / 1000) {
             asked.merge(model.kind(), 1, Integer::sum);
             arrivals.merge(model.id(), 1, Integer::sum);
             waiting.get(model).addLast(new Request(now));
@@ -261,10 +196,10 @@
         waiting.forEach(
                 (model, requests) -> {
                     requests.removeIf(request -> now - request.at() > model.kind().deadline);
-                    Optional<Engine> holder = leastLoaded(model.id());
+                    Optional<ReplayEngine> holder = leastLoaded(model.id());
                     while (holder.isPresent() && !requests.isEmpty()) {
                         Request request = requests.removeFirst();
-                        Engine engine = holder.get();
+                        ReplayEngine engine = holder.get();
                         engine.permits -= 1;
                         engine.promptsReadAt = Math.max(now, engine.promptsReadAt) + PROMPT;
                         engine.keep(model.id());
@@ -276,16 +211,16 @@
                 });
     }
 
-    private Optional<Engine> leastLoaded(ModelId model) {
+    private Optional<ReplayEngine> leastLoaded(ModelId model) {
         return engines.stream()
                 .filter(engine -> engine.held.containsKey(model) && engine.permits >= 1)
                 .min(
-                        Comparator.comparingDouble((Engine engine) -> -engine.perSecond)
+                        Comparator.comparingDouble((ReplayEngine engine) -> -engine.perSecond)
                                 .thenComparingLong(engine -> engine.promptsReadAt));
     }
 
     private void endOrders(long now) {
-        for (Engine engine : engines) {
+        for (ReplayEngine engine : engines) {
             if (engine.orderEnds > now) {
                 continue;
             }
@@ -302,7 +237,7 @@
         }
     }
 
-    private void load(Engine engine, ModelId model, long now) {
+    private void load(ReplayEngine engine, ModelId model, long now) {
         Optional<Long> near = engine.nearLoad(model);
         loads++;
         storeLoads += near.isEmpty() ? 1 : 0;
@@ -322,7 +257,7 @@
         demand.reported(HOST, Map.copyOf(arrivals), waits, nanos(now));
         arrivals.clear();
         for (Move move : policy.decide(view(now))) {
-            Engine engine =
+            ReplayEngine engine =
                     engines.stream()
                             .filter(each -> each.id.equals(move.upstream()))
                             .findFirst()
@@ -345,7 +280,7 @@
 
     private PlacementView view(long now) {
         List<PlacementView.Seat> seats = new ArrayList<>();
-        for (Engine engine : engines) {
+        for (ReplayEngine engine : engines) {
             if (engine.limited() && limitedLeftOut) {
                 continue;
             }
@@ -354,8 +289,10 @@
                     (model, since) ->
                             held.add(new PlacementView.Held(new Artifact(model, ""), 100, since)));
             Map<ModelId, Duration> near = new HashMap<>();
-            engine.disk.forEach(model -> near.put(model, Duration.ofMillis(FROM_DISK)));
-            engine.memory.forEach(model -> near.put(model, Duration.ofMillis(FROM_MEMORY)));
+            engine.disk.forEach(
+                    model -> near.put(model, Duration.ofMillis(ReplayEngine.FROM_DISK)));
+            engine.memory.forEach(
+                    model -> near.put(model, Duration.ofMillis(ReplayEngine.FROM_MEMORY)));
             boolean busy = engine.orderEnds > now || !engine.nextLoads.isEmpty();
             long free = (PLACES - held.size() - (engine.loading.isPresent() ? 1 : 0)) * 100L;
             seats.add(
