--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -54,6 +54,7 @@
     private final AtomicBoolean over = new AtomicBoolean();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private LimitedUpstream limited;
     private long version;
 
     /** Creates a run that has not begun. */
@@ -76,9 +77,11 @@
             int host = number;
             Eventually.holds("served", () -> status(host, "/base/x") == OK);
         }
+        limited = hosts.startLimited();
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             threads.submit(() -> callAgainAndAgain(host));
+            threads.submit(() -> callLimited(host));
         }
         threads.submit(this::readAgainAndAgain);
         long end = System.nanoTime() + lasts.toNanos();
@@ -89,12 +92,14 @@
         recover();
         over.set(true);
         checkRuns();
+        broken.addAll(limited.broken());
         return List.copyOf(broken);
     }
 
     /** Returns how many calls were made, and how many were served. */
     public String account() {
-        return "calls=%d served=%d changes=%d".formatted(calls.get(), served.get(), version);
+        return "calls=%d served=%d changes=%d limited=%d"
+                .formatted(calls.get(), served.get(), version, limited.arrivals());
     }
 
     @Override
@@ -103,6 +108,9 @@
         trouble.end();
         threads.shutdownNow();
         hosts.close();
+        if (limited != null) {
+            limited.close();
+        }
     }
 
     private void disturb() {
@@ -213,6 +221,14 @@
         }
     }
 
+    /** Asks for what only an upstream with a limit can serve, several times as often. */
+    private void callLimited(int host) {
+        while (!over.get()) {
+            statusOrCut(host, "/limited/x", "entry-" + host, System.nanoTime());
+            Eventually.pause(CALL_PAUSE_MILLIS);
+        }
+    }
+
     /** Returns whether a host had to obey a change when a request was sent. */
     private boolean isHeldTo(String name, long change, long sentAt) {
         boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
@@ -259,7 +275,7 @@
             trouble.answered(name, life);
             if (answer.statusCode() == OK) {
                 served.incrementAndGet();
-                if (!answer.body().equals(path)) {
+                if (!answer.body().equals(path) && !path.startsWith("/limited/")) {
                     broken.add(id + " was answered " + answer.body() + " for " + path);
                 }
             }
@@ -330,12 +346,14 @@
                         .mapToObj(number -> route("v" + number, "/v" + number + "/", "safe"))
                         .collect(Collectors.joining(","));
         return """
-        {"version":%d,"routes":[%s,%s,%s],"services":[\
-        {"name":"plain","health-path":"/h","max-connections":200}]}"""
+        {"version":%d,"routes":[%s,%s,%s,%s],"services":[\
+        {"name":"plain","health-path":"/h","max-connections":200},\
+        {"name":"limited","health-path":"/h","max-connections":200}]}"""
                 .formatted(
                         version,
                         route("base", "/base/", "safe"),
                         route("once", "/once/", "unsafe"),
+                        route("limited", "/limited/", "safe").replace("\"plain\"", "\"limited\""),
                         added);
     }
 
--- /dev/null
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
@@ -0,0 +1,88 @@
+package io.stackhall.tests.harness;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** An upstream that names in each answer how many requests a second it takes from all hosts. */
+final class LimitedUpstream implements AutoCloseable {
+
+    static final String NAME = "i-limited";
+    static final String SERVICE = "limited";
+
+    private static final int PER_SECOND = 2;
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+
+    /** What it forgives in a window: half as much again, and a few. */
+    private static final int MOST_IN_WINDOW = PER_SECOND * 4 * 3 / 2 + 5;
+
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final List<Long> arrivals = new CopyOnWriteArrayList<>();
+    private final AtomicLong sequence = new AtomicLong();
+    private final HttpServer server;
+
+    LimitedUpstream() throws IOException {
+        server =
+                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
+        server.setExecutor(threads);
+        server.createContext("/", this::answer);
+        server.start();
+    }
+
+    /** Returns what it says of itself. */
+    String heartbeat() {
+        return """
+               {"service": "%s", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
+                "version": "v1",
+                "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
+               """
+                .formatted(SERVICE, server.getAddress().getPort(), sequence.incrementAndGet());
+    }
+
+    /** Returns what was sent beyond its limit, empty where nothing was. */
+    List<String> broken() {
+        List<Long> all = List.copyOf(arrivals).stream().sorted().toList();
+        List<String> broken = new ArrayList<>();
+        for (int last = MOST_IN_WINDOW; last < all.size(); last++) {
+            long together = all.get(last) - all.get(last - MOST_IN_WINDOW);
+            if (together < WINDOW.toNanos()) {
+                broken.add(
+                        "an upstream that takes %d a second got %d in %d ms"
+                                .formatted(
+                                        PER_SECOND,
+                                        MOST_IN_WINDOW + 1,
+                                        Duration.ofNanos(together).toMillis()));
+            }
+        }
+        return broken;
+    }
+
+    /** Returns how many requests it got. */
+    int arrivals() {
+        return arrivals.size();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        arrivals.add(System.nanoTime());
+        String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
+        exchange.getResponseHeaders().set("X-Request-Id", id);
+        exchange.getResponseHeaders().set("Server-Limit", Integer.toString(PER_SECOND));
+        exchange.sendResponseHeaders(200, -1);
+        exchange.close();
+    }
+}
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -99,6 +99,17 @@
         return count == null ? 0 : count.get();
     }
 
+    /** Starts an upstream that names a limit. */
+    LimitedUpstream startLimited() throws IOException {
+        LimitedUpstream started = new LimitedUpstream();
+        heartbeats.scheduleAtFixedRate(
+                () -> heartbeat(LimitedUpstream.NAME, started.heartbeat()),
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return started;
+    }
+
     /** Starts an upstream that ends under one request, and comes back. */
     public void startCrashing(String name) {
         CrashingUpstream started = new CrashingUpstream(name);
