--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
@@ -211,7 +211,7 @@
         } else if (inTurn(state, now)) {
             state.nextTurn += period(id);
         } else {
-            // It was on its way when the limit became known.
+            // Sent without a permit all the same, which the keeper has to count.
             state.returned--;
         }
     }
