Requests wait for an upstream at its limit no longer than until their objective

Callers of a model that only a limited engine served waited for up to their whole deadline, and most got a late answer. Whoever would get a permit after its objective is refused at once now, with the time of the next one, unless a copy elsewhere comes in time. LimitWaysTest and LimitedDispatchTest hold it.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -36,6 +36,7 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final Patience patience;
+    private final long inTimeUntil;
 
     /** What becomes of the request now. */
     public sealed interface Verdict {
@@ -63,7 +64,18 @@
      * @param latest when a send is of no use any more, on the monotonic clock in nanoseconds
      */
     public Admission(long latest) {
+        this(latest, latest);
+    }
+
+    /**
+     * Creates the admission of a request that has just come or begun to wait again.
+     *
+     * @param latest when a send is of no use any more, on the monotonic clock in nanoseconds
+     * @param inTimeUntil until when a send may bring an answer within the objective
+     */
+    public Admission(long latest, long inTimeUntil) {
         this.patience = new Patience(latest);
+        this.inTimeUntil = inTimeUntil;
     }
 
     /**
@@ -122,7 +134,7 @@
 
     /** What cannot have a permit in time may still be served without; or else it is given up. */
     private Verdict limited(Duration permit, Optional<Choice> otherwise, int ahead, long now) {
-        if (!patience.isTooLateToBegin(permit, now)) {
+        if (comesInTime(permit, now) && !patience.isTooLateToBegin(permit, now)) {
             patience.isTooLate(permit, now);
             return new Verdict.Wait(WaitReason.LIMIT);
         }
@@ -137,6 +149,15 @@
         };
     }
 
+    /**
+     * A limit that is asked for more than it allows serves the same number of requests whether they
+     * wait or not: those who would wait beyond their objective would make all others late as well.
+     */
+    private boolean comesInTime(Duration permit, long now) {
+        boolean inTime = now + permit.toNanos() - inTimeUntil <= 0;
+        return inTime || permit.compareTo(SOON) <= 0;
+    }
+
     private Verdict full(double placesPerSecond, int ahead, long now) {
         if (placesPerSecond > 0) {
             long millis = Math.round(ahead / placesPerSecond * MILLIS_PER_SECOND);
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/LimitedDispatchTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/LimitedDispatchTest.java
@@ -117,6 +117,22 @@
         assertThat(admission.judge(choice(), 0, NOW)).isInstanceOf(Admission.Verdict.GiveUp.class);
     }
 
+    @Test
+    void requestWhosePermitComesAfterItsObjectiveDoesNotKeepThoseBehindItWaiting() {
+        choice();
+        tell(Duration.ofSeconds(2));
+        long deadline = NOW + Duration.ofSeconds(5).toNanos();
+        Admission urgent = new Admission(deadline, NOW + Duration.ofMillis(700).toNanos());
+        assertThat(urgent.judge(choice(), 0, NOW))
+                .isInstanceOfSatisfying(
+                        Admission.Verdict.GiveUp.class,
+                        refused ->
+                                assertThat(refused.retryAfter()).isEqualTo(Duration.ofSeconds(2)));
+        Admission patient = new Admission(deadline, NOW + Duration.ofSeconds(4).toNanos());
+        assertThat(patient.judge(choice(), 0, NOW))
+                .isEqualTo(new Admission.Verdict.Wait(WaitReason.LIMIT));
+    }
+
     @Test
     void adapterIsWantedWhereThereIsNoLimit() {
         dispatcher.changed(instance("bb", 1, "m"));
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
@@ -25,7 +25,7 @@
     private static final long KEEPER_TICK = 20 * MILLI;
 
     /** The caller of a request waits so long. */
-    private static final long PATIENCE = Duration.ofSeconds(4).toNanos();
+    private static final Duration USUAL_PATIENCE = Duration.ofSeconds(4);
 
     private final Random random;
     private final List<Host> hosts = new ArrayList<>();
@@ -39,6 +39,9 @@
     private long order;
     private long now;
     private long frames;
+    private long patience = USUAL_PATIENCE.toNanos();
+    private long served;
+    private long waitedWell;
     private long refused;
     private long waitedInVain;
 
@@ -73,7 +76,8 @@
         void serve() {
             waiting.removeIf(this::outOfTime);
             while (!waiting.isEmpty() && limits.allows(UPSTREAM, now)) {
-                waiting.removeFirst();
+                served++;
+                waitedWell += now - (waiting.removeFirst() - patience);
                 send();
             }
             limits.recount();
@@ -95,7 +99,7 @@
 
         private void refuse(long until) {
             refused++;
-            waitedInVain += now - (until - PATIENCE);
+            waitedInVain += now - (until - patience);
         }
 
         void send() {
@@ -339,7 +343,7 @@
             return;
         }
         requests.add(now);
-        host.waiting.add(now + PATIENCE);
+        host.waiting.add(now + patience);
         host.serve();
         host.tell();
     }
@@ -382,6 +386,17 @@
         return frames;
     }
 
+    /** Lets requests wait for so long, and no longer. */
+    LimitPlay patience(Duration longest) {
+        patience = longest.toNanos();
+        return this;
+    }
+
+    /** Returns how long a request that was sent had waited, in the mean. */
+    Duration meanWait() {
+        return Duration.ofNanos(waitedWell / Math.max(1, served));
+    }
+
     /** Returns how long a request that was refused had waited, in the mean. */
     Duration meanWaitInVain() {
         return Duration.ofNanos(waitedInVain / Math.max(1, refused));
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitWaysTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitWaysTest.java
@@ -24,6 +24,7 @@
     private static final Duration END = Duration.ofSeconds(66);
 
     private static final double WELL_USED = 0.95;
+    private static final Duration OBJECTIVE = Duration.ofMillis(800);
 
     /**
      * How a way did in the mean.
@@ -44,6 +45,17 @@
         assertThat(asking.waitedMillis()).isLessThan(shares.waitedMillis());
     }
 
+    /** Those who wait beyond their objective only make all others late as well. */
+    @Test
+    void shortQueueServesAsManyRequestsSooner() {
+        LimitPlay longer = play(0).play(END, DEMAND);
+        LimitPlay shorter = play(0).patience(OBJECTIVE).play(END, DEMAND);
+        assertThat(shorter.arrived(FROM, END))
+                .isGreaterThanOrEqualTo((long) (WELL_USED * longer.arrived(FROM, END)));
+        assertThat(longer.meanWait()).isGreaterThan(OBJECTIVE);
+        assertThat(shorter.meanWait()).isLessThan(OBJECTIVE.dividedBy(2));
+    }
+
     private static Outcome queue(long seed) {
         LimitPlay play = play(seed).play(END, DEMAND);
         return new Outcome(play.perSecond(FROM, END) / LIMIT, play.meanWaitInVain().toMillis());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestTimes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestTimes.java
@@ -48,8 +48,12 @@
      * engine that has nothing else to do needs for its first event.
      */
     boolean late(long now) {
+        return now - inTimeUntil() > 0;
+    }
+
+    private long inTimeUntil() {
         long objective = route.objective().toNanos();
-        return now + objective / LEAST_ANSWER_SHARE - (arrivedAt + objective) > 0;
+        return arrivedAt + objective - objective / LEAST_ANSWER_SHARE;
     }
 
     /**
@@ -62,6 +66,7 @@
         boolean stream = route.kind() == RouteKind.STREAM;
         long leaves = lastEventAt + route.callerPatience().toNanos();
         long end = stream && leaves - deadlineAt < 0 ? leaves : deadlineAt;
-        return new Admission(end - (stream ? LEAST_STREAM_TIME : LEAST_PLAIN_TIME).toNanos());
+        long latest = end - (stream ? LEAST_STREAM_TIME : LEAST_PLAIN_TIME).toNanos();
+        return new Admission(latest, inTimeUntil());
     }
 }
