--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitWord.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitWord.java
@@ -31,6 +31,11 @@
         return new LimitWord(upstream, OptionalDouble.empty(), false, LimitRevision.none());
     }
 
+    /** Returns a limit as logs tell it. */
+    public static String text(OptionalDouble perSecond) {
+        return perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none";
+    }
+
     /** Returns whether there is a limit. */
     public boolean limited() {
         return perSecond.isPresent();
--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
@@ -133,7 +133,7 @@
      * @param named the limit that the answer names, or nothing where it names none
      * @param basis {@link #revision} when the request was sent
      */
-    public Optional<HeardLimit> answered(
+    public Optional<HeardLimit> named(
             UpstreamId id, OptionalDouble named, LimitRevision basis, long now) {
         State state = states.get(id);
         if (state == null && named.isEmpty()) {
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
@@ -33,8 +33,8 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
-    private final List<Long> requests = new ArrayList<>();
-    private final List<Long> arrivals = new ArrayList<>();
+    private final Moments requests = new Moments();
+    private final Moments arrivals = new Moments();
     private OptionalDouble named = OptionalDouble.empty();
     private long order;
     private long now;
@@ -119,7 +119,7 @@
                 in(20, () -> answered(said, basis));
                 return;
             }
-            limits.answered(UPSTREAM, said, basis, now)
+            limits.named(UPSTREAM, said, basis, now)
                     .ifPresent(heard -> toKeepers(keeper -> keeper.heard(heard)));
         }
 
@@ -350,36 +350,22 @@
 
     /** Returns the most requests that came in four seconds, after a moment and before another. */
     int worstFourSeconds(Duration from, Duration to) {
-        List<Long> counted =
-                arrivals.stream().filter(at -> at >= from.toNanos() && at < to.toNanos()).toList();
-        int worst = 0;
-        int first = 0;
-        for (int last = 0; last < counted.size(); last++) {
-            while (counted.get(last) - counted.get(first) >= Duration.ofSeconds(4).toNanos()) {
-                first++;
-            }
-            worst = Math.max(worst, last - first + 1);
-        }
-        return worst;
+        return arrivals.worstFourSeconds(from, to);
     }
 
     /** Returns how many requests a second came to the upstream in a time. */
     double perSecond(Duration from, Duration to) {
-        return count(arrivals, from, to) / (to.minus(from).toMillis() / 1000.0);
+        return arrivals.count(from, to) / (to.minus(from).toMillis() / 1000.0);
     }
 
     /** Returns how many requests came to hosts in a time. */
     long requested(Duration from, Duration to) {
-        return count(requests, from, to);
+        return requests.count(from, to);
     }
 
     /** Returns how many requests came to the upstream in a time. */
     long arrived(Duration from, Duration to) {
-        return count(arrivals, from, to);
-    }
-
-    private static long count(List<Long> moments, Duration from, Duration to) {
-        return moments.stream().filter(at -> at >= from.toNanos() && at < to.toNanos()).count();
+        return arrivals.count(from, to);
     }
 
     long frames() {
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitedUpstreamsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitedUpstreamsTest.java
@@ -39,9 +39,9 @@
     @Test
     void answerWithoutLimitToARequestFromBeforeEndsNothing() {
         limits.told(word(OptionalDouble.of(2), FIRST));
-        assertThat(limits.answered(UPSTREAM, OptionalDouble.empty(), LimitRevision.none(), now))
+        assertThat(limits.named(UPSTREAM, OptionalDouble.empty(), LimitRevision.none(), now))
                 .isEmpty();
-        assertThat(limits.answered(UPSTREAM, OptionalDouble.empty(), FIRST, now)).isPresent();
+        assertThat(limits.named(UPSTREAM, OptionalDouble.empty(), FIRST, now)).isPresent();
         assertThat(limits.allows(UPSTREAM, now)).as("until the keeper says so").isFalse();
         limits.told(word(OptionalDouble.empty(), SECOND));
         assertThat(limits.allows(UPSTREAM, now)).isTrue();
@@ -125,7 +125,7 @@
     }
 
     private boolean named(double perSecond, LimitRevision basis) {
-        return limits.answered(UPSTREAM, OptionalDouble.of(perSecond), basis, now).isPresent();
+        return limits.named(UPSTREAM, OptionalDouble.of(perSecond), basis, now).isPresent();
     }
 
     private static LimitWord word(OptionalDouble perSecond, LimitRevision revision) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -173,7 +173,7 @@
             logger.info(
                     "upstream.limit-told id={} perSecond={} ending={} term={} count={} by={}",
                     word.upstream(),
-                    word.perSecond(),
+                    LimitWord.text(word.perSecond()),
                     word.ending(),
                     word.revision().term(),
                     word.revision().count(),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -98,15 +98,15 @@
 
     private void named(UpstreamId id, OptionalDouble limit, LimitRevision basis) {
         OptionalDouble before = limits.limit(id);
-        limits.answered(id, limit, basis, BootClock.nanos())
+        limits.named(id, limit, basis, BootClock.nanos())
                 .ifPresent(
                         heard -> {
                             logger.info(
                                     "upstream.limit-heard id={} perSecond={} before={} term={}"
                                             + " count={}",
                                     id,
-                                    limit,
-                                    before,
+                                    LimitWord.text(limit),
+                                    LimitWord.text(before),
                                     basis.term(),
                                     basis.count());
                             tellAll(heard);
@@ -122,7 +122,7 @@
                 logger.info(
                         "upstream.limit-in-force id={} perSecond={} ending={} term={} count={}",
                         word.upstream(),
-                        word.perSecond(),
+                        LimitWord.text(word.perSecond()),
                         word.ending(),
                         word.revision().term(),
                         word.revision().count());
