--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
@@ -77,6 +77,11 @@
         return table;
     }
 
+    /** Returns whether any upstream has a limit. */
+    public boolean anyInForce() {
+        return table.all().stream().anyMatch(LimitWord::limited);
+    }
+
     /** Forgets all upstreams but some. */
     public void retain(Set<UpstreamId> upstreams) {
         table.retain(upstreams);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -51,9 +51,6 @@
     private static final long SWEEP_MILLIS = 500;
     private static final long ORDER_MILLIS = 50;
 
-    /** A request that waits for a permit of an upstream is sent this much later at most. */
-    private static final long PERMIT_MILLIS = 20;
-
     /** As often as entry hosts tell of their work. */
     private static final long WORK_MILLIS = 150;
 
@@ -135,7 +132,6 @@
         RepeatedTask.every(loop, WORK_MILLIS, fleet::tellWork);
         RepeatedTask.every(loop, PASS_ON_MILLIS, fleet::passReportsOn);
         RepeatedTask.every(loop, ORDER_MILLIS, orders::tick);
-        RepeatedTask.every(loop, PERMIT_MILLIS, limits::tick);
         logger.info(
                 "daemon.started host={} zone={} api={}",
                 settings.host(),
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -32,12 +33,16 @@
 
     private static final Logger logger = LogManager.getLogger(LimitDesk.class);
 
+    /** A request that waits for a permit of an upstream is sent this much later at most. */
+    private static final long GRANT_MILLIS = 20;
+
     private final ControlGroup group;
     private final FleetKeeper fleet;
     private final HostId self;
     private final LimitKeeper keeper = new LimitKeeper();
     private final Map<HostId, Replier> asking = new HashMap<>();
     private boolean leading;
+    private boolean granting;
 
     /** A limit in force, as an operator is told. */
     private record Listed(String upstream, double perSecond, boolean ending) {}
@@ -57,6 +62,7 @@
         asking.clear();
         if (leads) {
             keeper.lead(group.view().term(), BootClock.nanos());
+            keepGranting();
         }
     }
 
@@ -112,10 +118,28 @@
         PermitWant want = LimitCodec.want(ask);
         asking.put(want.host(), replier);
         answer(keeper.wanted(want, BootClock.nanos()));
+        keepGranting();
+    }
+
+    /** Looks again and again while there are limits; without any, no timer wakes this host. */
+    private void keepGranting() {
+        if (!granting && leads() && keeper.anyInForce()) {
+            granting = true;
+            fleet.loop().schedule(this::grantAgain, GRANT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void grantAgain() {
+        granting = false;
+        try {
+            grant();
+        } finally {
+            keepGranting();
+        }
     }
 
     /** Grants what there is room for, and lets limits that have ended go. */
-    void tick() {
+    private void grant() {
         if (leads()) {
             LimitKeeper.Step step = keeper.step(BootClock.nanos());
             tell(step.words(), "");
@@ -165,6 +189,7 @@
         if (!words.isEmpty()) {
             log(words, by);
             fleet.tellOthers(LimitCodec.words(words));
+            keepGranting();
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -84,7 +84,6 @@
     private final ControlFollower follower;
     private final OwnReports reports;
     private final UpstreamClient upstreams;
-    private final UpstreamLimits upstreamLimits;
     private Channel callers;
     private Channel readiness;
     private Optional<Channel> metrics = Optional.empty();
@@ -101,7 +100,7 @@
         LimitedUpstreams limited = new LimitedUpstreams(settings.peerName(), random);
         limited.shared(ASSUMED_ENTRY_HOSTS);
         FleetMetrics figures = new FleetMetrics();
-        this.upstreamLimits =
+        UpstreamLimits upstreamLimits =
                 new UpstreamLimits(settings.peerName(), loop, limited, new ControlLinks(), figures);
         this.gateway =
                 new Gateway(
@@ -143,7 +142,6 @@
                                         loop,
                                         time.toMillis() / CONFIRMATIONS_IN_REVOCATION,
                                         follower::renewTrust));
-        upstreamLimits.start();
         RepeatedTask.every(loop, HostPauses.TICK.toMillis(), gateway.quarantine()::tick);
         logger.info(
                 "daemon.started host={} zone={} callers={}",
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -15,7 +15,6 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.LimitCodec;
-import io.stackhall.server.fleet.RepeatedTask;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.util.HashSet;
 import java.util.Optional;
@@ -48,6 +47,7 @@
     private Optional<HostId> leader = Optional.empty();
     private long leaderAnsweredAt;
     private boolean lookScheduled;
+    private boolean looking;
 
     UpstreamLimits(
             HostId self,
@@ -62,11 +62,6 @@
         this.metrics = metrics;
     }
 
-    /** Begins to look at what is due. */
-    void start() {
-        RepeatedTask.every(loop, LOOK_MILLIS, this::look);
-    }
-
     /** Returns what is known of an instance's limit as a request is sent to it. */
     LimitRevision sent(UpstreamId id) {
         if (limits.limit(id).isPresent()) {
@@ -110,6 +105,7 @@
                                     basis.term(),
                                     basis.count());
                             tellAll(heard);
+                            keepLooking();
                         });
     }
 
@@ -128,6 +124,7 @@
                         word.revision().count());
             }
         }
+        keepLooking();
         return changed;
     }
 
@@ -155,6 +152,23 @@
         }
     }
 
+    /** Looks again and again while there are limits; without any, no timer wakes this host. */
+    private void keepLooking() {
+        if (!looking && limits.size() > 0) {
+            looking = true;
+            loop.schedule(this::lookAgain, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void lookAgain() {
+        looking = false;
+        try {
+            look();
+        } finally {
+            keepLooking();
+        }
+    }
+
     private void look() {
         long now = BootClock.nanos();
         for (PermitWant want : limits.wants(now)) {
