The paths of an operator's calls stand in one place

Each path stood twice, in the command that calls it and in the control host that answers it, so that a change of one would have left the other behind. Both take it from OperatorPaths now, and answers with a body are made in one place.

--- a/stackhall-server/src/main/java/io/stackhall/server/cli/RefusedRequestsCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/RefusedRequestsCommand.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.cli;
 
+import io.stackhall.server.control.OperatorPaths;
 import io.stackhall.server.settings.Address;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -12,8 +13,6 @@
 
     static final String NAME = "refused-requests";
 
-    private static final String PATH = "/-/refused-requests";
-
     private RefusedRequestsCommand() {}
 
     static void addTo(Subparsers commands) {
@@ -32,7 +31,7 @@
         OperatorCall call = new OperatorCall(Address.parse(arguments.getString("control")));
         String lifted = arguments.getString("lift");
         return lifted == null
-                ? call.get(PATH)
-                : call.post(PATH + "/" + lifted, arguments.getString("operator"));
+                ? call.get(OperatorPaths.REFUSED_REQUESTS)
+                : call.post(OperatorPaths.refusedRequest(lifted), arguments.getString("operator"));
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/UpstreamLimitsCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/UpstreamLimitsCommand.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.cli;
 
+import io.stackhall.server.control.OperatorPaths;
 import io.stackhall.server.settings.Address;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -10,8 +11,6 @@
 
     static final String NAME = "upstream-limits";
 
-    private static final String PATH = "/-/upstream-limits";
-
     private UpstreamLimitsCommand() {}
 
     static void addTo(Subparsers commands) {
@@ -21,6 +20,7 @@
     }
 
     static ExitCode run(Namespace arguments) {
-        return new OperatorCall(Address.parse(arguments.getString("control"))).get(PATH);
+        return new OperatorCall(Address.parse(arguments.getString("control")))
+                .get(OperatorPaths.UPSTREAM_LIMITS);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OperatorCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OperatorCalls.java
@@ -2,16 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.stackhall.server.fleet.AnswerServer;
 import java.util.function.Consumer;
 
 /** An operator's calls about what this system has found out by itself. */
 final class OperatorCalls {
 
-    /** Lists the limits that upstreams name. */
-    static final String UPSTREAM_LIMITS = "/-/upstream-limits";
-
     private final EventLoop loop;
     private final SentenceCalls sentences;
     private final LimitDesk limits;
@@ -24,7 +20,7 @@
 
     /** Returns whether a path is one of these calls. */
     static boolean names(String path) {
-        return path.equals(UPSTREAM_LIMITS) || SentenceCalls.names(path);
+        return path.equals(OperatorPaths.UPSTREAM_LIMITS) || SentenceCalls.names(path);
     }
 
     /**
@@ -34,12 +30,8 @@
      * @param answer told the outcome, on any thread
      */
     void call(HttpMethod method, String path, byte[] body, Consumer<AnswerServer.Answer> answer) {
-        if (path.equals(UPSTREAM_LIMITS)) {
-            loop.execute(
-                    () ->
-                            answer.accept(
-                                    new AnswerServer.Answer(
-                                            HttpResponseStatus.OK.code(), limits.listed())));
+        if (path.equals(OperatorPaths.UPSTREAM_LIMITS)) {
+            loop.execute(() -> answer.accept(SentenceCalls.ok(limits.listed())));
         } else {
             sentences.call(method, path, body, answer);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/SentenceCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/SentenceCalls.java
@@ -16,10 +16,8 @@
  */
 final class SentenceCalls {
 
-    /** Lists the requests that are refused. */
-    static final String REFUSED_REQUESTS = "/-/refused-requests";
-
-    private static final String ONE = REFUSED_REQUESTS + "/";
+    private static final String ALL = OperatorPaths.REFUSED_REQUESTS;
+    private static final String ONE = OperatorPaths.refusedRequest("");
     private static final int MOST_NAME_CHARACTERS = 100;
 
     private final EventLoop loop;
@@ -32,7 +30,7 @@
 
     /** Returns whether a path is one of these calls. */
     static boolean names(String path) {
-        return path.equals(REFUSED_REQUESTS) || path.startsWith(ONE);
+        return path.equals(ALL) || path.startsWith(ONE);
     }
 
     /**
@@ -42,7 +40,7 @@
      * @param answer told the outcome, on any thread
      */
     void call(HttpMethod method, String path, byte[] body, Consumer<AnswerServer.Answer> answer) {
-        if (path.equals(REFUSED_REQUESTS)) {
+        if (path.equals(ALL)) {
             loop.execute(() -> answer.accept(ok(crashes.refused())));
             return;
         }
@@ -68,7 +66,7 @@
                 : answer(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
-    private static AnswerServer.Answer ok(byte[] body) {
+    static AnswerServer.Answer ok(byte[] body) {
         return new AnswerServer.Answer(HttpResponseStatus.OK.code(), body);
     }
 
