Limits in force are asked of the table that holds them

The desk filtered all words for the list, for placement and for its timer, each in its own way, and made a map whose figures nobody read, twenty times a second. The table answers for all three. The ids of all instances are collected for forgetting only where any limit was ever heard of, not twice a second on every control host. A word's fields are written to logs in one place, and a frame to all control hosts is sent by the way to them, where three loops stood. The lines in the logs and the frames are as before.

--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitKeeper.java
@@ -77,11 +77,6 @@
         return table;
     }
 
-    /** Returns whether any upstream has a limit. */
-    public boolean anyInForce() {
-        return table.all().stream().anyMatch(LimitWord::limited);
-    }
-
     /** Forgets all upstreams but some. */
     public void retain(Set<UpstreamId> upstreams) {
         table.retain(upstreams);
--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitTable.java
@@ -37,6 +37,11 @@
         return List.copyOf(words.values());
     }
 
+    /** Returns the words that name a limit. */
+    public List<LimitWord> inForce() {
+        return words.values().stream().filter(LimitWord::limited).toList();
+    }
+
     /** Forgets an upstream that is gone. */
     public void forget(UpstreamId upstream) {
         words.remove(upstream);
--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitWord.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitWord.java
@@ -36,6 +36,12 @@
         return perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none";
     }
 
+    /** Returns the word as logs tell it. */
+    public String fields() {
+        return "id=%s perSecond=%s ending=%s term=%d count=%d"
+                .formatted(upstream, text(perSecond), ending, revision.term(), revision.count());
+    }
+
     /** Returns whether there is a limit. */
     public boolean limited() {
         return perSecond.isPresent();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
-import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
@@ -36,7 +35,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -251,7 +249,7 @@
         metrics.state("commit_index", (double) group.view().commitIndex());
         metrics.state("routes_version", (double) fleet.routes().getVersion());
         metrics.state("instances", fleet.instances().size());
-        metrics.state("limited_upstreams", limits.inForce().size());
+        metrics.state("limited_upstreams", limits.limited().size());
         metrics.state("followers", fleet.followers());
         metrics.state("refused_records", (double) fleet.refusedRecords());
         return new AnswerServer.Answer(HttpResponseStatus.OK.code(), metrics.scrape());
@@ -261,7 +259,7 @@
         hosts.sweep();
         fleet.sweep();
         crashes.sweep();
-        limits.retain(fleet.instances().stream().map(Instance::id).collect(Collectors.toSet()));
+        limits.sweep();
         if (group.leads()) {
             fleet.expire();
             crashes.agree();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.control;
 
+import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.HeardLimit;
@@ -15,13 +16,13 @@
 import io.stackhall.server.fleet.LimitCodec;
 import io.stackhall.server.json.Json;
 import io.stackhall.server.peer.Replier;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -45,7 +46,12 @@
     private boolean granting;
 
     /** A limit in force, as an operator is told. */
-    private record Listed(String upstream, double perSecond, boolean ending) {}
+    private record Listed(String upstream, double perSecond, boolean ending) {
+        static Listed of(LimitWord word) {
+            return new Listed(
+                    word.upstream().toString(), word.perSecond().orElseThrow(), word.ending());
+        }
+    }
 
     /** All limits in force. */
     private record Listing(List<Listed> limits) {}
@@ -123,7 +129,7 @@
 
     /** Looks again and again while there are limits; without any, no timer wakes this host. */
     private void keepGranting() {
-        if (!granting && leads() && keeper.anyInForce()) {
+        if (!granting && leads() && !keeper.table().inForce().isEmpty()) {
             granting = true;
             fleet.loop().schedule(this::grantAgain, GRANT_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -148,8 +154,10 @@
     }
 
     /** Forgets the limits of upstreams that are gone. */
-    void retain(Set<UpstreamId> upstreams) {
-        keeper.retain(upstreams);
+    void sweep() {
+        if (!keeper.table().all().isEmpty()) {
+            keeper.retain(fleet.instances().stream().map(Instance::id).collect(Collectors.toSet()));
+        }
     }
 
     /** Returns all that is known, for a host that may know nothing. */
@@ -157,31 +165,16 @@
         return LimitCodec.words(keeper.table().all());
     }
 
-    /** Returns the limits in force, in requests a second. */
-    Map<UpstreamId, Double> inForce() {
-        Map<UpstreamId, Double> limits = new HashMap<>();
-        keeper.table()
-                .all()
-                .forEach(
-                        word ->
-                                word.perSecond()
-                                        .ifPresent(limit -> limits.put(word.upstream(), limit)));
-        return limits;
+    /** Returns the upstreams that have a limit. */
+    Set<UpstreamId> limited() {
+        return keeper.table().inForce().stream()
+                .map(LimitWord::upstream)
+                .collect(Collectors.toSet());
     }
 
     /** Returns the limits in force as JSON, for an operator. */
     byte[] listed() {
-        List<Listed> all = new ArrayList<>();
-        for (LimitWord word : keeper.table().all()) {
-            word.perSecond()
-                    .ifPresent(
-                            limit ->
-                                    all.add(
-                                            new Listed(
-                                                    word.upstream().toString(),
-                                                    limit,
-                                                    word.ending())));
-        }
+        List<Listed> all = keeper.table().inForce().stream().map(Listed::of).toList();
         return Json.write(Listing.class, new Listing(all));
     }
 
@@ -195,14 +188,7 @@
 
     private static void log(List<LimitWord> words, String by) {
         for (LimitWord word : words) {
-            logger.info(
-                    "upstream.limit-told id={} perSecond={} ending={} term={} count={} by={}",
-                    word.upstream(),
-                    LimitWord.text(word.perSecond()),
-                    word.ending(),
-                    word.revision().term(),
-                    word.revision().count(),
-                    by);
+            logger.info("upstream.limit-told {} by={}", word.fields(), by);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -122,7 +122,7 @@
         takeRoutes();
         long now = BootClock.nanos();
         keeper.known(fleet.instances(), now);
-        keeper.limited(limits.inForce().keySet());
+        keeper.limited(limits.limited());
         carryOut(keeper.step(now));
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -163,8 +163,7 @@
             return;
         }
         probedAt = now;
-        Frame nothing = frame(List.of());
-        way.connected().forEach(host -> way.send(host, nothing));
+        way.sendToAll(frame(List.of()));
     }
 
     private void add(AllowanceClaim claim) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlWay.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlWay.java
@@ -12,4 +12,9 @@
 
     /** Returns the control hosts that are connected. */
     List<HostId> connected();
+
+    /** Sends a frame to every control host that is connected. */
+    default void sendToAll(Frame frame) {
+        connected().forEach(host -> send(host, frame));
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -115,13 +115,7 @@
         for (LimitWord word : LimitCodec.words(words)) {
             if (limits.told(word)) {
                 changed = true;
-                logger.info(
-                        "upstream.limit-in-force id={} perSecond={} ending={} term={} count={}",
-                        word.upstream(),
-                        LimitWord.text(word.perSecond()),
-                        word.ending(),
-                        word.revision().term(),
-                        word.revision().count());
+                logger.info("upstream.limit-in-force {}", word.fields());
             }
         }
         keepLooking();
@@ -181,13 +175,12 @@
         boolean answers = now - leaderAnsweredAt < LEADER_ANSWERS_NANOS;
         boolean sent = answers && leader.filter(host -> way.send(host, frame)).isPresent();
         if (!sent) {
-            way.connected().forEach(host -> way.send(host, frame));
+            way.sendToAll(frame);
         }
     }
 
     private void tellAll(HeardLimit heard) {
-        Frame frame = LimitCodec.heard(self, heard);
-        way.connected().forEach(host -> way.send(host, frame));
+        way.sendToAll(LimitCodec.heard(self, heard));
     }
 
     /** Forgets an instance that is gone. */
