No question is asked for its side effect, and an action that is not there yet is said to be so

Admission asked whether a permit comes too late a second time, and threw the answer away, only to have the request count as waiting; Patience has a method for that now, which the question uses as well. The signal of a hang-up kept an action that does nothing beside a flag that says whether there is one.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -135,7 +135,7 @@
     /** What cannot have a permit in time may still be served without; or else it is given up. */
     private Verdict limited(Duration permit, Optional<Choice> otherwise, int ahead, long now) {
         if (comesInTime(permit, now) && !patience.isTooLateToBegin(permit, now)) {
-            patience.isTooLate(permit, now);
+            patience.beginToWait();
             return new Verdict.Wait(WaitReason.LIMIT);
         }
         if (otherwise.isEmpty()) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -208,8 +208,9 @@
                 serving.isEmpty() ? Optional.empty() : Optional.of(among(serving, asked));
         Optional<Choice> held =
                 limited.isEmpty() ? Optional.empty() : limited(limited, choice, asked);
-        if (held.or(() -> choice).isPresent()) {
-            return held.or(() -> choice).get();
+        Optional<Choice> decided = held.or(() -> choice);
+        if (decided.isPresent()) {
+            return decided.get();
         }
         if (spared) {
             return new Choice.Full(0);
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Patience.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Patience.java
@@ -31,9 +31,14 @@
 
     /** Returns whether what is known to come after some time comes too late. */
     public boolean isTooLate(Duration left, long now) {
+        beginToWait();
+        return isTooLateToBegin(left, now);
+    }
+
+    /** Notes that the request waits for what comes in time, until that would be too late. */
+    public void beginToWait() {
         waits = true;
         until = latest;
-        return now + left.toNanos() - latest > 0;
     }
 
     /** Returns whether what takes some time, and begins now at the earliest, comes too late. */
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSteps.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSteps.java
@@ -62,8 +62,7 @@
 
     /**
      * Fills a free slot with an adapter that may be asked for: the one used last, or the first that
-     * the engine lacks. On one calm day 14 requests were refused for want of adapters while their
-     * engine loaded another model for 9 s, though it had had slots free before.
+     * the engine lacks. While an engine loads a model, for some seconds, it can be given none.
      */
     private Optional<Step> spare(EngineLedger engine, EngineSpec spec) {
         Set<AdapterKey> held = engine.adapters();
--- a/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/limit/LimitPlay.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Consumer;
 
 /**
  * Hosts, their keepers and one upstream that has a limit, in virtual time: requests that only it
@@ -137,7 +138,7 @@
             }
         }
 
-        private void toKeepers(java.util.function.Consumer<Keeper> message) {
+        private void toKeepers(Consumer<Keeper> message) {
             for (Keeper keeper : keepers) {
                 if (!cut) {
                     frames++;
@@ -166,7 +167,7 @@
         private boolean leads;
         private boolean down;
 
-        void take(java.util.function.Consumer<Keeper> message) {
+        void take(Consumer<Keeper> message) {
             if (!down) {
                 message.accept(this);
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/HangUpSignal.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/HangUpSignal.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.cli;
 
 import java.lang.reflect.Proxy;
+import java.util.Optional;
 
 /**
  * Hears the signal by which a process is told that its settings have changed. Unheard, it would end
@@ -16,8 +17,7 @@
 
     private boolean available;
     private boolean heard;
-    private Runnable reload = () -> {};
-    private boolean reloads;
+    private Optional<Runnable> reload = Optional.empty();
 
     private HangUpSignal() {}
 
@@ -38,8 +38,7 @@
      * before.
      */
     synchronized void onSignal(Runnable action) {
-        reload = action;
-        reloads = true;
+        reload = Optional.of(action);
         if (heard) {
             heard();
         }
@@ -47,9 +46,7 @@
 
     private synchronized void heard() {
         heard = true;
-        if (reloads) {
-            Thread.ofPlatform().name("hang-up").daemon().start(reload);
-        }
+        reload.ifPresent(action -> Thread.ofPlatform().name("hang-up").daemon().start(action));
     }
 
     private boolean listen() {
