Hosts say when upstreams ask for rest or say that they leave

No log told what a refusal asked for: whether an upstream wanted rest, for how long, or whether it had said that it leaves. One line each now (upstream.rest-heard, upstream.leaving-heard). What upstreams say in answers is decoded in a place of its own, apart from what callers' requests say. Nothing is decided by it yet.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
@@ -13,8 +13,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.platform.AnswerHeaders;
 import io.stackhall.platform.Headers;
-import io.stackhall.platform.RequestHeaders;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
 import io.stackhall.server.relay.UpstreamCall;
@@ -131,7 +131,7 @@
         @Override
         public void answered(HttpResponse head) {
             status = head.status().code();
-            RequestHeaders.limit(head.headers()::get)
+            AnswerHeaders.limit(head.headers()::get)
                     .forEach(limit -> limit.ifPresent(one -> watcher.limited(id, one)));
         }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -55,6 +55,7 @@
     private final CustomerGate customers;
     private final FleetMetrics metrics;
     private final UpstreamLimits limits;
+    private final UpstreamWords words;
     private final LineBudget lines = new LineBudget();
     private RouteTable routes;
     private final FirstRoutes firstRoutes = new FirstRoutes();
@@ -82,6 +83,7 @@
         this.notices = notices;
         this.customers = customers;
         this.limits = limits;
+        this.words = new UpstreamWords(limits);
         this.waiting = new WaitingRequests(limits::recount);
         this.metrics = metrics;
         this.quarantine = new Quarantine(loop, dispatcher, upstreams, metrics, toControlHosts);
@@ -118,7 +120,7 @@
         quarantine.heardOf(instance.id());
         if (instance.state() == InstanceState.GONE) {
             upstreams.forget(Address.parse(instance.address()));
-            limits.forget(instance.id());
+            words.forget(instance.id());
         }
     }
 
@@ -306,6 +308,10 @@
         return limits;
     }
 
+    UpstreamWords upstreamWords() {
+        return words;
+    }
+
     void waits(RelayedRequest request) {
         waiting.add(request);
         demand.waits(request.need());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -10,7 +10,7 @@
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.core.route.RouteKind;
-import io.stackhall.platform.RequestHeaders;
+import io.stackhall.platform.AnswerHeaders;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
@@ -88,8 +88,8 @@
     public void answered(HttpResponse answer) {
         head = answer;
         long now = BootClock.nanos();
-        gateway.upstreamLimits().answered(instance.id(), answer, limitKnown);
-        RequestHeaders.load(answer.headers()::get)
+        gateway.upstreamWords().heard(instance.id(), answer, limitKnown);
+        AnswerHeaders.load(answer.headers()::get)
                 .ifPresent(
                         load ->
                                 gateway.dispatcher()
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -9,7 +9,7 @@
 import io.stackhall.core.limit.LimitWord;
 import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.limit.PermitWant;
-import io.stackhall.platform.RequestHeaders;
+import io.stackhall.platform.AnswerHeaders;
 import io.stackhall.rpc.generated.fleet.LimitWords;
 import io.stackhall.rpc.generated.fleet.PermitReply;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -81,7 +81,7 @@
      * @param basis what was known of the limit when the request was sent
      */
     void answered(UpstreamId id, HttpResponse head, LimitRevision basis) {
-        RequestHeaders.limit(head.headers()::get)
+        AnswerHeaders.limit(head.headers()::get)
                 .peek(limit -> named(id, limit, basis))
                 .peekLeft(
                         finding -> {
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamWords.java
@@ -0,0 +1,62 @@
+package io.stackhall.server.gateway;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.stackhall.core.config.Finding;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.LimitRevision;
+import io.stackhall.platform.AnswerHeaders;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Takes in what upstreams say of themselves in the heads of their answers to one entry host. Used
+ * on one event loop.
+ */
+final class UpstreamWords {
+
+    private static final Logger logger = LogManager.getLogger(UpstreamWords.class);
+
+    private final UpstreamLimits limits;
+    private final Set<UpstreamId> leaving = new HashSet<>();
+    private final Set<UpstreamId> unreadable = new HashSet<>();
+
+    UpstreamWords(UpstreamLimits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Takes in the head of an answer.
+     *
+     * @param basis what was known of the upstream's limit when the request was sent
+     */
+    void heard(UpstreamId id, HttpResponse head, LimitRevision basis) {
+        limits.answered(id, head, basis);
+        AnswerHeaders.rest(head.status().code(), head.headers()::get, Instant.now())
+                .peek(rest -> rest.ifPresent(time -> rests(id, time)))
+                .peekLeft(finding -> unreadable(id, finding));
+        if (AnswerHeaders.leaving(head.headers()::get) && leaving.add(id)) {
+            logger.info("upstream.leaving-heard id={}", id);
+        }
+    }
+
+    /** Forgets an instance that is gone. */
+    void forget(UpstreamId id) {
+        limits.forget(id);
+        leaving.remove(id);
+        unreadable.remove(id);
+    }
+
+    private void rests(UpstreamId id, Duration time) {
+        logger.info("upstream.rest-heard id={} restMs={}", id, time.toMillis());
+    }
+
+    private void unreadable(UpstreamId id, Finding finding) {
+        if (unreadable.add(id)) {
+            logger.warn("upstream.rest-unreadable id={} {}", id, finding);
+        }
+    }
+}
