--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
@@ -0,0 +1,161 @@
+package io.stackhall.server.fleet;
+
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.control.ControlDaemon;
+import io.stackhall.server.gateway.EntryDaemon;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Entry hosts with their control hosts, and callers that spread over all of them. */
+abstract class ManyHostsFixture {
+
+    static final int HOSTS = 6;
+
+    /** The control host that hears the heartbeats; it runs all the time. */
+    private static final int HEARING = 3;
+
+    private static final String ROUTES =
+            """
+            {"version":3,"routes":[
+             {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+              "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":2},
+             {"name":"once","host":"a.example","path-prefix":"/once/","kind":"unsafe",
+              "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":1}],
+             "services":[{"name":"plain","health-path":"/health","max-connections":50}]}
+            """;
+
+    @TempDir private Path folder;
+    final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+    final List<EntryDaemon> entries = new ArrayList<>();
+    final List<ControlDaemon> controls = new ArrayList<>();
+    LocalFleet fleet;
+    private final Random random = new Random(7);
+    private final List<Announced> announced = new ArrayList<>();
+    private long beats;
+
+    /** What a caller got, and when it had sent its request. */
+    record Outcome(long sentAt, int status, Duration took, String retryAfter) {}
+
+    /** An upstream whose heartbeats come once a second of traffic. */
+    private record Announced(ScriptedUpstream upstream, LongFunction<String> heartbeat) {}
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new LocalFleet(folder);
+        for (int number = 1; number <= 3; number++) {
+            controls.add(fleet.startControl(number, true));
+        }
+        for (int number = 1; number <= HOSTS; number++) {
+            entries.add(fleet.startEntry(number));
+        }
+        LocalFleet.await(
+                "routes taken",
+                () -> {
+                    try {
+                        return fleet.control(1, "POST", "/-/config/put", ROUTES).status() == 200;
+                    } catch (IOException e) {
+                        return false;
+                    }
+                });
+        for (int number = 1; number <= HOSTS; number++) {
+            int host = number;
+            LocalFleet.await("ready", () -> fleet.ready(host));
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fleet.close();
+    }
+
+    /** Has an upstream heard of, now and every second of traffic, as one that is ready. */
+    void announce(ScriptedUpstream upstream) {
+        announce(upstream, beat -> upstream.heartbeat("plain", "ready", beat, "[]"));
+    }
+
+    /**
+     * Has an upstream heard of, now and every second of traffic.
+     *
+     * @param heartbeat what it says of itself in the heartbeat of a number
+     */
+    void announce(ScriptedUpstream upstream, LongFunction<String> heartbeat) {
+        announced.add(new Announced(upstream, heartbeat));
+        heartbeats();
+        RelayFixture.pause(200);
+    }
+
+    /** Has an upstream heard of no more. */
+    void silence(ScriptedUpstream upstream) {
+        announced.removeIf(one -> one.upstream() == upstream);
+    }
+
+    private void heartbeats() {
+        beats++;
+        for (Announced one : announced) {
+            try {
+                fleet.heartbeat(HEARING, one.upstream(), one.heartbeat().apply(beats));
+            } catch (IOException e) {
+                throw new AssertionError("control host " + HEARING + " runs all the time", e);
+            }
+        }
+    }
+
+    /** Sends requests for some time, each to a host drawn at random that runs. */
+    void traffic(int perSecond, Duration time) throws InterruptedException {
+        traffic("/safe/x", perSecond, time);
+    }
+
+    /** Sends requests for some time, each to a host drawn at random that runs. */
+    void traffic(String path, int perSecond, Duration time) throws InterruptedException {
+        long end = BootClock.nanos() + time.toNanos();
+        List<Thread> callers = new ArrayList<>();
+        long nextBeat = BootClock.nanos();
+        while (BootClock.nanos() - end < 0) {
+            if (BootClock.nanos() - nextBeat >= 0) {
+                heartbeats();
+                nextBeat += TimeUnit.SECONDS.toNanos(1);
+            }
+            int host = 1 + random.nextInt(HOSTS);
+            callers.add(Thread.startVirtualThread(() -> call(path, host)));
+            Thread.sleep(1000 / perSecond);
+        }
+        for (Thread caller : callers) {
+            caller.join();
+        }
+    }
+
+    private void call(String path, int host) {
+        long sentAt = BootClock.nanos();
+        try {
+            RawHttp.Message answer =
+                    fleet.call(host, RawHttp.get(path, id(host, sentAt), "X-Deadline-Ms: 2000"));
+            Duration took = Duration.ofNanos(BootClock.nanos() - sentAt);
+            outcomes.add(new Outcome(sentAt, answer.status(), took, answer.header("retry-after")));
+        } catch (IOException e) {
+            // A host that is down takes no request.
+        }
+    }
+
+    /** Returns the id of a request, which tells the host that it was sent to. */
+    private static String id(int host, long sentAt) {
+        return "c" + host + "-" + sentAt;
+    }
+
+    /** Returns the host that a request was sent to. */
+    static int host(RawHttp.Message request) {
+        return Character.digit(request.header("x-request-id").charAt(1), 10);
+    }
+}
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLimitTest.java
@@ -3,26 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.server.clock.BootClock;
-import io.stackhall.server.control.ControlDaemon;
-import io.stackhall.server.gateway.EntryDaemon;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
-import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Upstreams that name, in the middle of traffic, how many requests a second they take. */
-class UpstreamLimitTest {
+class UpstreamLimitTest extends ManyHostsFixture {
 
-    private static final int HOSTS = 6;
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     /** What an upstream forgives in any four seconds. */
@@ -33,27 +24,6 @@
     /** Within this time of the first answer that names a limit, all hosts keep it. */
     private static final Duration TOLD_WITHIN = Duration.ofSeconds(1);
 
-    private static final String ROUTES =
-            """
-            {"version":3,"routes":[
-             {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
-              "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"plain",
-              "max-attempts":2}],
-             "services":[{"name":"plain","health-path":"/health","max-connections":50}]}
-            """;
-
-    @TempDir private Path folder;
-    private final Random random = new Random(7);
-    private final Queue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
-    private final List<EntryDaemon> entries = new ArrayList<>();
-    private final List<ControlDaemon> controls = new ArrayList<>();
-    private final List<Limited> running = new ArrayList<>();
-    private LocalFleet fleet;
-    private long beats;
-
-    /** What a caller got, and when it had sent its request. */
-    private record Outcome(long sentAt, int status, Duration took, String retryAfter) {}
-
     /** An upstream that names a limit while it is told to. */
     private static final class Limited implements AutoCloseable {
         private volatile String limit = "";
@@ -105,35 +75,6 @@
         }
     }
 
-    @BeforeEach
-    void start() throws Exception {
-        fleet = new LocalFleet(folder);
-        for (int number = 1; number <= 3; number++) {
-            controls.add(fleet.startControl(number, true));
-        }
-        for (int number = 1; number <= HOSTS; number++) {
-            entries.add(fleet.startEntry(number));
-        }
-        LocalFleet.await(
-                "routes taken",
-                () -> {
-                    try {
-                        return fleet.control(1, "POST", "/-/config/put", ROUTES).status() == 200;
-                    } catch (IOException e) {
-                        return false;
-                    }
-                });
-        for (int number = 1; number <= HOSTS; number++) {
-            int host = number;
-            LocalFleet.await("ready", () -> fleet.ready(host));
-        }
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        fleet.close();
-    }
-
     @Test
     void limitOfOneAmongThreeIsKeptByAllHostsTogetherUntilItEnds() throws Exception {
         try (Limited limited = upstream("i-1");
@@ -204,18 +145,6 @@
         }
     }
 
-    private void heartbeats() {
-        beats++;
-        for (Limited limited : running) {
-            String body = limited.upstream.heartbeat("plain", "ready", beats, "[]");
-            try {
-                fleet.heartbeat(3, limited.upstream, body);
-            } catch (IOException e) {
-                throw new AssertionError("the third control host runs all the time", e);
-            }
-        }
-    }
-
     private String listedLimits() throws IOException {
         return fleet.control(2, "GET", "/-/upstream-limits", "").text();
     }
@@ -226,41 +155,7 @@
 
     private Limited upstream(String id) throws Exception {
         Limited limited = new Limited(id);
-        running.add(limited);
-        heartbeats();
-        RelayFixture.pause(200);
+        announce(limited.upstream);
         return limited;
     }
-
-    /** Sends requests for some time, each to a host drawn at random that runs. */
-    private void traffic(int perSecond, Duration time) throws InterruptedException {
-        long end = BootClock.nanos() + time.toNanos();
-        List<Thread> callers = new ArrayList<>();
-        long nextBeat = BootClock.nanos();
-        while (BootClock.nanos() - end < 0) {
-            if (BootClock.nanos() - nextBeat >= 0) {
-                heartbeats();
-                nextBeat += TimeUnit.SECONDS.toNanos(1);
-            }
-            int host = 1 + random.nextInt(HOSTS);
-            callers.add(Thread.startVirtualThread(() -> call(host)));
-            Thread.sleep(1000 / perSecond);
-        }
-        for (Thread caller : callers) {
-            caller.join();
-        }
-    }
-
-    private void call(int host) {
-        long sentAt = BootClock.nanos();
-        String id = "c" + host + "-" + sentAt;
-        try {
-            RawHttp.Message answer =
-                    fleet.call(host, RawHttp.get("/safe/x", id, "X-Deadline-Ms: 2000"));
-            Duration took = Duration.ofNanos(BootClock.nanos() - sentAt);
-            outcomes.add(new Outcome(sentAt, answer.status(), took, answer.header("retry-after")));
-        } catch (IOException e) {
-            // A host that is down takes no request.
-        }
-    }
 }
