--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/backpressure/RefusingUpstreams.java
@@ -0,0 +1,51 @@
+package io.stackhall.core.backpressure;
+
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which upstreams turn one host's requests away and do not say for how long. Others go before them
+ * for a while, twice as long after each further refusal; where there is no other, they are asked
+ * all the same, since one that is merely full has room again at any moment.
+ *
+ * <p>Not thread-safe: one thread uses it.
+ */
+final class RefusingUpstreams {
+
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
+
+    private static final int MOST_DOUBLINGS = 3;
+
+    private final Map<UpstreamId, Refusals> refusals = new HashMap<>();
+
+    /** Refusals in a row, and until when others go first. */
+    private record Refusals(int count, long until) {}
+
+    /** Notes that an upstream has turned a request away. */
+    void turnedAway(UpstreamId id, long now) {
+        Refusals before = refusals.get(id);
+        int count = before == null ? 0 : before.count();
+        if (before == null || now - before.until() >= 0) {
+            long pause = FIRST_PAUSE.toNanos() << Math.min(count, MOST_DOUBLINGS);
+            refusals.put(id, new Refusals(count + 1, now + pause));
+        }
+    }
+
+    /** Returns whether others go before an upstream. */
+    boolean comesLast(UpstreamId id, long now) {
+        Refusals known = refusals.get(id);
+        return known != null && now - known.until() < 0;
+    }
+
+    /** Notes that an upstream has taken a request in. */
+    void answered(UpstreamId id) {
+        refusals.remove(id);
+    }
+
+    /** Forgets an upstream that is gone. */
+    void forget(UpstreamId id) {
+        refusals.remove(id);
+    }
+}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -1,9 +1,7 @@
 package io.stackhall.core.dispatch;
 
 import io.stackhall.core.fleet.Instance;
-import io.stackhall.core.limit.PermitWaits;
 import java.time.Duration;
-import java.util.Optional;
 
 /**
  * Judges for one request, each time it is looked at, whether it is sent, waits on or is given up.
@@ -32,6 +30,7 @@
     private static final Duration SOON = Duration.ofMillis(300);
 
     private static final String AT_LIMIT = "its instances are at the limits that they name";
+    private static final String AT_REST = "its instances want rest";
 
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -91,8 +90,7 @@
                             ? new Verdict.GiveUp("its adapter is not resident", ADAPTER_ARRIVAL)
                             : new Verdict.WaitForAdapter(instance);
             case Choice.Full(double placesPerSecond) -> full(placesPerSecond, ahead, now);
-            case Choice.Limited(var ignored, PermitWaits waits, var otherwise) ->
-                    limited(waits.behind(ahead), otherwise, ahead, now);
+            case Choice.HeldBack held -> heldBack(held, ahead, now);
             case Choice.ModelMissing(Duration load) -> missing(load, now);
             case Choice.ModelComing(Duration left) ->
                     patience.isTooLate(left, now)
@@ -132,19 +130,22 @@
                 : new Verdict.Wait(wait);
     }
 
-    /** What cannot have a permit in time may still be served without; or else it is given up. */
-    private Verdict limited(Duration permit, Optional<Choice> otherwise, int ahead, long now) {
-        if (comesInTime(permit, now) && !patience.isTooLateToBegin(permit, now)) {
+    /** What cannot go to an instance in time may still go elsewhere; or else it is given up. */
+    private Verdict heldBack(Choice.HeldBack held, int ahead, long now) {
+        Duration expected = held.expected(ahead);
+        if (comesInTime(expected, now) && !patience.isTooLateToBegin(expected, now)) {
             patience.beginToWait();
-            return new Verdict.Wait(WaitReason.LIMIT);
+            return new Verdict.Wait(held.reason());
         }
-        if (otherwise.isEmpty()) {
-            return new Verdict.GiveUp(AT_LIMIT, permit);
+        String reason = held.reason() == WaitReason.REST ? AT_REST : AT_LIMIT;
+        if (held.otherwise().isEmpty()) {
+            return new Verdict.GiveUp(reason, expected);
         }
-        return switch (judge(otherwise.get(), ahead, now)) {
-            case Verdict.GiveUp(String reason, Duration after) ->
+        return switch (judge(held.otherwise().get(), ahead, now)) {
+            case Verdict.GiveUp(String without, Duration after) ->
                     new Verdict.GiveUp(
-                            AT_LIMIT + ", " + reason, after.compareTo(permit) < 0 ? after : permit);
+                            reason + ", " + without,
+                            after.compareTo(expected) < 0 ? after : expected);
             case Verdict without -> without;
         };
     }
@@ -153,9 +154,9 @@
      * A limit that is asked for more than it allows serves the same number of requests whether they
      * wait or not: those who would wait beyond their objective would make all others late as well.
      */
-    private boolean comesInTime(Duration permit, long now) {
-        boolean inTime = now + permit.toNanos() - inTimeUntil <= 0;
-        return inTime || permit.compareTo(SOON) <= 0;
+    private boolean comesInTime(Duration expected, long now) {
+        boolean inTime = now + expected.toNanos() - inTimeUntil <= 0;
+        return inTime || expected.compareTo(SOON) <= 0;
     }
 
     private Verdict full(double placesPerSecond, int ahead, long now) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -19,17 +19,67 @@
      */
     record Full(double placesPerSecond) implements Choice {}
 
+    /** It waits until whoever could run it now takes more of this host. */
+    sealed interface HeldBack extends Choice {
+
+        /** Returns the instance that it waits for. */
+        Instance instance();
+
+        /**
+         * Returns when it may be sent there.
+         *
+         * @param ahead how many requests for the same model are sent before it
+         */
+        Duration expected(int ahead);
+
+        /** Returns what is waited for, as the log tells it. */
+        WaitReason reason();
+
+        /**
+         * Returns what would become of it without that instance, or nothing where there is no other
+         * one.
+         */
+        Optional<Choice> otherwise();
+    }
+
     /**
      * It waits for a permit: whoever could run it now takes only so many requests a second from all
      * hosts.
      *
-     * @param instance whose permit it waits for
      * @param waits when permits may be expected
-     * @param otherwise what would become of it without those instances; nothing where there is no
-     *     other one
      */
     record Limited(Instance instance, PermitWaits waits, Optional<Choice> otherwise)
-            implements Choice {}
+            implements HeldBack {
+
+        @Override
+        public Duration expected(int ahead) {
+            return waits.behind(ahead);
+        }
+
+        @Override
+        public WaitReason reason() {
+            return WaitReason.LIMIT;
+        }
+    }
+
+    /**
+     * It waits until a rest ends: whoever could run it now wants nothing from this host.
+     *
+     * @param left how much longer the rest lasts
+     */
+    record Resting(Instance instance, Duration left, Optional<Choice> otherwise)
+            implements HeldBack {
+
+        @Override
+        public Duration expected(int ahead) {
+            return left;
+        }
+
+        @Override
+        public WaitReason reason() {
+            return WaitReason.REST;
+        }
+    }
 
     /** It waits for the adapter, which is to be made resident on this instance. */
     record AdapterMissing(Instance instance) implements Choice {}
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.stackhall.core.dispatch;
 
+import io.stackhall.core.backpressure.Backpressure;
 import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
@@ -7,15 +8,12 @@
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
-import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.route.EngineSpec;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -29,49 +27,46 @@
  */
 public final class Dispatcher {
 
-    /** Where the routes tell none any more: that of two of three deployments measured. */
-    private static final Duration USUAL_OBJECTIVE = Duration.ofMillis(800);
-
     private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
     private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
     private final ResidencyBelief belief = new ResidencyBelief();
-    private Map<ServiceName, EngineSpec> engines = Map.of();
-    private Map<ServiceName, Duration> objectives = Map.of();
-    private Map<ServiceName, Double> coldPerSecond = Map.of();
+    private final ServiceFacts services = new ServiceFacts();
     private EvacuatedZones evacuated = EvacuatedZones.none();
-    private final Map<ServiceName, ReadingPace> paces = new HashMap<>();
-
     private final ColdShare cold;
-    private final LimitedUpstreams limits;
-    private final PlainChoice plain;
-    private final EngineChoice holders;
+    private final Backpressure backpressure;
+    private final InstanceChoice choice;
 
     /**
      * Creates a dispatcher that knows no instance.
      *
-     * @param limits which instances have named a limit, as this host knows it
+     * @param backpressure what instances ask of this host
      */
-    public Dispatcher(ZoneId zone, LimitedUpstreams limits, RandomGenerator random) {
+    public Dispatcher(ZoneId zone, Backpressure backpressure, RandomGenerator random) {
         this.cold = new ColdShare(random);
-        this.limits = limits;
-        this.plain = new PlainChoice(zone, random, this::load);
-        this.holders = new EngineChoice(zone, random, this::load, belief);
+        this.backpressure = backpressure;
+        this.choice =
+                new InstanceChoice(
+                        services,
+                        cold,
+                        backpressure,
+                        new PlainChoice(zone, random, this::load),
+                        new EngineChoice(zone, random, this::load, belief));
     }
 
     /** Takes over what the services' engines are like. */
     public void engines(Map<ServiceName, EngineSpec> next) {
-        engines = Map.copyOf(next);
+        services.engines(next);
     }
 
     /** Takes over how many requests a second the services' instances bear while they are cold. */
     public void coldPerSecond(Map<ServiceName, Double> next) {
-        coldPerSecond = Map.copyOf(next);
+        services.coldPerSecond(next);
     }
 
     /** Takes in how many hosts there are, which share what a cold instance bears. */
     public void shared(int hosts) {
         cold.shared(hosts);
-        limits.shared(hosts);
+        backpressure.shared(hosts);
     }
 
     /** Takes over which zones' instances get nothing. */
@@ -81,14 +76,14 @@
 
     /** Takes over the shortest objective of the routes that lead to each service. */
     public void objectives(Map<ServiceName, Duration> next) {
-        objectives = Map.copyOf(next);
+        services.objectives(next);
     }
 
     /** Takes in what is newly known of an instance. */
     public void changed(Instance instance) {
         if (instance.state() == InstanceState.GONE) {
             cold.forget(instance.id());
-            limits.forget(instance.id());
+            backpressure.forget(instance.id());
             instances.remove(instance.id());
             loads.remove(instance.id());
             belief.forget(instance.id());
@@ -172,7 +167,7 @@
             boolean late,
             Optional<RequestDigest> apart,
             long now) {
-        Duration left = late ? Duration.ZERO : objective(need.service());
+        Duration left = late ? Duration.ZERO : services.objective(need.service());
         return choose(need, allowed, left, apart, now);
     }
 
@@ -182,102 +177,110 @@
             Duration left,
             Optional<RequestDigest> apart,
             long now) {
-        List<Instance> serving = new ArrayList<>();
-        List<Instance> limited = new ArrayList<>();
-        double bearsCold = coldPerSecond.getOrDefault(need.service(), 0.0);
-        boolean known = false;
-        boolean spared = false;
-        for (Instance instance : instances.values()) {
-            boolean fits =
-                    instance.state() == InstanceState.READY
-                            && !evacuated.contains(instance.zone())
-                            && instance.service().equals(need.service());
-            known |= fits;
-            if (fits && allowed.test(instance.id())) {
-                if (!cold.allows(instance.id(), bearsCold, now)) {
-                    spared = true;
-                } else if (limits.allows(instance.id(), now)) {
-                    serving.add(instance);
-                } else {
-                    limited.add(instance);
-                }
-            }
-        }
-        Asked asked = new Asked(need, objective(need.service()), left, apart, now);
-        Optional<Choice> choice =
-                serving.isEmpty() ? Optional.empty() : Optional.of(among(serving, asked));
-        Optional<Choice> held =
-                limited.isEmpty() ? Optional.empty() : limited(limited, choice, asked);
-        Optional<Choice> decided = held.or(() -> choice);
-        if (decided.isPresent()) {
-            return decided.get();
-        }
-        if (spared) {
-            return new Choice.Full(0);
-        }
-        return known ? new Choice.AllTried() : new Choice.NobodyServes();
-    }
-
-    private Choice among(List<Instance> serving, Asked asked) {
-        EngineSpec engine = engines.get(asked.need().service());
-        if (asked.need().model().isEmpty() || engine == null) {
-            return plain.choose(serving, asked.apart(), asked.now());
-        }
-        return holders.choose(asked, serving, engine, pace(asked.need().service()));
-    }
-
-    /**
-     * Decides about instances that could be sent nothing without a permit: a request that another
-     * one takes goes there at once, any other waits for the permit.
-     */
-    private Optional<Choice> limited(
-            List<Instance> limited, Optional<Choice> otherwise, Asked asked) {
-        if (otherwise.filter(Choice.Send.class::isInstance).isPresent()) {
-            limited.stream()
-                    .filter(one -> limits.spareDue(one.id(), asked.now()))
-                    .filter(one -> among(List.of(one), asked) instanceof Choice.Send)
-                    .forEach(one -> limits.spare(one.id(), asked.now()));
-            return Optional.empty();
-        }
-        if (otherwise.filter(Choice.AdapterMissing.class::isInstance).isPresent()) {
-            return Optional.empty();
-        }
-        return switch (among(limited, asked)) {
-            case Choice.Send(Instance instance, String why) ->
-                    Optional.of(
-                            new Choice.Limited(
-                                    instance, limits.await(instance.id(), asked.now()), otherwise));
-            case Choice.AdapterMissing missing -> Optional.of(missing);
-            case Choice other -> otherwise.isPresent() ? Optional.empty() : Optional.of(other);
-        };
+        Asked asked = new Asked(need, services.objective(need.service()), left, apart, now);
+        return choice.choose(asked, instances.values(), evacuated, allowed);
     }
 
     /** Notes that a request is sent. */
     public Sending began(UpstreamId id, Need need, long now) {
-        cold.sent(id, coldPerSecond.getOrDefault(need.service(), 0.0), now);
-        limits.sent(id, now);
+        cold.sent(id, services.coldPerSecond(need.service()), now);
+        backpressure.sent(id, now);
         InstanceLoad load = load(id);
-        boolean alone = load.unread(pace(need.service()), now) <= 0;
+        boolean alone = load.unread(services.pace(need.service()), now) <= 0;
         Sending sending = new Sending(id, need, load.unreadOf(need), alone, now);
         load.began(sending.tokens(), now);
         return sending;
     }
 
-    /** Notes the first event, or the head of a plain answer. */
+    /** Notes the first event, or the head of a plain answer, of a request that is served. */
     public void answered(Sending sending, long now) {
         if (!sending.markAnswered()) {
             return;
         }
         InstanceLoad load = load(sending.instance());
         load.answered(sending.tokens(), sending.startedAt());
-        load.firstEvent(sending.startedAt(), now, objective(sending.need().service()));
+        load.firstEvent(sending.startedAt(), now, services.objective(sending.need().service()));
         if (sending.alone()) {
-            pace(sending.need().service()).read(sending.tokens(), now - sending.startedAt());
+            services.pace(sending.need().service())
+                    .read(sending.tokens(), now - sending.startedAt());
         }
         load.trust();
+        backpressure.answered(sending.instance(), sending.startedAt());
         sending.need().parts().forEach(part -> load.read(part.id(), now));
     }
 
+    /**
+     * Notes the head of an answer to a request that is not served. It comes at once, and so tells
+     * nothing of how long work takes there: an instance that fails all it gets would look like the
+     * quickest one, and draw most of what comes.
+     *
+     * @param taken whether the instance took the request in, rather than turn it away
+     */
+    public void answeredInFailure(Sending sending, boolean taken) {
+        load(sending.instance()).trust();
+        if (taken) {
+            backpressure.answered(sending.instance(), sending.startedAt());
+        }
+    }
+
+    /** Notes that an instance wants nothing from this host for some time. */
+    public void wantsRest(UpstreamId id, Duration time, long now) {
+        if (instances.containsKey(id)) {
+            backpressure.wantsRest(id, time, now);
+        }
+    }
+
+    /**
+     * Notes that an instance has turned a request away and does not say for how long. An engine may
+     * do so for the one model that is asked for, a plain service does so for all.
+     */
+    public void turnedAway(UpstreamId id, Need need, long now) {
+        if (need.model().isPresent()) {
+            lacks(id, need, now);
+        } else if (instances.containsKey(id)) {
+            backpressure.turnedAway(id, now);
+        }
+    }
+
+    /**
+     * Notes that a request is given up, and returns when its caller may come again: those that are
+     * turned back for the same rest come one after the other.
+     *
+     * @param choice what the request was given up for
+     * @param after when it is worth another try at the earliest
+     */
+    public Duration turnedBack(Choice choice, Duration after, long now) {
+        if (choice instanceof Choice.Resting held) {
+            Duration inTurn = backpressure.callerReturns(held.instance().id(), now);
+            return inTurn.compareTo(after) > 0 ? inTurn : after;
+        }
+        return after;
+    }
+
+    /** Returns whether an instance wants nothing from this host at present. */
+    public boolean rests(UpstreamId id, long now) {
+        return backpressure.rests(id, now);
+    }
+
+    /** Returns how many instances this host keeps away from, or is coming back to. */
+    public int resting() {
+        return backpressure.resting();
+    }
+
+    /** Returns whether a request that was chosen for an instance may still be written to it. */
+    public boolean mayWrite(UpstreamId id, long now) {
+        Instance instance = instances.get(id);
+        return instance != null
+                && instance.state() == InstanceState.READY
+                && !backpressure.rests(id, now);
+    }
+
+    /** Notes that a request that was about to be sent was not written. */
+    public void notWritten(Sending sending, long now) {
+        backpressure.notWritten(sending.instance());
+        ended(sending, now);
+    }
+
     /** Notes that a request has left an instance, however. */
     public void ended(Sending sending, long now) {
         if (!sending.markEnded()) {
@@ -286,8 +289,11 @@
         InstanceLoad load = load(sending.instance());
         if (sending.markAnswered()) {
             load.answered(sending.tokens(), sending.startedAt());
+            load.left();
+            backpressure.unanswered(sending.instance(), sending.startedAt());
+        } else {
+            load.ended(now - sending.startedAt());
         }
-        load.ended(now - sending.startedAt());
     }
 
     /** Notes that an instance has given a whole answer. */
@@ -355,14 +361,6 @@
         return load(id).occupancy(now);
     }
 
-    private Duration objective(ServiceName service) {
-        return objectives.getOrDefault(service, USUAL_OBJECTIVE);
-    }
-
-    private ReadingPace pace(ServiceName service) {
-        return paces.computeIfAbsent(service, name -> new ReadingPace());
-    }
-
     /** Nothing is kept of an instance that is not known, whose requests may still come back. */
     private InstanceLoad load(UpstreamId id) {
         return instances.containsKey(id)
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -116,13 +116,18 @@
         unanswered.removeFirstOccurrence(startedAt);
     }
 
+    /** Notes that a request has left that was not served. */
+    void left() {
+        running = Math.max(0, running - 1);
+    }
+
     /**
-     * Notes that a request has left.
+     * Notes that a request has left that was served.
      *
      * @param nanos how long it was here
      */
     void ended(long nanos) {
-        running = Math.max(0, running - 1);
+        left();
         meanStayNanos += (nanos - meanStayNanos) / STAY_MEMORY;
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/WaitReason.java
@@ -18,6 +18,8 @@
     APART,
     /** A permit for an instance that takes only so many requests a second. */
     LIMIT,
+    /** The end of the rest that an instance wants from this host. */
+    REST,
     /** Word whether its customer may have it run. */
     ALLOWANCE
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/InstanceTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/InstanceTable.java
@@ -81,7 +81,8 @@
             return silence(known, report);
         }
         if (known != null && report.sequence() <= known.sequence()) {
-            return List.of();
+            boolean drains = report.state() == InstanceState.DRAINING;
+            return drains ? drain(report.id()) : List.of();
         }
         List<Instance> changed = new ArrayList<>();
         if (known == null) {
--- a/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/limit/LimitedUpstreams.java
@@ -216,6 +216,23 @@
         }
     }
 
+    /** Gives back a permit that this host has and must not use. */
+    public void giveBack(UpstreamId id, long now) {
+        State state = states.get(id);
+        if (state != null && permitted(state, now)) {
+            state.permit = Optional.empty();
+            state.returned++;
+        }
+    }
+
+    /** Notes that a request for which {@link #sent} was called was not written. */
+    public void notWritten(UpstreamId id) {
+        State state = states.get(id);
+        if (state != null && !state.unled) {
+            state.returned++;
+        }
+    }
+
     /** All requests that wait are about to be looked at anew, each of which says so again. */
     public void recount() {
         states.values().forEach(state -> state.waiting = 0);
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineLedger.java
@@ -65,6 +65,7 @@
 
     private final Reachability reachability;
     private boolean lost;
+    private boolean resting;
     private boolean heard;
     private final Map<ModelId, Long> since = new HashMap<>();
     private final AdapterSlots slots = new AdapterSlots();
@@ -89,6 +90,12 @@
         return lost;
     }
 
+    /** Notes that the engine wants nothing from this host for some time. */
+    void wantsRest(Duration time, long now) {
+        reachability.wantsRest(time, now);
+        resting = reachability.rests(now);
+    }
+
     /** Takes in what the engine said last, which may be what it had said before. */
     void reported(Instance report, long now) {
         boolean newer = !heard || report.sequence() > instance.sequence();
@@ -98,6 +105,7 @@
         }
         endModelOrder();
         lost = absentAt >= 0 || reachability.lost(now);
+        resting = reachability.rests(now);
     }
 
     private void takeIn(Instance report, long now) {
@@ -195,7 +203,7 @@
                 doubtful != null
                         || (!account.unseenIn(instance).isEmpty()
                                 && now - account.readAt() > OVERDUE_NANOS);
-        boolean needed = (ordersTaken < 0 || overdue) && !lost;
+        boolean needed = (ordersTaken < 0 || overdue) && !lost && !resting;
         if (reading || !needed || now - nextReadAt < 0) {
             return false;
         }
@@ -208,6 +216,7 @@
     boolean ready() {
         return ordersTaken >= 0
                 && !lost
+                && !resting
                 && unanswered == null
                 && !reading
                 && underWay == null
@@ -216,7 +225,7 @@
 
     /** Returns whether the open order got no answer, so that it is to be sent again. */
     boolean resendDue(long now) {
-        return unanswered != null && lostAt != 0 && now - lostAt >= RESEND_NANOS;
+        return unanswered != null && lostAt != 0 && !resting && now - lostAt >= RESEND_NANOS;
     }
 
     EngineOrder unanswered() {
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/Reachability.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/Reachability.java
@@ -3,10 +3,12 @@
 import io.stackhall.core.id.HostId;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Whether one engine is to be counted on, by its heartbeats and by who can connect to it.
+ * Whether one engine is to be counted on, by its heartbeats and by who can connect to it, and
+ * whether it wants to be called now. One that wants rest is well, and counted on.
  *
  * <p>By heartbeats alone an engine that has crashed is missed after five of them, 6 s; meanwhile
  * its models are not loaded elsewhere. An engine that refuses a connection because it has too many
@@ -26,6 +28,7 @@
     private final Set<HostId> timedOut = new HashSet<>();
     private boolean refused;
     private long heardAt;
+    private Optional<Long> restEndsAt = Optional.empty();
 
     Reachability(Duration heartbeat) {
         this.heartbeat = heartbeat;
@@ -50,6 +53,17 @@
         }
     }
 
+    /** Notes that the engine wants nothing from this host for some time; the later end counts. */
+    void wantsRest(Duration time, long now) {
+        long end = now + time.toNanos();
+        restEndsAt = Optional.of(restEndsAt.filter(known -> known - end > 0).orElse(end));
+    }
+
+    /** Returns whether the engine wants nothing from this host at present. */
+    boolean rests(long now) {
+        return restEndsAt.filter(end -> now - end < 0).isPresent();
+    }
+
     /** Returns whether the engine counts as lost until its next heartbeat. */
     boolean lost(long now) {
         double missed = (now - heardAt) / (double) heartbeat.toNanos();
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyKeeper.java
@@ -149,6 +149,16 @@
         }
     }
 
+    /**
+     * Notes that an engine wants nothing from this host for some time: neither orders nor reads.
+     */
+    public void wantsRest(UpstreamId id, Duration time, long now) {
+        EngineLedger engine = engines.get(id);
+        if (engine != null) {
+            engine.wantsRest(time, now);
+        }
+    }
+
     /** Notes that an adapter was asked for. */
     public void adapterUsed(ModelId model, String adapter, long now) {
         adapters.used(new AdapterKey(model, adapter), now);
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/backpressure/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what upstreams ask of hosts. */
+package io.stackhall.core.backpressure;
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/Dispatchers.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/Dispatchers.java
@@ -1,5 +1,7 @@
 package io.stackhall.core.dispatch;
 
+import io.stackhall.core.backpressure.Backpressure;
+import io.stackhall.core.backpressure.RestingUpstreams;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.limit.LimitedUpstreams;
@@ -12,6 +14,9 @@
 
     static Dispatcher of(Random random) {
         LimitedUpstreams limits = new LimitedUpstreams(new HostId("entry-1"), random);
-        return new Dispatcher(new ZoneId("plateau"), limits, random);
+        return new Dispatcher(
+                new ZoneId("plateau"),
+                new Backpressure(limits, new RestingUpstreams(random)),
+                random);
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/LimitedDispatchTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/LimitedDispatchTest.java
@@ -4,6 +4,8 @@
 import static io.stackhall.core.fleet.Instances.instance;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.core.backpressure.Backpressure;
+import io.stackhall.core.backpressure.RestingUpstreams;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.UpstreamId;
@@ -38,7 +40,11 @@
 
     private final Random random = new Random(1);
     private final LimitedUpstreams limits = new LimitedUpstreams(HOST, random);
-    private final Dispatcher dispatcher = new Dispatcher(new ZoneId("plateau"), limits, random);
+    private final Dispatcher dispatcher =
+            new Dispatcher(
+                    new ZoneId("plateau"),
+                    new Backpressure(limits, new RestingUpstreams(random)),
+                    random);
 
     @BeforeEach
     void limitOne() {
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/RestReplay.java
@@ -0,0 +1,342 @@
+package io.stackhall.core.dispatch;
+
+import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.instance;
+
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Callers of a plain service, spread over many hosts, while some of its instances are in need for a
+ * while and turn away all that they get. Requests that are turned away go on elsewhere; those that
+ * are turned back come again once, when they were told to. Times are in milliseconds.
+ */
+final class RestReplay {
+
+    private static final long LENGTH = 30_000;
+    private static final long NEED_FROM = 5_000;
+    private static final long NEED_UNTIL = 15_000;
+    private static final long OBJECTIVE = 389;
+    private static final long DEADLINE = 4_000;
+    private static final long WORK = 86;
+    private static final int QUEUED = 6;
+    private static final long TOLD_EVERY = 250;
+    private static final long LOOK = 25;
+    private static final long REFUSAL = 1;
+
+    /** How instances in need answer. */
+    enum Answer {
+        /** They ask for rest. */
+        REST,
+        /** They refuse, and say nothing of it. */
+        REFUSAL,
+        /** They fail each request at once. */
+        ERROR
+    }
+
+    /**
+     * What is played.
+     *
+     * @param load share of the places that callers ask for
+     */
+    record Plan(int hosts, int instances, int inNeed, double load, Answer answer, Duration rest) {}
+
+    /**
+     * What became of it.
+     *
+     * @param inTime share of the callers that were served within the objective
+     * @param served share of those that were served at all
+     * @param inNeed the same as inTime, of callers that came while there was need
+     * @param turnedAway requests that instances in need have turned away or failed
+     * @param mostInARest the most requests of one host that came in one of its rests
+     * @param usedAgainAfter seconds from the end of the need until those in need had their share
+     */
+    record Outcome(
+            double inTime,
+            double served,
+            double inNeed,
+            int turnedAway,
+            int mostInARest,
+            double usedAgainAfter) {}
+
+    private final Plan plan;
+    private final Random random;
+    private final List<Dispatcher> dispatchers = new ArrayList<>();
+    private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final List<Job> waiting = new ArrayList<>();
+    private long order;
+    private int asked;
+    private int inTime;
+    private int served;
+    private int askedInNeed;
+    private int inTimeInNeed;
+    private int turnedAway;
+    private int mostInARest;
+    private final Map<Long, int[]> shares = new TreeMap<>();
+
+    private record Event(long at, long order, Runnable what) {}
+
+    /** One request of a caller, and the one it comes again with. */
+    private static final class Job {
+        private final int host;
+        private final long cameAt;
+        private final long arrivedAt;
+        private final boolean again;
+        private Admission admission;
+        private final Set<UpstreamId> givenUp = new HashSet<>();
+        private Sending sending;
+
+        private Job(int host, long cameAt, long arrivedAt, boolean again) {
+            this.host = host;
+            this.cameAt = cameAt;
+            this.arrivedAt = arrivedAt;
+            this.again = again;
+            this.admission = admission();
+        }
+
+        private Admission admission() {
+            return new Admission(nanos(arrivedAt + DEADLINE), nanos(arrivedAt + OBJECTIVE));
+        }
+    }
+
+    /** One instance: so many run, a few more wait. */
+    private static final class Upstream {
+        private final int slots;
+        private final boolean needy;
+        private int busy;
+        private final Deque<Job> queue = new ArrayDeque<>();
+        private final Map<Integer, long[]> rests = new HashMap<>();
+
+        private Upstream(int slots, boolean needy) {
+            this.slots = slots;
+            this.needy = needy;
+        }
+    }
+
+    RestReplay(long seed, Plan plan) {
+        this.plan = plan;
+        this.random = new Random(seed);
+        for (int host = 0; host < plan.hosts(); host++) {
+            dispatchers.add(Dispatchers.of(new Random(seed * 1000 + host)));
+        }
+        for (int number = 0; number < plan.instances(); number++) {
+            Instance instance = instance("p" + number, 1, "m");
+            upstreams.put(instance.id(), new Upstream(instance.slots(), number < plan.inNeed()));
+            dispatchers.forEach(dispatcher -> dispatcher.changed(instance));
+        }
+    }
+
+    Outcome play() {
+        double perMilli =
+                plan.load() * plan.instances() * instance("p", 1, "m").slots() / (double) WORK;
+        for (long at = 1; at < LENGTH; at++) {
+            while (!events.isEmpty() && events.peek().at() <= at) {
+                events.poll().what().run();
+            }
+            if (at % TOLD_EVERY == 0) {
+                tell(at);
+            }
+            for (int due = 0; due < 1 + (int) perMilli; due++) {
+                if (random.nextDouble() < perMilli - due) {
+                    arrive(new Job(random.nextInt(plan.hosts()), at, at, false), at);
+                }
+            }
+            if (at % LOOK == 0) {
+                long now = at;
+                waiting.removeIf(job -> isOver(job, now));
+            }
+        }
+        return new Outcome(
+                (double) inTime / asked,
+                (double) served / asked,
+                (double) inTimeInNeed / askedInNeed,
+                turnedAway,
+                mostInARest,
+                usedAgain());
+    }
+
+    private double usedAgain() {
+        double fair = (double) plan.inNeed() / plan.instances();
+        for (Map.Entry<Long, int[]> second : shares.entrySet()) {
+            int[] counts = second.getValue();
+            boolean after = second.getKey() * 250 >= NEED_UNTIL;
+            if (after && counts[1] >= 0.8 * fair * counts[0]) {
+                return (second.getKey() * 250 - NEED_UNTIL) / 1000.0;
+            }
+        }
+        return Double.NaN;
+    }
+
+    private static boolean needTime(long at) {
+        return at >= NEED_FROM && at < NEED_UNTIL;
+    }
+
+    private void at(long moment, Runnable what) {
+        events.add(new Event(moment, order++, what));
+    }
+
+    private void arrive(Job job, long now) {
+        if (!job.again) {
+            asked++;
+            askedInNeed += needTime(job.cameAt) ? 1 : 0;
+        }
+        if (!isOver(job, now)) {
+            waiting.add(job);
+        }
+    }
+
+    private boolean isOver(Job job, long now) {
+        Dispatcher dispatcher = dispatchers.get(job.host);
+        Duration left = Duration.ofMillis(Math.max(0, job.arrivedAt + OBJECTIVE - now));
+        Choice choice =
+                dispatcher.choose(need(), id -> !job.givenUp.contains(id), left, nanos(now));
+        return switch (job.admission.judge(choice, 0, nanos(now))) {
+            case Admission.Verdict.Send(Instance instance, String why) -> {
+                send(job, instance.id(), now);
+                yield true;
+            }
+            case Admission.Verdict.GiveUp(String reason, Duration after) -> {
+                turnBack(job, dispatcher.turnedBack(choice, after, nanos(now)), now);
+                yield true;
+            }
+            default -> false;
+        };
+    }
+
+    private void turnBack(Job job, Duration after, long now) {
+        long back = now + Math.max(1, after.toMillis());
+        if (!job.again && back < LENGTH) {
+            at(back, () -> arrive(new Job(job.host, job.cameAt, back, true), back));
+        }
+    }
+
+    private void send(Job job, UpstreamId id, long now) {
+        Upstream upstream = upstreams.get(id);
+        job.sending = dispatchers.get(job.host).began(id, need(), nanos(now));
+        count(upstream, now);
+        long[] rest = upstream.rests.get(job.host);
+        if (rest != null && now >= rest[0] + 500 && now < rest[1]) {
+            rest[2]++;
+            mostInARest = (int) Math.max(mostInARest, rest[2]);
+        }
+        boolean full = upstream.busy >= upstream.slots && upstream.queue.size() >= QUEUED;
+        if (upstream.needy && needTime(now)) {
+            turnedAway++;
+            at(now + REFUSAL, () -> fail(job, id, now + REFUSAL));
+        } else if (full) {
+            at(now + REFUSAL, () -> refuse(job, id, Optional.empty(), now + REFUSAL));
+        } else if (upstream.busy < upstream.slots) {
+            run(upstream, job, now);
+        } else {
+            upstream.queue.addLast(job);
+        }
+    }
+
+    private void count(Upstream upstream, long now) {
+        int[] counts = shares.computeIfAbsent(now / 250, key -> new int[2]);
+        counts[0]++;
+        counts[1] += upstream.needy ? 1 : 0;
+    }
+
+    private void fail(Job job, UpstreamId id, long now) {
+        if (plan.answer() == Answer.ERROR) {
+            Dispatcher dispatcher = dispatchers.get(job.host);
+            dispatcher.answeredInFailure(job.sending, true);
+            dispatcher.ended(job.sending, nanos(now));
+            dispatcher.erred(id);
+            return;
+        }
+        boolean rests = plan.answer() == Answer.REST;
+        if (rests) {
+            long end = now + plan.rest().toMillis();
+            upstreams
+                    .get(id)
+                    .rests
+                    .merge(
+                            job.host,
+                            new long[] {now, end, 0},
+                            (known, next) ->
+                                    now < known[1] ? new long[] {known[0], end, known[2]} : next);
+        }
+        refuse(job, id, rests ? Optional.of(plan.rest()) : Optional.empty(), now);
+    }
+
+    private void refuse(Job job, UpstreamId id, Optional<Duration> rest, long now) {
+        Dispatcher dispatcher = dispatchers.get(job.host);
+        dispatcher.answeredInFailure(job.sending, false);
+        rest.ifPresent(time -> dispatcher.wantsRest(id, time, nanos(now)));
+        dispatcher.ended(job.sending, nanos(now));
+        if (rest.isEmpty()) {
+            dispatcher.turnedAway(id, need(), nanos(now));
+            job.givenUp.add(id);
+        }
+        job.admission = job.admission();
+        if (!isOver(job, now)) {
+            waiting.add(job);
+        }
+    }
+
+    private void run(Upstream upstream, Job job, long now) {
+        upstream.busy++;
+        long end = now + Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * WORK));
+        at(end, () -> end(upstream, job, end));
+    }
+
+    private void end(Upstream upstream, Job job, long now) {
+        upstream.busy--;
+        if (!upstream.queue.isEmpty()) {
+            run(upstream, upstream.queue.removeFirst(), now);
+        }
+        Dispatcher dispatcher = dispatchers.get(job.host);
+        UpstreamId id = job.sending.instance();
+        dispatcher.answered(job.sending, nanos(now));
+        dispatcher.ended(job.sending, nanos(now));
+        dispatcher.succeeded(id);
+        dispatcher.told(id, upstream.busy + upstream.queue.size(), nanos(now));
+        served++;
+        boolean good = now - job.cameAt <= OBJECTIVE;
+        inTime += good ? 1 : 0;
+        inTimeInNeed += good && needTime(job.cameAt) ? 1 : 0;
+    }
+
+    private void tell(long now) {
+        Map<UpstreamId, Integer> all = new HashMap<>();
+        List<Map<UpstreamId, Integer>> own = new ArrayList<>();
+        for (Dispatcher dispatcher : dispatchers) {
+            Map<UpstreamId, Integer> work = new HashMap<>();
+            dispatcher.takeWork().forEach((id, one) -> work.put(id, one.requests()));
+            work.forEach((id, count) -> all.merge(id, count, Integer::sum));
+            own.add(work);
+        }
+        for (int host = 0; host < plan.hosts(); host++) {
+            Map<UpstreamId, Integer> others = new HashMap<>(all);
+            own.get(host).forEach((id, count) -> others.merge(id, -count, Integer::sum));
+            dispatchers.get(host).othersTold(others, nanos(now));
+        }
+    }
+
+    private static Need need() {
+        return new Need(SERVICE, Optional.empty(), Optional.empty(), List.of(), 0, 0, 1);
+    }
+
+    private static long nanos(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/InstanceTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/InstanceTableTest.java
@@ -45,6 +45,14 @@
                 .isEqualTo(InstanceState.DRAINING);
     }
 
+    @Test
+    void drainingThatALaterReportHasOvertakenCounts() {
+        table.merge(instance("a", 8), 0);
+        assertThat(table.merge(instance("a", 7).withState(InstanceState.DRAINING), 0)).hasSize(1);
+        assertThat(table.find(new UpstreamId("a")).orElseThrow())
+                .isEqualTo(instance("a", 8).withState(InstanceState.DRAINING));
+    }
+
     @Test
     void whatIsGoneNeverComesBack() {
         table.merge(instance("a", 5), 0);
@@ -164,7 +172,12 @@
                             ? life(name + "t", 100L + random.nextInt(2), 1 + random.nextInt(6))
                             : instance(name, 1 + random.nextInt(6));
             int kind = random.nextInt(8);
-            reports.add(kind == 0 ? report.withState(InstanceState.GONE) : report);
+            reports.add(
+                    switch (kind) {
+                        case 0 -> report.withState(InstanceState.GONE);
+                        case 1 -> report.withState(InstanceState.DRAINING);
+                        default -> report;
+                    });
         }
         InstanceTable inOrder = new InstanceTable(SILENCE);
         reports.forEach(report -> inOrder.merge(report, 0));
--- a/stackhall-server/src/main/java/io/stackhall/server/cli/UpstreamLimitsCommand.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/UpstreamLimitsCommand.java
@@ -6,7 +6,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-/** Lists the limits that upstreams name. */
+/** Lists the limits that upstreams name, and the upstreams that leave. */
 final class UpstreamLimitsCommand {
 
     static final String NAME = "upstream-limits";
@@ -15,7 +15,8 @@
 
     static void addTo(Subparsers commands) {
         Subparser command =
-                commands.addParser(NAME).help("list the limits that upstreams have named");
+                commands.addParser(NAME)
+                        .help("list the limits that upstreams have named, and those that leave");
         command.addArgument("control").help("the address of a control host's calls, ip:port");
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.WorkReport;
@@ -195,6 +196,10 @@
                 orders.demanded(frame.getDemand());
             }
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
+            case INSTANCE_LEAVING ->
+                    fleet.leaving(
+                            UpstreamId.parse(frame.getInstanceLeaving().getInstance()),
+                            new HostId(frame.getInstanceLeaving().getHost()));
             case ADAPTER_WANTED -> orders.wanted(frame.getAdapterWanted());
             case RESIDENCY -> fleet.passOn(frame);
             case CRASH_NOTICE -> crashes.heard(frame.getCrashNotice());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineCalls.java
@@ -20,6 +20,8 @@
 import io.stackhall.server.relay.UpstreamCall;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -54,6 +56,12 @@
         /** An engine names how many requests a second it takes. */
         void limited(UpstreamId id, double perSecond);
 
+        /** An engine wants nothing from this host for some time. */
+        void wantsRest(UpstreamId id, Duration time);
+
+        /** An engine says that it leaves. */
+        void leaving(UpstreamId id);
+
         /** An engine cannot be connected to; takes whether the connection was refused. */
         void unreachable(UpstreamId id, boolean refused);
     }
@@ -133,6 +141,11 @@
             status = head.status().code();
             AnswerHeaders.limit(head.headers()::get)
                     .forEach(limit -> limit.ifPresent(one -> watcher.limited(id, one)));
+            AnswerHeaders.rest(status, head.headers()::get, Instant.now())
+                    .forEach(rest -> rest.ifPresent(time -> watcher.wantsRest(id, time)));
+            if (AnswerHeaders.leaving(head.headers()::get)) {
+                watcher.leaving(id);
+            }
         }
 
         @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -124,8 +124,16 @@
     void left(UpstreamId id) {
         List<Instance> changed = table.remove(id);
         logger.info("upstream.left id={} known={}", id, !changed.isEmpty());
-        toControlHosts(changed);
-        toEntryHosts(changed, List.of());
+        tellChanged(changed);
+    }
+
+    /** Takes in that an upstream has said that it leaves, in an answer to some host. */
+    void leaving(UpstreamId id, HostId host) {
+        List<Instance> changed = table.drain(id);
+        if (!changed.isEmpty()) {
+            logger.info("upstream.leaving id={} by={}", id, host);
+            tellChanged(changed);
+        }
     }
 
     /** Takes in what another control host has heard. */
@@ -140,6 +148,10 @@
     /** Marks the upstreams that have said nothing for too long; for the leader alone. */
     void expire() {
         List<Instance> changed = table.expire(BootClock.nanos());
+        tellChanged(changed);
+    }
+
+    private void tellChanged(List<Instance> changed) {
         toControlHosts(changed);
         toEntryHosts(changed, List.of());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitDesk.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.control;
 
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.HeardLimit;
@@ -53,8 +54,8 @@
         }
     }
 
-    /** All limits in force. */
-    private record Listing(List<Listed> limits) {}
+    /** All limits in force, and the upstreams that leave. */
+    private record Listing(List<Listed> limits, List<String> leaving) {}
 
     LimitDesk(ControlGroup group, FleetKeeper fleet, HostId self) {
         this.group = group;
@@ -172,10 +173,15 @@
                 .collect(Collectors.toSet());
     }
 
-    /** Returns the limits in force as JSON, for an operator. */
+    /** Returns the limits in force, and which upstreams leave, as JSON for an operator. */
     byte[] listed() {
         List<Listed> all = keeper.table().inForce().stream().map(Listed::of).toList();
-        return Json.write(Listing.class, new Listing(all));
+        List<String> leaving =
+                fleet.instances().stream()
+                        .filter(instance -> instance.state() == InstanceState.DRAINING)
+                        .map(instance -> instance.id().toString())
+                        .toList();
+        return Json.write(Listing.class, new Listing(all, leaving));
     }
 
     private void tell(List<LimitWord> words, String by) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OperatorPaths.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OperatorPaths.java
@@ -6,7 +6,7 @@
     /** Lists the requests that are refused because instances end under them. */
     public static final String REFUSED_REQUESTS = "/-/refused-requests";
 
-    /** Lists the limits that upstreams name. */
+    /** Lists the limits that upstreams name, and the upstreams that leave. */
     public static final String UPSTREAM_LIMITS = "/-/upstream-limits";
 
     private OperatorPaths() {}
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderGiver.java
@@ -168,6 +168,17 @@
             limits.heardHere(id, perSecond);
         }
 
+        @Override
+        public void wantsRest(UpstreamId id, Duration time) {
+            logger.info("upstream.rest-heard id={} restMs={}", id, time.toMillis());
+            keeper.wantsRest(id, time, BootClock.nanos());
+        }
+
+        @Override
+        public void leaving(UpstreamId id) {
+            fleet.leaving(id, settings.peerName());
+        }
+
         @Override
         public void unreachable(UpstreamId id, boolean refused) {
             keeper.unreachable(id, settings.peerName(), refused);
--- a/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
@@ -38,6 +38,7 @@
         for (String instance : instances) {
             latest(sorted, first, line -> isStateOf(line, instance)).ifPresent(story::add);
             latest(sorted, first, line -> isLimitOf(line, instance)).ifPresent(story::add);
+            latest(sorted, first, line -> isRestOf(line, instance)).ifPresent(story::add);
         }
         Set<String> digests = values(own, DIGEST);
         sorted.stream()
@@ -75,12 +76,19 @@
         return line.event().equals("upstream.limit-in-force") && line.field(ID).equals(instance);
     }
 
+    private static boolean isRestOf(LogLine line, String instance) {
+        return line.event().equals("upstream.rest-heard") && line.field(ID).equals(instance);
+    }
+
     private static boolean concerns(LogLine line, Set<String> instances, Set<String> models) {
         return switch (line.event()) {
             case "instance.changed",
                     "upstream.changed",
                     "upstream.left",
                     "upstream.unreachable",
+                    "upstream.leaving",
+                    "upstream.leaving-heard",
+                    "upstream.rest-heard",
                     "upstream.limit-heard",
                     "upstream.limit-told",
                     "upstream.limit-in-force" ->
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptHistory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptHistory.java
@@ -45,6 +45,11 @@
         sends++;
     }
 
+    /** Notes that an instance says that it has not run it: that does not count as an attempt. */
+    void notRun(UpstreamId id) {
+        sentTo.remove(id);
+    }
+
     /** Notes that an instance has run it, or may have. */
     void ran() {
         mayHaveRun = true;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -77,6 +77,7 @@
         this.random = random;
         this.primaries = new PrimaryChoice(settings.peerName(), settings.zone());
         this.routes = new RoutesFollower(loop, gateway, this::askForRoutes);
+        gateway.upstreamWords().onLeaving(id -> table.drain(id).forEach(gateway::changed));
     }
 
     /** Puts routes into force that nobody has confirmed for long enough. */
@@ -95,6 +96,7 @@
                 () -> {
                     connections.put(host, random.nextLong(1, Long.MAX_VALUE));
                     gateway.quarantine().whole().ifPresent(frame -> transport.send(host, frame));
+                    gateway.upstreamWords().tellLeaving();
                     follow(host);
                 });
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
@@ -3,7 +3,9 @@
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.AdapterWanted;
+import io.stackhall.rpc.generated.fleet.InstanceLeaving;
 import io.stackhall.rpc.generated.fleet.InstanceUnreachable;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
@@ -53,6 +55,16 @@
         tell(Frame.newBuilder().setInstanceUnreachable(unreachable).build());
     }
 
+    /** Says that an instance has said in an answer that it leaves. */
+    void leaving(UpstreamId id) {
+        InstanceLeaving leaving =
+                InstanceLeaving.newBuilder()
+                        .setInstance(id.toString())
+                        .setHost(self.value())
+                        .build();
+        tell(Frame.newBuilder().setInstanceLeaving(leaving).build());
+    }
+
     /** Forgets what was told long ago. */
     void sweep() {
         long now = BootClock.nanos();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -13,6 +13,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.stackhall.core.backpressure.Backpressure;
+import io.stackhall.core.backpressure.RestingUpstreams;
 import io.stackhall.core.customer.KeyTrust;
 import io.stackhall.core.customer.OutageAllowance;
 import io.stackhall.core.dispatch.Dispatcher;
@@ -105,7 +107,10 @@
         this.gateway =
                 new Gateway(
                         loop,
-                        new Dispatcher(settings.zone(), limited, random),
+                        new Dispatcher(
+                                settings.zone(),
+                                new Backpressure(limited, new RestingUpstreams(random)),
+                                random),
                         upstreams,
                         new RetryAllowance(
                                 limits.retryRatio(),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -83,7 +83,7 @@
         this.notices = notices;
         this.customers = customers;
         this.limits = limits;
-        this.words = new UpstreamWords(limits);
+        this.words = new UpstreamWords(limits, dispatcher, notices);
         this.waiting = new WaitingRequests(limits::recount);
         this.metrics = metrics;
         this.quarantine = new Quarantine(loop, dispatcher, upstreams, metrics, toControlHosts);
@@ -226,6 +226,7 @@
         metrics.state("caller_connections", connections.size());
         quarantine.measure();
         limits.measure();
+        metrics.state("resting_upstreams", dispatcher.resting());
     }
 
     /** Returns how many callers are connected. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -143,8 +143,8 @@
         Choice choice =
                 gateway.choose(standing, digest, need, history.allowed(), times.left(now), now);
         int ahead = waitsInTurn(choice) ? gateway.waitingBefore(this) : 0;
-        if (choice instanceof Choice.Limited held) {
-            log.limited(held.instance(), held.waits().behind(ahead));
+        if (choice instanceof Choice.HeldBack held) {
+            log.heldBack(held, ahead);
         }
         switch (admission.judge(choice, ahead, now)) {
             case Verdict.Send(Instance instance, String why) -> {
@@ -155,10 +155,10 @@
                 send(instance, why);
             }
             case Verdict.GiveUp(String reason, Duration retryAfter) -> {
-                if (choice instanceof Choice.Limited) {
-                    gateway.upstreamLimits().refused();
+                if (choice instanceof Choice.HeldBack held) {
+                    log.turnedBack(held);
                 }
-                last.giveUp(reason, retryAfter);
+                last.giveUp(reason, gateway.dispatcher().turnedBack(choice, retryAfter, now));
             }
             case Verdict.WaitForAdapter(Instance instance) -> {
                 gateway.notices().wantAdapter(instance, need);
@@ -174,7 +174,7 @@
     }
 
     private static boolean waitsInTurn(Choice choice) {
-        return choice instanceof Choice.Full || choice instanceof Choice.Limited;
+        return choice instanceof Choice.Full || choice instanceof Choice.HeldBack;
     }
 
     /** Ends a copy of a request that is refused by now, if it may not have begun to run yet. */
@@ -315,6 +315,10 @@
     public void brokeOff(CallFailure failure) {
         Instance instance = endAttempt();
         log.attemptFailed(instance, failure.sent(), failure.reason(), stream.lastEvent());
+        if (failure.stage() == CallFailure.Stage.WITHDRAWN) {
+            again("the instance wants nothing any more");
+            return;
+        }
         if (!failure.sent()) {
             gateway.notices().unreachable(instance, failure.stage());
             goOn(instance, "the instance cannot be reached");
@@ -341,16 +345,20 @@
 
     private void notRun(Instance instance, HttpResponse head) {
         log.notRun(instance, head.status().code());
-        gateway.dispatcher().lacks(instance.id(), need, BootClock.nanos());
+        history.notRun(instance.id());
+        boolean rests = gateway.dispatcher().rests(instance.id(), BootClock.nanos());
+        if (!rests) {
+            gateway.dispatcher().turnedAway(instance.id(), need, BootClock.nanos());
+        }
         boolean comes = need.adapter().isPresent() && history.adapterMayCome();
         if (stream.begun()) {
             resume(instance);
+        } else if (rests) {
+            again("the instance wants rest");
         } else if (comes) {
             again("its adapter is on its way");
-        } else if (history.another()) {
-            goOn(instance, "the instance did not run it");
         } else {
-            last.giveUp("the instance did not run it", FinalAnswer.SOON);
+            goOn(instance, "the instance did not run it");
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.stackhall.core.customer.Customer;
+import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
@@ -9,8 +10,10 @@
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -28,7 +31,7 @@
     private String route = "none";
     private String customer = "";
     private long firstMillis = -1;
-    private boolean limitTold;
+    private final Set<WaitReason> heldBackFor = EnumSet.noneOf(WaitReason.class);
 
     RequestLog(Gateway gateway, CallerRequest request, RequestDigest digest) {
         this.lines = gateway.lines();
@@ -95,25 +98,37 @@
         }
     }
 
-    /** Notes, once, that it comes to wait for an instance that takes only so many requests. */
-    void limited(Instance instance, Duration expected) {
-        if (limitTold) {
+    /** Notes, once for each reason, that an instance that could run it takes no more now. */
+    void heldBack(Choice.HeldBack held, int ahead) {
+        if (!heldBackFor.add(held.reason())) {
             return;
         }
-        limitTold = true;
-        metrics.limitedRequest("held");
+        countHeldBack(held, "held");
         long leftOut = lines.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "request.limited id={} instance={} expectedMs={} ageMs={} leftOut={}",
+                    "{} id={} instance={} expectedMs={} ageMs={} leftOut={}",
+                    held.reason() == WaitReason.REST ? "request.resting" : "request.limited",
                     id,
-                    instance.id(),
-                    expected.toMillis(),
+                    held.instance().id(),
+                    held.expected(ahead).toMillis(),
                     ageMillis(),
                     leftOut);
         }
     }
 
+    /** Notes that it is about to be refused since such an instance takes no more in time. */
+    void turnedBack(Choice.HeldBack held) {
+        countHeldBack(held, "refused");
+    }
+
+    private void countHeldBack(Choice.HeldBack held, String outcome) {
+        switch (held) {
+            case Choice.Limited limited -> metrics.limitedRequest(outcome);
+            case Choice.Resting resting -> metrics.restedRequest(outcome);
+        }
+    }
+
     /** Notes that the answer has begun to come. */
     void begun() {
         firstMillis = ageMillis();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -80,8 +80,12 @@
 
     @Override
     public boolean sending() {
-        listener.sending();
-        return true;
+        // What the instance has said since it was chosen counts: a connection may take its time.
+        boolean may = gateway.dispatcher().mayWrite(instance.id(), BootClock.nanos());
+        if (may) {
+            listener.sending();
+        }
+        return may;
     }
 
     @Override
@@ -95,9 +99,13 @@
                                 gateway.dispatcher()
                                         .told(instance.id(), load.running() + load.waiting(), now));
         boolean good = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (!good) {
+            gateway.dispatcher().answeredInFailure(sending, !Answers.saysNotRun(answer));
+        } else if (!stream) {
+            gateway.dispatcher().answered(sending, now);
+        }
         if (!good || !stream) {
             plainBody = Unpooled.buffer();
-            gateway.dispatcher().answered(sending, now);
         }
     }
 
@@ -133,8 +141,15 @@
 
     @Override
     public void failed(CallFailure failure) {
-        gateway.dispatcher().ended(sending, BootClock.nanos());
-        gateway.dispatcher().failed(instance.id(), BootClock.nanos());
+        long now = BootClock.nanos();
+        if (failure.sent()) {
+            gateway.dispatcher().ended(sending, now);
+        } else {
+            gateway.dispatcher().notWritten(sending, now);
+        }
+        if (failure.stage() != CallFailure.Stage.WITHDRAWN) {
+            gateway.dispatcher().failed(instance.id(), now);
+        }
         listener.brokeOff(failure);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamLimits.java
@@ -70,11 +70,6 @@
         return limits.revision(id);
     }
 
-    /** Notes that a request was refused since only instances at their limits could serve it. */
-    void refused() {
-        metrics.limitedRequest("refused");
-    }
-
     /**
      * Takes in the head of an answer.
      *
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamWords.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamWords.java
@@ -2,13 +2,16 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.stackhall.core.config.Finding;
+import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.platform.AnswerHeaders;
+import io.stackhall.server.clock.BootClock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -21,11 +24,21 @@
     private static final Logger logger = LogManager.getLogger(UpstreamWords.class);
 
     private final UpstreamLimits limits;
+    private final Dispatcher dispatcher;
+    private final ControlNotices notices;
     private final Set<UpstreamId> leaving = new HashSet<>();
     private final Set<UpstreamId> unreadable = new HashSet<>();
+    private Consumer<UpstreamId> onLeaving = id -> {};
 
-    UpstreamWords(UpstreamLimits limits) {
+    UpstreamWords(UpstreamLimits limits, Dispatcher dispatcher, ControlNotices notices) {
         this.limits = limits;
+        this.dispatcher = dispatcher;
+        this.notices = notices;
+    }
+
+    /** Has somebody told, at once, when an instance says that it leaves. */
+    void onLeaving(Consumer<UpstreamId> listener) {
+        onLeaving = listener;
     }
 
     /**
@@ -40,9 +53,16 @@
                 .peekLeft(finding -> unreadable(id, finding));
         if (AnswerHeaders.leaving(head.headers()::get) && leaving.add(id)) {
             logger.info("upstream.leaving-heard id={}", id);
+            onLeaving.accept(id);
+            notices.leaving(id);
         }
     }
 
+    /** Tells control hosts again who leaves: one that starts anew may know it from nobody else. */
+    void tellLeaving() {
+        leaving.forEach(notices::leaving);
+    }
+
     /** Forgets an instance that is gone. */
     void forget(UpstreamId id) {
         limits.forget(id);
@@ -52,6 +72,7 @@
 
     private void rests(UpstreamId id, Duration time) {
         logger.info("upstream.rest-heard id={} restMs={}", id, time.toMillis());
+        dispatcher.wantsRest(id, time, BootClock.nanos());
     }
 
     private void unreadable(UpstreamId id, Finding finding) {
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -47,6 +47,12 @@
                     .help("Requests at upstreams that have named a limit, by what became of them.")
                     .labelNames("outcome")
                     .register(registry);
+    private final Counter restedRequests =
+            Counter.builder()
+                    .name("stackhall_rested_requests_total")
+                    .help("Requests for upstreams that want rest, by what became of them.")
+                    .labelNames("outcome")
+                    .register(registry);
     private final Histogram seconds =
             Histogram.builder()
                     .name("stackhall_relay_seconds")
@@ -83,6 +89,11 @@
         limitedRequests.labelValues(outcome).inc();
     }
 
+    /** Notes what became of a request for which an upstream that wants rest came into question. */
+    public void restedRequest(String outcome) {
+        restedRequests.labelValues(outcome).inc();
+    }
+
     /** Notes how long after a request's arrival it was sent, first answered or wholly answered. */
     public void reached(String until, long nanos) {
         seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
@@ -16,6 +16,8 @@
         NO_CONNECTION,
         /** A connection was there, and no byte was written. */
         NOT_SENT,
+        /** Whoever sends it did not want it written any more once a connection was there. */
+        WITHDRAWN,
         /** Bytes of the request may have reached the upstream. */
         SENT
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -96,6 +96,10 @@
         fail(sent ? CallFailure.Stage.SENT : CallFailure.Stage.NOT_SENT, reason);
     }
 
+    void withdraw() {
+        fail(CallFailure.Stage.WITHDRAWN, "not wanted any more");
+    }
+
     void unreachable(boolean refused, String reason) {
         fail(refused ? CallFailure.Stage.REFUSED : CallFailure.Stage.NO_CONNECTION, reason);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -190,7 +190,7 @@
     private void write(UpstreamCall call, Channel channel) {
         if (!call.sending()) {
             channel.close();
-            call.fail("not allowed any more");
+            call.withdraw();
             return;
         }
         call.boundTo(channel);
--- a/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
@@ -59,6 +59,20 @@
                 .containsExactly("upstream.limit-in-force", "request.limited", "request.refused");
     }
 
+    @Test
+    void requestRefusedForARestIsToldWithWhatItsInstanceAskedFor() {
+        line("front-1", "01", "upstream.rest-heard id=i-1 restMs=3000");
+        line("front-1", "02", "request.resting id=r1 instance=i-1 expectedMs=2900");
+        line("control-1", "02", "upstream.leaving id=i-1 by=front-2");
+        line("front-1", "03", "request.refused id=r1 reason=its instances want rest");
+        assertThat(events("r1"))
+                .containsExactly(
+                        "upstream.rest-heard",
+                        "request.resting",
+                        "upstream.leaving",
+                        "request.refused");
+    }
+
     @Test
     void requestThatNobodyNamesHasNoStory() {
         line("front-1", "01", "request.sent id=r1 instance=i-1");
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLeavingTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLeavingTest.java
@@ -87,6 +87,8 @@
             assertThat(leaving.since(leaving.saidAt + TOLD_WITHIN_NANOS)).isZero();
             assertThat(outcomes).allMatch(outcome -> outcome.status() == 200);
             assertThat(other.came.size()).isGreaterThan(100);
+            assertThat(fleet.control(2, "GET", "/-/upstream-limits", "").text())
+                    .contains("\"leaving\":[\"i-1\"]");
         }
     }
 
