After a restart no request goes to an evacuated zone before its host knows of the evacuation

What callers and operators saw: after a restart of all hosts one request went to an instance of a zone that had been emptied. Cause: an entry host was told the confirmed routes, by which it may serve, before the evacuated zones, which came with its next question or with the commit (a log: routes in force at .821, the request at .825, zones in force at .827). Whoever is told confirmed routes is told the zones of the same state first now, on the same connection.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
@@ -219,9 +220,9 @@
     private void takeCommitted() {
         taking.set(false);
         ControlSnapshot state = log.state();
+        evacuations.committed(EvacuationCodec.decode(state.getEvacuated()));
         takeRoutes(state);
         crashes.committed(state);
-        evacuations.committed(EvacuationCodec.decode(state.getEvacuated()));
     }
 
     private void worked(WorkReport report) {
@@ -229,8 +230,12 @@
         orders.worked(WorkCodec.decode(report));
     }
 
-    /** A host that holds no routes yet hears first which requests are refused. */
+    /**
+     * A host hears first which zones are evacuated and, if it holds no routes yet, whom it refuses.
+     */
     private void confirmed(Confirmations.Ask ask, ControlSnapshot state) {
+        EvacuatedZones zones = EvacuationCodec.decode(state.getEvacuated());
+        evacuations.confirmed(zones, ask.follow(), ask.replier());
         takeRoutes(state);
         if (ask.follow().getRoutesVersion() < 0) {
             ask.replier().send(CrashKeeper.sentences(state));
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EvacuationDesk.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EvacuationDesk.java
@@ -65,6 +65,14 @@
         }
     }
 
+    /**
+     * Tells an entry host what a quorum knows, before it can serve by the routes confirmed with it.
+     */
+    void confirmed(EvacuatedZones newest, FleetFollow follow, Replier replier) {
+        committed(newest);
+        followed(follow, replier);
+    }
+
     /** Answers an entry host that knows an older state. */
     void followed(FleetFollow follow, Replier replier) {
         if (follow.getEvacuations() < zones.revision()) {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/EvacuationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/EvacuationTest.java
@@ -8,6 +8,8 @@
 /** An operator empties a zone, and takes that back. */
 class EvacuationTest extends RelayFixture {
 
+    private static final int RESTARTS = 12;
+
     private static final String START = "/-/evacuate/plateau/start";
     private static final String END = "/-/evacuate/plateau/end";
 
@@ -50,6 +52,21 @@
         }
     }
 
+    @Test
+    void noRequestSlipsThroughBetweenTheFirstRoutesAndTheEvacuatedZones() throws Exception {
+        try (ScriptedUpstream stays = upstreamIn("yoff", "i-1");
+                ScriptedUpstream leaves = upstreamIn("plateau", "i-2")) {
+            assertThat(order(START)).isEqualTo(200);
+            for (int round = 0; round < RESTARTS; round++) {
+                fleet.restartAll();
+                heartbeat(stays, "yoff");
+                heartbeat(leaves, "plateau");
+                LocalFleet.await("served", () -> status() == 200);
+            }
+            assertThat(leaves.requests()).isEmpty();
+        }
+    }
+
     private void callMany() {
         for (int count = 0; count < 30; count++) {
             assertThat(status()).isEqualTo(200);
