A control host tells another everything once its own connection to it is up as well

What callers saw: after a restart of all hosts every request was refused as no instance was known, until the next heartbeat (20 s in a test with one heartbeat). Now it tells everything on that connection too, when its introduction is answered: a few frames for each pair of control hosts at a start.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -17,6 +17,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.Headers;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.Introduction;
 import io.stackhall.rpc.generated.fleet.WorkReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.AnswerServer;
@@ -171,17 +172,7 @@
 
     private void receivedOnLoop(Frame frame, Replier replier) {
         switch (frame.getBodyCase()) {
-            case INTRODUCTION -> {
-                hosts.introduced(frame.getIntroduction());
-                if (!frame.getIntroduction().getAnswer()) {
-                    replier.send(hosts.introduction(true));
-                    if (frame.getIntroduction().getControl()) {
-                        replier.send(crashes.whole());
-                        fleet.tellAll(replier);
-                        replier.send(limits.whole());
-                    }
-                }
-            }
+            case INTRODUCTION -> introduced(frame.getIntroduction(), replier);
             case INSTANCES -> fleet.heard(frame.getInstances());
             case FLEET_FOLLOW -> {
                 evacuations.followed(frame.getFleetFollow(), replier);
@@ -212,6 +203,22 @@
         }
     }
 
+    /**
+     * Tells another control host everything on each connection that has come up, whoever opened it:
+     * what was heard before this host's own connection was up, the other has not been told.
+     */
+    private void introduced(Introduction introduction, Replier replier) {
+        hosts.introduced(introduction);
+        if (!introduction.getAnswer()) {
+            replier.send(hosts.introduction(true));
+        }
+        if (introduction.getControl()) {
+            replier.send(crashes.whole());
+            fleet.tellAll(replier);
+            replier.send(limits.whole());
+        }
+    }
+
     /** What an entry host that newly relies on this one is told before it can serve. */
     private List<Frame> first() {
         return List.of(crashes.whole(), limits.whole());
