A control host that comes back is told who leaves, though all were told a moment before

Each notice is told again only after 250 ms, to all control hosts at once: of two that came back within that time the second was not told. Found by reading. Who leaves is sent to the one whose connection has come up.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlFollower.java
@@ -96,7 +96,7 @@
                 () -> {
                     connections.put(host, random.nextLong(1, Long.MAX_VALUE));
                     gateway.quarantine().whole().ifPresent(frame -> transport.send(host, frame));
-                    gateway.upstreamWords().tellLeaving();
+                    gateway.upstreamWords().whole().forEach(frame -> transport.send(host, frame));
                     follow(host);
                 });
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlNotices.java
@@ -57,12 +57,17 @@
 
     /** Says that an instance has said in an answer that it leaves. */
     void leaving(UpstreamId id) {
+        tell(leavingOf(id));
+    }
+
+    /** Returns the frame that says that an instance leaves. */
+    Frame leavingOf(UpstreamId id) {
         InstanceLeaving leaving =
                 InstanceLeaving.newBuilder()
                         .setInstance(id.toString())
                         .setHost(self.value())
                         .build();
-        tell(Frame.newBuilder().setInstanceLeaving(leaving).build());
+        return Frame.newBuilder().setInstanceLeaving(leaving).build();
     }
 
     /** Forgets what was told long ago. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamWords.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamWords.java
@@ -6,10 +6,12 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.platform.AnswerHeaders;
+import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -58,9 +60,9 @@
         }
     }
 
-    /** Tells control hosts again who leaves: one that starts anew may know it from nobody else. */
-    void tellLeaving() {
-        leaving.forEach(notices::leaving);
+    /** Returns who leaves, for a control host that may know it from nobody else. */
+    List<Frame> whole() {
+        return leaving.stream().map(notices::leavingOf).toList();
     }
 
     /** Forgets an instance that is gone. */
