--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -66,6 +66,7 @@
     private final PeerTransport transport;
     private final ControlHosts hosts;
     private final FleetKeeper fleet;
+    private final WorkRelay works;
     private final ControlGroup group;
     private final ControlLog log;
 
@@ -96,6 +97,7 @@
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
         this.hosts = new ControlHosts(settings, transport, host -> {});
         this.fleet = new FleetKeeper(loop, transport, hosts, settings.limits().heartbeat());
+        this.works = new WorkRelay(hosts.self(), fleet.followers(), fleet::toControlHosts);
         this.log = new ControlLog();
         this.group =
                 new ControlGroup(
@@ -130,8 +132,8 @@
         metricsListener =
                 settings.metrics().map(at -> AnswerServer.listen(threads, at, this::metricsAnswer));
         RepeatedTask.every(loop, SWEEP_MILLIS, this::sweep);
-        RepeatedTask.every(loop, WORK_MILLIS, fleet::tellWork);
-        RepeatedTask.every(loop, PASS_ON_MILLIS, fleet::passReportsOn);
+        RepeatedTask.every(loop, WORK_MILLIS, works::tellEntryHosts);
+        RepeatedTask.every(loop, PASS_ON_MILLIS, works::passOn);
         RepeatedTask.every(loop, ORDER_MILLIS, orders::tick);
         logger.info(
                 "daemon.started host={} zone={} api={}",
@@ -184,7 +186,7 @@
             }
             case WORK -> worked(frame.getWork());
             case DEMAND -> {
-                fleet.demanded(frame.getDemand());
+                works.demanded(frame.getDemand());
                 orders.demanded(frame.getDemand());
             }
             case INSTANCE_UNREACHABLE -> orders.unreachable(frame.getInstanceUnreachable());
@@ -233,7 +235,7 @@
     }
 
     private void worked(WorkReport report) {
-        fleet.worked(report);
+        works.worked(report);
         orders.worked(WorkCodec.decode(report));
     }
 
@@ -267,7 +269,7 @@
         metrics.state("routes_version", (double) fleet.routes().getVersion());
         metrics.state("instances", fleet.instances().size());
         metrics.state("limited_upstreams", limits.limited().size());
-        metrics.state("followers", fleet.followers());
+        metrics.state("followers", fleet.followers().count());
         metrics.state("refused_records", (double) fleet.refusedRecords());
         return new AnswerServer.Answer(HttpResponseStatus.OK.code(), metrics.scrape());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetKeeper.java
@@ -3,8 +3,6 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
-import io.stackhall.core.dispatch.InstanceWork;
-import io.stackhall.core.dispatch.ReportSum;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceNews;
 import io.stackhall.core.fleet.InstanceTable;
@@ -20,23 +18,17 @@
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
 import io.stackhall.rpc.generated.fleet.RoutesUpdate;
-import io.stackhall.rpc.generated.fleet.WorkReport;
-import io.stackhall.rpc.generated.peer.DemandReport;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
-import io.stackhall.server.fleet.NothingOnce;
 import io.stackhall.server.fleet.RoutesCodec;
-import io.stackhall.server.fleet.WorkBoard;
-import io.stackhall.server.fleet.WorkCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -67,10 +59,6 @@
     private ByteString packedRoutes = ByteString.EMPTY;
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
-    private final WorkBoard works = new WorkBoard();
-    private final ReportSum sum = new ReportSum();
-    private final NothingOnce worksToTell = new NothingOnce();
-    private final NothingOnce demandsToTell = new NothingOnce();
     private Optional<RouteTable> routeTable = Optional.empty();
     private Set<ServiceName> services = Set.of();
     private long refusedRecords;
@@ -237,39 +225,6 @@
         return transport.connected(host);
     }
 
-    /** Takes in how many requests an entry host, or those of another control host, have where. */
-    void worked(WorkReport report) {
-        long now = BootClock.nanos();
-        HostId host = new HostId(report.getHost());
-        works.reported(report, now);
-        if (followers.isPrimaryOf(host)) {
-            sum.worked(host, WorkCodec.decode(report), now);
-            sum.unreadTold(host, WorkCodec.unread(report), now);
-        }
-    }
-
-    /** Takes in what an entry host is asked for. */
-    void demanded(DemandReport report) {
-        HostId host = new HostId(report.getHost());
-        if (followers.isPrimaryOf(host)) {
-            sum.asked(host, WorkCodec.decode(report), BootClock.nanos());
-        }
-    }
-
-    /** Passes the reports of the entry hosts that rely on this host on to the other ones. */
-    void passReportsOn() {
-        long now = BootClock.nanos();
-        sum.shared(followers.count());
-        Map<UpstreamId, InstanceWork> work = sum.takeWork(now);
-        if (worksToTell.isDue(!work.isEmpty())) {
-            toControlHosts(WorkCodec.encodeOwn(hosts.self(), work, sum.unreadTokens(now)));
-        }
-        Map<String, ReportSum.Asked> asked = sum.takeAsked(now);
-        if (demandsToTell.isDue(!asked.isEmpty())) {
-            toControlHosts(WorkCodec.encode(hosts.self(), asked));
-        }
-    }
-
     /** Tells the entry hosts that rely on this host that it knows of no leader. */
     void outOfTouch() {
         followers.sendToPrimaries(
@@ -278,11 +233,6 @@
                         .build());
     }
 
-    /** Tells each entry host the work of the others. */
-    void tellWork() {
-        followers.tellWork(works);
-    }
-
     /** Forgets entry hosts that have stopped asking. */
     void sweep() {
         followers.sweep();
@@ -306,8 +256,9 @@
         return routeTable;
     }
 
-    int followers() {
-        return followers.count();
+    /** Returns the entry hosts that follow this host. */
+    EntryFollowers followers() {
+        return followers;
     }
 
     EventLoop loop() {
@@ -341,7 +292,8 @@
         }
     }
 
-    private void toControlHosts(Frame frame) {
+    /** Sends a frame to the other control hosts. */
+    void toControlHosts(Frame frame) {
         hosts.all().forEach(host -> transport.send(host, frame));
     }
 
