The soak has upstreams that want rest and that leave, by turns

What reaches either from a host that was told, and to which nothing was done in between, is held against the host. The heartbeat's text stood three times; the soak's configurations have a file of their own.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/CrashingUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/CrashingUpstream.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * An upstream that ends when it begins to run a request of one body, with everything else that it
@@ -31,7 +30,7 @@
     private final int port;
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final List<Long> ends = new CopyOnWriteArrayList<>();
-    private final AtomicLong sequence = new AtomicLong();
+    private final Heartbeats heartbeats = new Heartbeats("plain");
     private volatile HttpServer server;
     private volatile long born;
     private volatile boolean closed;
@@ -59,12 +58,7 @@
 
     /** Returns what it says of itself. */
     String heartbeat() {
-        return """
-               {"service": "plain", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
-                "version": "v1", "born": %d,
-                "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
-               """
-                .formatted(port, born, sequence.incrementAndGet());
+        return heartbeats.next(port, born);
     }
 
     @Override
@@ -85,7 +79,7 @@
             next.setExecutor(threads);
             next.createContext("/", exchange -> run(next, exchange));
             next.start();
-            sequence.set(0);
+            heartbeats.restart();
             born = System.currentTimeMillis();
             server = next;
         } catch (IOException e) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -15,8 +16,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 /**
  * Real processes under trouble from outside that a seed draws: kills, freezes, stops and hang-ups
@@ -55,6 +54,7 @@
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private LimitedUpstream limited;
+    private final List<AskingUpstream> asking = new ArrayList<>();
     private long version;
 
     /** Creates a run that has not begun. */
@@ -78,10 +78,14 @@
             Eventually.holds("served", () -> status(host, "/base/x") == OK);
         }
         limited = hosts.startLimited();
+        for (AskingUpstream.Kind kind : AskingUpstream.Kind.values()) {
+            asking.add(hosts.startAsking(kind));
+        }
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             threads.submit(() -> callAgainAndAgain(host));
             threads.submit(() -> callLimited(host));
+            threads.submit(() -> callAsking(host));
         }
         threads.submit(this::readAgainAndAgain);
         long end = System.nanoTime() + lasts.toNanos();
@@ -93,13 +97,19 @@
         over.set(true);
         checkRuns();
         broken.addAll(limited.broken());
+        asking.forEach(one -> broken.addAll(one.broken(trouble::wasDisturbed)));
         return List.copyOf(broken);
     }
 
     /** Returns how many calls were made, and how many were served. */
     public String account() {
-        return "calls=%d served=%d changes=%d limited=%d"
-                .formatted(calls.get(), served.get(), version, limited.arrivals());
+        return "calls=%d served=%d changes=%d limited=%d asking=%s"
+                .formatted(
+                        calls.get(),
+                        served.get(),
+                        version,
+                        limited.arrivals(),
+                        asking.stream().map(AskingUpstream::arrivals).toList());
     }
 
     @Override
@@ -111,6 +121,7 @@
         if (limited != null) {
             limited.close();
         }
+        asking.forEach(AskingUpstream::close);
     }
 
     private void disturb() {
@@ -161,7 +172,8 @@
         long newest = acknowledged.get();
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
-            Eventually.holds("newest on " + host, () -> status(host, route(newest)) == OK);
+            Eventually.holds(
+                    "newest on " + host, () -> status(host, SoakConfiguration.added(newest)) == OK);
         }
         Eventually.holds("newest read", () -> read(1) >= newest);
     }
@@ -176,7 +188,9 @@
             next = ++version;
         }
         try {
-            if (hosts.put(1 + (int) (next % TroubledHosts.CONTROL_HOSTS), configuration(next))
+            if (hosts.put(
+                            1 + (int) (next % TroubledHosts.CONTROL_HOSTS),
+                            SoakConfiguration.of(next))
                     != OK) {
                 return false;
             }
@@ -202,7 +216,7 @@
             long asked = acknowledged.get();
             long sentAt = System.nanoTime();
             int base = statusOrCut(host, "/base/x", name, sentAt);
-            int newest = statusOrCut(host, route(asked), name, sentAt);
+            int newest = statusOrCut(host, SoakConfiguration.added(asked), name, sentAt);
             statusOrCut(host, "/once/x", name, sentAt);
             boolean sameLife = trouble.life(name) == life;
             if (base == NOT_FOUND) {
@@ -229,6 +243,15 @@
         }
     }
 
+    /** Asks for what only upstreams serve that want rest, or leave, by turns. */
+    private void callAsking(int host) {
+        String name = "entry-" + host;
+        while (!over.get()) {
+            statusOrCut(host, "/asking/" + name, name, System.nanoTime());
+            Eventually.pause(CALL_PAUSE_MILLIS);
+        }
+    }
+
     /** Returns whether a host had to obey a change when a request was sent. */
     private boolean isHeldTo(String name, long change, long sentAt) {
         boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
@@ -275,7 +298,7 @@
             trouble.answered(name, life);
             if (answer.statusCode() == OK) {
                 served.incrementAndGet();
-                if (!answer.body().equals(path) && !path.startsWith("/limited/")) {
+                if (!answer.body().equals(path) && echoes(path)) {
                     broken.add(id + " was answered " + answer.body() + " for " + path);
                 }
             }
@@ -300,6 +323,11 @@
         }
     }
 
+    /** Returns whether the upstream of a path answers with the path. */
+    private static boolean echoes(String path) {
+        return !path.startsWith("/limited/") && !path.startsWith("/asking/");
+    }
+
     private int status(int host, String path) throws IOException, InterruptedException {
         return hosts.callRoute(host, path, "s" + calls.incrementAndGet()).statusCode();
     }
@@ -335,33 +363,4 @@
     private String anyEntry() {
         return "entry-" + (1 + random(TroubledHosts.ENTRY_HOSTS));
     }
-
-    private static String route(long version) {
-        return "/v" + version + "/x";
-    }
-
-    private static String configuration(long version) {
-        String added =
-                IntStream.rangeClosed(1, (int) version)
-                        .mapToObj(number -> route("v" + number, "/v" + number + "/", "safe"))
-                        .collect(Collectors.joining(","));
-        return """
-        {"version":%d,"routes":[%s,%s,%s,%s],"services":[\
-        {"name":"plain","health-path":"/h","max-connections":200},\
-        {"name":"limited","health-path":"/h","max-connections":200}]}"""
-                .formatted(
-                        version,
-                        route("base", "/base/", "safe"),
-                        route("once", "/once/", "unsafe"),
-                        route("limited", "/limited/", "safe").replace("\"plain\"", "\"limited\""),
-                        added);
-    }
-
-    private static String route(String name, String prefix, String kind) {
-        return """
-        {"name":"%s","host":"a.example","path-prefix":"%s","kind":"%s",\
-        "timeout-ms":3000,"target-latency-ms":100,"priority":1,"service":"plain",\
-        "max-attempts":2}"""
-                .formatted(name, prefix, kind);
-    }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** An upstream that names in each answer how many requests a second it takes from all hosts. */
 final class LimitedUpstream implements AutoCloseable {
@@ -27,7 +26,7 @@
 
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final List<Long> arrivals = new CopyOnWriteArrayList<>();
-    private final AtomicLong sequence = new AtomicLong();
+    private final Heartbeats heartbeats = new Heartbeats(SERVICE);
     private final HttpServer server;
 
     LimitedUpstream() throws IOException {
@@ -40,12 +39,7 @@
 
     /** Returns what it says of itself. */
     String heartbeat() {
-        return """
-               {"service": "%s", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
-                "version": "v1",
-                "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
-               """
-                .formatted(SERVICE, server.getAddress().getPort(), sequence.incrementAndGet());
+        return heartbeats.next(server.getAddress().getPort());
     }
 
     /** Returns what was sent beyond its limit, empty where nothing was. */
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 
 /** Real processes that find each other by seeds, and one plain upstream that announces itself. */
 public final class SeededHosts implements AutoCloseable {
@@ -40,7 +39,7 @@
     private final Map<String, RunningProcess> processes = new TreeMap<>();
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final AtomicLong sequence = new AtomicLong();
+    private final Heartbeats plain = new Heartbeats("plain");
     private final ScheduledExecutorService heartbeats =
             Executors.newSingleThreadScheduledExecutor();
     private final List<CrashingUpstream> crashing = new CopyOnWriteArrayList<>();
@@ -110,6 +109,17 @@
         return started;
     }
 
+    /** Starts an upstream that asks hosts for rest, or that leaves and comes back, by turns. */
+    AskingUpstream startAsking(AskingUpstream.Kind kind) throws IOException {
+        AskingUpstream started = new AskingUpstream(kind);
+        heartbeats.scheduleAtFixedRate(
+                () -> heartbeat(started.name(), started.heartbeat()),
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return started;
+    }
+
     /** Starts an upstream that ends under one request, and comes back. */
     public void startCrashing(String name) {
         CrashingUpstream started = new CrashingUpstream(name);
@@ -257,14 +267,7 @@
     }
 
     private void heartbeat() {
-        String body =
-                """
-                {"service": "plain", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
-                 "version": "v1",
-                 "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
-                """
-                        .formatted(upstream.getAddress().getPort(), sequence.incrementAndGet());
-        heartbeat("i-1", body);
+        heartbeat("i-1", plain.next(upstream.getAddress().getPort()));
     }
 
     private void heartbeat(String name, String body) {
--- /dev/null
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
@@ -0,0 +1,49 @@
+package io.stackhall.tests.harness;
+
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** The configurations of a soak: each adds a route that all later ones keep. */
+final class SoakConfiguration {
+
+    private SoakConfiguration() {}
+
+    /** Returns a path on the route that a version has added. */
+    static String added(long version) {
+        return "/v" + version + "/x";
+    }
+
+    /** Returns the configuration of a version. */
+    static String of(long version) {
+        String added =
+                IntStream.rangeClosed(1, (int) version)
+                        .mapToObj(number -> route("v" + number, "safe", "plain"))
+                        .collect(Collectors.joining(","));
+        return """
+        {"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[%s,%s,%s]}"""
+                .formatted(
+                        version,
+                        route("base", "safe", "plain"),
+                        route("once", "unsafe", "plain"),
+                        route("limited", "safe", LimitedUpstream.SERVICE),
+                        route("asking", "safe", AskingUpstream.SERVICE),
+                        added,
+                        service("plain"),
+                        service(LimitedUpstream.SERVICE),
+                        service(AskingUpstream.SERVICE));
+    }
+
+    private static String service(String name) {
+        return """
+        {"name":"%s","health-path":"/h","max-connections":200}"""
+                .formatted(name);
+    }
+
+    private static String route(String name, String kind, String service) {
+        return """
+        {"name":"%s","host":"a.example","path-prefix":"/%s/","kind":"%s",\
+        "timeout-ms":3000,"target-latency-ms":100,"priority":1,"service":"%s",\
+        "max-attempts":2}"""
+                .formatted(name, name, kind, service);
+    }
+}
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/TroubledHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/TroubledHosts.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -32,6 +33,7 @@
     private final Path story;
     private final Map<String, RunningProcess> processes = new ConcurrentHashMap<>();
     private final Map<String, Long> disturbedAt = new ConcurrentHashMap<>();
+    private final Map<String, List<Long>> disturbances = new ConcurrentHashMap<>();
     private final Map<String, Long> awayUntil = new ConcurrentHashMap<>();
     private final Map<String, Long> lives = new ConcurrentHashMap<>();
     private final AtomicBoolean over = new AtomicBoolean();
@@ -124,8 +126,16 @@
         return at - disturbedAt.getOrDefault(name, 0L) > time.toNanos();
     }
 
+    /** Returns whether something was done to a host between two moments. */
+    boolean wasDisturbed(String name, long from, long to) {
+        return disturbances.getOrDefault(name, List.of()).stream()
+                .anyMatch(at -> at - from >= 0 && at - to <= 0);
+    }
+
     private void touch(String name) {
-        disturbedAt.put(name, System.nanoTime());
+        long now = System.nanoTime();
+        disturbedAt.put(name, now);
+        disturbances.computeIfAbsent(name, key -> new CopyOnWriteArrayList<>()).add(now);
     }
 
     private void tell(String step) {
