A process whose memory is collected at its start keeps the lines that were installed

What operators saw: now and then a process wrote no line to standard output, from its start to its end; its lines stood on standard error, as the file for other commands configures.

Cause: the library keeps its context by a weak reference until the first logger is made. Collected before that, a new context is made, which reads the file. The context is held now. LineLoggingTest collects memory between the two in a class loader of its own: it failed each time before (XmlConfiguration in force) and passes now.

--- a/stackhall-server/src/main/java/io/stackhall/server/log/LineLogging.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/log/LineLogging.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.log;
 
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
@@ -29,11 +30,17 @@
     private static final String ASYNC = "async";
     private static final String NETTY = "io.netty";
 
+    /**
+     * The library itself holds its context weakly until the first logger is made: without this, a
+     * collection of memory before then has all lines written as a file configures.
+     */
+    private static final AtomicReference<LoggerContext> IN_FORCE = new AtomicReference<>();
+
     private LineLogging() {}
 
     /** Takes effect for all loggers; to be called before the first of them is made. */
     public static void install(Level level) {
-        Configurator.initialize(null, new Lines(level));
+        IN_FORCE.set(Configurator.initialize(null, new Lines(level)));
     }
 
     /** The configuration. */
