Nobody is refused for a rest while a cold instance has a turn left or a copy elsewhere comes sooner

Found by reading: where one instance rested and another was cold, a request was refused for the rest, though this host's next turn at the cold one came in time; and a caller refused while a copy elsewhere was about to come was told the end of the rest in place of the earlier moment. The cold one counts as what becomes of a request without the resting one now. RestingDispatchTest holds both, and that a suspect waits too, that nothing is written into a rest, and that a refusal teaches nothing.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -250,9 +250,8 @@
      * @param after when it is worth another try at the earliest
      */
     public Duration turnedBack(Choice choice, Duration after, long now) {
-        if (choice instanceof Choice.Resting held) {
-            Duration inTurn = backpressure.callerReturns(held.instance().id(), now);
-            return inTurn.compareTo(after) > 0 ? inTurn : after;
+        if (choice instanceof Choice.Resting held && after.compareTo(held.left()) >= 0) {
+            return backpressure.callerReturns(held.instance().id(), now);
         }
         return after;
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceChoice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceChoice.java
@@ -61,16 +61,11 @@
             EvacuatedZones evacuated,
             Predicate<UpstreamId> allowed) {
         Sorted sorted = sort(asked, instances, evacuated, allowed);
-        Optional<Choice> now = serving(sorted, asked);
+        Optional<Choice> now = serving(sorted, asked).or(() -> spared(sorted));
         Optional<Choice> later = resting(sorted.resting, now, asked);
         Optional<Choice> decided = limited(sorted.limited, later, asked);
-        if (decided.isPresent()) {
-            return decided.get();
-        }
-        if (sorted.spared) {
-            return new Choice.Full(0);
-        }
-        return sorted.known ? new Choice.AllTried() : new Choice.NobodyServes();
+        return decided.orElseGet(
+                () -> sorted.known ? new Choice.AllTried() : new Choice.NobodyServes());
     }
 
     private Sorted sort(
@@ -103,6 +98,11 @@
         return sorted;
     }
 
+    /** A cold instance takes a request as soon as this host has its turn there. */
+    private static Optional<Choice> spared(Sorted sorted) {
+        return sorted.spared ? Optional.of(new Choice.Full(0)) : Optional.empty();
+    }
+
     /** Decides among those that may be sent to at once. */
     private Optional<Choice> serving(Sorted sorted, Asked asked) {
         Optional<Choice> first = among(sorted.serving, asked);
