--- a/stackhall-core/src/main/java/io/stackhall/core/backpressure/RefusingUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/backpressure/RefusingUpstreams.java
@@ -14,8 +14,10 @@
  */
 final class RefusingUpstreams {
 
+    /** How long others go first after a single refusal. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
 
+    /** From there on others go first for no longer, so that it is tried again every few seconds. */
     private static final int MOST_DOUBLINGS = 3;
 
     private final Map<UpstreamId, Refusals> refusals = new HashMap<>();
