Each service has an allowance for resends of its own

Cause: a host's allowance was one for all services, so that the small one got what the engines' requests had left unused. That was there before; since a refusal that has not run uses up no attempt, requests come to spend it. Each service is counted for itself now, as its bound is.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/RetryAllowance.java
@@ -1,15 +1,20 @@
 package io.stackhall.core.dispatch;
 
+import io.stackhall.core.id.ServiceName;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
- * Bounds how often one host sends a request a second time, so that all hosts together stay within
- * their common bound without asking each other.
+ * Bounds how often one host sends requests for a service a second time, so that all hosts together
+ * stay within their common bound for it without asking each other.
  *
- * <p>Each host allows itself a ratio of its own requests and its share of the common slack. The
- * shares are fixed, so that a lost host's share stays unused.
+ * <p>For each service a host allows itself a ratio of its own requests and its share of the common
+ * slack. The shares are fixed, so that a lost host's share stays unused. Each service has a bound
+ * of its own: by one for all, a small one in need would get as many resends as a busy one beside it
+ * leaves unused.
  */
 public final class RetryAllowance {
 
@@ -19,10 +24,15 @@
     private final double ratio;
     private final double commonSlack;
     private final long windowNanos;
-    private final Deque<Long> requests = new ArrayDeque<>();
-    private final Deque<Long> resends = new ArrayDeque<>();
+    private final Map<ServiceName, Window> windows = new HashMap<>();
     private int hosts;
 
+    /** When requests for one service came, and when some were sent again. */
+    private static final class Window {
+        private final Deque<Long> requests = new ArrayDeque<>();
+        private final Deque<Long> resends = new ArrayDeque<>();
+    }
+
     /**
      * Creates an allowance.
      *
@@ -43,27 +53,40 @@
         hosts = Math.max(hosts, seen);
     }
 
-    /** Notes a request. */
-    public void requested(long now) {
-        requests.addLast(now);
-        forget(requests, now);
+    /** Notes a request for a service. */
+    public void requested(ServiceName service, long now) {
+        Window window = window(service);
+        window.requests.addLast(now);
+        forget(window.requests, now);
     }
 
-    /** Takes one resend out of the allowance, if there is one left. */
-    public boolean take(long now) {
-        forget(requests, now);
-        forget(resends, now);
-        if (left() < 1) {
+    /** Takes one resend of a service's requests out of its allowance, if there is one left. */
+    public boolean take(ServiceName service, long now) {
+        Window window = window(service);
+        forget(window.requests, now);
+        forget(window.resends, now);
+        if (left(window) < 1) {
             return false;
         }
-        resends.addLast(now);
+        window.resends.addLast(now);
         return true;
     }
 
-    /** Returns how many resends are left, as of the last request or resend. */
+    /** Returns how many resends the service with the fewest has left, as of its last request. */
     public double left() {
-        double allowed = USED_SHARE * (ratio * requests.size() + commonSlack / hosts);
-        return allowed - resends.size();
+        return windows.values().stream()
+                .mapToDouble(this::left)
+                .min()
+                .orElse(USED_SHARE * commonSlack / hosts);
+    }
+
+    private double left(Window window) {
+        double allowed = USED_SHARE * (ratio * window.requests.size() + commonSlack / hosts);
+        return allowed - window.resends.size();
+    }
+
+    private Window window(ServiceName service) {
+        return windows.computeIfAbsent(service, name -> new Window());
     }
 
     private void forget(Deque<Long> times, long now) {
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -259,14 +259,14 @@
     void resendsStayWithinTheRatioAndTheSlack() {
         RetryAllowance allowance = new RetryAllowance(0.2, 10, 2, Duration.ofSeconds(10));
         for (int count = 0; count < 50; count++) {
-            allowance.requested(NOW);
+            allowance.requested(SERVICE, NOW);
         }
         long taken = 0;
-        while (allowance.take(NOW)) {
+        while (allowance.take(SERVICE, NOW)) {
             taken++;
         }
         assertThat(taken).isEqualTo(12);
-        assertThat(allowance.take(NOW + Duration.ofSeconds(11).toNanos())).isTrue();
+        assertThat(allowance.take(SERVICE, NOW + Duration.ofSeconds(11).toNanos())).isTrue();
     }
 
     @Test
@@ -274,9 +274,9 @@
         RetryAllowance allowance = new RetryAllowance(0, 100, 2, Duration.ofSeconds(10));
         allowance.shared(40);
         allowance.shared(1);
-        assertThat(allowance.take(NOW)).isTrue();
-        assertThat(allowance.take(NOW)).isTrue();
-        assertThat(allowance.take(NOW)).isFalse();
+        assertThat(allowance.take(SERVICE, NOW)).isTrue();
+        assertThat(allowance.take(SERVICE, NOW)).isTrue();
+        assertThat(allowance.take(SERVICE, NOW)).isFalse();
     }
 
     private Optional<String> sentTo(Need need) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -280,12 +280,12 @@
         newlyWaiting = listener;
     }
 
-    boolean mayResend(long now) {
-        return retries.take(now);
+    boolean mayResend(ServiceName service, long now) {
+        return retries.take(service, now);
     }
 
     void arrived(Need need) {
-        retries.requested(BootClock.nanos());
+        retries.requested(need.service(), BootClock.nanos());
         demand.arrived(need);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -212,7 +212,7 @@
 
     private void send(Instance instance, String why) {
         long now = BootClock.nanos();
-        if (history.sends() > 0 && !gateway.mayResend(now)) {
+        if (history.sends() > 0 && !gateway.mayResend(need.service(), now)) {
             last.giveUp("too many requests are sent a second time", FinalAnswer.SOON);
             return;
         }
