Read the slowdown that upstreams report, and the processor share of a host

Upstreams may add a fourth figure to their load: how long work takes there at present. It was dropped. The dispatcher keeps it for each instance, decaying to 1; no decision uses it yet. The settings tell which share of a core a process may use.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -322,9 +323,15 @@
         load(id).recordOutcome(false);
     }
 
-    /** Records how many requests of all hosts an instance itself reports as running or queued. */
-    public void updateReportedLoad(UpstreamId id, int runningAndWaiting, long now) {
-        load(id).updateReported(runningAndWaiting, now);
+    /**
+     * Records the load that an instance reports of itself.
+     *
+     * @param runningAndWaiting the requests of all hosts that it runs or queues
+     * @param slowdown how many times as long as usual its work takes, if it reports this
+     */
+    public void updateReportedLoad(
+            UpstreamId id, int runningAndWaiting, OptionalDouble slowdown, long now) {
+        load(id).updateReported(runningAndWaiting, slowdown, now);
     }
 
     /** Records how many requests the other hosts have at each instance. */
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 /**
  * The work on one instance: exact for the requests of this host, and as last reported for those of
@@ -20,6 +21,9 @@
      */
     private static final long REPORT_HALF_LIFE_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** Half-life of a reported slowdown. */
+    private static final long SLOWDOWN_HALF_LIFE_NANOS = Duration.ofMillis(300).toNanos();
+
     /**
      * Initial mean duration of a request: so short that only the prompt window counts until the
      * first answers.
@@ -69,6 +73,9 @@
     private long remoteUnreadAt;
     private long remoteRequestsAt;
     private boolean selfReported;
+    private boolean reportsSlowdown;
+    private double reportedSlowdown = 1;
+    private long slowdownReportedAt;
     private int answers;
     private int slowAnswers;
     private double meanDurationNanos = INITIAL_DURATION_NANOS;
@@ -146,10 +153,29 @@
     /**
      * Records the load that the instance itself reports, which includes the requests of all hosts.
      */
-    void updateReported(int runningAndWaiting, long now) {
+    void updateReported(int runningAndWaiting, OptionalDouble slowdown, long now) {
         setRemoteRequests(Math.max(0, runningAndWaiting - running));
         remoteRequestsAt = now;
         selfReported = true;
+        if (slowdown.isPresent()) {
+            reportedSlowdown = slowdown.getAsDouble();
+            slowdownReportedAt = now;
+            reportsSlowdown = true;
+        }
+    }
+
+    /** Returns whether the instance reports how long work takes there. */
+    boolean reportsSlowdown() {
+        return reportsSlowdown;
+    }
+
+    /**
+     * Returns how many times as long as usual work takes at the instance now: as last reported,
+     * decaying to 1, since the share of a machine that an instance gets changes quickly.
+     */
+    double slowdown(long now) {
+        double halves = (double) (now - slowdownReportedAt) / SLOWDOWN_HALF_LIFE_NANOS;
+        return 1 + (reportedSlowdown - 1) * Math.pow(0.5, Math.max(0, halves));
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -225,7 +226,7 @@
         dispatcher.updateRemoteRequests(Map.of(id, 4), NOW);
         assertThat(dispatcher.choose(need(Optional.empty()), any -> true, false, NOW))
                 .isInstanceOf(Choice.Full.class);
-        dispatcher.updateReportedLoad(id, 1, NOW);
+        dispatcher.updateReportedLoad(id, 1, OptionalDouble.empty(), NOW);
         dispatcher.updateRemoteRequests(Map.of(id, 4), NOW);
         assertThat(sentTo(need(Optional.empty()))).contains("a");
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplay.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.ToLongFunction;
@@ -131,7 +132,8 @@
         Upstream upstream = upstreams.get(id);
         if (upstream.busy >= upstream.slots && upstream.queue.size() >= QUEUE_CAPACITY) {
             rejected++;
-            dispatcher.updateReportedLoad(id, upstream.busy + upstream.queue.size(), nanos(now));
+            dispatcher.updateReportedLoad(
+                    id, upstream.busy + upstream.queue.size(), OptionalDouble.empty(), nanos(now));
             return true;
         }
         job.inFlight = dispatcher.requestSent(id, need(), nanos(now));
@@ -165,7 +167,8 @@
             Dispatcher dispatcher = dispatchers.get(job.host);
             dispatcher.responseStarted(job.inFlight, nanos(now));
             dispatcher.requestEnded(job.inFlight, nanos(now));
-            dispatcher.updateReportedLoad(id, upstream.busy + upstream.queue.size(), nanos(now));
+            dispatcher.updateReportedLoad(
+                    id, upstream.busy + upstream.queue.size(), OptionalDouble.empty(), nanos(now));
             inTime += now - job.arrivedAt <= OBJECTIVE ? 1 : 0;
         }
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/RestReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/RestReplay.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -323,7 +324,8 @@
         dispatcher.responseStarted(job.inFlight, nanos(now));
         dispatcher.requestEnded(job.inFlight, nanos(now));
         dispatcher.requestSucceeded(id);
-        dispatcher.updateReportedLoad(id, upstream.busy + upstream.queue.size(), nanos(now));
+        dispatcher.updateReportedLoad(
+                id, upstream.busy + upstream.queue.size(), OptionalDouble.empty(), nanos(now));
         served++;
         boolean met = now - job.firstArrivedAt <= OBJECTIVE;
         inTime += met ? 1 : 0;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -100,6 +100,7 @@
                                         .updateReportedLoad(
                                                 instance.id(),
                                                 load.running() + load.waiting(),
+                                                load.slowdown(),
                                                 now));
         boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
         if (!success) {
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -71,6 +71,7 @@
      *     customer's key away holds on every host; empty where a host that no word of it reaches
      *     may go on
      * @param limitTolerance by how much the hosts together may exceed a customer's limit
+     * @param processorShare the share of a core that this process may use, at most 1
      */
     public record Limits(
             Duration heartbeat,
@@ -83,7 +84,8 @@
             Duration storeWindow,
             int hostLossesBorne,
             Optional<Duration> keyRevocation,
-            LimitTolerance limitTolerance) {}
+            LimitTolerance limitTolerance,
+            double processorShare) {}
 
     /** Returns the name under which others reach a host's process: its peer address. */
     public HostId peerName() {
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -15,6 +15,9 @@
     /** The key that tells these settings from those that name every host. */
     static final String MARK = "discovery";
 
+    /** A process with less cannot start within any deadline. */
+    private static final double MIN_PROCESSOR_SHARE = 0.01;
+
     private static final int MINUTE_MILLIS = 60_000;
 
     /** More than any deployment sends; a larger figure is a slip of the pen. */
@@ -103,7 +106,8 @@
                                         section.decimalMillis(
                                                 "keyRevocationMillis", 0, 0, MINUTE_MILLIS))
                                 .filter(Duration::isPositive),
-                        tolerance(section));
+                        tolerance(section),
+                        section.decimal("processorShare", 1, MIN_PROCESSOR_SHARE, 1));
         section.finish();
         return limits;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -128,7 +128,8 @@
                         Duration.ofSeconds(5),
                         0,
                         Optional.of(KEY_REVOCATION),
-                        new LimitTolerance(Duration.ofSeconds(8), 0, 0)),
+                        new LimitTolerance(Duration.ofSeconds(8), 0, 0),
+                        1),
                 Optional.empty());
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -210,7 +210,8 @@
                         Duration.ofSeconds(5),
                         1,
                         Optional.of(KEY_REVOCATION),
-                        new LimitTolerance(Duration.ofSeconds(8), 0.1, 2)),
+                        new LimitTolerance(Duration.ofSeconds(8), 0.1, 2),
+                        1),
                 Optional.empty());
     }
 
