Control hosts tell only their own entry hosts of instances that appear or load a model

Every control host sent each appearance and each further model of an instance to every entry host that follows it, so that each of them was told six times where there are six control hosts. Only what ends the way an instance was used before (state, incarnation, address, turning cold) is still sent by all of them; the rest comes from the entry host's primary, as other changes do. UpdateUrgencyTest covers both; the tests of drains, routes after restarts and relaying pass.

--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/PrimarySelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/PrimarySelector.java
@@ -16,8 +16,8 @@
  * <p>Without a primary, every control host sent every update to every entry host: each change was
  * sent hosts x control hosts times, and each entry host processed it once per control host. With 95
  * entry hosts and 5 control hosts, 67 MB crossed zone boundaries in 33 s without incidents,
- * requests included (by network counters). The start and end of instances are still sent by all
- * control hosts.
+ * requests included (by network counters). Only changes after which an instance must not be sent
+ * requests as before are still sent by all control hosts.
  *
  * <p>Not thread-safe.
  */
--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/UpdateUrgency.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/UpdateUrgency.java
@@ -5,8 +5,14 @@
 /** How soon a new report of an instance has to be passed on to entry hosts. */
 public enum UpdateUrgency {
     /**
-     * At once: the instance appears, changes its state or address, turns cold, or serves a further
-     * model.
+     * At once and by every control host: requests must no longer be sent to the instance as before,
+     * since it has changed its state, its incarnation or its address, or has turned cold. An entry
+     * host whose primary is lost must be notified too.
+     */
+    CRITICAL,
+    /**
+     * At once: the instance appears or serves a further model. An entry host that is notified late
+     * uses other instances meanwhile.
      */
     URGENT,
     /**
@@ -24,18 +30,27 @@
      * @param after the new report, possibly of a later incarnation
      */
     public static UpdateUrgency of(Optional<Instance> before, Instance after) {
-        if (before.isEmpty() || isUrgent(before.get(), after)) {
+        if (before.isEmpty()) {
+            return URGENT;
+        }
+        if (isCritical(before.get(), after)) {
+            return CRITICAL;
+        }
+        if (servesFurtherModel(before.get(), after)) {
             return URGENT;
         }
         return differs(before.get(), after) ? BATCHED : NONE;
     }
 
-    private static boolean isUrgent(Instance before, Instance after) {
+    private static boolean isCritical(Instance before, Instance after) {
         return !before.id().equals(after.id())
                 || before.state() != after.state()
                 || !before.address().equals(after.address())
-                || before.cold().compareTo(after.cold()) < 0
-                || after.models().stream().anyMatch(copy -> before.copyOf(copy.model()).isEmpty());
+                || before.cold().compareTo(after.cold()) < 0;
+    }
+
+    private static boolean servesFurtherModel(Instance before, Instance after) {
+        return after.models().stream().anyMatch(copy -> before.copyOf(copy.model()).isEmpty());
     }
 
     private static boolean differs(Instance before, Instance after) {
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/UpdateUrgencyTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/UpdateUrgencyTest.java
@@ -11,21 +11,27 @@
 
     private static final Instance KNOWN = Instances.instance("a", 1, "m");
 
+    /** A host that hears these from its primary alone sends to an instance that has left. */
     @Test
-    void changesThatAffectRoutingAreUrgent() {
-        assertThat(UpdateUrgency.of(Optional.empty(), KNOWN)).isEqualTo(UpdateUrgency.URGENT);
-        assertThat(of(Instances.incarnation("a", 7, 1, "m"))).isEqualTo(UpdateUrgency.URGENT);
-        assertThat(of(KNOWN.withState(InstanceState.DRAINING))).isEqualTo(UpdateUrgency.URGENT);
+    void changesThatEndWhatWasSentBeforeAreCritical() {
+        assertThat(of(Instances.incarnation("a", 7, 1, "m"))).isEqualTo(UpdateUrgency.CRITICAL);
+        assertThat(of(KNOWN.withState(InstanceState.DRAINING))).isEqualTo(UpdateUrgency.CRITICAL);
         assertThat(of(Instances.instance("a", "10.0.0.9:1", 2, "m")))
-                .isEqualTo(UpdateUrgency.URGENT);
+                .isEqualTo(UpdateUrgency.CRITICAL);
+    }
+
+    /** Sent by every control host, each load would reach each entry host several times. */
+    @Test
+    void whatCanServeMoreIsUrgent() {
+        assertThat(UpdateUrgency.of(Optional.empty(), KNOWN)).isEqualTo(UpdateUrgency.URGENT);
         assertThat(of(Instances.instance("a", 2, "m", "n"))).isEqualTo(UpdateUrgency.URGENT);
     }
 
     @Test
-    void turningColdIsUrgentAndWarmingUpNeedsNoUpdate() {
+    void turningColdIsCriticalAndWarmingUpNeedsNoUpdate() {
         Instance cold = Instances.coldInstance("c", Duration.ofSeconds(3));
         Instance warm = Instances.coldInstance("c", Duration.ZERO);
-        assertThat(UpdateUrgency.of(Optional.of(warm), cold)).isEqualTo(UpdateUrgency.URGENT);
+        assertThat(UpdateUrgency.of(Optional.of(warm), cold)).isEqualTo(UpdateUrgency.CRITICAL);
         assertThat(UpdateUrgency.of(Optional.of(cold), warm)).isEqualTo(UpdateUrgency.NONE);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -122,16 +122,26 @@
         }
     }
 
+    /** Notifies all followers at once of instances that leave, drain or have been replaced. */
+    void sendToAll(Collection<Instance> instances) {
+        if (!instances.isEmpty()) {
+            send(updateOf(instances));
+        }
+    }
+
     /**
-     * Notifies all followers at once of instances that join, leave, drain or serve an additional
-     * model.
+     * Notifies the followers whose primary is this host at once of instances that join or serve an
+     * additional model.
      */
     void sendNow(Collection<Instance> instances) {
-        if (instances.isEmpty()) {
-            return;
+        if (!instances.isEmpty()) {
+            sendToPrimaries(updateOf(instances));
         }
+    }
+
+    private Frame updateOf(Collection<Instance> instances) {
         instances.forEach(instance -> pendingUpdates.remove(instance.id()));
-        send(InstanceCodec.frame(instances, false, followers.size()));
+        return InstanceCodec.frame(instances, false, followers.size());
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -147,7 +147,8 @@
 
     private void publish(List<Instance> changed) {
         sendToControlHosts(changed);
-        publishToEntryHosts(changed, List.of());
+        changed.forEach(FleetRegistry::log);
+        followers.sendToAll(changed);
     }
 
     /** Restarts the timers of silent upstreams, since this host may have been cut off itself. */
@@ -279,11 +280,13 @@
         List<Instance> merged = new ArrayList<>();
         List<Instance> batched = new ArrayList<>();
         List<Instance> urgent = new ArrayList<>();
+        List<Instance> critical = new ArrayList<>();
         for (Instance instance : instances) {
             Optional<Instance> before = table.find(instance.id());
             for (Instance after : table.merge(instance, BootClock.nanos())) {
                 merged.add(after);
                 switch (UpdateUrgency.of(before, after)) {
+                    case CRITICAL -> critical.add(after);
                     case URGENT -> urgent.add(after);
                     case BATCHED -> batched.add(after);
                     case NONE -> {
@@ -293,7 +296,12 @@
             }
         }
         sendToControlHosts(fromUpstream ? merged : List.of());
-        publishToEntryHosts(urgent, batched);
+        followers.sendToAll(critical);
+        followers.sendNow(urgent);
+        followers.sendBatched(batched);
+        critical.forEach(FleetRegistry::log);
+        urgent.forEach(FleetRegistry::log);
+        batched.forEach(FleetRegistry::log);
     }
 
     private void sendToControlHosts(List<Instance> merged) {
@@ -307,13 +315,6 @@
         hosts.knownHosts().forEach(host -> transport.send(host, frame));
     }
 
-    private void publishToEntryHosts(List<Instance> urgent, List<Instance> batched) {
-        urgent.forEach(FleetRegistry::log);
-        batched.forEach(FleetRegistry::log);
-        followers.sendNow(urgent);
-        followers.sendBatched(batched);
-    }
-
     private static void log(Instance instance) {
         logger.info(
                 "upstream.changed id={} address={} service={} zone={} state={} sequence={}"
