Send no request whose caller has closed its connection

The event loop reads a caller's request and the close behind it in different iterations. A request that had been in the socket together with its close was written to an upstream in the first of them; a host whose event loop was held up sent it up to a second after the close.

Immediately before a request is written, the caller's connection is now read once more, and the request is withdrawn if the connection has been closed. A request that has been read starts when the read of its connection is complete, since the decoder is not reentrant. The read is done for every request, not only after a delay of the event loop: connections that wait to be accepted delay a request through many short iterations, none of which is late.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerWriter.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerWriter.java
@@ -7,6 +7,12 @@
 /** Writes the answer to one request to its caller's connection. */
 interface AnswerWriter {
 
+    /**
+     * Reads from the caller's connection once more, and returns whether it is still open. A close
+     * may have reached the socket that the event loop has not read yet.
+     */
+    boolean isConnected();
+
     /** Writes a complete answer, head and body. */
     void writeAnswer(FullHttpResponse response);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
@@ -7,8 +7,12 @@
 /** Receives the events of one attempt to run a request at an instance. */
 interface AttemptListener {
 
-    /** Called when the request is about to be written to the instance. */
-    void onSending();
+    /**
+     * Called when the request is about to be written to the instance.
+     *
+     * @return whether its caller is still connected; otherwise it must not be written
+     */
+    boolean onSending();
 
     /** Called with each complete event of a stream; takes ownership of the event's buffer. */
     void onEvent(HttpResponse head, EventAssembler.Event event);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -45,6 +46,12 @@
      */
     private static final int MAX_BACKLOG = 64;
 
+    /**
+     * Maximum number of reads before a request is sent: a close may follow the bytes of further
+     * requests, of which one read takes only a part.
+     */
+    private static final int MAX_FINAL_READS = 4;
+
     private final Gateway gateway;
     private final Deque<Object> backlog = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -54,6 +61,9 @@
     private RelayedRequest relayed;
     private boolean keepAlive;
     private boolean closing;
+    private boolean reading;
+    private boolean startPending;
+    private boolean moreBytesReceived;
     private ScheduledFuture<?> timeout;
 
     CallerConnection(Gateway gateway) {
@@ -69,6 +79,7 @@
 
     /** Called when bytes have arrived: restarts the header timeout while a head is incomplete. */
     void bytesReceived() {
+        moreBytesReceived = true;
         if (relayed == null && head == null && !closing) {
             startTimeout(gateway.callerLimits().headerTimeout().toMillis(), this::headTimedOut);
         }
@@ -76,6 +87,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        reading = true;
         if (closing) {
             ReferenceCountUtil.release(message);
             return;
@@ -90,6 +102,15 @@
         process(message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        reading = false;
+        if (startPending && relayed != null) {
+            startPending = false;
+            relayed.start();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
@@ -128,6 +149,17 @@
         }
     }
 
+    @Override
+    public boolean isConnected() {
+        boolean mayRead = context.channel().config().isAutoRead();
+        moreBytesReceived = mayRead;
+        for (int reads = 0; moreBytesReceived && reads < MAX_FINAL_READS; reads++) {
+            moreBytesReceived = false;
+            ((AbstractNioChannel.NioUnsafe) context.channel().unsafe()).read();
+        }
+        return context.channel().isActive();
+    }
+
     @Override
     public void writeAnswer(FullHttpResponse response) {
         boolean staysOpen = keepAlive && !gateway.isDraining();
@@ -249,7 +281,12 @@
         head = null;
         body = null;
         relayed = new RelayedRequest(gateway, request, this);
-        relayed.start();
+        // The connection cannot be read again for isConnected while the decoder is in use.
+        if (reading) {
+            startPending = true;
+        } else {
+            relayed.start();
+        }
     }
 
     /** Resumes reading and processes the messages that arrived during the last request. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -248,6 +248,11 @@
         follower.activateRoutes();
     }
 
+    /** Returns the event loop on which all work of this process is done. */
+    EventLoop loop() {
+        return loop;
+    }
+
     private Channel listen(Address address, ChannelHandler channels) {
         return new ServerBootstrap()
                 .group(eventLoops)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -331,10 +331,12 @@
     }
 
     /**
-     * Returns the number of waiting requests for the same model that are served before this one.
+     * Returns the number of waiting requests for the same model that are served before this one, 0
+     * if its choice does not depend on them.
      */
-    int countWaitingBefore(RelayedRequest request) {
-        return waiting.countAhead(request);
+    int countWaitingBefore(RelayedRequest request, Choice choice) {
+        boolean queued = choice instanceof Choice.Full || choice instanceof Choice.HeldBack;
+        return queued ? waiting.countAhead(request) : 0;
     }
 
     /** Called when an instance has processed a prompt, so that it may accept another request. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -82,7 +82,7 @@
         log.setCustomer(rights.customer());
         need = request.need(route.chooseService(gateway.drawTicket()), rights.rank());
         finalAnswer.setNeed(need);
-        admission = newAdmission();
+        admission = times.admission(request.arrivedAt());
         gateway.requestArrived(need);
         waitingSince = BootClock.nanos();
         if (!trySend()) {
@@ -149,7 +149,7 @@
                         history.allowedInstances(),
                         times.remainingObjective(now),
                         now);
-        int ahead = isQueued(choice) ? gateway.countWaitingBefore(this) : 0;
+        int ahead = gateway.countWaitingBefore(this, choice);
         if (choice instanceof Choice.HeldBack held) {
             log.heldBack(held, ahead);
         }
@@ -181,10 +181,6 @@
         return true;
     }
 
-    private static boolean isQueued(Choice choice) {
-        return choice instanceof Choice.Full || choice instanceof Choice.HeldBack;
-    }
-
     /** Aborts the request, condemned while in flight, unless its answer has begun. */
     void abortCondemned() {
         if (!ended && !stream.hasBegun() && attempt != null) {
@@ -215,10 +211,6 @@
         }
     }
 
-    private Admission newAdmission() {
-        return times.admission(stream.hasBegun() ? BootClock.nanos() : request.arrivedAt());
-    }
-
     private void send(Instance instance, String why) {
         long now = BootClock.nanos();
         if (history.sendCount() > 0 && !gateway.tryAcquireRetry(need.service(), now)) {
@@ -273,8 +265,12 @@
     }
 
     @Override
-    public void onSending() {
-        history.recordSent(attempt.instance().id());
+    public boolean onSending() {
+        boolean connected = answers.isConnected();
+        if (connected) {
+            history.recordSent(attempt.instance().id());
+        }
+        return connected;
     }
 
     @Override
@@ -327,7 +323,11 @@
         Instance instance = endAttempt();
         log.attemptFailed(instance, failure.sent(), failure.reason(), stream.lastEventId());
         if (failure.stage() == CallFailure.Stage.WITHDRAWN) {
-            requeue("the instance wants nothing any more");
+            if (answers.isConnected()) {
+                requeue("the instance wants nothing any more");
+            } else {
+                callerDisconnected();
+            }
             return;
         }
         if (!failure.sent()) {
@@ -392,7 +392,7 @@
         }
         waitingSince = BootClock.nanos();
         waitReason = WaitReason.NOTHING;
-        admission = newAdmission();
+        admission = times.admission(stream.hasBegun() ? BootClock.nanos() : request.arrivedAt());
         if (!trySend()) {
             gateway.addWaiting(this);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -81,11 +81,8 @@
     @Override
     public boolean sending() {
         // Checked again: connecting may take time, and the instance may drain or rest by now.
-        boolean mayWrite = gateway.dispatcher().mayWrite(instance.id(), BootClock.nanos());
-        if (mayWrite) {
-            listener.onSending();
-        }
-        return mayWrite;
+        return gateway.dispatcher().mayWrite(instance.id(), BootClock.nanos())
+                && listener.onSending();
     }
 
     @Override
