Leave the host's own delay out of what is learned of instances

A busy or suspended entry host writes requests and reads answers late. The time until the first event, which the prompt window, the prefill rate and the mean duration are learned from, included that delay, and so did the silence after which an instance is avoided: the host took an engine for slow because it was slow itself.

LoopDelayMeter measures by the lateness of a task that is due every 20 ms how long the event loop may have left something unnoticed. The dispatcher subtracts that for the write and for the read. The prefill rate takes no sample of which the host's own delay is more than half. A dispatcher without a meter, or whose meter has no ticks, learns as before, and delays of up to 5 ms count as none.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.route.EngineSpec;
 import java.time.Duration;
@@ -32,6 +33,7 @@
  */
 public final class Dispatcher {
 
+    private final LoopDelayMeter hostDelay;
     private final Map<UpstreamId, Instance> instances = new LinkedHashMap<>();
     private final Map<UpstreamId, InstanceLoad> loads = new HashMap<>();
     private final ResidencyEstimate residency = new ResidencyEstimate();
@@ -41,13 +43,23 @@
     private final Backpressure backpressure;
     private final InstanceSelector selector;
 
+    /** Creates a dispatcher of a host that does not measure its own delay. */
+    public Dispatcher(ZoneId zone, Backpressure backpressure, RandomGenerator random) {
+        this(zone, backpressure, new LoopDelayMeter(), random);
+    }
+
     /**
      * Creates a dispatcher that knows no instances.
      *
-     * @param zone the zone of this host
      * @param backpressure the limits and rests that instances have asked of this host
+     * @param hostDelay the delay of this host, which is not attributed to the instances
      */
-    public Dispatcher(ZoneId zone, Backpressure backpressure, RandomGenerator random) {
+    public Dispatcher(
+            ZoneId zone,
+            Backpressure backpressure,
+            LoopDelayMeter hostDelay,
+            RandomGenerator random) {
+        this.hostDelay = hostDelay;
         this.coldLimiter = new ColdInstanceLimiter(random);
         this.backpressure = backpressure;
         this.selector =
@@ -209,11 +221,11 @@
         }
         InstanceLoad load = load(inFlight.instance());
         load.responseStarted(inFlight.uncachedTokens(), inFlight.startedAt());
-        load.recordFirstEvent(
-                inFlight.startedAt(), now, services.objective(inFlight.need().service()));
-        if (inFlight.nothingUnread()) {
-            services.prefillRate(inFlight.need().service())
-                    .addSample(inFlight.uncachedTokens(), now - inFlight.startedAt());
+        ServiceName service = inFlight.need().service();
+        long nanos = inFlight.upstreamNanos(hostDelay, now);
+        load.recordFirstEvent(nanos, services.objective(service));
+        if (inFlight.nothingUnread() && 2 * nanos >= now - inFlight.startedAt()) {
+            services.prefillRate(service).addSample(inFlight.uncachedTokens(), nanos);
         }
         load.resetBackoff();
         backpressure.answered(inFlight.instance(), inFlight.startedAt());
@@ -303,7 +315,7 @@
             load.unservedRequestEnded();
             backpressure.unanswered(inFlight.instance(), inFlight.startedAt());
         } else {
-            load.servedRequestEnded(now - inFlight.startedAt());
+            load.servedRequestEnded(inFlight.upstreamNanos(hostDelay, now));
         }
     }
 
@@ -355,24 +367,17 @@
     public Map<UpstreamId, Integer> unreadTokens() {
         Map<UpstreamId, Integer> all = new HashMap<>();
         loads.forEach(
-                (id, load) -> {
-                    if (load.ownUnreadTokens() > 0) {
-                        all.put(id, (int) Math.min(Integer.MAX_VALUE, load.ownUnreadTokens()));
-                    }
-                });
+                (id, load) ->
+                        all.put(id, Math.clamp(load.ownUnreadTokens(), 0, Integer.MAX_VALUE)));
+        all.values().removeIf(tokens -> tokens == 0);
         return all;
     }
 
     /** Returns the work of this host at each instance, and the answers since the last call. */
     public Map<UpstreamId, InstanceWork> takeWork() {
         Map<UpstreamId, InstanceWork> all = new HashMap<>();
-        loads.forEach(
-                (id, load) -> {
-                    InstanceWork work = load.takeWork();
-                    if (!work.isNothing()) {
-                        all.put(id, work);
-                    }
-                });
+        loads.forEach((id, load) -> all.put(id, load.takeWork()));
+        all.values().removeIf(InstanceWork::isNothing);
         return all;
     }
 
@@ -387,7 +392,7 @@
      */
     private InstanceLoad load(UpstreamId id) {
         return instances.containsKey(id)
-                ? loads.computeIfAbsent(id, key -> new InstanceLoad())
-                : new InstanceLoad();
+                ? loads.computeIfAbsent(id, key -> new InstanceLoad(hostDelay))
+                : new InstanceLoad(hostDelay);
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.dispatch;
 
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.overload.LoopDelayMeter;
 
 /** A request that is being sent to, or is running at, an instance. */
 public final class InFlightRequest {
@@ -10,6 +11,7 @@
     private final long uncachedTokens;
     private final boolean nothingUnread;
     private final long startedAt;
+    private long writeDelay;
     private boolean answered;
     private boolean ended;
 
@@ -39,6 +41,21 @@
         return startedAt;
     }
 
+    /**
+     * Records that the request is written to its instance.
+     *
+     * @param hostDelay how long this host has held it up, in nanoseconds
+     */
+    public void recordWritten(long hostDelay) {
+        writeDelay = hostDelay;
+    }
+
+    /** Returns the time since the request was sent, without the delay of this host. */
+    long upstreamNanos(LoopDelayMeter hostDelay, long now) {
+        long since = startedAt + writeDelay;
+        return Math.max(0, now - since - hostDelay.unnoticedNanos(since, now));
+    }
+
     /** Returns the prompt tokens that the instance was expected to process. */
     long uncachedTokens() {
         return uncachedTokens;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -1,5 +1,6 @@
 package io.stackhall.core.dispatch;
 
+import io.stackhall.core.overload.LoopDelayMeter;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -55,6 +56,7 @@
      */
     private static final int REMEMBERED_PARTS = 256;
 
+    private final LoopDelayMeter hostDelay;
     private final Deque<Long> unanswered = new ArrayDeque<>();
     private final PromptWindow promptWindow = new PromptWindow();
     private final Map<String, Long> processedParts =
@@ -84,6 +86,11 @@
     private int consecutiveFailures;
     private double failureShare;
 
+    /** Creates the load of an instance that has no requests, at a host with the given delay. */
+    InstanceLoad(LoopDelayMeter hostDelay) {
+        this.hostDelay = hostDelay;
+    }
+
     void requestSent(long tokens, long now) {
         running++;
         ownUnreadTokens += tokens;
@@ -94,12 +101,13 @@
     /**
      * Records the first event of a request.
      *
+     * @param nanos the time that the instance took for it
      * @param objective the shortest latency objective of the routes that lead to the instance
      */
-    void recordFirstEvent(long startedAt, long now, Duration objective) {
-        promptWindow.recordFirstEvent(now - startedAt, objective);
+    void recordFirstEvent(long nanos, Duration objective) {
+        promptWindow.recordFirstEvent(nanos, objective);
         answers++;
-        slowAnswers += PromptWindow.isSlow(now - startedAt, objective) ? 1 : 0;
+        slowAnswers += PromptWindow.isSlow(nanos, objective) ? 1 : 0;
     }
 
     /** Returns the work to report to other hosts, and resets the counts of answers. */
@@ -242,7 +250,11 @@
 
     /** Returns whether a request has waited for its first answer for longer than the given time. */
     boolean isSilentFor(long nanos, long now) {
-        return !unanswered.isEmpty() && now - unanswered.peekFirst() > nanos;
+        if (unanswered.isEmpty()) {
+            return false;
+        }
+        long since = unanswered.peekFirst();
+        return now - since - hostDelay.unnoticedNanos(since, now) > nanos;
     }
 
     int running() {
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoopDelayMeter.java
@@ -0,0 +1,82 @@
+package io.stackhall.core.overload;
+
+import java.time.Duration;
+import java.util.Arrays;
+
+/**
+ * Measures how late an event loop runs what is due, by the lateness of a periodic task.
+ *
+ * <p>Times named {@code now} are on the monotonic clock, in nanoseconds.
+ *
+ * <p>Not thread-safe: used by one thread.
+ */
+public final class LoopDelayMeter {
+
+    /** Time from one tick to the next on an event loop that is not delayed. */
+    public static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+
+    /** Timers of an idle event loop are late by up to this much. */
+    private static final long NOISE_NANOS = Duration.ofMillis(5).toNanos();
+
+    /**
+     * Number of ticks in the estimate. The latest one of them is left out: a suspension or a long
+     * garbage collection delays one tick, whatever its length, and an overload delays all.
+     */
+    private static final int WINDOW = 3;
+
+    /** Without a tick for this long, the estimate says nothing about the present. */
+    private static final long ESTIMATE_VALIDITY_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Without a tick for this long, the periodic task is assumed to have failed. */
+    private static final long MAX_DELAY_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private final long[] delays = new long[WINDOW];
+    private int ticks;
+    private long tickedAt;
+    private long lastDelay;
+
+    /** Records that the periodic task runs; it is due one interval after its last run. */
+    public void tick(long now) {
+        lastDelay = ticks == 0 ? 0 : pendingDelay(now);
+        delays[ticks % WINDOW] = lastDelay;
+        ticks++;
+        tickedAt = now;
+    }
+
+    /** Returns the delay of the latest tick. */
+    public Duration lastDelay() {
+        return Duration.ofNanos(lastDelay);
+    }
+
+    /**
+     * Returns the delay that a step of this host is expected to have: the mean of the latest ticks
+     * without the longest of them; zero if there are no ticks.
+     */
+    public Duration expectedDelay(long now) {
+        if (ticks == 0 || now - tickedAt > ESTIMATE_VALIDITY_NANOS) {
+            return Duration.ZERO;
+        }
+        long sum = Arrays.stream(delays).sum();
+        long longest = Arrays.stream(delays).max().orElse(0);
+        return Duration.ofNanos((sum - longest) / (WINDOW - 1));
+    }
+
+    /**
+     * Returns for how long this host may have failed to notice what it notices now.
+     *
+     * @param moment the earliest time at which it can have happened
+     */
+    public long unnoticedNanos(long moment, long now) {
+        if (ticks == 0 || now - tickedAt > MAX_DELAY_NANOS) {
+            return 0;
+        }
+        // What happened during the last delay is noticed up to one iteration after the tick.
+        long last = tickedAt - moment > 0 ? lastDelay : 0;
+        return Math.clamp(now - moment, 0, Math.max(last, pendingDelay(now)));
+    }
+
+    private long pendingDelay(long now) {
+        long delay = now - tickedAt - TICK_INTERVAL.toNanos();
+        return delay < NOISE_NANOS ? 0 : delay;
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -21,6 +21,7 @@
 import io.stackhall.core.dispatch.RetryLimiter;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.limit.LimitedUpstreams;
+import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.HostPauseDetector;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
@@ -95,6 +96,7 @@
     private final PeerTransport transport;
     private final ControlHosts controlHosts;
     private final Gateway gateway;
+    private final LoopDelayTask loopDelayTask;
     private final ControlSubscriber follower;
     private final EntryReporter reports;
     private final UpstreamClient upstreams;
@@ -117,12 +119,16 @@
         UpstreamLimitClient upstreamLimits =
                 new UpstreamLimitClient(
                         settings.peerName(), loop, limited, new ControlConnections(), fleetMetrics);
+        LoopDelayMeter loopDelay = new LoopDelayMeter();
+        this.loopDelayTask = new LoopDelayTask(loop, loopDelay, fleetMetrics);
         this.gateway =
                 new Gateway(
                         loop,
+                        loopDelay,
                         new Dispatcher(
                                 settings.zone(),
                                 new Backpressure(limited, new RestingUpstreams(random)),
+                                loopDelay,
                                 random),
                         upstreams,
                         new RetryLimiter(
@@ -152,6 +158,7 @@
         metricsChannel =
                 settings.metrics()
                         .map(at -> SimpleHttpServer.listen(eventLoops, at, this::metricsAnswer));
+        loopDelayTask.start();
         RepeatedTask.every(loop, SYNC_INTERVAL_MILLIS, this::synchronize);
         RepeatedTask.every(loop, DEMAND_INTERVAL_MILLIS, reports::reportDemand);
         RepeatedTask.every(loop, WORK_CHECK_INTERVAL_MILLIS, reports::reportWork);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.CallerLimits;
@@ -46,6 +47,7 @@
     private static final long RECHECK_INTERVAL_MILLIS = 25;
 
     private final EventLoop loop;
+    private final LoopDelayMeter loopDelay;
     private final Dispatcher dispatcher;
     private final UpstreamClient upstreams;
     private final RetryLimiter retryLimiter;
@@ -70,6 +72,7 @@
 
     Gateway(
             EventLoop loop,
+            LoopDelayMeter loopDelay,
             Dispatcher dispatcher,
             UpstreamClient upstreams,
             RetryLimiter retries,
@@ -80,6 +83,7 @@
             FleetMetrics metrics,
             RandomGenerator random) {
         this.loop = loop;
+        this.loopDelay = loopDelay;
         this.dispatcher = dispatcher;
         this.upstreams = upstreams;
         this.retryLimiter = retries;
@@ -244,6 +248,10 @@
         return loop;
     }
 
+    LoopDelayMeter loopDelay() {
+        return loopDelay;
+    }
+
     Dispatcher dispatcher() {
         return dispatcher;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -81,8 +81,9 @@
     @Override
     public boolean sending() {
         // Checked again: connecting may take time, and the instance may drain or rest by now.
-        return gateway.dispatcher().mayWrite(instance.id(), BootClock.nanos())
-                && listener.onSending();
+        long now = BootClock.nanos();
+        inFlight.recordWritten(gateway.loopDelay().unnoticedNanos(inFlight.startedAt(), now));
+        return gateway.dispatcher().mayWrite(instance.id(), now) && listener.onSending();
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -60,6 +60,12 @@
                     .labelNames("until")
                     .classicOnly()
                     .register(registry);
+    private final Histogram loopDelays =
+            Histogram.builder()
+                    .name("stackhall_loop_delay_seconds")
+                    .help("How late the event loop ran a periodic task, where it was late at all.")
+                    .classicOnly()
+                    .register(registry);
     private final Gauge values =
             Gauge.builder()
                     .name("stackhall_fleet_state")
@@ -99,6 +105,11 @@
         seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
     }
 
+    /** Notes how late the event loop ran a periodic task. */
+    public void loopDelayed(double late) {
+        loopDelays.observe(late);
+    }
+
     /** Sets a value of the process's state. */
     public void state(String name, double value) {
         values.labelValues(name).set(value);
