Refuse requests on arrival while an entry host is overloaded

An entry host with a fraction of a core admitted all requests while it was too slow for them, in the first seconds after its start for example, so that all were late and many were refused only after 0.1 to 1 s, when their work had been done in part.

LoadShedder decides by the delay of the event loop which arriving requests are refused. Nothing is refused while four steps of that delay take less than half of the shortest latency objective of all routes. Beyond that the share of the least urgent rank rises with the delay, and is whole before the delay endangers the objectives of a more urgent rank. A retry delay is 75 to 100% of a third of the request's remaining time. The decision is made before the request's digest, key and allowance are looked at, without a log line and from a prepared body. Hosts with a processorShare of 0.5 or more, the default included, have no load shedding, and nothing is refused without recent ticks.

--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
@@ -0,0 +1,166 @@
+package io.stackhall.core.overload;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides which arriving requests an overloaded host refuses, so that those it admits are in time.
+ *
+ * <p>The share of refused requests follows the delay of the host's own event loop. Nothing is
+ * refused while the shortest latency objective is reachable. Beyond that, the least urgent rank is
+ * refused first, all of it before the delay endangers the objectives of more urgent ranks.
+ *
+ * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
+ * one thread.
+ */
+public final class LoadShedder {
+
+    /** Steps of a request that wait for the event loop: accept, read, connect and answer. */
+    private static final int STEPS = 4;
+
+    /** Share of the shortest latency objective that the host's own steps may take. */
+    private static final double OBJECTIVE_SHARE = 0.5;
+
+    /** A rank is refused entirely at no less than this multiple of the delay where that begins. */
+    private static final double MIN_RANGE = 2;
+
+    /** Smooths the delay, since a refusal affects it only some ticks later. */
+    private static final double RISE_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** Longer than the rise, so that the backlog is worked off before requests are admitted. */
+    private static final double FALL_NANOS = Duration.ofMillis(600).toNanos();
+
+    /** Time without refusals after which load shedding counts as ended. */
+    private static final long QUIET_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Without an update for this long, the delay is unknown and nothing is refused. */
+    private static final long VALIDITY_NANOS = Duration.ofSeconds(2).toNanos();
+
+    /** Share of a request's remaining time that its retry delay may take. */
+    private static final int REMAINING_TIME_DIVISOR = 3;
+
+    /**
+     * Part of the longest retry delay over which retries are spread. It is small because each retry
+     * during an overload costs processor time that the admitted requests lack.
+     */
+    private static final double RETRY_SPREAD = 0.25;
+
+    private final RandomGenerator random;
+    private final NavigableMap<Integer, Range> ranges = new TreeMap<>();
+    private double smoothedNanos;
+    private long updatedAt;
+    private boolean shedding;
+    private long lastRefusedAt;
+    private long refused;
+
+    /** The delays in nanoseconds from which on some, and all, requests of a rank are refused. */
+    private record Range(double from, double to) {
+        double share(double delay) {
+            return Math.clamp((delay - from) / (to - from), 0, 1);
+        }
+    }
+
+    /** What an update changes. */
+    public enum Change {
+        NONE,
+        STARTED,
+        ENDED
+    }
+
+    /** Creates a controller that refuses nothing until it knows latency objectives. */
+    public LoadShedder(RandomGenerator random) {
+        this.random = random;
+    }
+
+    /** Sets the shortest latency objective of the routes of each rank, 0 being the most urgent. */
+    public void setObjectives(Map<Integer, Duration> shortest) {
+        ranges.clear();
+        NavigableMap<Integer, Double> tolerated = new TreeMap<>();
+        double strictest = Double.POSITIVE_INFINITY;
+        for (Map.Entry<Integer, Duration> rank : new TreeMap<>(shortest).entrySet()) {
+            strictest = Math.min(strictest, rank.getValue().toNanos() * OBJECTIVE_SHARE / STEPS);
+            tolerated.put(rank.getKey(), strictest);
+        }
+        double from = 0;
+        for (Map.Entry<Integer, Double> rank : tolerated.descendingMap().entrySet()) {
+            from = Math.max(from, rank.getValue());
+            Map.Entry<Integer, Double> moreUrgent = tolerated.lowerEntry(rank.getKey());
+            double to = Math.max(from * MIN_RANGE, moreUrgent == null ? 0 : moreUrgent.getValue());
+            ranges.put(rank.getKey(), new Range(from, to));
+            from = to;
+        }
+    }
+
+    /**
+     * Adjusts the shares of refused requests.
+     *
+     * @param delay the expected delay of one step of this host
+     */
+    public Change update(Duration delay, long now) {
+        double elapsed = Math.max(0, now - updatedAt);
+        updatedAt = now;
+        double time = delay.toNanos() > smoothedNanos ? RISE_NANOS : FALL_NANOS;
+        smoothedNanos += (delay.toNanos() - smoothedNanos) * -Math.expm1(-elapsed / time);
+        boolean refuses = !ranges.isEmpty() && smoothedNanos > ranges.lastEntry().getValue().from();
+        if (refuses) {
+            lastRefusedAt = now;
+        }
+        if (refuses && !shedding) {
+            shedding = true;
+            refused = 0;
+            return Change.STARTED;
+        }
+        if (shedding && now - lastRefusedAt > QUIET_NANOS) {
+            shedding = false;
+            return Change.ENDED;
+        }
+        return Change.NONE;
+    }
+
+    /** Returns whether requests may be refused: load shedding has started, and goes on. */
+    public boolean isShedding(long now) {
+        return shedding && now - updatedAt <= VALIDITY_NANOS;
+    }
+
+    /** Returns the share of the requests of a rank that is refused now. */
+    public double share(int rank) {
+        Map.Entry<Integer, Range> range = ranges.floorEntry(rank);
+        return range == null ? 0 : range.getValue().share(smoothedNanos);
+    }
+
+    /**
+     * Decides on a request that has arrived.
+     *
+     * @param rank its urgency, 0 being the most urgent
+     * @param remaining the time until its deadline
+     * @return the retry delay if it is refused, or empty if it is admitted
+     */
+    public Optional<Duration> refuse(int rank, Duration remaining, long now) {
+        if (!isShedding(now) || !remaining.isPositive() || random.nextDouble() >= share(rank)) {
+            return Optional.empty();
+        }
+        refused++;
+        return Optional.of(retryDelay(remaining));
+    }
+
+    /** Returns a random retry delay, since requests that are refused together should not return. */
+    private Duration retryDelay(Duration remaining) {
+        long longest = remaining.toNanos() / REMAINING_TIME_DIVISOR;
+        long earlier = Math.round(random.nextDouble() * longest * RETRY_SPREAD);
+        return Duration.ofNanos(longest - earlier);
+    }
+
+    /** Returns how many requests have been refused since load shedding started. */
+    public long refused() {
+        return refused;
+    }
+
+    /** Returns the smoothed delay on which the shares depend. */
+    public Duration delay() {
+        return Duration.ofNanos(Math.round(smoothedNanos));
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/overload/OverloadReplay.java
@@ -0,0 +1,163 @@
+package io.stackhall.core.overload;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.DoubleUnaryOperator;
+
+/**
+ * One event loop that runs the steps of requests: it reads a request, sends it, reads the first
+ * event and the end. Times are in milliseconds. A refused caller returns after its retry delay
+ * until its deadline has passed.
+ */
+final class OverloadReplay {
+
+    private static final double ROUND_TRIP = 1;
+    private static final double ENGINE_TIME = 40;
+    private static final int STEPS = 4;
+
+    /** Part of the work on a request that a refused one takes as well: read, parse and answer. */
+    private static final double REFUSAL_SHARE = 0.15;
+
+    private final Random random = new Random(1);
+    private final LoopDelayMeter meter = new LoopDelayMeter();
+    private final LoadShedder shedder = new LoadShedder(random);
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::at));
+    private final List<Caller> callers = new ArrayList<>();
+    private final boolean sheds;
+    private final DoubleUnaryOperator work;
+    private double now;
+    private double tickDue;
+    private double lastRefusalAt = -1;
+
+    /** A kind of request. */
+    record Kind(int rank, double objective, double deadline) {}
+
+    /** One request of a caller, over all its tries. */
+    static final class Caller {
+        private final Kind kind;
+        private final double startedAt;
+        private double answeredAt = Double.POSITIVE_INFINITY;
+        private int refusals;
+
+        Caller(Kind kind, double startedAt) {
+            this.kind = kind;
+            this.startedAt = startedAt;
+        }
+
+        boolean inTime() {
+            return answeredAt - startedAt <= kind.objective();
+        }
+
+        int refusals() {
+            return refusals;
+        }
+
+        Kind kind() {
+            return kind;
+        }
+
+        boolean startedWithin(double from, double to) {
+            return startedAt >= from && startedAt < to;
+        }
+    }
+
+    private record Event(double at, int step, Caller caller) {}
+
+    /**
+     * Creates a host without requests.
+     *
+     * @param sheds whether it refuses requests while it is overloaded
+     * @param work the time that all steps of one request take together, by the time of day
+     */
+    OverloadReplay(boolean sheds, Map<Integer, Duration> objectives, DoubleUnaryOperator work) {
+        this.sheds = sheds;
+        this.work = work;
+        shedder.setObjectives(objectives);
+    }
+
+    /** Adds a request. */
+    void add(Kind kind, double at) {
+        Caller caller = new Caller(kind, at);
+        callers.add(caller);
+        events.add(new Event(at, 0, caller));
+    }
+
+    /** Suspends the host from the present for some time, in which it runs nothing. */
+    void suspend(double time) {
+        now += time;
+    }
+
+    /** Runs the event loop up to a time. */
+    void runTo(double end) {
+        while (now < end) {
+            List<Event> ready = new ArrayList<>();
+            while (!events.isEmpty() && events.peek().at() <= now) {
+                ready.add(events.poll());
+            }
+            ready.forEach(this::process);
+            if (now >= tickDue) {
+                meter.tick(nanos(now));
+                shedder.update(meter.expectedDelay(nanos(now)), nanos(now));
+                tickDue = now + LoopDelayMeter.TICK_INTERVAL.toMillis();
+            }
+            double next = events.isEmpty() ? end : events.peek().at();
+            now = Math.max(now, Math.min(next, tickDue));
+        }
+    }
+
+    private void process(Event event) {
+        double cost = work.applyAsDouble(now);
+        Caller caller = event.caller();
+        if (event.step() == 0 && sheds) {
+            Duration remaining = duration(caller.startedAt + caller.kind.deadline() - now);
+            Optional<Duration> retry = shedder.refuse(caller.kind.rank(), remaining, nanos(now));
+            if (retry.isPresent()) {
+                refuse(caller, cost, retry.get());
+                return;
+            }
+        }
+        now += cost / STEPS;
+        switch (event.step()) {
+            case 0 -> events.add(new Event(now + ROUND_TRIP, 1, caller));
+            case 1 -> events.add(new Event(now + ENGINE_TIME, 2, caller));
+            case 2 -> {
+                caller.answeredAt = now;
+                events.add(new Event(now + ROUND_TRIP, 3, caller));
+            }
+            default -> {}
+        }
+    }
+
+    private void refuse(Caller caller, double cost, Duration delay) {
+        now += cost * REFUSAL_SHARE;
+        lastRefusalAt = now;
+        caller.refusals++;
+        double again = now + delay.toNanos() / 1e6;
+        if (again + ENGINE_TIME < caller.startedAt + caller.kind.deadline()) {
+            events.add(new Event(again, 0, caller));
+        }
+    }
+
+    List<Caller> callers() {
+        return callers;
+    }
+
+    double lastRefusalAt() {
+        return lastRefusalAt;
+    }
+
+    private static long nanos(double millis) {
+        return Math.round(millis * 1e6);
+    }
+
+    private static Duration duration(double millis) {
+        return Duration.ofNanos(nanos(millis));
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -21,6 +21,10 @@
 final class Answers {
 
     private static final double MILLIS_PER_SECOND = 1000.0;
+    private static final long MILLIS_PER_HUNDREDTH = 10;
+    private static final long HUNDREDTHS = 100;
+    private static final byte[] OVERLOADED =
+            "{\"error\":\"this host is overloaded\"}".getBytes(StandardCharsets.US_ASCII);
 
     /** Headers that are not relayed: hop-by-hop headers, and those that this host sets itself. */
     private static final List<CharSequence> CONNECTION_HEADERS =
@@ -61,6 +65,27 @@
         return response;
     }
 
+    /**
+     * Returns the refusal of a request by an overloaded host. Its cost matters more than that of
+     * others, so nothing is formatted. The retry delay is rounded down, to stay below its maximum.
+     */
+    static FullHttpResponse overloaded(String requestId, Duration retryAfter) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        Unpooled.wrappedBuffer(OVERLOADED));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        if (!requestId.isEmpty()) {
+            response.headers().set(Headers.REQUEST_ID, requestId);
+        }
+        long hundredths = retryAfter.toMillis() / MILLIS_PER_HUNDREDTH;
+        long fraction = hundredths % HUNDREDTHS;
+        String seconds = hundredths / HUNDREDTHS + (fraction < 10 ? ".0" : ".") + fraction;
+        response.headers().set(Headers.RETRY_AFTER, seconds);
+        return response;
+    }
+
     /** Returns whether an upstream reports that it has not run the request. */
     static boolean reportsNotRun(HttpResponse head) {
         return head.headers().contains(Headers.NOT_RUN)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -27,6 +27,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -280,6 +281,11 @@
         keepAlive = HttpUtil.isKeepAlive(head);
         head = null;
         body = null;
+        Optional<FullHttpResponse> refusal = gateway.shed(request);
+        if (refusal.isPresent()) {
+            writeAnswer(refusal.get());
+            return;
+        }
         relayed = new RelayedRequest(gateway, request, this);
         // The connection cannot be read again for isConnected while the decoder is in use.
         if (reading) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -21,6 +21,7 @@
 import io.stackhall.core.dispatch.RetryLimiter;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.limit.LimitedUpstreams;
+import io.stackhall.core.overload.LoadShedder;
 import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.HostPauseDetector;
 import io.stackhall.platform.Calls;
@@ -84,6 +85,12 @@
      */
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
+    /**
+     * Hosts with less than this share of a core refuse requests while they are overloaded. Others
+     * are so only for moments in which their callers are better served late.
+     */
+    private static final double LOAD_SHEDDING_PROCESSOR_SHARE = 0.5;
+
     private static final int ACCEPT_BACKLOG = 512;
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -120,7 +127,11 @@
                 new UpstreamLimitClient(
                         settings.peerName(), loop, limited, new ControlConnections(), fleetMetrics);
         LoopDelayMeter loopDelay = new LoopDelayMeter();
-        this.loopDelayTask = new LoopDelayTask(loop, loopDelay, fleetMetrics);
+        LoadShedding shedding = new LoadShedding(loopDelay, new LoadShedder(random), fleetMetrics);
+        boolean sheds = limits.processorShare() < LOAD_SHEDDING_PROCESSOR_SHARE;
+        this.loopDelayTask =
+                new LoopDelayTask(
+                        loop, loopDelay, fleetMetrics, sheds ? shedding::update : now -> {});
         this.gateway =
                 new Gateway(
                         loop,
@@ -142,6 +153,9 @@
                         upstreamLimits,
                         fleetMetrics,
                         random);
+        if (sheds) {
+            gateway.setLoadShedding(shedding);
+        }
         this.follower =
                 new ControlSubscriber(settings, loop, transport, controlHosts, gateway, random);
         this.reports = new EntryReporter(settings, gateway, follower);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.Need;
@@ -27,6 +28,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -62,6 +64,7 @@
     private final UpstreamLimitClient upstreamLimits;
     private final UpstreamAnnouncements upstreamAnnouncements;
     private final LineBudget lineBudget = new LineBudget();
+    private Optional<LoadShedding> loadShedding = Optional.empty();
     private RouteTable routes;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
     private boolean draining;
@@ -116,10 +119,21 @@
         dispatcher.setObjectives(next.shortestLatencyObjectives());
         dispatcher.setColdRequestsPerSecond(next.coldRequestRates());
         customers.setCustomers(next.customers());
+        loadShedding.ifPresent(shedding -> shedding.setRoutes(next));
         firstRoutes.resumeAll();
         dispatchWaiting();
     }
 
+    /** Sets how this host refuses requests while it is overloaded, before it has routes. */
+    void setLoadShedding(LoadShedding shedding) {
+        loadShedding = Optional.of(shedding);
+    }
+
+    /** Returns the refusal of an arriving request, if this host is too overloaded to admit it. */
+    Optional<FullHttpResponse> shed(CallerRequest request) {
+        return loadShedding.flatMap(shedding -> shedding.refuse(request, BootClock.nanos()));
+    }
+
     /** Applies a change of an instance. */
     void instanceChanged(Instance instance) {
         logChange(instance);
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoadShedding.java
@@ -0,0 +1,73 @@
+package io.stackhall.server.gateway;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.stackhall.core.overload.LoadShedder;
+import io.stackhall.core.overload.LoopDelayMeter;
+import io.stackhall.core.route.Route;
+import io.stackhall.core.route.RouteTable;
+import io.stackhall.server.metrics.FleetMetrics;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Refuses arriving requests while this host's event loop is overloaded. */
+final class LoadShedding {
+
+    private static final Logger logger = LogManager.getLogger(LoadShedding.class);
+
+    private final LoopDelayMeter meter;
+    private final LoadShedder shedder;
+    private final FleetMetrics metrics;
+    private RouteTable routes;
+
+    LoadShedding(LoopDelayMeter meter, LoadShedder shedder, FleetMetrics metrics) {
+        this.meter = meter;
+        this.shedder = shedder;
+        this.metrics = metrics;
+    }
+
+    /** Sets the routes, whose latency objectives determine from which delay on to refuse. */
+    void setRoutes(RouteTable next) {
+        routes = next;
+        Map<Integer, Duration> objectives = new HashMap<>();
+        for (Route route : next.routes()) {
+            objectives.merge(
+                    route.rank(),
+                    route.latencyObjective(),
+                    (one, other) -> one.compareTo(other) < 0 ? one : other);
+        }
+        shedder.setObjectives(objectives);
+    }
+
+    /** Follows the measured delay; called after each tick of the meter. */
+    void update(long now) {
+        switch (shedder.update(meter.expectedDelay(now), now)) {
+            case STARTED ->
+                    logger.info("load-shedding.started delayMs={}", shedder.delay().toMillis());
+            case ENDED -> logger.info("load-shedding.ended refused={}", shedder.refused());
+            case NONE -> {}
+        }
+    }
+
+    /**
+     * Returns the refusal of a request that has arrived, or empty if it is admitted. The rank is
+     * that of its route: verifying its customer's key would cost more than the refusal saves.
+     */
+    Optional<FullHttpResponse> refuse(CallerRequest request, long now) {
+        if (!shedder.isShedding(now)) {
+            return Optional.empty();
+        }
+        Optional<Route> route = routes.find(request.authority(), request.target());
+        if (route.isEmpty()) {
+            return Optional.empty();
+        }
+        int rank = route.get().rank();
+        long remaining = RequestDeadlines.of(request, route.get()).deadlineAt() - now;
+        Optional<Duration> retryAfter = shedder.refuse(rank, Duration.ofNanos(remaining), now);
+        retryAfter.ifPresent(ignored -> metrics.requestShed(rank));
+        return retryAfter.map(delay -> Answers.overloaded(request.id(), delay));
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopDelayTask.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopDelayTask.java
@@ -6,6 +6,7 @@
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -19,11 +20,18 @@
     private final EventLoop loop;
     private final LoopDelayMeter meter;
     private final FleetMetrics metrics;
-
-    LoopDelayTask(EventLoop loop, LoopDelayMeter meter, FleetMetrics metrics) {
+    private final LongConsumer onTick;
+
+    /**
+     * Creates a task that is not started yet.
+     *
+     * @param onTick called with the time after each tick of the meter
+     */
+    LoopDelayTask(EventLoop loop, LoopDelayMeter meter, FleetMetrics metrics, LongConsumer onTick) {
         this.loop = loop;
         this.meter = meter;
         this.metrics = metrics;
+        this.onTick = onTick;
     }
 
     /** Starts to measure. */
@@ -35,6 +43,7 @@
         long now = BootClock.nanos();
         try {
             meter.tick(now);
+            onTick.accept(now);
             Duration delay = meter.lastDelay();
             if (delay.isPositive()) {
                 metrics.loopDelayed(delay.toNanos() / NANOS_PER_SECOND);
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -53,6 +53,12 @@
                     .help("Requests for upstreams that want rest, by what became of them.")
                     .labelNames("outcome")
                     .register(registry);
+    private final Counter shedRequests =
+            Counter.builder()
+                    .name("stackhall_requests_shed_total")
+                    .help("Requests refused on arrival by an overloaded host, by rank.")
+                    .labelNames("rank")
+                    .register(registry);
     private final Histogram seconds =
             Histogram.builder()
                     .name("stackhall_relay_seconds")
@@ -105,6 +111,11 @@
         seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
     }
 
+    /** Notes a request that was refused on arrival since this host is overloaded. */
+    public void requestShed(int rank) {
+        shedRequests.labelValues(Integer.toString(rank)).inc();
+    }
+
     /** Notes how late the event loop ran a periodic task. */
     public void loopDelayed(double late) {
         loopDelays.observe(late);
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -63,7 +63,7 @@
                 new FleetSettings.Control(api(ip), folder.resolve("control-" + number));
         ControlDaemon daemon =
                 new ControlDaemon(
-                        settings("control-" + number, ip, control, firstStart),
+                        settings("control-" + number, ip, control, firstStart, 1),
                         control,
                         BootClock.nanos());
         daemon.start();
@@ -73,12 +73,19 @@
 
     /** Starts one entry host, which lives at 127.0.4.number. */
     public EntryDaemon startEntry(int number) {
+        return startEntry(number, 1);
+    }
+
+    /** Starts one entry host that may use only a share of a core. */
+    public EntryDaemon startEntry(int number, double processorShare) {
         String ip = "127.0.4." + number;
         FleetSettings.Entry entry =
                 new FleetSettings.Entry(
                         new Address(ip, port + CALLERS_OFFSET),
                         new Address(ip, port + READINESS_OFFSET));
-        EntryDaemon daemon = new EntryDaemon(settings("entry-" + number, ip, entry, true), entry);
+        EntryDaemon daemon =
+                new EntryDaemon(
+                        settings("entry-" + number, ip, entry, true, processorShare), entry);
         daemon.start();
         daemons.add(daemon);
         return daemon;
@@ -191,7 +198,11 @@
     }
 
     private FleetSettings settings(
-            String name, String ip, FleetSettings.Role role, boolean firstStart) {
+            String name,
+            String ip,
+            FleetSettings.Role role,
+            boolean firstStart,
+            double processorShare) {
         return new FleetSettings(
                 new HostId(name),
                 new ZoneId("plateau"),
@@ -211,7 +222,7 @@
                         1,
                         Optional.of(KEY_REVOCATION),
                         new LimitTolerance(Duration.ofSeconds(8), 0.1, 2),
-                        1),
+                        processorShare),
                 Optional.empty());
     }
 
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/LoadSheddingTest.java
@@ -0,0 +1,139 @@
+package io.stackhall.server.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.server.fleet.LocalFleet;
+import io.stackhall.server.fleet.RawHttp;
+import io.stackhall.server.fleet.ScriptedUpstream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Requests to entry hosts whose event loop is delayed by 300 ms in each iteration. */
+class LoadSheddingTest {
+
+    private static final long DELAY_MILLIS = 300;
+    private static final int REQUESTS = 8;
+
+    private static final String ROUTES =
+            """
+            {"version":3,"routes":[
+             {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+              "timeout-ms":12000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":2}],
+             "services":[{"name":"plain","health-path":"/health","max-connections":50}],
+             "limits":{"max-header-bytes":16384,"max-body-bytes":100000,
+              "header-timeout-ms":5000,"idle-timeout-ms":20000}}
+            """;
+
+    @TempDir private Path folder;
+    private LocalFleet fleet;
+    private ScriptedUpstream upstream;
+    private volatile boolean delayed;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new LocalFleet(folder);
+        fleet.foundControl();
+        upstream = new ScriptedUpstream("i-1", (request, to) -> to.plain(request, 200, "ok"));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        delayed = false;
+        upstream.close();
+        fleet.close();
+    }
+
+    /** A host that admits all requests while it is overloaded answers all of them late. */
+    @Test
+    void overloadedHostWithASmallProcessorShareRefusesAndRecovers() throws Exception {
+        List<RawHttp.Message> answers = answersOfDelayedHost(0.3);
+        List<RawHttp.Message> refused =
+                answers.stream().filter(answer -> answer.status() == 503).toList();
+        assertThat(refused).isNotEmpty();
+        assertThat(refused)
+                .allSatisfy(
+                        answer -> {
+                            assertThat(answer.header("x-request-id")).startsWith("busy");
+                            assertThat(Double.parseDouble(answer.header("retry-after")))
+                                    .isBetween(0.5, 4.0);
+                        });
+        assertThat(upstream.requests())
+                .extracting(request -> request.header("x-request-id"))
+                .filteredOn(id -> id.startsWith("busy"))
+                .hasSize(REQUESTS - refused.size());
+        LocalFleet.await("recovered", () -> status("after") == 200);
+    }
+
+    /** Hosts whose settings name no small share admit all requests, as before. */
+    @Test
+    void overloadedHostWithAWholeCoreRefusesNothing() throws Exception {
+        assertThat(answersOfDelayedHost(1)).allMatch(answer -> answer.status() == 200);
+    }
+
+    private List<RawHttp.Message> answersOfDelayedHost(double processorShare) throws Exception {
+        EntryDaemon entry = fleet.startEntry(1, processorShare);
+        LocalFleet.await("routes taken", () -> put() == 200);
+        LocalFleet.await("ready", () -> fleet.ready(1));
+        fleet.heartbeat(1, upstream, upstream.heartbeat("plain", "ready", 1, "[]"));
+        LocalFleet.await("served", () -> status("before") == 200);
+        delayed = true;
+        entry.loop().execute(() -> delay(entry));
+        TimeUnit.MILLISECONDS.sleep(6 * DELAY_MILLIS);
+        List<Socket> callers = new ArrayList<>();
+        for (int count = 0; count < REQUESTS; count++) {
+            Socket caller = fleet.callerOf(1);
+            callers.add(caller);
+            byte[] request = get("busy" + count).getBytes(StandardCharsets.US_ASCII);
+            caller.getOutputStream().write(request);
+        }
+        List<RawHttp.Message> answers = new ArrayList<>();
+        for (Socket caller : callers) {
+            answers.add(RawHttp.read(caller.getInputStream(), true));
+            caller.close();
+        }
+        delayed = false;
+        return answers;
+    }
+
+    /** Holds the event loop up in each of its iterations. */
+    private void delay(EntryDaemon entry) {
+        if (delayed) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(DELAY_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            entry.loop().schedule(() -> delay(entry), 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private int put() {
+        try {
+            return fleet.control(1, "POST", "/-/config/put", ROUTES).status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private int status(String id) {
+        try {
+            return fleet.call(1, get(id)).status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static String get(String id) {
+        return RawHttp.get("/safe/x", id, "X-Deadline-Ms: 12000");
+    }
+}
