--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -21,6 +21,8 @@
 import io.stackhall.core.dispatch.RetryLimiter;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.limit.LimitedUpstreams;
+import io.stackhall.core.overload.LoadShedder;
+import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.HostPauseDetector;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
@@ -83,6 +85,12 @@
      */
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
+    /**
+     * Hosts with less than this share of a core refuse requests while they are overloaded. Others
+     * are so only for moments in which their callers are better served late.
+     */
+    private static final double LOAD_SHEDDING_PROCESSOR_SHARE = 0.5;
+
     private static final int ACCEPT_BACKLOG = 512;
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -95,6 +103,7 @@
     private final PeerTransport transport;
     private final ControlHosts controlHosts;
     private final Gateway gateway;
+    private final LoopDelayTask loopDelayTask;
     private final ControlSubscriber follower;
     private final EntryReporter reports;
     private final UpstreamClient upstreams;
@@ -117,12 +126,20 @@
         UpstreamLimitClient upstreamLimits =
                 new UpstreamLimitClient(
                         settings.peerName(), loop, limited, new ControlConnections(), fleetMetrics);
+        LoopDelayMeter loopDelay = new LoopDelayMeter();
+        LoadShedding shedding = new LoadShedding(loopDelay, new LoadShedder(random), fleetMetrics);
+        boolean sheds = limits.processorShare() < LOAD_SHEDDING_PROCESSOR_SHARE;
+        this.loopDelayTask =
+                new LoopDelayTask(
+                        loop, loopDelay, fleetMetrics, sheds ? shedding::update : now -> {});
         this.gateway =
                 new Gateway(
                         loop,
+                        loopDelay,
                         new Dispatcher(
                                 settings.zone(),
                                 new Backpressure(limited, new RestingUpstreams(random)),
+                                loopDelay,
                                 random),
                         upstreams,
                         new RetryLimiter(
@@ -136,6 +153,9 @@
                         upstreamLimits,
                         fleetMetrics,
                         random);
+        if (sheds) {
+            gateway.setLoadShedding(shedding);
+        }
         this.follower =
                 new ControlSubscriber(settings, loop, transport, controlHosts, gateway, random);
         this.reports = new EntryReporter(settings, gateway, follower);
@@ -152,6 +172,7 @@
         metricsChannel =
                 settings.metrics()
                         .map(at -> SimpleHttpServer.listen(eventLoops, at, this::metricsAnswer));
+        loopDelayTask.start();
         RepeatedTask.every(loop, SYNC_INTERVAL_MILLIS, this::synchronize);
         RepeatedTask.every(loop, DEMAND_INTERVAL_MILLIS, reports::reportDemand);
         RepeatedTask.every(loop, WORK_CHECK_INTERVAL_MILLIS, reports::reportWork);
@@ -248,6 +269,11 @@
         follower.activateRoutes();
     }
 
+    /** Returns the event loop on which all work of this process is done. */
+    EventLoop loop() {
+        return loop;
+    }
+
     private Channel listen(Address address, ChannelHandler channels) {
         return new ServerBootstrap()
                 .group(eventLoops)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.Need;
@@ -9,6 +10,7 @@
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.CallerLimits;
@@ -26,6 +28,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -46,6 +49,7 @@
     private static final long RECHECK_INTERVAL_MILLIS = 25;
 
     private final EventLoop loop;
+    private final LoopDelayMeter loopDelay;
     private final Dispatcher dispatcher;
     private final UpstreamClient upstreams;
     private final RetryLimiter retryLimiter;
@@ -60,6 +64,7 @@
     private final UpstreamLimitClient upstreamLimits;
     private final UpstreamAnnouncements upstreamAnnouncements;
     private final LineBudget lineBudget = new LineBudget();
+    private Optional<LoadShedding> loadShedding = Optional.empty();
     private RouteTable routes;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
     private boolean draining;
@@ -70,6 +75,7 @@
 
     Gateway(
             EventLoop loop,
+            LoopDelayMeter loopDelay,
             Dispatcher dispatcher,
             UpstreamClient upstreams,
             RetryLimiter retries,
@@ -80,6 +86,7 @@
             FleetMetrics metrics,
             RandomGenerator random) {
         this.loop = loop;
+        this.loopDelay = loopDelay;
         this.dispatcher = dispatcher;
         this.upstreams = upstreams;
         this.retryLimiter = retries;
@@ -112,10 +119,21 @@
         dispatcher.setObjectives(next.shortestLatencyObjectives());
         dispatcher.setColdRequestsPerSecond(next.coldRequestRates());
         customers.setCustomers(next.customers());
+        loadShedding.ifPresent(shedding -> shedding.setRoutes(next));
         firstRoutes.resumeAll();
         dispatchWaiting();
     }
 
+    /** Sets how this host refuses requests while it is overloaded, before it has routes. */
+    void setLoadShedding(LoadShedding shedding) {
+        loadShedding = Optional.of(shedding);
+    }
+
+    /** Returns the refusal of an arriving request, if this host is too overloaded to admit it. */
+    Optional<FullHttpResponse> shed(CallerRequest request) {
+        return loadShedding.flatMap(shedding -> shedding.refuse(request, BootClock.nanos()));
+    }
+
     /** Applies a change of an instance. */
     void instanceChanged(Instance instance) {
         logChange(instance);
@@ -244,6 +262,10 @@
         return loop;
     }
 
+    LoopDelayMeter loopDelay() {
+        return loopDelay;
+    }
+
     Dispatcher dispatcher() {
         return dispatcher;
     }
@@ -331,10 +353,12 @@
     }
 
     /**
-     * Returns the number of waiting requests for the same model that are served before this one.
+     * Returns the number of waiting requests for the same model that are served before this one, 0
+     * if its choice does not depend on them.
      */
-    int countWaitingBefore(RelayedRequest request) {
-        return waiting.countAhead(request);
+    int countWaitingBefore(RelayedRequest request, Choice choice) {
+        boolean queued = choice instanceof Choice.Full || choice instanceof Choice.HeldBack;
+        return queued ? waiting.countAhead(request) : 0;
     }
 
     /** Called when an instance has processed a prompt, so that it may accept another request. */
