Of requests with the same rank, an overloaded host refuses the most patient first

Load shedding knew ranks alone, with the shortest objective of each. Plain requests with an objective of 100 ms and streams with one of 10 s share a rank where customers configure them so, and were refused alike, although the latter may still be in time after a retry. LoadShedderTest and the replay of an overloaded host pass with classes of rank and objective.

--- a/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
@@ -1,18 +1,20 @@
 package io.stackhall.core.overload;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
 /**
  * Decides which arriving requests an overloaded host refuses, so that those it admits are in time.
  *
  * <p>The share of refused requests follows the delay of the host's own event loop. Nothing is
- * refused while the shortest latency objective is reachable. Beyond that, the least urgent rank is
- * refused first, all of it before the delay endangers the objectives of more urgent ranks.
+ * refused while the shortest latency objective is reachable. Beyond that, the least urgent class is
+ * refused first, all of it before the delay endangers the objectives of more urgent classes.
  *
  * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
  * one thread.
@@ -25,7 +27,7 @@
     /** Share of the shortest latency objective that the host's own steps may take. */
     private static final double OBJECTIVE_SHARE = 0.5;
 
-    /** A rank is refused entirely at no less than this multiple of the delay where that begins. */
+    /** A class is refused entirely at no less than this multiple of the delay where that begins. */
     private static final double MIN_RANGE = 2;
 
     /** Smooths the delay, since a refusal affects it only some ticks later. */
@@ -50,14 +52,14 @@
     private static final double RETRY_SPREAD = 0.25;
 
     private final RandomGenerator random;
-    private final NavigableMap<Integer, Range> ranges = new TreeMap<>();
+    private final NavigableMap<RequestClass, Range> ranges = new TreeMap<>();
     private double smoothedNanos;
     private long updatedAt;
     private boolean shedding;
     private long lastRefusedAt;
     private long refused;
 
-    /** The delays in nanoseconds from which on some, and all, requests of a rank are refused. */
+    /** The delays in nanoseconds from which on some, and all, requests of a class are refused. */
     private record Range(double from, double to) {
         double share(double delay) {
             return Math.clamp((delay - from) / (to - from), 0, 1);
@@ -71,26 +73,26 @@
         ENDED
     }
 
-    /** Creates a controller that refuses nothing until it knows latency objectives. */
+    /** Creates a controller that refuses nothing until it knows the classes of requests. */
     public LoadShedder(RandomGenerator random) {
         this.random = random;
     }
 
-    /** Sets the shortest latency objective of the routes of each rank, 0 being the most urgent. */
-    public void setObjectives(Map<Integer, Duration> shortest) {
+    /** Sets the classes of the routes in force. */
+    public void setClasses(Collection<RequestClass> classes) {
         ranges.clear();
-        NavigableMap<Integer, Double> tolerated = new TreeMap<>();
+        NavigableMap<RequestClass, Double> tolerated = new TreeMap<>();
         double strictest = Double.POSITIVE_INFINITY;
-        for (Map.Entry<Integer, Duration> rank : new TreeMap<>(shortest).entrySet()) {
-            strictest = Math.min(strictest, rank.getValue().toNanos() * OBJECTIVE_SHARE / STEPS);
-            tolerated.put(rank.getKey(), strictest);
+        for (RequestClass one : new TreeSet<>(classes)) {
+            strictest = Math.min(strictest, one.objective().toNanos() * OBJECTIVE_SHARE / STEPS);
+            tolerated.put(one, strictest);
         }
         double from = 0;
-        for (Map.Entry<Integer, Double> rank : tolerated.descendingMap().entrySet()) {
-            from = Math.max(from, rank.getValue());
-            Map.Entry<Integer, Double> moreUrgent = tolerated.lowerEntry(rank.getKey());
+        for (Map.Entry<RequestClass, Double> one : tolerated.descendingMap().entrySet()) {
+            from = Math.max(from, one.getValue());
+            Map.Entry<RequestClass, Double> moreUrgent = tolerated.lowerEntry(one.getKey());
             double to = Math.max(from * MIN_RANGE, moreUrgent == null ? 0 : moreUrgent.getValue());
-            ranges.put(rank.getKey(), new Range(from, to));
+            ranges.put(one.getKey(), new Range(from, to));
             from = to;
         }
     }
@@ -126,21 +128,20 @@
         return shedding && now - updatedAt <= VALIDITY_NANOS;
     }
 
-    /** Returns the share of the requests of a rank that is refused now. */
-    public double share(int rank) {
-        Map.Entry<Integer, Range> range = ranges.floorEntry(rank);
+    /** Returns the share of the requests of a class that is refused now. */
+    public double share(RequestClass requests) {
+        Map.Entry<RequestClass, Range> range = ranges.floorEntry(requests);
         return range == null ? 0 : range.getValue().share(smoothedNanos);
     }
 
     /**
      * Decides on a request that has arrived.
      *
-     * @param rank its urgency, 0 being the most urgent
      * @param remaining the time until its deadline
      * @return the retry delay if it is refused, or empty if it is admitted
      */
-    public Optional<Duration> refuse(int rank, Duration remaining, long now) {
-        if (!isShedding(now) || !remaining.isPositive() || random.nextDouble() >= share(rank)) {
+    public Optional<Duration> refuse(RequestClass requests, Duration remaining, long now) {
+        if (!isShedding(now) || !remaining.isPositive() || random.nextDouble() >= share(requests)) {
             return Optional.empty();
         }
         refused++;
--- a/stackhall-core/src/test/java/io/stackhall/core/overload/LoadShedderTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/overload/LoadShedderTest.java
@@ -4,7 +4,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -14,29 +14,32 @@
 class LoadShedderTest {
 
     private static final Duration REMAINING = Duration.ofSeconds(3);
+    private static final RequestClass FIRST = new RequestClass(0, Duration.ofMillis(500));
+    private static final RequestClass SECOND = new RequestClass(1, Duration.ofMillis(500));
+    private static final RequestClass THIRD = new RequestClass(2, Duration.ofMillis(100));
 
     private final LoadShedder shedder = new LoadShedder(new Random(1));
     private long now;
 
     @Test
     void nothingIsRefusedWhileTheShortestObjectiveIsReachable() {
-        setObjectives();
+        setClasses();
         assertThat(update(Duration.ofMillis(12), 100)).isEqualTo(LoadShedder.Change.NONE);
-        assertThat(shedder.share(2)).isZero();
+        assertThat(shedder.share(THIRD)).isZero();
         assertThat(update(Duration.ofMillis(40), 100)).isEqualTo(LoadShedder.Change.STARTED);
-        assertThat(shedder.share(2)).isBetween(0.4, 0.7);
+        assertThat(shedder.share(THIRD)).isBetween(0.4, 0.7);
     }
 
     /** A rank whose requests are refused before all less urgent ones are pays for their load. */
     @Test
     void aRankIsRefusedOnlyOnceAllLessUrgentOnesAre() {
-        setObjectives();
+        setClasses();
         for (int millis = 1; millis < 400; millis++) {
             update(Duration.ofMillis(millis), 10);
-            assertThat(shedder.share(1) == 0 || shedder.share(2) == 1).isTrue();
-            assertThat(shedder.share(0) == 0 || shedder.share(1) == 1).isTrue();
+            assertThat(shedder.share(SECOND) == 0 || shedder.share(THIRD) == 1).isTrue();
+            assertThat(shedder.share(FIRST) == 0 || shedder.share(SECOND) == 1).isTrue();
         }
-        assertThat(shedder.share(0)).isOne();
+        assertThat(shedder.share(FIRST)).isOne();
     }
 
     /**
@@ -44,11 +47,11 @@
      */
     @Test
     void retryDelaysAreSpreadBelowAThirdOfTheRemainingTime() {
-        setObjectives();
+        setClasses();
         update(Duration.ofMillis(500), 100);
         Set<Duration> delays = new HashSet<>();
         for (int count = 0; count < 100; count++) {
-            Duration delay = shedder.refuse(2, REMAINING, now).orElseThrow();
+            Duration delay = shedder.refuse(THIRD, REMAINING, now).orElseThrow();
             assertThat(delay).isBetween(Duration.ofMillis(750), Duration.ofSeconds(1));
             delays.add(delay);
         }
@@ -58,15 +61,15 @@
     /** A meter that has failed would otherwise leave the last share in force. */
     @Test
     void nothingIsRefusedWithoutUpdates() {
-        setObjectives();
+        setClasses();
         update(Duration.ofMillis(500), 100);
-        assertThat(shedder.refuse(2, REMAINING, now + seconds(1))).isPresent();
-        assertThat(shedder.refuse(2, REMAINING, now + seconds(3))).isEmpty();
+        assertThat(shedder.refuse(THIRD, REMAINING, now + seconds(1))).isPresent();
+        assertThat(shedder.refuse(THIRD, REMAINING, now + seconds(3))).isEmpty();
     }
 
     @Test
     void sheddingEndsOnceAfterTheDelay() {
-        setObjectives();
+        setClasses();
         update(Duration.ofMillis(500), 100);
         int ended = 0;
         for (int count = 0; count < 300; count++) {
@@ -79,15 +82,23 @@
     @Test
     void nothingIsRefusedBeforeObjectivesAreKnown() {
         assertThat(update(Duration.ofMillis(500), 100)).isEqualTo(LoadShedder.Change.NONE);
-        assertThat(shedder.refuse(2, REMAINING, now)).isEqualTo(Optional.empty());
+        assertThat(shedder.refuse(THIRD, REMAINING, now)).isEqualTo(Optional.empty());
     }
 
-    private void setObjectives() {
-        shedder.setObjectives(
-                Map.of(
-                        0, Duration.ofMillis(500),
-                        1, Duration.ofMillis(500),
-                        2, Duration.ofMillis(100)));
+    /** Requests that may still be in time after a retry would be admitted before urgent ones. */
+    @Test
+    void ofTheSameRankTheLongestObjectiveIsRefusedFirst() {
+        RequestClass patient = new RequestClass(2, Duration.ofSeconds(10));
+        shedder.setClasses(List.of(FIRST, SECOND, THIRD, patient));
+        for (int millis = 1; millis < 400; millis++) {
+            update(Duration.ofMillis(millis), 10);
+            assertThat(shedder.share(THIRD) == 0 || shedder.share(patient) == 1).isTrue();
+        }
+        assertThat(shedder.share(THIRD)).isOne();
+    }
+
+    private void setClasses() {
+        shedder.setClasses(List.of(FIRST, SECOND, THIRD));
     }
 
     /** Updates with the same delay until it is in full effect. */
--- a/stackhall-core/src/test/java/io/stackhall/core/overload/LoadSheddingReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/overload/LoadSheddingReplayTest.java
@@ -4,11 +4,10 @@
 
 import io.stackhall.core.overload.OverloadReplay.Caller;
 import io.stackhall.core.overload.OverloadReplay.Kind;
-import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Replays load on one host with and without load shedding. */
@@ -33,8 +32,8 @@
                     PLAIN,
                     PLAIN);
 
-    private static final Map<Integer, Duration> OBJECTIVES =
-            Map.of(0, Duration.ofMillis(500), 1, Duration.ofMillis(500), 2, Duration.ofMillis(100));
+    private static final List<RequestClass> CLASSES =
+            Stream.of(MOST_URGENT, URGENT, PATIENT, PLAIN).map(Kind::requestClass).toList();
 
     private static final double MEAN_INTERVAL = 10;
     private static final double USUAL_WORK = 4;
@@ -109,7 +108,7 @@
         OverloadReplay replay =
                 new OverloadReplay(
                         sheds,
-                        OBJECTIVES,
+                        CLASSES,
                         now -> now >= SLOW_FROM && now < SLOW_TO ? SLOW_WORK : USUAL_WORK);
         addUsualLoad(replay, 0, END - 5000);
         replay.runTo(2 * END);
@@ -117,7 +116,7 @@
     }
 
     private OverloadReplay usualLoad(double from, double to) {
-        OverloadReplay replay = new OverloadReplay(true, OBJECTIVES, now -> USUAL_WORK);
+        OverloadReplay replay = new OverloadReplay(true, CLASSES, now -> USUAL_WORK);
         addUsualLoad(replay, from, to);
         return replay;
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/overload/OverloadReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/overload/OverloadReplay.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -37,7 +37,11 @@
     private double lastRefusalAt = -1;
 
     /** A kind of request. */
-    record Kind(int rank, double objective, double deadline) {}
+    record Kind(int rank, double objective, double deadline) {
+        RequestClass requestClass() {
+            return new RequestClass(rank, duration(objective));
+        }
+    }
 
     /** One request of a caller, over all its tries. */
     static final class Caller {
@@ -76,10 +80,10 @@
      * @param sheds whether it refuses requests while it is overloaded
      * @param work the time that all steps of one request take together, by the time of day
      */
-    OverloadReplay(boolean sheds, Map<Integer, Duration> objectives, DoubleUnaryOperator work) {
+    OverloadReplay(boolean sheds, Collection<RequestClass> classes, DoubleUnaryOperator work) {
         this.sheds = sheds;
         this.work = work;
-        shedder.setObjectives(objectives);
+        shedder.setClasses(classes);
     }
 
     /** Adds a request. */
@@ -117,7 +121,8 @@
         Caller caller = event.caller();
         if (event.step() == 0 && sheds) {
             Duration remaining = duration(caller.startedAt + caller.kind.deadline() - now);
-            Optional<Duration> retry = shedder.refuse(caller.kind.rank(), remaining, nanos(now));
+            Optional<Duration> retry =
+                    shedder.refuse(caller.kind.requestClass(), remaining, nanos(now));
             if (retry.isPresent()) {
                 refuse(caller, cost, retry.get());
                 return;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoadShedding.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoadShedding.java
@@ -3,12 +3,11 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.stackhall.core.overload.LoadShedder;
 import io.stackhall.core.overload.LoopDelayMeter;
+import io.stackhall.core.overload.RequestClass;
 import io.stackhall.core.route.Route;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -32,14 +31,7 @@
     /** Sets the routes, whose latency objectives determine from which delay on to refuse. */
     void setRoutes(RouteTable next) {
         routes = next;
-        Map<Integer, Duration> objectives = new HashMap<>();
-        for (Route route : next.routes()) {
-            objectives.merge(
-                    route.rank(),
-                    route.latencyObjective(),
-                    (one, other) -> one.compareTo(other) < 0 ? one : other);
-        }
-        shedder.setObjectives(objectives);
+        shedder.setClasses(next.routes().stream().map(LoadShedding::classOf).toList());
     }
 
     /** Follows the measured delay; called after each tick of the meter. */
@@ -64,10 +56,14 @@
         if (route.isEmpty()) {
             return Optional.empty();
         }
-        int rank = route.get().rank();
+        RequestClass requests = classOf(route.get());
         long remaining = RequestDeadlines.of(request, route.get()).deadlineAt() - now;
-        Optional<Duration> retryAfter = shedder.refuse(rank, Duration.ofNanos(remaining), now);
-        retryAfter.ifPresent(ignored -> metrics.requestShed(rank));
+        Optional<Duration> retryAfter = shedder.refuse(requests, Duration.ofNanos(remaining), now);
+        retryAfter.ifPresent(ignored -> metrics.requestShed(requests.rank()));
         return retryAfter.map(delay -> Answers.overloaded(request.id(), delay));
     }
+
+    private static RequestClass classOf(Route route) {
+        return new RequestClass(route.rank(), route.latencyObjective());
+    }
 }
