--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/LoadSheddingTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/LoadSheddingTest.java
@@ -71,6 +71,7 @@
                 .extracting(request -> request.header("x-request-id"))
                 .filteredOn(id -> id.startsWith("busy"))
                 .hasSize(REQUESTS - refused.size());
+        fleet.heartbeat(1, upstream, upstream.heartbeat("plain", "ready", 3, "[]"));
         LocalFleet.await("recovered", () -> status("after") == 200);
     }
 
@@ -89,6 +90,7 @@
         delayed = true;
         entry.loop().execute(() -> delay(entry));
         TimeUnit.MILLISECONDS.sleep(6 * DELAY_MILLIS);
+        fleet.heartbeat(1, upstream, upstream.heartbeat("plain", "ready", 2, "[]"));
         List<Socket> callers = new ArrayList<>();
         for (int count = 0; count < REQUESTS; count++) {
             Socket caller = fleet.callerOf(1);
