Select plain instances by expected time where slowdowns are reported

Cause: plain instances were selected by requests per slot. An instance that takes 2.5 times as long for a while got as many requests as the others.

Change: where an upstream of the service has reported the fourth load value, the score is the work ahead in units of slots, times the slowdown, times the usual duration at the instance relative to that at all of them. The usual duration is the mean of durations divided by the slowdown of the time, so that a slowdown does not count twice. The work ahead is divided by the share of requests that an instance is expected to accept, which falls towards the full queue. Services without the value are selected as before; tests show both.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -303,7 +303,7 @@
             load.unservedRequestEnded();
             backpressure.unanswered(inFlight.instance(), inFlight.startedAt());
         } else {
-            load.servedRequestEnded(now - inFlight.startedAt());
+            load.servedRequestEnded(now - inFlight.startedAt(), now);
         }
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -83,6 +83,7 @@
     private long backoffUntil;
     private int consecutiveFailures;
     private double failureShare;
+    private final UsualDuration usualDuration = new UsualDuration();
 
     void requestSent(long tokens, long now) {
         running++;
@@ -145,8 +146,9 @@
      *
      * @param nanos the time that it spent at the instance
      */
-    void servedRequestEnded(long nanos) {
+    void servedRequestEnded(long nanos, long now) {
         unservedRequestEnded();
+        usualDuration.addSample(nanos, slowdown(now));
         meanDurationNanos += (nanos - meanDurationNanos) / DURATION_MEMORY;
     }
 
@@ -264,6 +266,10 @@
                 + (remoteRequests - meanRemoteRequests) * Math.pow(0.5, Math.max(0, halves));
     }
 
+    UsualDuration usualDuration() {
+        return usualDuration;
+    }
+
     long ownUnreadTokens() {
         return ownUnreadTokens;
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
@@ -12,7 +12,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Picks an instance of a service that runs no models, by its occupancy.
+ * Picks an instance of a service that runs no models, by its occupancy, and by the expected time to
+ * the answer where instances report how long work takes there at present.
  *
  * <p>Instances that are about equally good share the requests at random, with those of the host's
  * own zone first. If the lowest score decided among idle instances, one with a slightly higher
@@ -35,6 +36,12 @@
      */
     private static final double QUEUE_SHARE = 2.0;
 
+    /**
+     * Lower bound of the share of requests that an instance is expected to accept, so that
+     * instances with full queues still differ by their slowdown.
+     */
+    private static final double MIN_ACCEPTED_SHARE = 0.05;
+
     /**
      * Instances whose scores differ by less than this many requests count as equal: what hosts know
      * of each other's requests is no more exact.
@@ -47,7 +54,10 @@
      */
     private static final double SPARE_SLOTS = 1;
 
-    /** Replaces the spare slots at an instance with a single slot, as a share of the slots. */
+    /**
+     * Share of the slots below which an instance counts as having free slots in any case: one with
+     * a single slot has none to spare.
+     */
     private static final double MIN_FREE_SHARE = 0.5;
 
     private static final double SILENT_PENALTY = 1e6;
@@ -73,11 +83,17 @@
     }
 
     Choice select(List<Instance> serving, Optional<RequestDigest> suspect, long now) {
+        boolean timed = serving.stream().anyMatch(one -> load(one).reportsSlowdown());
+        List<UsualDuration> durations =
+                serving.stream().map(one -> load(one).usualDuration()).toList();
         List<Option> options = new ArrayList<>();
         for (Instance instance : serving) {
             InstanceLoad load = load(instance);
             if (load.expectedOccupancy(now) < instance.slots() * QUEUE_SHARE) {
-                double work = workAhead(instance, load, now);
+                double work =
+                        timed
+                                ? expectedTime(instance, load, durations, now)
+                                : workAhead(instance, load, now);
                 options.add(
                         new Option(
                                 instance,
@@ -137,6 +153,20 @@
         return (load.expectedOccupancy(now) + 1) / Math.max(1, instance.slots());
     }
 
+    /**
+     * Returns the expected time to the answer, relative to that of a slot's worth of work at a
+     * usual instance. It rises steeply towards the occupancy at which instances reject requests: in
+     * proportion to the slowdown alone, all hosts would fill the queues of the usual instances
+     * while a slow one has free slots.
+     */
+    private static double expectedTime(
+            Instance instance, InstanceLoad load, List<UsualDuration> durations, long now) {
+        double work = workAhead(instance, load, now);
+        double filled = work / QUEUE_SHARE;
+        double accepted = Math.max(MIN_ACCEPTED_SHARE, 1 - filled * filled);
+        return work / accepted * load.slowdown(now) * load.usualDuration().relativeTo(durations);
+    }
+
     private double score(Instance instance, InstanceLoad load, double work, long now) {
         double score = work;
         score += isInOwnZone(instance) ? 0 : OTHER_ZONE_REQUESTS / instance.slots();
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceReplayTest.java
@@ -55,6 +55,46 @@
         }
     }
 
+    /**
+     * Guards against a selection by occupancy alone where each instance takes 2.5 times as long for
+     * some of the time, and against one by slowdown alone, which fills the queues of the usual
+     * instances so that they reject requests.
+     */
+    @Test
+    void reportedSlowdownsBringMoreRequestsInTime() {
+        for (int hosts : new int[] {16, 89}) {
+            assertGain(hosts, 0.42, THREE, 0.004);
+            assertGain(hosts, 0.66, THREE, 0.004);
+            assertGain(hosts, 0.84, THREE, 0);
+            assertGain(hosts, 0.42 * 3 / 2, List.of(1.0, 1.0), 0.002);
+        }
+    }
+
+    private static void assertGain(int hosts, double load, List<Double> durations, double atLeast) {
+        double without = inTime(slowed(hosts, load, Report.LOAD, durations));
+        double with = inTime(slowed(hosts, load, Report.SLOWDOWN, durations));
+        assertThat(with - without).as("%d hosts at load %s", hosts, load).isGreaterThan(atLeast);
+    }
+
+    /** Guards against a slow machine that gets as much as the others, as it reports no slowdown. */
+    @Test
+    void slowInstanceGetsFewerRequestsOnlyIfSlowdownsAreReported() {
+        List<Double> durations = List.of(1.0, 1.0, 2.0);
+        assertThat(shareOfLast(slowed(16, 0.42, Report.SLOWDOWN, durations)))
+                .isLessThan(shareOfLast(slowed(16, 0.42, Report.LOAD, durations)) - 0.03);
+    }
+
+    private static double shareOfLast(Plan plan) {
+        return outcomes(plan).stream()
+                .mapToDouble(outcome -> outcome.sent().getLast())
+                .average()
+                .orElseThrow();
+    }
+
+    private static Plan slowed(int hosts, double load, Report report, List<Double> durations) {
+        return new Plan(hosts, 3, 6, 30, 150, load, 3, true, report, durations);
+    }
+
     private static Plan steady(int hosts, double load) {
         return new Plan(hosts, 1, 4, 86, 389, load, 3, false, Report.LOAD, THREE);
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceSelectorTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/PlainServiceSelectorTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -68,6 +69,51 @@
         assertThat(chosen()).containsExactly(other);
     }
 
+    /** Guards against a slow instance that is never used again once its reports stop. */
+    @Test
+    void slowInstanceIsAvoidedUntilItsReportIsOld() {
+        report(own, 2.5);
+        report(other, 1);
+        assertThat(chosen()).containsExactly(other);
+        now += Duration.ofSeconds(3).toNanos();
+        assertThat(chosen()).containsExactly(own);
+    }
+
+    /** Guards against a change for services whose upstreams report no slowdown. */
+    @Test
+    void durationsCountOnlyWhereSlowdownsAreReported() {
+        for (int request = 0; request < 100; request++) {
+            serve(own, Duration.ofMillis(100));
+            serve(other, Duration.ofMillis(10));
+        }
+        assertThat(chosen()).containsExactly(own);
+        report(own, 1);
+        assertThat(chosen()).containsExactly(other);
+    }
+
+    /** Guards against a slowdown that counts twice: as reported, and in the duration it caused. */
+    @Test
+    void durationsOfASlowedInstanceCountAsUsual() {
+        for (int request = 0; request < 100; request++) {
+            report(own, 2.5);
+            serve(own, Duration.ofMillis(25));
+            serve(other, Duration.ofMillis(10));
+        }
+        report(own, 1);
+        assertThat(chosen()).containsExactly(own);
+    }
+
+    private void report(Instance instance, double slowdown) {
+        dispatcher.updateReportedLoad(instance.id(), 0, OptionalDouble.of(slowdown), now);
+    }
+
+    private void serve(Instance instance, Duration duration) {
+        InFlightRequest request = dispatcher.requestSent(instance.id(), NEED, now);
+        long end = now + duration.toNanos();
+        dispatcher.responseStarted(request, end);
+        dispatcher.requestEnded(request, end);
+    }
+
     private Set<Instance> chosen() {
         Set<Instance> chosen = new HashSet<>();
         for (int request = 0; request < 50; request++) {
