--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -315,7 +315,7 @@
             load.unservedRequestEnded();
             backpressure.unanswered(inFlight.instance(), inFlight.startedAt());
         } else {
-            load.servedRequestEnded(inFlight.upstreamNanos(hostDelay, now));
+            load.servedRequestEnded(inFlight.upstreamNanos(hostDelay, now), now);
         }
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -85,6 +85,7 @@
     private long backoffUntil;
     private int consecutiveFailures;
     private double failureShare;
+    private final UsualDuration usualDuration = new UsualDuration();
 
     /** Creates the load of an instance that has no requests, at a host with the given delay. */
     InstanceLoad(LoopDelayMeter hostDelay) {
@@ -153,8 +154,9 @@
      *
      * @param nanos the time that it spent at the instance
      */
-    void servedRequestEnded(long nanos) {
+    void servedRequestEnded(long nanos, long now) {
         unservedRequestEnded();
+        usualDuration.addSample(nanos, slowdown(now));
         meanDurationNanos += (nanos - meanDurationNanos) / DURATION_MEMORY;
     }
 
@@ -276,6 +278,10 @@
                 + (remoteRequests - meanRemoteRequests) * Math.pow(0.5, Math.max(0, halves));
     }
 
+    UsualDuration usualDuration() {
+        return usualDuration;
+    }
+
     long ownUnreadTokens() {
         return ownUnreadTokens;
     }
