A delay of the host's own event loop is no timeout of the leader

Cause: a claim without an answer within 100 ms made the host decide alone, also when the host itself had been busy for these 100 ms and the answer waited in the socket buffer. Change: AllowanceClient counts the timeout in four steps, each in a later iteration of the event loop, so that a delay counts as one step at most and the socket is read before the decision. A silent leader is still given up after 100 ms of an undelayed loop. RequestAuthorizationTest used the real time of an event loop, so a pause of the test's thread was a timeout. It now runs on an event loop whose time stands still unless a test advances it; all its assertions are kept. Two tests are added: an own delay of 300 ms, and a silent leader.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -38,6 +38,13 @@
      */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
 
+    /**
+     * The answer timeout is counted in this many steps, each in a later iteration of the event loop
+     * than the one before. A delay of the event loop thus counts as one step at most, and an answer
+     * that arrived during the delay is read before the next step.
+     */
+    private static final int ANSWER_TIMEOUT_STEPS = 4;
+
     /** Minimum time between two probes of a leader that has not answered. */
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(150);
 
@@ -93,8 +100,18 @@
         long number = ++lastClaimNumber;
         pendingClaims.put(number, claim);
         enqueue(encode(number, claim).setReturned(returned).build());
-        loop.schedule(
-                () -> handleTimeout(number), ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        awaitAnswer(number, ANSWER_TIMEOUT_STEPS);
+    }
+
+    private void awaitAnswer(long number, int steps) {
+        if (steps == 0) {
+            handleTimeout(number);
+        } else if (pendingClaims.containsKey(number)) {
+            loop.schedule(
+                    () -> awaitAnswer(number, steps - 1),
+                    ANSWER_TIMEOUT.toNanos() / ANSWER_TIMEOUT_STEPS,
+                    TimeUnit.NANOSECONDS);
+        }
     }
 
     /**
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.stackhall.core.customer.Customer;
@@ -34,7 +34,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Checks which allowance one request claims and returns while it waits, is sent and ends. */
+/**
+ * Checks which allowance one request claims and returns while it waits, is sent and ends. The event
+ * loop's time stands still unless a test advances it, so that a busy machine causes no timeout.
+ */
 class RequestAuthorizationTest {
 
     private static final HostId LEADER = new HostId("10.0.0.1:7400");
@@ -45,7 +48,7 @@
                     OptionalInt.empty(),
                     Optional.of(new CustomerLimit(CustomerLimit.Unit.TOKENS, 100, 100, 7)));
 
-    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeLeader fakeLeader = new FakeLeader();
     private CustomerAccess customerAccess;
     private AllowanceClient client;
@@ -68,16 +71,17 @@
 
     @BeforeEach
     void open() {
+        channel.freezeTime();
         OutageAllowance outage =
                 new OutageAllowance(new LimitTolerance(Duration.ofSeconds(8), 0, 0), new Random(1));
-        client = new AllowanceClient(loop, fakeLeader, outage, () -> 1);
+        client = new AllowanceClient(channel.eventLoop(), fakeLeader, outage, () -> 1);
         customerAccess = new CustomerAccess(new KeyLease(Optional.empty()), outage, client);
         customerAccess.setCustomers(new Customers(List.of(NORTH)));
     }
 
     @AfterEach
     void close() {
-        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        channel.finishAndReleaseAll();
     }
 
     @Test
@@ -90,19 +94,19 @@
             TimeUnit.MILLISECONDS.sleep(25);
         }
         assertThat(fakeLeader.claims).hasSize(1);
-        assertThat(loop.submit(authorization::ensureFreshGrant).get()).isFalse();
+        assertThat(authorization.ensureFreshGrant()).isFalse();
         settle();
         assertThat(fakeLeader.claims).hasSize(2);
         assertThat(fakeLeader.claims.getLast().getReturned()).isEqualTo(7);
         answerAll();
-        assertThat(loop.submit(authorization::ensureFreshGrant).get()).isTrue();
+        assertThat(authorization.ensureFreshGrant()).isTrue();
     }
 
     @Test
-    void grantAfterRequestEndIsReturned() throws Exception {
+    void grantAfterRequestEndIsReturned() {
         RequestAuthorization authorization = authorization();
         evaluate(authorization);
-        loop.submit(() -> authorization.close(false)).get();
+        authorization.close(false);
         answerAll();
         assertThat(fakeLeader.claims).hasSize(2);
         assertThat(fakeLeader.claims.getLast().getNumber()).isZero();
@@ -110,28 +114,58 @@
     }
 
     @Test
-    void allowanceOfSentButNotRunRequestIsReturned() throws Exception {
+    void allowanceOfSentButNotRunRequestIsReturned() {
         RequestAuthorization authorization = authorization();
         evaluate(authorization);
         answerAll();
-        loop.submit(authorization::useGrant).get();
-        loop.submit(() -> authorization.close(false)).get();
+        authorization.useGrant();
+        authorization.close(false);
         settle();
         assertThat(fakeLeader.claims.getLast().getReturned()).isEqualTo(7);
     }
 
-    private Decision evaluate(RequestAuthorization authorization) throws Exception {
-        Decision decision = loop.submit(authorization::evaluate).get();
+    /** Guards against a loss of the leader that is inferred from the host's own delay. */
+    @Test
+    void delayOfTheEventLoopIsNoTimeoutOfTheLeader() {
+        RequestAuthorization authorization = authorization();
+        evaluate(authorization);
+        advance(Duration.ofMillis(300));
+        assertThat(authorization.evaluate()).isInstanceOf(Decision.Pending.class);
+        answerAll();
+        assertThat(authorization.evaluate()).isInstanceOf(Decision.Allowed.class);
+    }
+
+    /** Guards against requests that wait for a lost leader beyond their latency objective. */
+    @Test
+    void silentLeaderIsReplacedByLocalDecisionAfterTheTimeout() {
+        RequestAuthorization authorization = authorization();
+        evaluate(authorization);
+        for (int millis = 0; millis < 99; millis++) {
+            advance(Duration.ofMillis(1));
+        }
+        assertThat(authorization.evaluate()).isInstanceOf(Decision.Pending.class);
+        advance(Duration.ofMillis(1));
+        assertThat(authorization.evaluate()).isInstanceOf(Decision.Refused.class);
+    }
+
+    /** Lets time pass in which the event loop runs nothing. */
+    private void advance(Duration time) {
+        channel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
+        settle();
+    }
+
+    private Decision evaluate(RequestAuthorization authorization) {
+        Decision decision = authorization.evaluate();
         settle();
         return decision;
     }
 
     /** Waits until the tasks submitted to the event loop so far have run. */
-    private void settle() throws Exception {
-        loop.submit(() -> {}).get();
+    private void settle() {
+        channel.runPendingTasks();
     }
 
-    private void answerAll() throws Exception {
+    private void answerAll() {
         AllowanceAnswer.Builder answer =
                 AllowanceAnswer.newBuilder().setLeads(true).setLeader(LEADER.value());
         fakeLeader.claims.stream()
@@ -142,7 +176,7 @@
                                         AllowanceDecision.newBuilder()
                                                 .setNumber(claim.getNumber())
                                                 .setGranted(true)));
-        loop.submit(() -> client.receive(answer.build())).get();
+        client.receive(answer.build());
         settle();
     }
 
