Hosts without answers use their share of the limits, which the leader reserves

Cause: while the leader of the control group does not answer, hosts decided by their share of the tolerance alone, which is less than one request, and the limits themselves were used by nobody. Change: after 1 s without an answer a host uses its share of each limit (0.9 of perSecond divided by the hosts, for at most 30 s), if the last answer came from a leader that reserves it. A request runs where the share has reached a random part of its cost, and is paid for in full. The leader grants only the rest (ReservedShares): allowances are refilled by a clock that runs at the share of the hosts that are known to have received an answer to a question of the last 800 ms. Hosts prove it by returning the leader's own time, so delayed frames and lost answers cannot make a host count as reachable. A new leader reserves everything at first and learns the number of hosts from what its predecessor told them. A manager that is reset without a leadership reserves nothing, as before. An unused share accumulates at most the limit's burst (3 s of the share where that is less): with 3 s in every case, windows in a long outage could hold 11 s of a limit. LimitSimulation gets the number of hosts, the load and the connection of each host as parameters; the cases of before run with the same figures.

--- a/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
@@ -1,9 +1,11 @@
 package io.stackhall.core.customer;
 
 import io.stackhall.core.id.CustomerId;
+import io.stackhall.core.id.HostId;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Grants requests of all hosts within their customers' limits. It runs at the leader of the control
@@ -21,21 +23,26 @@
      */
     private static final Duration UNKNOWN_RETRY = Duration.ofMillis(300);
 
+    /** Denials assume that at least this share of a limit can be granted soon. */
+    private static final double LEAST_EXPECTED_SHARE = 0.5;
+
     private final Map<CustomerId, CustomerAllowance> allowances = new HashMap<>();
     private Customers configure = Customers.unrestricted();
+    private Optional<ReservedShares> shares = Optional.empty();
 
     /** Applies the customers of a configuration. */
     public void configure(Customers next, long now) {
         configure = next;
+        long clock = clock(now);
         allowances.keySet().removeIf(id -> next.findById(id).isEmpty());
         for (Customer customer : next.all()) {
             CustomerAllowance allowance = allowances.get(customer.id());
             if (customer.limit().isEmpty()) {
                 allowances.remove(customer.id());
             } else if (allowance == null) {
-                allowances.put(customer.id(), new CustomerAllowance(customer.limit().get(), now));
+                allowances.put(customer.id(), new CustomerAllowance(customer.limit().get(), clock));
             } else {
-                allowance.limit(customer.limit().get(), now);
+                allowance.limit(customer.limit().get(), clock);
             }
         }
     }
@@ -49,6 +56,44 @@
         configure(configure, now);
     }
 
+    /**
+     * Starts over as {@link #reset(long)} does, and from now on reserves the shares of entry hosts
+     * that may be using them on their own. All shares are reserved until their hosts are heard of.
+     *
+     * @param leadership names this leadership in answers and receipts, unique and not 0
+     */
+    public void reset(long leadership, long now) {
+        shares = Optional.of(new ReservedShares(leadership, now));
+        reset(now);
+    }
+
+    /** Records a question of a named host, with the receipt of the last answer to it. */
+    public void heard(HostId host, AnswerReceipt receipt, long now) {
+        shares.ifPresent(reserved -> reserved.heard(host, receipt, now));
+    }
+
+    /** Records a question of a host of an earlier version, which does not tell its name. */
+    public void heardOlderVersion(long now) {
+        shares.ifPresent(reserved -> reserved.heardOlderVersion(now));
+    }
+
+    /** Sets the number of entry hosts that are connected to this control host. */
+    public void followers(int count, long now) {
+        shares.ifPresent(reserved -> reserved.followers(count, now));
+    }
+
+    /**
+     * Returns what an answer to a question received now proves once it is received, empty if shares
+     * are not reserved for all hosts.
+     */
+    public Optional<AnswerReceipt> receipt(long now) {
+        return shares.filter(reserved -> reserved.reservesAll(now))
+                .map(
+                        reserved ->
+                                new AnswerReceipt(
+                                        reserved.leadership(), now, reserved.entryHosts(now)));
+    }
+
     /**
      * Takes the cost of a request from its customer's allowance, if that has capacity.
      *
@@ -57,7 +102,7 @@
     public AllowanceVerdict take(CustomerId customer, double cost, long now) {
         CustomerAllowance allowance = allowances.get(customer);
         if (allowance != null) {
-            return allowance.take(cost, now);
+            return scaleDenial(allowance.take(cost, clock(now)), now);
         }
         return configure.findById(customer).isPresent()
                 ? new AllowanceVerdict.Granted()
@@ -68,7 +113,21 @@
     public void refund(CustomerId customer, double cost, long now) {
         CustomerAllowance allowance = allowances.get(customer);
         if (allowance != null) {
-            allowance.refund(cost, now);
+            allowance.refund(cost, clock(now));
         }
     }
+
+    private AllowanceVerdict scaleDenial(AllowanceVerdict verdict, long now) {
+        if (verdict instanceof AllowanceVerdict.Denied(Duration after) && shares.isPresent()) {
+            double share = Math.max(LEAST_EXPECTED_SHARE, shares.get().share(now));
+            return new AllowanceVerdict.Denied(
+                    Duration.ofNanos(Math.round(after.toNanos() / share)));
+        }
+        return verdict;
+    }
+
+    /** Returns the clock of the allowances, which runs slower while shares are reserved. */
+    private long clock(long now) {
+        return shares.map(reserved -> reserved.clock(now)).orElse(now);
+    }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
@@ -1,5 +1,7 @@
 package io.stackhall.core.customer;
 
+import io.stackhall.core.id.CustomerId;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Random;
@@ -28,10 +30,11 @@
         }
 
         @Override
-        public boolean admits(int host, int customer, double cost, boolean reaches, long now) {
+        public boolean admits(
+                int host, int customer, double cost, LimitSimulation.Link link, long now) {
             long nanos = TimeUnit.MILLISECONDS.toNanos(now);
             AllowanceVerdict verdict =
-                    reaches
+                    link == LimitSimulation.Link.BOTH
                             ? allowances.take(LimitSimulation.id(customer), cost, nanos)
                             : outages[host].take(
                                     LimitSimulation.id(customer),
@@ -48,6 +51,89 @@
         }
     }
 
+    /**
+     * As {@link Central}, but a host without answers uses its share of the limits as well, which
+     * the leader reserves for it.
+     */
+    static final class CentralWithShares implements LimitSimulation.Strategy {
+        private static final long QUESTION_INTERVAL = 250;
+
+        private final int hostCount;
+        private final AllowanceManager allowances = new AllowanceManager();
+        private final OutageAllowance[] outages;
+        private final AnswerReceipt[] receipts;
+        private final long[] askedAt;
+        private long leadership = 1;
+
+        CentralWithShares(LimitSimulation.Deployment deployment, long seed) {
+            hostCount = deployment.hosts();
+            outages = new OutageAllowance[hostCount];
+            receipts = new AnswerReceipt[hostCount];
+            askedAt = new long[hostCount];
+            allowances.configure(LimitSimulation.customers(), 0);
+            allowances.reset(leadership, 0);
+            allowances.followers(hostCount, 0);
+            for (int host = 0; host < hostCount; host++) {
+                receipts[host] = AnswerReceipt.NONE;
+                askedAt[host] = -QUESTION_INTERVAL;
+                outages[host] =
+                        new OutageAllowance(deployment.tolerance(), new Random(seed * 1000 + host));
+                for (int customer = 0; customer < LimitSimulation.CUSTOMERS; customer++) {
+                    outages[host].addCustomer(LimitSimulation.id(customer), 0);
+                }
+            }
+        }
+
+        @Override
+        public void tick(int host, LimitSimulation.Link link, long now) {
+            if (now - askedAt[host] >= QUESTION_INTERVAL) {
+                ask(host, link, now);
+            }
+        }
+
+        @Override
+        public boolean admits(
+                int host, int customer, double cost, LimitSimulation.Link link, long now) {
+            long nanos = TimeUnit.MILLISECONDS.toNanos(now);
+            ask(host, link, now);
+            CustomerId id = LimitSimulation.id(customer);
+            AllowanceVerdict verdict =
+                    link == LimitSimulation.Link.NONE
+                            ? new AllowanceVerdict.Denied(Duration.ZERO)
+                            : allowances.take(id, cost, nanos);
+            if (link != LimitSimulation.Link.BOTH) {
+                CustomerLimit limit = LimitSimulation.limit(customer);
+                verdict = outages[host].take(id, limit, cost, hostCount, nanos);
+            }
+            return verdict instanceof AllowanceVerdict.Granted;
+        }
+
+        /** A new leader knows few of the hosts at first, and learns of the others from them. */
+        @Override
+        public void leaderChanged(long now) {
+            leadership++;
+            allowances.reset(leadership, TimeUnit.MILLISECONDS.toNanos(now));
+            allowances.followers(hostCount / 2, TimeUnit.MILLISECONDS.toNanos(now));
+        }
+
+        private void ask(int host, LimitSimulation.Link link, long now) {
+            long nanos = TimeUnit.MILLISECONDS.toNanos(now);
+            askedAt[host] = now;
+            if (link == LimitSimulation.Link.NONE) {
+                return;
+            }
+            allowances.heard(LimitSimulation.host(host), receipts[host], nanos);
+            if (link == LimitSimulation.Link.BOTH) {
+                AnswerReceipt before = receipts[host];
+                receipts[host] = allowances.receipt(nanos).orElseThrow();
+                outages[host].answered(true, receipts[host].entryHosts(), nanos);
+                if (before.leadership() != leadership) {
+                    allowances.heard(LimitSimulation.host(host), receipts[host], nanos);
+                }
+            }
+        }
+    }
+
     /** Each host has the same fixed share of each limit. */
     static final class FixedShares implements LimitSimulation.Strategy {
         private final Bucket[][] buckets =
@@ -66,7 +152,8 @@
         }
 
         @Override
-        public boolean admits(int host, int customer, double cost, boolean reaches, long now) {
+        public boolean admits(
+                int host, int customer, double cost, LimitSimulation.Link link, long now) {
             Bucket bucket = buckets[host][customer];
             bucket.refill(now);
             // May be overdrawn by one request; otherwise most customers could run none at all.
@@ -101,7 +188,8 @@
         }
 
         @Override
-        public boolean admits(int host, int customer, double cost, boolean reaches, long now) {
+        public boolean admits(
+                int host, int customer, double cost, LimitSimulation.Link link, long now) {
             deliver(now);
             Bucket bucket = buckets[host][customer];
             bucket.refill(now);
@@ -109,7 +197,8 @@
                 return false;
             }
             bucket.level -= cost;
-            undelivered.addLast(new Spent(now, host, customer, cost, reaches));
+            undelivered.addLast(
+                    new Spent(now, host, customer, cost, link == LimitSimulation.Link.BOTH));
             return true;
         }
 
