Limits without a tolerance have no shares for outages

Cause: a host may overdraw its share of a limit by one request, so that with `limitOverage` and `limitSlack` 0 the hosts could exceed the limit together. Such a deployment runs nothing of a limited customer on a host that does not reach the leader, and has to stay so. Change: OutageAllowance uses shares of limits only with a tolerance.

--- a/stackhall-core/src/main/java/io/stackhall/core/customer/OutageAllowance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/OutageAllowance.java
@@ -130,7 +130,7 @@
         if (cost <= 0) {
             return new AllowanceVerdict.Granted();
         }
-        if (usesLimitShare(now) && takeLimitShare(customer, limit, cost, hosts, now)) {
+        if (usesLimitShare(limit, now) && takeLimitShare(customer, limit, cost, hosts, now)) {
             return new AllowanceVerdict.Granted();
         }
         double chance = share.level / cost;
@@ -143,9 +143,13 @@
         return granted ? new AllowanceVerdict.Granted() : new AllowanceVerdict.Denied(RETRY_AFTER);
     }
 
-    private boolean usesLimitShare(long now) {
+    /** Without a tolerance, no host may overdraw its share, so that it uses none. */
+    private boolean usesLimitShare(CustomerLimit limit, long now) {
         long silence = now - answeredAt;
-        return shareReserved && silence >= SILENCE.toNanos() && silence < MAX_SILENCE.toNanos();
+        return shareReserved
+                && tolerance.allowedExcess(limit) > 0
+                && silence >= SILENCE.toNanos()
+                && silence < MAX_SILENCE.toNanos();
     }
 
     private boolean takeLimitShare(
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/ReservedSharesTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/ReservedSharesTest.java
@@ -17,9 +17,6 @@
     private static final CustomerId CUSTOMER = new CustomerId("c");
     private static final CustomerLimit LIMIT =
             new CustomerLimit(CustomerLimit.Unit.TOKENS, 100, 1000, 1);
-    private static final LimitTolerance NO_TOLERANCE =
-            new LimitTolerance(Duration.ofSeconds(8), 0, 0);
-
     private final ReservedShares shares = new ReservedShares(7, 0);
 
     /** Guards against hosts that count as reachable though only their claims arrive. */
@@ -70,16 +67,22 @@
     /** Guards against a share that is used beside a leader which does not reserve it. */
     @Test
     void shareIsUsedOnlyAfterASecondWithoutAnswersOfALeaderThatReservesIt() {
-        assertThat(admittedAfter(true, Duration.ofMillis(999))).isZero();
-        assertThat(admittedAfter(true, Duration.ofSeconds(10))).isPositive();
-        assertThat(admittedAfter(true, Duration.ofSeconds(30))).isZero();
-        assertThat(admittedAfter(false, Duration.ofSeconds(10))).isZero();
+        assertThat(admittedAfter(true, Duration.ofMillis(999), 1e-6)).isZero();
+        assertThat(admittedAfter(true, Duration.ofSeconds(10), 1e-6)).isPositive();
+        assertThat(admittedAfter(true, Duration.ofSeconds(30), 1e-6)).isZero();
+        assertThat(admittedAfter(false, Duration.ofSeconds(10), 1e-6)).isZero();
+    }
+
+    /** Guards against limits without a tolerance that hosts overdraw by a request each. */
+    @Test
+    void shareOfALimitWithoutToleranceIsNotUsed() {
+        assertThat(admittedAfter(true, Duration.ofSeconds(10), 0)).isZero();
     }
 
-    private static int admittedAfter(boolean reserves, Duration silence) {
-        OutageAllowance outage = new OutageAllowance(NO_TOLERANCE, new Random(1));
+    private static int admittedAfter(boolean reserves, Duration silence, double slack) {
+        LimitTolerance tolerance = new LimitTolerance(Duration.ofSeconds(8), 0, slack);
+        OutageAllowance outage = new OutageAllowance(tolerance, new Random(1));
         outage.answered(reserves, 2, 0);
-        outage.take(CUSTOMER, LIMIT, 1, 2, Duration.ofSeconds(1).toNanos());
         int admitted = 0;
         for (int request = 0; request < 100; request++) {
             AllowanceVerdict verdict = outage.take(CUSTOMER, LIMIT, 10, 2, silence.toNanos());
