Entry hosts and the leader tell each other which shares of limits are reserved

Cause: the shares of limits that hosts use without answers, and that the leader reserves, were not connected to the messages between them. Change: AllowanceAsk names its sender and returns the leadership, the leader's time and the number of entry hosts of the last answer; an answer carries these three. AllowanceService passes them to AllowanceManager, with the number of its followers. AllowanceClient records answers, tells a new leadership at once that its answer arrived, and asks after 250 ms without a question (a leader knows of an answer with the next question, and has to within 800 ms). Without a customer that has a limit, no empty question is sent. Not measured: hosts under load.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/AllowanceService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/AllowanceService.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.customer.AllowanceManager;
 import io.stackhall.core.customer.AllowanceVerdict;
+import io.stackhall.core.customer.AnswerReceipt;
 import io.stackhall.core.customer.Customers;
 import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.HostId;
@@ -12,6 +13,8 @@
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.peer.Replier;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
 
 /**
  * Grants customers' allowances to entry hosts while this host leads the control group. Confined to
@@ -20,11 +23,20 @@
 final class AllowanceService {
 
     private final ControlGroup group;
+    private final IntSupplier entryHostCount;
+    private final RandomGenerator random;
     private final AllowanceManager manager = new AllowanceManager();
     private boolean leading;
 
-    AllowanceService(ControlGroup group) {
+    /**
+     * Creates the service of a host that does not lead.
+     *
+     * @param entryHostCount supplies the number of entry hosts that follow this host
+     */
+    AllowanceService(ControlGroup group, IntSupplier entryHostCount, RandomGenerator random) {
         this.group = group;
+        this.entryHostCount = entryHostCount;
+        this.random = random;
     }
 
     /** Applies the customers of the newest configuration. */
@@ -39,7 +51,7 @@
     void setLeading(boolean leads) {
         leading = leads;
         if (leads) {
-            manager.reset(BootClock.nanos());
+            manager.reset(random.nextLong(1, Long.MAX_VALUE), BootClock.nanos());
         }
     }
 
@@ -50,11 +62,32 @@
                         .setLeader(group.leader().map(HostId::value).orElse(""));
         if (leading && group.leads()) {
             answer.setLeads(true);
+            recordQuestion(request, answer);
             request.getClaimsList().forEach(claim -> decide(claim, answer));
         }
         replier.send(Frame.newBuilder().setAllowanceAnswer(answer).build());
     }
 
+    private void recordQuestion(AllowanceAsk request, AllowanceAnswer.Builder answer) {
+        long now = BootClock.nanos();
+        manager.followers(entryHostCount.getAsInt(), now);
+        if (request.getHost().isEmpty()) {
+            manager.heardOlderVersion(now);
+        } else {
+            manager.heard(
+                    new HostId(request.getHost()),
+                    new AnswerReceipt(
+                            request.getLeadership(), request.getAskedAt(), request.getEntryHosts()),
+                    now);
+        }
+        manager.receipt(now)
+                .ifPresent(
+                        receipt ->
+                                answer.setLeadership(receipt.leadership())
+                                        .setAskedAt(receipt.askedAt())
+                                        .setEntryHosts(receipt.entryHosts()));
+    }
+
     private void decide(AllowanceClaim claim, AllowanceAnswer.Builder answer) {
         long now = BootClock.nanos();
         CustomerId customer = new CustomerId(claim.getCustomer());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -120,7 +120,7 @@
         this.confirmations =
                 new RoutesConfirmationService(
                         loop, group, this::heldVersion, this::handleConfirmed);
-        this.allowances = new AllowanceService(group);
+        this.allowances = new AllowanceService(group, fleet.followers()::count, new Random());
         this.limits = new LimitService(group, fleet, hosts.self());
         this.orders =
                 new OrderIssuer(
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.stackhall.core.customer.AllowanceVerdict;
+import io.stackhall.core.customer.AnswerReceipt;
 import io.stackhall.core.customer.Customer;
 import io.stackhall.core.customer.OutageAllowance;
 import io.stackhall.core.id.HostId;
@@ -48,6 +49,16 @@
     /** Minimum time between two probes of a leader that has not answered. */
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(150);
 
+    /**
+     * The leader reserves this host's share of the limits when it has not heard within 800 ms that
+     * an answer has arrived, which it does with the next question.
+     */
+    private static final Duration QUESTION_INTERVAL = Duration.ofMillis(250);
+
+    /** How often {@link #keepReachable} is to be called. */
+    static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+
+    private final HostId self;
     private final EventLoop loop;
     private final ControlHostConnections controlHosts;
     private final OutageAllowance outageAllowance;
@@ -58,6 +69,9 @@
     private long lastClaimNumber;
     private boolean leaderUnresponsive;
     private long lastProbeAt;
+    private boolean limitsInForce;
+    private AnswerReceipt lastReceipt = AnswerReceipt.NONE;
+    private long lastQuestionAt = BootClock.nanos();
 
     /** A claim that has not been decided. */
     private record PendingClaim(
@@ -66,13 +80,16 @@
     /**
      * Creates a client that does not know the leader yet.
      *
+     * @param self the peer name of this host
      * @param entryHostCount supplies the number of entry hosts that share the outage allowance
      */
     AllowanceClient(
+            HostId self,
             EventLoop loop,
             ControlHostConnections controlHosts,
             OutageAllowance outageAllowance,
             IntSupplier entryHostCount) {
+        this.self = self;
         this.loop = loop;
         this.controlHosts = controlHosts;
         this.outageAllowance = outageAllowance;
@@ -127,6 +144,27 @@
         }
     }
 
+    /** Sets whether any customer has a limit; without limits nothing is asked. */
+    void setLimitsInForce(boolean inForce) {
+        limitsInForce = inForce;
+    }
+
+    /**
+     * Asks the leader if nothing has been asked for a while, so that it does not reserve this
+     * host's share of the limits.
+     */
+    void keepReachable() {
+        long now = BootClock.nanos();
+        if (!limitsInForce || now - lastQuestionAt < QUESTION_INTERVAL.toNanos()) {
+            return;
+        }
+        if (leaderUnresponsive) {
+            probe(now);
+        } else if (unsent.isEmpty()) {
+            flush();
+        }
+    }
+
     /** Handles a control host's answer, which holds decisions or names the current leader. */
     void receive(AllowanceAnswer answer) {
         if (answer.getLeads()) {
@@ -135,12 +173,34 @@
                 leaderUnresponsive = false;
                 logger.info("allowance.granted-again leader={}", answer.getLeader());
             }
+            recordAnswer(answer);
             answer.getDecisionsList().forEach(this::applyDecision);
         } else if (!answer.getLeader().isEmpty()) {
             switchLeader(new HostId(answer.getLeader()));
         }
     }
 
+    /**
+     * Records the receipt of a leader's answer. A new leader is told of it at once, since it
+     * reserves this host's share until then.
+     */
+    private void recordAnswer(AllowanceAnswer answer) {
+        boolean reserves = answer.getLeadership() != 0;
+        outageAllowance.answered(reserves, answer.getEntryHosts(), BootClock.nanos());
+        if (!reserves) {
+            return;
+        }
+        boolean newLeadership = answer.getLeadership() != lastReceipt.leadership();
+        if (newLeadership || answer.getAskedAt() - lastReceipt.askedAt() > 0) {
+            lastReceipt =
+                    new AnswerReceipt(
+                            answer.getLeadership(), answer.getAskedAt(), answer.getEntryHosts());
+        }
+        if (newLeadership && unsent.isEmpty()) {
+            flush();
+        }
+    }
+
     /** Resends all undecided claims to a newly named leader. */
     private void switchLeader(HostId newLeader) {
         if (leader.filter(newLeader::equals).isPresent()) {
@@ -199,6 +259,7 @@
             return;
         }
         lastProbeAt = now;
+        lastQuestionAt = now;
         controlHosts.sendToAll(frame(List.of()));
     }
 
@@ -210,6 +271,7 @@
     }
 
     private void flush() {
+        lastQuestionAt = BootClock.nanos();
         List<AllowanceClaim> batch = unsent;
         unsent = new ArrayList<>();
         Optional<HostId> target = leader.or(() -> controlHosts.connected().stream().findFirst());
@@ -227,9 +289,15 @@
                 .setCost(claim.cost());
     }
 
-    private static Frame frame(List<AllowanceClaim> claims) {
+    private Frame frame(List<AllowanceClaim> claims) {
         return Frame.newBuilder()
-                .setAllowanceAsk(AllowanceAsk.newBuilder().addAllClaims(claims))
+                .setAllowanceAsk(
+                        AllowanceAsk.newBuilder()
+                                .addAllClaims(claims)
+                                .setHost(self.value())
+                                .setLeadership(lastReceipt.leadership())
+                                .setAskedAt(lastReceipt.askedAt())
+                                .setEntryHosts(lastReceipt.entryHosts()))
                 .build();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerAccess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerAccess.java
@@ -37,6 +37,8 @@
         currentCustomers = next;
         long now = BootClock.nanos();
         next.all().forEach(customer -> outageAllowance.addCustomer(customer.id(), now));
+        allowanceClient.setLimitsInForce(
+                next.all().stream().anyMatch(customer -> customer.limit().isPresent()));
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -153,6 +153,10 @@
                 settings.metrics()
                         .map(at -> SimpleHttpServer.listen(eventLoops, at, this::metricsAnswer));
         RepeatedTask.every(loop, SYNC_INTERVAL_MILLIS, this::synchronize);
+        RepeatedTask.every(
+                loop,
+                AllowanceClient.CHECK_INTERVAL.toMillis(),
+                gateway.customers().allowanceClient()::keepReachable);
         RepeatedTask.every(loop, DEMAND_INTERVAL_MILLIS, reports::reportDemand);
         RepeatedTask.every(loop, WORK_CHECK_INTERVAL_MILLIS, reports::reportWork);
         settings.limits()
@@ -220,7 +224,11 @@
                 new KeyLease(limits.keyRevocation()),
                 outage,
                 new AllowanceClient(
-                        loop, new ControlConnections(), outage, this::assumedEntryHostCount));
+                        settings.peerName(),
+                        loop,
+                        new ControlConnections(),
+                        outage,
+                        this::assumedEntryHostCount));
     }
 
     /**
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -18,6 +18,7 @@
 import io.stackhall.core.route.Route;
 import io.stackhall.core.route.RouteKind;
 import io.stackhall.rpc.generated.fleet.AllowanceAnswer;
+import io.stackhall.rpc.generated.fleet.AllowanceAsk;
 import io.stackhall.rpc.generated.fleet.AllowanceClaim;
 import io.stackhall.rpc.generated.fleet.AllowanceDecision;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -41,6 +42,7 @@
 class RequestAuthorizationTest {
 
     private static final HostId LEADER = new HostId("10.0.0.1:7400");
+    private static final HostId SELF = new HostId("10.0.0.2:7400");
     private static final Customer NORTH =
             new Customer(
                     new CustomerId("north"),
@@ -56,9 +58,11 @@
     /** Records the claims that it receives; {@link #answerAll} grants them. */
     private static final class FakeLeader implements ControlHostConnections {
         private final List<AllowanceClaim> claims = new ArrayList<>();
+        private final List<AllowanceAsk> questions = new ArrayList<>();
 
         @Override
         public boolean send(HostId host, Frame frame) {
+            questions.add(frame.getAllowanceAsk());
             claims.addAll(frame.getAllowanceAsk().getClaimsList());
             return true;
         }
@@ -74,7 +78,7 @@
         channel.freezeTime();
         OutageAllowance outage =
                 new OutageAllowance(new LimitTolerance(Duration.ofSeconds(8), 0, 0), new Random(1));
-        client = new AllowanceClient(channel.eventLoop(), fakeLeader, outage, () -> 1);
+        client = new AllowanceClient(SELF, channel.eventLoop(), fakeLeader, outage, () -> 1);
         customerAccess = new CustomerAccess(new KeyLease(Optional.empty()), outage, client);
         customerAccess.setCustomers(new Customers(List.of(NORTH)));
     }
@@ -148,6 +152,42 @@
         assertThat(authorization.evaluate()).isInstanceOf(Decision.Refused.class);
     }
 
+    /** Guards against a new leader that keeps reserving the share of a reachable host. */
+    @Test
+    void newLeadershipIsToldAtOnceThatItsAnswerArrived() {
+        AllowanceAnswer answer =
+                AllowanceAnswer.newBuilder()
+                        .setLeads(true)
+                        .setLeader(LEADER.value())
+                        .setLeadership(7)
+                        .setAskedAt(5)
+                        .setEntryHosts(3)
+                        .build();
+        client.receive(answer);
+        client.receive(answer);
+        assertThat(fakeLeader.questions)
+                .containsExactly(
+                        AllowanceAsk.newBuilder()
+                                .setHost(SELF.value())
+                                .setLeadership(7)
+                                .setAskedAt(5)
+                                .setEntryHosts(3)
+                                .build());
+    }
+
+    /** Guards against idle hosts whose share is reserved, and against questions without limits. */
+    @Test
+    void idleHostAsksOnlyIfACustomerHasALimit() throws Exception {
+        customerAccess.setCustomers(Customers.unrestricted());
+        TimeUnit.MILLISECONDS.sleep(260);
+        client.keepReachable();
+        assertThat(fakeLeader.questions).isEmpty();
+        customerAccess.setCustomers(new Customers(List.of(NORTH)));
+        client.keepReachable();
+        assertThat(fakeLeader.questions).hasSize(1);
+        assertThat(fakeLeader.questions.getFirst().getHost()).isEqualTo(SELF.value());
+    }
+
     /** Lets time pass in which the event loop runs nothing. */
     private void advance(Duration time) {
         channel.advanceTimeBy(time.toNanos(), TimeUnit.NANOSECONDS);
