What a host granted on its own is not returned to the leader

Cause: a request that a host had granted without the leader, and that was not run, was returned to the leader once it answered again. The leader had not counted it, so that its allowance grew beyond what the limit allows. With shares of the limits such grants are more frequent. Change: AllowanceClient tells with each decision whether the leader made it; RequestAuthorization returns only grants of the leader. A second test shows that the share of a limit is used after a second without answers, and only if the leader had reserved it.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -19,7 +19,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -73,9 +72,19 @@
     private AnswerReceipt lastReceipt = AnswerReceipt.NONE;
     private long lastQuestionAt = BootClock.nanos();
 
+    /** Receives the decision on a claim. */
+    @FunctionalInterface
+    interface DecisionListener {
+        /**
+         * Called once.
+         *
+         * @param byLeader whether the leader decided; only what it granted can be returned to it
+         */
+        void decided(AllowanceVerdict verdict, boolean byLeader);
+    }
+
     /** A claim that has not been decided. */
-    private record PendingClaim(
-            Customer customer, double cost, Consumer<AllowanceVerdict> onDecision) {}
+    private record PendingClaim(Customer customer, double cost, DecisionListener onDecision) {}
 
     /**
      * Creates a client that does not know the leader yet.
@@ -103,11 +112,7 @@
      * @param onDecision called with the decision in a later task of the event loop, never before
      *     this method returns
      */
-    void claim(
-            Customer customer,
-            double cost,
-            double returned,
-            Consumer<AllowanceVerdict> onDecision) {
+    void claim(Customer customer, double cost, double returned, DecisionListener onDecision) {
         PendingClaim claim = new PendingClaim(customer, cost, onDecision);
         if (leaderUnresponsive) {
             probe(BootClock.nanos());
@@ -219,11 +224,12 @@
             return;
         }
         claim.onDecision()
-                .accept(
+                .decided(
                         decision.getGranted()
                                 ? new AllowanceVerdict.Granted()
                                 : new AllowanceVerdict.Denied(
-                                        Duration.ofMillis(decision.getRetryAfterMillis())));
+                                        Duration.ofMillis(decision.getRetryAfterMillis())),
+                        true);
     }
 
     /**
@@ -245,13 +251,14 @@
 
     private void decideLocally(PendingClaim claim) {
         claim.onDecision()
-                .accept(
+                .decided(
                         outageAllowance.take(
                                 claim.customer().id(),
                                 claim.customer().limit().orElseThrow(),
                                 claim.cost(),
                                 entryHostCount.getAsInt(),
-                                BootClock.nanos()));
+                                BootClock.nanos()),
+                        false);
     }
 
     private void probe(long now) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestAuthorization.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestAuthorization.java
@@ -37,6 +37,7 @@
     private Optional<Customer> customer = Optional.empty();
     private Grant grant = new Grant.NotRequested();
     private double cost;
+    private boolean decidedByLeader;
     private boolean closed;
 
     /** State of the claim on the customer's allowance. */
@@ -152,7 +153,7 @@
         if (!expired || limit.isEmpty()) {
             return true;
         }
-        requestGrant(customer.get(), limit.get(), cost);
+        requestGrant(customer.get(), limit.get(), decidedByLeader ? cost : 0);
         return false;
     }
 
@@ -162,7 +163,8 @@
         customerAccess.allowanceClient().claim(holder, cost, returned, this::applyVerdict);
     }
 
-    private void applyVerdict(AllowanceVerdict verdict) {
+    private void applyVerdict(AllowanceVerdict verdict, boolean byLeader) {
+        decidedByLeader = byLeader;
         if (closed) {
             returnLateGrant(verdict);
             return;
@@ -178,6 +180,13 @@
     /** Returns a grant that has arrived after the end of the request. */
     private void returnLateGrant(AllowanceVerdict verdict) {
         if (verdict instanceof AllowanceVerdict.Granted) {
+            returnGrant();
+        }
+    }
+
+    /** Returns a grant of the leader. It has not counted what this host decided on its own. */
+    private void returnGrant() {
+        if (decidedByLeader) {
             customer.ifPresent(
                     holder -> customerAccess.allowanceClient().returnUnused(holder, cost));
         }
@@ -198,8 +207,7 @@
     void close(boolean run) {
         boolean granted = grant instanceof Grant.Granted || grant instanceof Grant.Used;
         if (granted && !run) {
-            customer.ifPresent(
-                    holder -> customerAccess.allowanceClient().returnUnused(holder, cost));
+            returnGrant();
         }
         grant = new Grant.NotRequested();
         closed = true;
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -76,8 +76,11 @@
     @BeforeEach
     void open() {
         channel.freezeTime();
-        OutageAllowance outage =
-                new OutageAllowance(new LimitTolerance(Duration.ofSeconds(8), 0, 0), new Random(1));
+        open(new LimitTolerance(Duration.ofSeconds(8), 0, 0));
+    }
+
+    private void open(LimitTolerance tolerance) {
+        OutageAllowance outage = new OutageAllowance(tolerance, new Random(1));
         client = new AllowanceClient(SELF, channel.eventLoop(), fakeLeader, outage, () -> 1);
         customerAccess = new CustomerAccess(new KeyLease(Optional.empty()), outage, client);
         customerAccess.setCustomers(new Customers(List.of(NORTH)));
@@ -152,6 +155,49 @@
         assertThat(authorization.evaluate()).isInstanceOf(Decision.Refused.class);
     }
 
+    /** Guards against returns to a leader that has not granted, by which limits are exceeded. */
+    @Test
+    void grantOfThisHostItselfIsNotReturnedToTheLeader() {
+        LimitTolerance ample = new LimitTolerance(Duration.ofSeconds(8), 0, 1e12);
+        open(ample);
+        RequestAuthorization authorization = authorization();
+        evaluate(authorization);
+        for (int step = 0; step < 4; step++) {
+            advance(Duration.ofMillis(25));
+        }
+        assertThat(authorization.evaluate()).isInstanceOf(Decision.Allowed.class);
+        client.receive(
+                AllowanceAnswer.newBuilder().setLeads(true).setLeader(LEADER.value()).build());
+        authorization.close(false);
+        settle();
+        assertThat(fakeLeader.claims).hasSize(1);
+    }
+
+    /** Guards against an outage in which the reserved share of the limit is not used. */
+    @Test
+    void reservedShareIsUsedAfterASecondWithoutAnswers() throws Exception {
+        assertThat(decisionAfterSilence(7)).isInstanceOf(Decision.Allowed.class);
+        assertThat(decisionAfterSilence(0)).isInstanceOf(Decision.Refused.class);
+    }
+
+    private Decision decisionAfterSilence(long leadership) throws Exception {
+        open(new LimitTolerance(Duration.ofSeconds(8), 0, 1e-6));
+        client.receive(
+                AllowanceAnswer.newBuilder()
+                        .setLeads(true)
+                        .setLeader(LEADER.value())
+                        .setLeadership(leadership)
+                        .setEntryHosts(1)
+                        .build());
+        TimeUnit.MILLISECONDS.sleep(1200);
+        RequestAuthorization authorization = authorization();
+        evaluate(authorization);
+        for (int step = 0; step < 4; step++) {
+            advance(Duration.ofMillis(25));
+        }
+        return authorization.evaluate();
+    }
+
     /** Guards against a new leader that keeps reserving the share of a reachable host. */
     @Test
     void newLeadershipIsToldAtOnceThatItsAnswerArrived() {
