--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -224,6 +224,7 @@
         ServiceName service = inFlight.need().service();
         long nanos = inFlight.upstreamNanos(hostDelay, now);
         load.recordFirstEvent(nanos, services.objective(service));
+        // A time that is mostly the delay of this host says too little of the engine.
         if (inFlight.nothingUnread() && 2 * nanos >= now - inFlight.startedAt()) {
             services.prefillRate(service).addSample(inFlight.uncachedTokens(), nanos);
         }
