A reported slowdown leaves no narrower prompt window behind

Cause: the prompt window of an engine that is slowed down for 600 ms gets a dozen first events beyond the latency objective and shrinks to its minimum. The host then pauses for seconds between two prompts, long after the slowdown.

Change: where an engine reports its slowdown, the window is fed with the time that the first event would usually have taken, and is divided by the slowdown while it lasts. The highest recent report counts for an answer, since the last one may tell that the slowdown has just ended. The window of an engine that reports no slowdown is as before. PromptWindowTest passes a slowdown of 1 to the changed method; its expectations are unchanged.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -75,6 +75,7 @@
     private boolean selfReported;
     private boolean reportsSlowdown;
     private double reportedSlowdown = 1;
+    private double peakSlowdown = 1;
     private long slowdownReportedAt;
     private int answers;
     private int slowAnswers;
@@ -92,12 +93,14 @@
     }
 
     /**
-     * Records the first event of a request.
+     * Records the first event of a request. The prompt window gets the time that it would have
+     * taken without a slowdown, so that a slowdown leaves no narrower window behind.
      *
      * @param objective the shortest latency objective of the routes that lead to the instance
      */
     void recordFirstEvent(long startedAt, long now, Duration objective) {
-        promptWindow.recordFirstEvent(now - startedAt, objective);
+        long usual = Math.round((now - startedAt) / recentSlowdown(now));
+        promptWindow.recordFirstEvent(usual, objective);
         answers++;
         slowAnswers += PromptWindow.isSlow(now - startedAt, objective) ? 1 : 0;
     }
@@ -116,7 +119,7 @@
      * @param late whether its answer can no longer meet the latency objective
      */
     boolean admitsPrompt(boolean late, long now) {
-        return promptWindow.admits(unanswered.size(), late, now - lastSentAt);
+        return promptWindow.admits(unanswered.size(), late, slowdown(now), now - lastSentAt);
     }
 
     /**
@@ -158,6 +161,7 @@
         remoteRequestsAt = now;
         selfReported = true;
         if (slowdown.isPresent()) {
+            peakSlowdown = Math.max(slowdown.getAsDouble(), recentSlowdown(now));
             reportedSlowdown = slowdown.getAsDouble();
             slowdownReportedAt = now;
             reportsSlowdown = true;
@@ -174,8 +178,20 @@
      * decaying to 1, since the share of a machine that an instance gets changes quickly.
      */
     double slowdown(long now) {
+        return decayed(reportedSlowdown, now);
+    }
+
+    /**
+     * Returns the slowdown that an answer which arrives now may have met: the highest one reported,
+     * decaying to 1. The last report alone doesn't tell it if the slowdown has just ended.
+     */
+    private double recentSlowdown(long now) {
+        return decayed(peakSlowdown, now);
+    }
+
+    private double decayed(double slowdown, long now) {
         double halves = (double) (now - slowdownReportedAt) / SLOWDOWN_HALF_LIFE_NANOS;
-        return 1 + (reportedSlowdown - 1) * Math.pow(0.5, Math.max(0, halves));
+        return 1 + (slowdown - 1) * Math.pow(0.5, Math.max(0, halves));
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PromptWindow.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PromptWindow.java
@@ -48,6 +48,7 @@
     /**
      * Adjusts the window to the time that a request has waited for its first event.
      *
+     * @param nanos the time, less what a slowdown of the engine has added to it
      * @param objective the shortest latency objective of the routes that lead to the engine
      */
     void recordFirstEvent(long nanos, Duration objective) {
@@ -71,10 +72,11 @@
      *
      * @param unanswered the number of prompts that have brought no event yet
      * @param late whether its answer can no longer meet the latency objective
+     * @param slowdown how many times as long as usual work takes at the engine
      * @param sinceLastNanos the time since the last prompt was sent
      */
-    boolean admits(int unanswered, boolean late, long sinceLastNanos) {
-        double window = late ? limit * LATE_SHARE : limit;
+    boolean admits(int unanswered, boolean late, double slowdown, long sinceLastNanos) {
+        double window = (late ? limit * LATE_SHARE : limit) / slowdown;
         if (window >= 1) {
             return unanswered < Math.floor(window);
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/PromptWindowTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/PromptWindowTest.java
@@ -32,8 +32,8 @@
     void furtherSlowEventsMakeAHostPauseBetweenPrompts() {
         answer(100, 20);
         answer(2000, 20);
-        assertThat(window.admits(0, false, Duration.ofSeconds(2).toNanos())).isFalse();
-        assertThat(window.admits(0, false, Duration.ofSeconds(17).toNanos())).isTrue();
+        assertThat(window.admits(0, false, 1, Duration.ofSeconds(2).toNanos())).isFalse();
+        assertThat(window.admits(0, false, 1, Duration.ofSeconds(17).toNanos())).isTrue();
         answer(100, 4);
         assertThat(admits(0)).isTrue();
         assertThat(admits(1)).isTrue();
@@ -50,8 +50,8 @@
     @Test
     void latePromptsFillAtMostHalfOfTheWindow() {
         answer(100, 20);
-        assertThat(window.admits(2, true, 0)).isTrue();
-        assertThat(window.admits(4, true, 0)).isFalse();
+        assertThat(window.admits(2, true, 1, 0)).isTrue();
+        assertThat(window.admits(4, true, 1, 0)).isFalse();
         assertThat(admits(4)).isTrue();
     }
 
@@ -71,7 +71,7 @@
     }
 
     private boolean admits(int unanswered) {
-        return window.admits(unanswered, false, 0);
+        return window.admits(unanswered, false, 1, 0);
     }
 
     private void answer(long millis, int times) {
