Select engines by the expected time to the first event

Cause: engines are selected by tokens, with constants that reflect neither an engine's speed nor its slowdown, and another zone costs the equivalent of 4 ms. The rate of a service counts only the tokens of the prompt itself, so that at a busy engine it looks several times too slow.

Change: where engines report their slowdown, the score is the time for the unread and own prompt tokens and for the running requests, at the engine's own rate once four of its answers are known, else at that of the service, times the slowdown. A sample counts all work ahead of the first event, and the slowdown is taken out of it. The own zone is preferred while an engine there is expected to answer within a quarter of the remaining objective. Admission uses the same rate. Services whose engines report no slowdown are selected as before. The constant for running requests moves to InstanceLoad.

ManyHostsReplay gets methods to override; its draws and assertions are the same.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -195,9 +195,16 @@
         coldLimiter.recordSent(id, services.coldRequestsPerSecond(need.service()), now);
         backpressure.sent(id, now);
         InstanceLoad load = load(id);
-        boolean nothingUnread = load.unreadTokens(services.prefillRate(need.service()), now) <= 0;
+        PrefillRate rate = load.currentRate(services.prefillRate(need.service()), now);
+        boolean nothingUnread = load.unreadTokens(rate, now) <= 0;
         InFlightRequest inFlight =
-                new InFlightRequest(id, need, load.uncachedTokens(need), nothingUnread, now);
+                new InFlightRequest(
+                        id,
+                        need,
+                        load.uncachedTokens(need),
+                        nothingUnread,
+                        load.workAhead(load.expectedUnreadTokens(rate, now), need, now),
+                        now);
         load.requestSent(inFlight.uncachedTokens(), now);
         return inFlight;
     }
@@ -211,10 +218,7 @@
         load.responseStarted(inFlight.uncachedTokens(), inFlight.startedAt());
         load.recordFirstEvent(
                 inFlight.startedAt(), now, services.objective(inFlight.need().service()));
-        if (inFlight.nothingUnread()) {
-            services.prefillRate(inFlight.need().service())
-                    .addSample(inFlight.uncachedTokens(), now - inFlight.startedAt());
-        }
+        load.recordPrefill(services.prefillRate(inFlight.need().service()), inFlight, now);
         load.resetBackoff();
         backpressure.answered(inFlight.instance(), inFlight.startedAt());
         inFlight.need().parts().forEach(part -> load.rememberPart(part.id(), now));
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
@@ -14,17 +14,24 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Picks an engine that holds the requested model, by the prompt tokens that it has yet to process.
+ * Picks an engine that holds the requested model: by the expected time to the first event where
+ * engines report their slowdown, else by the prompt tokens that they have yet to process.
  */
 final class EngineSelector {
 
+    /** An instance in another zone is chosen if it has this many fewer prompt tokens to process. */
+    private static final double OTHER_ZONE_TOKENS = 150;
+
     /**
-     * A running request slows down a batch about as much as this many prompt tokens delay it once.
+     * The time that a request and the first event of its answer travel to and from another zone.
      */
-    private static final double TOKENS_PER_RUNNING = 60;
+    private static final double TRANSFER_NANOS = Duration.ofMillis(2).toNanos();
 
-    /** An instance in another zone is chosen if it has this many fewer prompt tokens to process. */
-    private static final double OTHER_ZONE_TOKENS = 150;
+    /**
+     * An engine of the host's own zone is preferred while it is expected to answer within this
+     * share of the remaining latency objective.
+     */
+    private static final double OWN_ZONE_SHARE = 0.25;
 
     /**
      * An engine without a first event for this long counts as silent, and is avoided while other
@@ -76,12 +83,18 @@
         Candidates ready = new Candidates();
         Candidates withoutAdapter = new Candidates();
         double total = 0;
+        boolean byTime = rate.isKnown() && holders.stream().anyMatch(this::reportsSlowdown);
         for (Instance instance : holders) {
             InstanceLoad load = loads.apply(instance.id());
-            total += requestsPerSecond(load, request, engine, rate);
-            if (admits(load, request, engine, rate)) {
+            PrefillRate current = load.currentRate(rate, request.now());
+            total += requestsPerSecond(load, request, engine, load.usualRate(rate));
+            if (admits(load, request, engine, current)) {
                 Candidates group = hasAdapter(instance, request) ? ready : withoutAdapter;
-                group.add(instance, score(instance, load, request, rate), request.suspect());
+                double score =
+                        byTime
+                                ? timeScore(instance, load, request, current)
+                                : tokenScore(instance, load, request, current);
+                group.add(instance, score, request.suspect());
             }
         }
         if (!ready.isEmpty()) {
@@ -147,13 +160,39 @@
                 : new Choice.ModelComing(Duration.ofNanos(soonest));
     }
 
-    private double score(
+    private boolean reportsSlowdown(Instance instance) {
+        return loads.apply(instance.id()).reportsSlowdown();
+    }
+
+    /**
+     * Returns the expected time to the first event. Engines outside the preference for the host's
+     * own zone come after all that are within it.
+     */
+    private double timeScore(
+            Instance instance, InstanceLoad load, DispatchRequest request, PrefillRate rate) {
+        double expected = rate.nanosFor(workAhead(load, request, rate)) * penalty(load);
+        double preferred = OWN_ZONE_SHARE * Math.max(0, request.remaining().toNanos());
+        if (!instance.zone().equals(zone)) {
+            return preferred + expected + TRANSFER_NANOS;
+        }
+        return expected <= preferred ? expected : preferred + expected;
+    }
+
+    private double tokenScore(
             Instance instance, InstanceLoad load, DispatchRequest request, PrefillRate rate) {
-        double tokens =
-                load.unreadTokens(rate, request.now()) + load.uncachedTokens(request.need());
-        tokens += TOKENS_PER_RUNNING * load.occupancy(request.now());
+        double tokens = workAhead(load, request, rate);
         tokens += instance.zone().equals(zone) ? 0 : OTHER_ZONE_TOKENS;
-        return tokens * (1 + FAILURE_WEIGHT * load.failureShare());
+        return tokens * penalty(load);
+    }
+
+    /** Returns the work before the first event of a request, in prompt tokens. */
+    private static double workAhead(InstanceLoad load, DispatchRequest request, PrefillRate rate) {
+        double unread = load.unreadTokens(rate, request.now());
+        return load.workAhead(unread, request.need(), request.now());
+    }
+
+    private static double penalty(InstanceLoad load) {
+        return 1 + FAILURE_WEIGHT * load.failureShare();
     }
 
     private boolean hasAdapter(Instance instance, DispatchRequest request) {
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
@@ -9,6 +9,7 @@
     private final Need need;
     private final long uncachedTokens;
     private final boolean nothingUnread;
+    private final double workAhead;
     private final long startedAt;
     private boolean answered;
     private boolean ended;
@@ -18,11 +19,13 @@
             Need need,
             long uncachedTokens,
             boolean nothingUnread,
+            double workAhead,
             long startedAt) {
         this.instance = instance;
         this.need = need;
         this.uncachedTokens = uncachedTokens;
         this.nothingUnread = nothingUnread;
+        this.workAhead = workAhead;
         this.startedAt = startedAt;
     }
 
@@ -52,6 +55,14 @@
         return nothingUnread;
     }
 
+    /**
+     * Returns the work that was expected before its first event when the request was sent, in
+     * prompt tokens.
+     */
+    double workAhead() {
+        return workAhead;
+    }
+
     /** Marks the request as answered, and returns whether it was not marked before. */
     boolean markAnswered() {
         boolean first = !answered;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -13,13 +13,18 @@
  */
 final class InstanceLoad {
 
+    /**
+     * A running request slows down a batch about as much as this many prompt tokens delay it once.
+     */
+    private static final double TOKENS_PER_RUNNING = 60;
+
     private static final long INITIAL_BACKOFF_NANOS = Duration.ofMillis(800).toNanos();
     private static final long MAX_BACKOFF_NANOS = Duration.ofSeconds(4).toNanos();
 
     /**
      * Half-life of a reported load, since it describes requests of other hosts, which come and go.
      */
-    private static final long REPORT_HALF_LIFE_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final double REPORT_HALF_LIFE_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** Half-life of a reported slowdown. */
     private static final long SLOWDOWN_HALF_LIFE_NANOS = Duration.ofMillis(300).toNanos();
@@ -35,7 +40,10 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
-    /** The mean of the requests of other hosts weights each new report by one over this number. */
+    /**
+     * The means of what other hosts have at the instance weight each new report by one over this
+     * number.
+     */
     private static final int REMOTE_MEMORY = 16;
 
     /**
@@ -46,6 +54,12 @@
      */
     private static final double REMOTE_HALF_LIFE_SHARE = 0.25;
 
+    /**
+     * Half-life of the reported prompt tokens of other hosts: an engine that meets its latency
+     * objective processes a prompt in about this time.
+     */
+    private static final double UNREAD_HALF_LIFE_NANOS = Duration.ofMillis(100).toNanos();
+
     /** The failure share weights each new outcome by one over this number. */
     private static final double FAILURE_MEMORY = 8;
 
@@ -57,6 +71,7 @@
 
     private final Deque<Long> unanswered = new ArrayDeque<>();
     private final PromptWindow promptWindow = new PromptWindow();
+    private final PrefillRate prefillRate = new PrefillRate();
     private final Map<String, Long> processedParts =
             new LinkedHashMap<>(16, 0.75f, true) {
                 @Override
@@ -71,6 +86,8 @@
     private int remoteUpdates;
     private long remoteUnreadTokens;
     private long remoteUnreadAt;
+    private double meanRemoteUnreadTokens;
+    private int remoteUnreadUpdates;
     private long remoteRequestsAt;
     private boolean selfReported;
     private boolean reportsSlowdown;
@@ -105,6 +122,39 @@
         slowAnswers += PromptWindow.isSlow(now - startedAt, objective) ? 1 : 0;
     }
 
+    /**
+     * Records the time to the first event of a request. Where the instance reports its slowdown,
+     * the sample is the time that all work before the event would usually have taken. Otherwise
+     * only requests count that found nothing unread.
+     *
+     * @param ofService the rate of the engines of its service
+     */
+    void recordPrefill(PrefillRate ofService, InFlightRequest inFlight, long now) {
+        long nanos = now - inFlight.startedAt();
+        if (reportsSlowdown && inFlight.uncachedTokens() > 0) {
+            long usual = Math.round(nanos / slowdown(now));
+            long tokens = Math.round(inFlight.workAhead());
+            prefillRate.addSample(tokens, usual);
+            ofService.addSample(tokens, usual);
+        } else if (inFlight.nothingUnread()) {
+            ofService.addSample(inFlight.uncachedTokens(), nanos);
+        }
+    }
+
+    /**
+     * Returns the rate at which the instance usually processes prompts: its own, if it reports its
+     * slowdown and enough of its answers were seen, else that of its service.
+     */
+    PrefillRate usualRate(PrefillRate ofService) {
+        return reportsSlowdown && prefillRate.isKnown() ? prefillRate : ofService;
+    }
+
+    /** Returns the rate at which the instance processes prompts at present. */
+    PrefillRate currentRate(PrefillRate ofService, long now) {
+        PrefillRate usual = usualRate(ofService);
+        return reportsSlowdown ? usual.slowedBy(slowdown(now)) : usual;
+    }
+
     /** Returns the work to report to other hosts, and resets the counts of answers. */
     InstanceWork takeWork() {
         InstanceWork work = new InstanceWork(running, answers, slowAnswers);
@@ -224,6 +274,9 @@
     void updateRemoteUnreadTokens(long tokens, long now) {
         remoteUnreadTokens = tokens;
         remoteUnreadAt = now;
+        remoteUnreadUpdates++;
+        meanRemoteUnreadTokens +=
+                (tokens - meanRemoteUnreadTokens) / Math.min(remoteUnreadUpdates, REMOTE_MEMORY);
     }
 
     /**
@@ -235,6 +288,33 @@
         return ownUnreadTokens + Math.max(0, remoteUnreadTokens - readSince);
     }
 
+    /**
+     * Returns the expected number of prompt tokens of all hosts that the instance has yet to
+     * process, for deciding whether it takes one more. If it reports its slowdown, the last report
+     * of other hosts decays towards their mean, since they send further prompts between two
+     * reports: taken as processed after the report, many hosts together overfill the instance. The
+     * mean decays as well, so that a host without reports keeps sending.
+     */
+    double expectedUnreadTokens(PrefillRate rate, long now) {
+        if (!reportsSlowdown) {
+            return unreadTokens(rate, now);
+        }
+        long age = Math.max(0, now - remoteUnreadAt);
+        double mean = meanRemoteUnreadTokens * Math.pow(0.5, age / REPORT_HALF_LIFE_NANOS);
+        double deviation = remoteUnreadTokens - meanRemoteUnreadTokens;
+        double remote = mean + deviation * Math.pow(0.5, age / UNREAD_HALF_LIFE_NANOS);
+        return ownUnreadTokens + Math.max(0, remote);
+    }
+
+    /**
+     * Returns the work before the first event of one more request, in prompt tokens.
+     *
+     * @param unread the tokens of other requests that are processed before it
+     */
+    double workAhead(double unread, Need need, long now) {
+        return unread + uncachedTokens(need) + TOKENS_PER_RUNNING * occupancy(now);
+    }
+
     /** Excludes the instance for a period that doubles with each consecutive failure. */
     void backOff(long now) {
         consecutiveFailures++;
@@ -308,7 +388,7 @@
     }
 
     double remoteRequestsNow(long now) {
-        double halves = (double) (now - remoteRequestsAt) / REPORT_HALF_LIFE_NANOS;
+        double halves = (now - remoteRequestsAt) / REPORT_HALF_LIFE_NANOS;
         return remoteRequests * Math.pow(0.5, Math.max(0, halves));
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 
 /**
- * The rate at which the engines of one service process prompts (prefill), learned from answers of
- * engines that had little else to process. It determines how much may queue at an engine for the
- * next prompt to be processed in time.
+ * The rate at which one engine, or the engines of one service, process prompts (prefill), learned
+ * from answers of engines that had little else to process. It determines how much may queue at an
+ * engine for the next prompt to be processed in time.
  */
 final class PrefillRate {
 
@@ -42,12 +42,30 @@
         nanosPerToken += ((double) nanos / tokens - nanosPerToken) / divisor;
     }
 
+    /** Returns whether enough answers were seen for an estimate. */
+    boolean isKnown() {
+        return samples >= MIN_SAMPLES;
+    }
+
+    /** Returns the rate of an engine whose work takes this many times as long as usual. */
+    PrefillRate slowedBy(double slowdown) {
+        PrefillRate slowed = new PrefillRate();
+        slowed.nanosPerToken = nanosPerToken * slowdown;
+        slowed.samples = samples;
+        return slowed;
+    }
+
+    /** Returns how long an engine takes to process this many tokens; 0 if the rate is unknown. */
+    double nanosFor(double tokens) {
+        return isKnown() ? tokens * nanosPerToken : 0;
+    }
+
     /**
      * Returns how many tokens an engine processes in the given time; infinite if the rate is
      * unknown.
      */
     double tokensIn(long nanos) {
-        return samples < MIN_SAMPLES ? Double.POSITIVE_INFINITY : nanos / nanosPerToken;
+        return isKnown() ? nanos / nanosPerToken : Double.POSITIVE_INFINITY;
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/Dispatchers.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/Dispatchers.java
@@ -13,10 +13,11 @@
     private Dispatchers() {}
 
     static Dispatcher of(Random random) {
+        return of(new ZoneId("plateau"), random);
+    }
+
+    static Dispatcher of(ZoneId zone, Random random) {
         LimitedUpstreams limits = new LimitedUpstreams(new HostId("entry-1"), random);
-        return new Dispatcher(
-                new ZoneId("plateau"),
-                new Backpressure(limits, new RestingUpstreams(random)),
-                random);
+        return new Dispatcher(zone, new Backpressure(limits, new RestingUpstreams(random)), random);
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/ManyHostsReplay.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/ManyHostsReplay.java
@@ -22,7 +22,7 @@
  * copies are loaded one after another. Engines process prompts one after another. Times are in
  * milliseconds.
  */
-final class ManyHostsReplay {
+class ManyHostsReplay {
 
     private static final long LENGTH = 8000;
     private static final long OBJECTIVE = 800;
@@ -37,6 +37,7 @@
     private static final long COPY_EVERY = 600;
     private static final int COPIES = 6;
 
+    private final long seed;
     private final Random random;
     private final int hosts;
     private final double perSecond;
@@ -52,10 +53,18 @@
     private long refusedWaitMillis;
 
     /** The time at which an engine completes a prompt. */
-    private record PromptCompletion(long at, int host, InFlightRequest inFlight, long arrivedAt) {}
+    private record PromptCompletion(long at, Waiting request, InFlightRequest inFlight) {}
+
+    /**
+     * What a request asks for.
+     *
+     * @param objective the latency objective
+     * @param deadline the time that its caller waits, less the time that a send needs
+     */
+    record Kind(Need need, long objective, long deadline) {}
 
     /** A request that waits at its host. */
-    private record Waiting(int host, long arrivedAt, Admission admission) {}
+    record Waiting(int host, long arrivedAt, Kind kind, Admission admission) {}
 
     /**
      * The results.
@@ -71,19 +80,20 @@
      * @param shareUnread whether hosts report their unread prompt tokens to each other
      */
     ManyHostsReplay(long seed, int hosts, double perSecond, boolean shareUnread) {
+        this.seed = seed;
         this.random = new Random(seed);
         this.hosts = hosts;
         this.perSecond = perSecond;
         this.shareUnread = shareUnread;
-        for (int host = 0; host < hosts; host++) {
-            dispatchers.add(dispatcher(seed * 1000 + host));
-        }
     }
 
     /** Runs the simulation to its end. */
     Outcome simulate() {
-        for (long now = 1; now < LENGTH; now++) {
-            addCopies(now);
+        for (int host = 0; host < hosts; host++) {
+            dispatchers.add(dispatcher(host, new Random(seed * 1000 + host)));
+        }
+        for (long now = 1; now < length(); now++) {
+            changeEngines(now);
             completePrompts(now);
             exchangeReports(now);
             arrive(now);
@@ -95,26 +105,37 @@
                 (double) inTime / arrived, (double) refusedWaitMillis / Math.max(1, refused));
     }
 
-    private static Dispatcher dispatcher(long seed) {
-        Dispatcher dispatcher = Dispatchers.of(new Random(seed));
-        ModelWeights weights =
-                new ModelWeights(
-                        new ModelId("m"),
-                        100,
-                        List.of(),
-                        1,
-                        Duration.ofSeconds(8),
-                        Duration.ofMillis(1700),
-                        Duration.ofMillis(800));
-        EngineSpec spec =
-                new EngineSpec(
-                        64, 93_922, 300, 2, 1, 200, 600, EngineSpec.byName(List.of(weights)));
-        dispatcher.setEngines(Map.of(SERVICE, spec));
+    /** Returns the length of the simulation. */
+    long length() {
+        return LENGTH;
+    }
+
+    /** Creates the dispatcher of one host. */
+    Dispatcher dispatcher(int host, Random draws) {
+        Dispatcher dispatcher = Dispatchers.of(draws);
+        dispatcher.setEngines(Map.of(SERVICE, spec(64, weights("m"))));
         dispatcher.setObjectives(Map.of(SERVICE, Duration.ofMillis(OBJECTIVE)));
         warmUp(dispatcher);
         return dispatcher;
     }
 
+    /** Returns engines with these slots and models. */
+    static EngineSpec spec(int slots, ModelWeights... models) {
+        return new EngineSpec(
+                slots, 93_922, 300, 2, 1, 200, 600, EngineSpec.byName(List.of(models)));
+    }
+
+    static ModelWeights weights(String model) {
+        return new ModelWeights(
+                new ModelId(model),
+                100,
+                List.of(),
+                1,
+                Duration.ofSeconds(8),
+                Duration.ofMillis(1700),
+                Duration.ofMillis(800));
+    }
+
     /** Lets the host measure the rate at which engines process prompts. */
     private static void warmUp(Dispatcher dispatcher) {
         dispatcher.updateInstance(instance("warm", 1, "other"));
@@ -126,7 +147,8 @@
         }
     }
 
-    private void addCopies(long now) {
+    /** Adds the copies that are loaded at this time. */
+    void changeEngines(long now) {
         long since = now - FIRST_COPY_AFTER;
         boolean further = since >= 0 && since % COPY_EVERY == 0 && since / COPY_EVERY < COPIES - 1;
         if (now == 1 || further) {
@@ -136,18 +158,24 @@
         }
     }
 
-    private void completePrompts(long now) {
+    /** Ends the prompts that engines have processed by now. */
+    void completePrompts(long now) {
         while (!completions.isEmpty() && completions.peek().at() <= now) {
             PromptCompletion completion = completions.poll();
-            Dispatcher dispatcher = dispatchers.get(completion.host());
+            Dispatcher dispatcher = dispatchers.get(completion.request().host());
             dispatcher.responseStarted(completion.inFlight(), nanos(now));
             dispatcher.requestEnded(completion.inFlight(), nanos(now));
-            inTime += now - completion.arrivedAt() <= OBJECTIVE ? 1 : 0;
+            countFirstEvent(completion.request(), now);
         }
     }
 
+    /** Counts a request whose first event arrives now. */
+    void countFirstEvent(Waiting request, long now) {
+        inTime += now - request.arrivedAt() <= request.kind().objective() ? 1 : 0;
+    }
+
     /** Every 150 ms each host receives the totals that the other hosts have at that moment. */
-    private void exchangeReports(long now) {
+    void exchangeReports(long now) {
         if (!shareUnread || now % 150 != 0) {
             return;
         }
@@ -169,14 +197,24 @@
     private void arrive(long now) {
         if (random.nextDouble() < perSecond / 1000) {
             arrived++;
-            Admission admission = new Admission(nanos(now + DEADLINE));
-            Waiting request = new Waiting(random.nextInt(hosts), now, admission);
+            Kind kind = nextKind();
+            Admission admission = new Admission(nanos(now + kind.deadline()));
+            Waiting request = new Waiting(random.nextInt(hosts), now, kind, admission);
+            countArrival(request);
             if (!isSettled(request, now)) {
                 waiting.add(request);
             }
         }
     }
 
+    /** Returns what the next request asks for. */
+    Kind nextKind() {
+        return new Kind(need(), OBJECTIVE, DEADLINE);
+    }
+
+    /** Counts a request that has arrived. */
+    void countArrival(Waiting request) {}
+
     private void recheckWaiting(long now) {
         waiting.sort(
                 (one, other) ->
@@ -193,10 +231,12 @@
     /** Sends or refuses a request, and returns whether either happened. */
     private boolean isSettled(Waiting request, long now) {
         Dispatcher dispatcher = dispatchers.get(request.host());
-        Choice choice = dispatcher.choose(need(), id -> true, left(request, now), nanos(now));
+        Choice choice =
+                dispatcher.choose(
+                        request.kind().need(), id -> true, left(request, now), nanos(now));
         return switch (request.admission().decide(choice, ahead(request, now), nanos(now))) {
             case Admission.Verdict.Send(Instance instance, String why) -> {
-                send(dispatcher, instance.id(), request, now);
+                send(dispatcher, instance, request, now);
                 yield true;
             }
             case Admission.Verdict.GiveUp giveUp -> {
@@ -221,21 +261,24 @@
         return ahead;
     }
 
-    private void send(Dispatcher dispatcher, UpstreamId engine, Waiting request, long now) {
+    /** Sends a request to an engine. */
+    void send(Dispatcher dispatcher, Instance instance, Waiting request, long now) {
+        UpstreamId engine = instance.id();
         InFlightRequest inFlight = dispatcher.requestSent(engine, need(), nanos(now));
         long startsAt = Math.max(now, busyUntil.get(engine));
         long at = startsAt + Math.round(PROMPT_TOKENS / TOKENS_PER_MILLI);
         busyUntil.put(engine, at);
-        completions.add(new PromptCompletion(at, request.host(), inFlight, request.arrivedAt()));
+        completions.add(new PromptCompletion(at, request, inFlight));
     }
 
     private static Duration left(Waiting request, long now) {
-        long left = isLate(request, now) ? 0 : OBJECTIVE - (now - request.arrivedAt());
+        long objective = request.kind().objective();
+        long left = isLate(request, now) ? 0 : objective - (now - request.arrivedAt());
         return Duration.ofMillis(left);
     }
 
     private static boolean isLate(Waiting request, long now) {
-        return now - request.arrivedAt() > OBJECTIVE * 7 / 8;
+        return now - request.arrivedAt() > request.kind().objective() * 7 / 8;
     }
 
     private static Need need() {
@@ -249,7 +292,15 @@
                 1);
     }
 
-    private static long nanos(long millis) {
+    Random random() {
+        return random;
+    }
+
+    List<Dispatcher> dispatchers() {
+        return dispatchers;
+    }
+
+    static long nanos(long millis) {
         return Duration.ofMillis(millis).toNanos();
     }
 }
