--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -207,9 +207,8 @@
         coldLimiter.recordSent(id, services.coldRequestsPerSecond(need.service()), now);
         backpressure.sent(id, now);
         InstanceLoad load = load(id);
-        boolean nothingUnread = load.unreadTokens(services.prefillRate(need.service()), now) <= 0;
         InFlightRequest inFlight =
-                new InFlightRequest(id, need, load.uncachedTokens(need), nothingUnread, now);
+                InFlightRequest.of(id, need, load, services.prefillRate(need.service()), now);
         load.requestSent(inFlight.uncachedTokens(), now);
         return inFlight;
     }
@@ -223,10 +222,10 @@
         load.responseStarted(inFlight.uncachedTokens(), inFlight.startedAt());
         ServiceName service = inFlight.need().service();
         long nanos = inFlight.upstreamNanos(hostDelay, now);
-        load.recordFirstEvent(nanos, services.objective(service));
+        load.recordFirstEvent(nanos, services.objective(service), now);
         // A time that is mostly the delay of this host says too little of the engine.
-        if (inFlight.nothingUnread() && 2 * nanos >= now - inFlight.startedAt()) {
-            services.prefillRate(service).addSample(inFlight.uncachedTokens(), nanos);
+        if (2 * nanos >= now - inFlight.startedAt()) {
+            load.recordPrefill(services.prefillRate(service), inFlight, nanos, now);
         }
         load.resetBackoff();
         backpressure.answered(inFlight.instance(), inFlight.startedAt());
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
@@ -10,6 +10,7 @@
     private final Need need;
     private final long uncachedTokens;
     private final boolean nothingUnread;
+    private final double workAhead;
     private final long startedAt;
     private long writeDelay;
     private boolean answered;
@@ -20,14 +21,35 @@
             Need need,
             long uncachedTokens,
             boolean nothingUnread,
+            double workAhead,
             long startedAt) {
         this.instance = instance;
         this.need = need;
         this.uncachedTokens = uncachedTokens;
         this.nothingUnread = nothingUnread;
+        this.workAhead = workAhead;
         this.startedAt = startedAt;
     }
 
+    /**
+     * Creates the handle of a request that is sent now.
+     *
+     * @param load the load of its instance, without this request
+     * @param ofService the rate of the engines of its service
+     */
+    static InFlightRequest of(
+            UpstreamId instance, Need need, InstanceLoad load, PrefillRate ofService, long now) {
+        PrefillRate rate = load.currentRate(ofService, now);
+        double workAhead = load.workAhead(load.expectedUnreadTokens(rate, now), need, now);
+        return new InFlightRequest(
+                instance,
+                need,
+                load.uncachedTokens(need),
+                load.unreadTokens(rate, now) <= 0,
+                workAhead,
+                now);
+    }
+
     public UpstreamId instance() {
         return instance;
     }
@@ -69,6 +91,14 @@
         return nothingUnread;
     }
 
+    /**
+     * Returns the work that was expected before its first event when the request was sent, in
+     * prompt tokens.
+     */
+    double workAhead() {
+        return workAhead;
+    }
+
     /** Marks the request as answered, and returns whether it was not marked before. */
     boolean markAnswered() {
         boolean first = !answered;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
@@ -83,7 +83,7 @@
     }
 
     Choice select(List<Instance> serving, Optional<RequestDigest> suspect, long now) {
-        boolean timed = serving.stream().anyMatch(one -> load(one).reportsSlowdown());
+        boolean timed = serving.stream().anyMatch(one -> load(one).slowdown().isKnown());
         List<UsualDuration> durations =
                 serving.stream().map(one -> load(one).usualDuration()).toList();
         List<Option> options = new ArrayList<>();
@@ -164,7 +164,10 @@
         double work = workAhead(instance, load, now);
         double filled = work / QUEUE_SHARE;
         double accepted = Math.max(MIN_ACCEPTED_SHARE, 1 - filled * filled);
-        return work / accepted * load.slowdown(now) * load.usualDuration().relativeTo(durations);
+        return work
+                / accepted
+                * load.slowdown().current(now)
+                * load.usualDuration().relativeTo(durations);
     }
 
     private double score(Instance instance, InstanceLoad load, double work, long now) {
