Expect prompts of other hosts between two reports at engines that report slowdown

Cause: prompts that other hosts reported count as processed at the engine's rate from then on, although those hosts send further ones. With 57 hosts, reports are 285 ms apart, and the hosts together overfill an engine.

Change: for the decision whether an engine that reports its slowdown takes one more prompt, the last report of other hosts decays towards its mean, and the mean decays where reports stop. The share of the objective that may wait there is 0.85, since such prompts are part of the estimate; elsewhere it stays 0.5 and moves from PrefillRate to EngineSelector. A prompt too long for the objective is judged by the previous estimate, as no busy engine is ever expected to be empty.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
@@ -27,6 +27,18 @@
      */
     private static final double TRANSFER_NANOS = Duration.ofMillis(2).toNanos();
 
+    /**
+     * Share of the latency objective available for prompt processing; the rest allows for prompts
+     * of other hosts that are not reported yet, and for queueing.
+     */
+    private static final double OBJECTIVE_SHARE = 0.5;
+
+    /**
+     * The same at an engine that reports its slowdown. Prompts of other hosts that are not reported
+     * yet are part of what is expected there.
+     */
+    private static final double EXPECTED_OBJECTIVE_SHARE = 0.85;
+
     /**
      * An engine of the host's own zone is preferred while it is expected to answer within this
      * share of the remaining latency objective.
@@ -88,7 +100,7 @@
             InstanceLoad load = loads.apply(instance.id());
             PrefillRate current = load.currentRate(rate, request.now());
             total += requestsPerSecond(load, request, engine, load.usualRate(rate));
-            if (admits(load, request, engine, current)) {
+            if (admits(load, request, engine, rate)) {
                 Candidates group = hasAdapter(instance, request) ? ready : withoutAdapter;
                 double score =
                         byTime
@@ -113,14 +125,25 @@
      */
     private static boolean admits(
             InstanceLoad load, DispatchRequest request, EngineSpec engine, PrefillRate rate) {
+        return load.occupancy(request.now()) < engine.slots()
+                && load.admitsPrompt(request.isLate(), request.now())
+                && meetsObjective(load, request, rate);
+    }
+
+    private static boolean meetsObjective(
+            InstanceLoad load, DispatchRequest request, PrefillRate ofService) {
         long now = request.now();
-        return load.occupancy(now) < engine.slots()
-                && load.admitsPrompt(request.isLate(), now)
-                && rate.meetsObjective(
-                        load.unreadTokens(rate, now),
-                        load.uncachedTokens(request.need()),
-                        request.objective(),
-                        request.remaining());
+        long own = load.uncachedTokens(request.need());
+        PrefillRate current = load.currentRate(ofService, now);
+        double share = load.reportsSlowdown() ? EXPECTED_OBJECTIVE_SHARE : OBJECTIVE_SHARE;
+        Duration available = Duration.ofNanos(Math.round(request.objective().toNanos() * share));
+        Duration remaining = request.isLate() ? Duration.ZERO : request.objective();
+        // Even an engine that other hosts keep busy takes prompts that are too long for the
+        // objective: it is never expected to be empty.
+        boolean fits = load.usualRate(ofService).meetsObjective(1, own, available, remaining);
+        double waiting =
+                fits ? load.expectedUnreadTokens(current, now) : load.unreadTokens(current, now);
+        return current.meetsObjective(waiting, own, available, request.remaining());
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
@@ -15,12 +15,6 @@
     /** Below this number of samples, outliers could dominate the mean. */
     private static final int MIN_SAMPLES = 4;
 
-    /**
-     * Share of the latency objective available for prompt processing; the rest allows for prompts
-     * of other hosts that are not reported yet, and for queueing.
-     */
-    private static final double OBJECTIVE_SHARE = 0.5;
-
     /**
      * Prompts that can only be answered late get this share of it, which leaves room for those that
      * can be in time.
@@ -81,7 +75,8 @@
      *
      * @param waitingTokens the tokens that are processed before it
      * @param ownTokens the tokens of the prompt itself
-     * @param objective the shortest latency objective of the routes that lead to the engine
+     * @param objective the part of the shortest latency objective of the routes that lead to the
+     *     engine which is available for prompt processing
      * @param remaining what remains of its own latency objective; not positive if it can only be
      *     answered late
      */
@@ -91,8 +86,7 @@
             return true;
         }
         boolean late = !remaining.isPositive();
-        double share = late ? OBJECTIVE_SHARE * LATE_SHARE : OBJECTIVE_SHARE;
-        long nanos = Math.round(objective.toNanos() * share);
+        long nanos = Math.round(objective.toNanos() * (late ? LATE_SHARE : 1));
         long limit = late ? nanos : Math.min(nanos, remaining.toNanos());
         return waitingTokens + ownTokens <= tokensIn(limit);
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/EngineSelectionTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/EngineSelectionTest.java
@@ -99,6 +99,37 @@
         assertThat(chosen).hasSize(1);
     }
 
+    /** Guards against a host that never sends again once it is cut off from reports. */
+    @Test
+    void busyEngineIsChosenAgainOnceReportsOfOtherHostsStop() {
+        addEngines("plateau");
+        answer(NEAR, 26, USUAL);
+        answer(FAR, 26, USUAL);
+        reportOtherHosts(100_000);
+        assertThat(choose(PROMPT_TOKENS)).isInstanceOf(Choice.Full.class);
+        now += 10_000;
+        assertThat(choose(PROMPT_TOKENS)).isInstanceOf(Choice.Send.class);
+    }
+
+    /** Guards against a long prompt that waits for engines which are never expected to be empty. */
+    @Test
+    void promptThatIsTooLongForTheObjectiveIsSentToABusyEngine() {
+        addEngines("plateau");
+        answer(NEAR, 26, USUAL);
+        answer(FAR, 26, USUAL);
+        reportOtherHosts(500);
+        now += 50;
+        assertThat(choose(50 * PROMPT_TOKENS)).isInstanceOf(Choice.Send.class);
+    }
+
+    private void reportOtherHosts(int unread) {
+        dispatcher.updateRemoteUnreadTokens(Map.of(NEAR, unread, FAR, unread), nanos());
+    }
+
+    private Choice choose(int tokens) {
+        return dispatcher.choose(need(tokens), id -> true, false, nanos());
+    }
+
     private static Dispatcher dispatcherIn(String zone) {
         Dispatcher dispatcher = Dispatchers.of(new ZoneId(zone), new Random(1));
         dispatcher.setEngines(
@@ -138,13 +169,11 @@
     }
 
     private static Need need() {
+        return need(PROMPT_TOKENS);
+    }
+
+    private static Need need(int tokens) {
         return new Need(
-                SERVICE,
-                Optional.of(new ModelId("m")),
-                Optional.empty(),
-                List.of(),
-                PROMPT_TOKENS,
-                8,
-                0);
+                SERVICE, Optional.of(new ModelId("m")), Optional.empty(), List.of(), tokens, 8, 0);
     }
 }
