Warm up an entry host with a small share of a core before its first configuration

Cause: a newly started entry host runs code that is not yet compiled, and has little processor time for it while its first traffic arrives.

Change: an entry host with a processorShare below 0.5 sends plain, streamed and refused requests with quota claims through a gateway, dispatcher and upstream of its own, over loopback and on an event loop of its own. It ends when a configuration arrives, when the process has used min(1.5 s, 5 s x share) of processor time since it began, after 30 s, or at the first failure. It is paced at three quarters of the share. Its sockets are closed at its end, and log lines of its thread other than its own are dropped at the appender. The training run includes it, so that its classes are in the class-data archive. Hosts with a larger share start as before.

--- a/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/cli/FleetProcess.java
@@ -6,6 +6,7 @@
 import io.stackhall.server.settings.FleetSettings;
 import io.stackhall.server.settings.ProcessSettings;
 import io.stackhall.server.settings.SettingsReader;
+import io.stackhall.server.training.WarmingEntryDaemon;
 import java.io.IOException;
 import java.nio.file.Path;
 import org.apache.logging.log4j.LogManager;
@@ -42,7 +43,8 @@
 
     private static FleetDaemon create(FleetSettings settings) throws IOException {
         return switch (settings.role()) {
-            case FleetSettings.Entry entry -> new EntryDaemon(settings, entry);
+            case FleetSettings.Entry entry ->
+                    WarmingEntryDaemon.around(new EntryDaemon(settings, entry), settings.limits());
             case FleetSettings.Control control ->
                     new ControlDaemon(settings, control, Main.ALIVE_SINCE);
         };
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/RoutesCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/RoutesCodec.java
@@ -31,6 +31,11 @@
         return ByteString.copyFrom(compressed.toByteArray());
     }
 
+    /** Returns whether an update holds a configuration, and not only its version. */
+    public static boolean hasBody(RoutesUpdate update) {
+        return !update.getBody().isEmpty() || !update.getPackedBody().isEmpty();
+    }
+
     /**
      * Returns the configuration of an update, which is compressed, or uncompressed from earlier
      * versions.
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -29,9 +29,11 @@
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.FleetDaemon;
 import io.stackhall.server.fleet.RepeatedTask;
+import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.fleet.SimpleHttpServer;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.peer.PeerTransport;
+import io.stackhall.server.peer.Replier;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
@@ -98,6 +100,7 @@
     private final ControlSubscriber follower;
     private final EntryReporter reports;
     private final UpstreamClient upstreams;
+    private volatile Runnable configurationListener = () -> {};
     private Channel callerChannel;
     private Channel readinessChannel;
     private Optional<Channel> metricsChannel = Optional.empty();
@@ -142,11 +145,19 @@
         gateway.onNewlyWaiting(reports::reportDemand);
     }
 
+    /**
+     * Sets the listener to call, on a network thread, whenever a configuration has arrived; to be
+     * called before the start.
+     */
+    public void onConfiguration(Runnable listener) {
+        configurationListener = listener;
+    }
+
     @Override
     public void start() {
-        transport.open(follower::receive);
+        transport.open(this::receive);
         controlHosts.start();
-        callerChannel = listen(entry.callers(), new CallerChannelInitializer());
+        callerChannel = listen(entry.callers(), new CallerChannelInitializer(gateway));
         readinessChannel =
                 SimpleHttpServer.listen(eventLoops, entry.readiness(), this::readinessAnswer);
         metricsChannel =
@@ -207,6 +218,13 @@
         logger.info("daemon.stopped host={}", settings.host());
     }
 
+    private void receive(Frame frame, Replier replier) {
+        if (frame.hasRoutes() && RoutesCodec.hasBody(frame.getRoutes())) {
+            configurationListener.run();
+        }
+        follower.receive(frame, replier);
+    }
+
     private void awaitNoCallers(long until) {
         while (BootClock.nanos() - until < 0 && gateway.connectionCount() > 0) {
             pauseUntil(BootClock.nanos() + DRAIN_POLL_INTERVAL.toNanos());
@@ -285,7 +303,14 @@
     }
 
     /** Sets up the pipeline of a caller's connection. */
-    private final class CallerChannelInitializer extends ChannelInitializer<SocketChannel> {
+    static final class CallerChannelInitializer extends ChannelInitializer<SocketChannel> {
+
+        private final Gateway gateway;
+
+        CallerChannelInitializer(Gateway gateway) {
+            this.gateway = gateway;
+        }
+
         @Override
         protected void initChannel(SocketChannel channel) {
             channel.config().setTcpNoDelay(true);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
@@ -134,7 +134,7 @@
     }
 
     private void store(RoutesUpdate update, long now) {
-        if (update.getBody().isEmpty() && update.getPackedBody().isEmpty()) {
+        if (!RoutesCodec.hasBody(update)) {
             return;
         }
         try {
--- a/stackhall-server/src/main/java/io/stackhall/server/log/LineLogging.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/log/LineLogging.java
@@ -80,7 +80,7 @@
             addAppender(async);
             addLogger(NETTY, new LoggerConfig(NETTY, Level.ERROR, true));
             getRootLogger().setLevel(level);
-            getRootLogger().addAppender(async, level, null);
+            getRootLogger().addAppender(async, level, MutedLines.filter());
             setState(State.INITIALIZED);
         }
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingCalls.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingCalls.java
@@ -28,6 +28,11 @@
         return head("GET " + path, List.of());
     }
 
+    /** Returns a request after whose answer the connection stays open. */
+    static String keptGet(String path, List<String> headers) {
+        return open("GET " + path, headers) + "\r\n";
+    }
+
     /** Sends a request on a connection of its own, and returns the status of the whole answer. */
     static int status(Address address, String request) throws IOException {
         try (Socket socket = new Socket()) {
@@ -45,10 +50,14 @@
     }
 
     private static String head(String call, List<String> headers) {
+        return open(call, headers) + "Connection: close\r\n\r\n";
+    }
+
+    private static String open(String call, List<String> headers) {
         StringBuilder head = new StringBuilder(call).append(" HTTP/1.1\r\nHost: training\r\n");
         for (String header : headers) {
             head.append(header).append("\r\n");
         }
-        return head.append("Connection: close\r\n\r\n").toString();
+        return head.toString();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -67,11 +67,13 @@
     }
 
     /**
-     * Starts the hosts, has a request of each kind served, and returns.
+     * Runs the warm-up of an entry host, starts the hosts, has a request of each kind served, and
+     * returns.
      *
      * @throws IOException if a call fails, or something does not come within its time
      */
     public void run() throws IOException, InterruptedException {
+        warmUp();
         control.start();
         entry.start();
         await("configuration", controlApi, put());
@@ -89,6 +91,14 @@
         upstream.close();
     }
 
+    private static void warmUp() throws IOException {
+        WarmUp warmUp = new WarmUp(1, WarmUp::processorTime);
+        warmUp.start();
+        if (!warmUp.awaitEnd(PATIENCE) || warmUp.failure().isPresent()) {
+            throw new IOException("the warm-up failed: " + warmUp.failure());
+        }
+    }
+
     private static String put() {
         return TrainingCalls.post(Calls.PUT_CONFIGURATION, TrainingMessages.CONFIGURATION);
     }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
@@ -0,0 +1,83 @@
+package io.stackhall.server.training;
+
+import java.time.Duration;
+
+/**
+ * Decides how long a warm-up goes on, and how fast, from the processor time that the whole process
+ * has used since it began: that includes the compiler's threads. It is paced below the host's share
+ * of a core, so that the host is not throttled when its first configuration arrives.
+ */
+final class WarmUpBudget {
+
+    private static final Duration MAX_PROCESSOR_TIME = Duration.ofMillis(1500);
+
+    /**
+     * The time for which the host's whole share would be used. The smaller the share, the longer
+     * the start itself takes, which leaves less for the warm-up before traffic arrives.
+     */
+    private static final Duration MAX_SHARE_TIME = Duration.ofSeconds(5);
+
+    /** Part of the host's share that the warm-up uses while it runs. */
+    private static final double PACE = 0.75;
+
+    /** Processor time that may be used at once, one tick of the system's accounting. */
+    private static final Duration BURST = Duration.ofMillis(10);
+
+    private static final Duration MAX_DURATION = Duration.ofSeconds(30);
+
+    private final double pace;
+    private final long limitNanos;
+    private final long processorTimeBefore;
+    private final long startedAt;
+
+    /** What the warm-up does next. */
+    sealed interface Step {
+
+        /** Sends the next requests. */
+        record Proceed() implements Step {}
+
+        /** Pauses, so that the process stays below its share. */
+        record Pause(Duration time) implements Step {}
+
+        /** Ends: the bound is reached. */
+        record End() implements Step {}
+    }
+
+    /**
+     * Begins a budget.
+     *
+     * @param processorShare the share of a core that the process may use
+     * @param processorTime the processor time that the process has used so far
+     * @param now the time on the monotonic clock in nanoseconds
+     */
+    WarmUpBudget(double processorShare, Duration processorTime, long now) {
+        this.pace = processorShare * PACE;
+        this.limitNanos = limit(processorShare).toNanos();
+        this.processorTimeBefore = processorTime.toNanos();
+        this.startedAt = now;
+    }
+
+    /** Returns the bound on the processor time of the process during the warm-up. */
+    static Duration limit(double processorShare) {
+        Duration byShare = Duration.ofNanos(Math.round(MAX_SHARE_TIME.toNanos() * processorShare));
+        return byShare.compareTo(MAX_PROCESSOR_TIME) < 0 ? byShare : MAX_PROCESSOR_TIME;
+    }
+
+    /** Returns the next step, by the processor time that the process has used so far. */
+    Step next(Duration processorTime, long now) {
+        long used = used(processorTime).toNanos();
+        long elapsed = now - startedAt;
+        if (used >= limitNanos || elapsed >= MAX_DURATION.toNanos()) {
+            return new Step.End();
+        }
+        long excess = used - BURST.toNanos() - Math.round(elapsed * pace);
+        return excess <= 0
+                ? new Step.Proceed()
+                : new Step.Pause(Duration.ofNanos(Math.round(excess / pace)));
+    }
+
+    /** Returns the processor time that the process has used since the warm-up began. */
+    Duration used(Duration processorTime) {
+        return processorTime.minusNanos(processorTimeBefore);
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmingEntryDaemon.java
@@ -0,0 +1,82 @@
+package io.stackhall.server.training;
+
+import io.stackhall.server.fleet.FleetDaemon;
+import io.stackhall.server.gateway.EntryDaemon;
+import io.stackhall.server.settings.FleetSettings;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** An entry process that warms up from its start until its first configuration arrives. */
+public final class WarmingEntryDaemon implements FleetDaemon {
+
+    private static final Logger logger = LogManager.getLogger(WarmingEntryDaemon.class);
+
+    /** A host with a larger share compiles its code fast enough under traffic. */
+    private static final double MIN_SHARE_WITHOUT_WARM_UP = 0.5;
+
+    private final EntryDaemon entry;
+    private final Supplier<WarmUp> creation;
+
+    /** Released at the end, so that the memory of the warm-up is not retained. */
+    private final AtomicReference<WarmUp> running = new AtomicReference<>();
+
+    /** Creates a process that has not started, with a warm-up to be created at its start. */
+    WarmingEntryDaemon(EntryDaemon entry, Supplier<WarmUp> creation) {
+        this.entry = entry;
+        this.creation = creation;
+    }
+
+    /** Returns the process with a warm-up, or as it is where its share is large enough. */
+    public static FleetDaemon around(EntryDaemon entry, FleetSettings.Limits limits) {
+        double share = limits.processorShare();
+        return share < MIN_SHARE_WITHOUT_WARM_UP
+                ? new WarmingEntryDaemon(entry, () -> new WarmUp(share, WarmUp::processorTime))
+                : entry;
+    }
+
+    @Override
+    public void start() {
+        guarded(() -> running.set(creation.get()));
+        entry.onConfiguration(this::end);
+        entry.start();
+        WarmUp warmUp = running.get();
+        if (warmUp != null) {
+            guarded(warmUp::start);
+        }
+    }
+
+    @Override
+    public void reload(FleetSettings settings) {
+        entry.reload(settings);
+    }
+
+    @Override
+    public void drain() {
+        end();
+        entry.drain();
+    }
+
+    @Override
+    public void close() {
+        end();
+        entry.close();
+    }
+
+    private void end() {
+        WarmUp warmUp = running.getAndSet(null);
+        if (warmUp != null) {
+            guarded(warmUp::end);
+        }
+    }
+
+    /** Keeps a failure, for example to create a thread, from the host. */
+    private static void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            logger.warn("warm-up.failed cause={}", e.toString());
+        }
+    }
+}
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -73,15 +73,25 @@
 
     /** Starts one entry host, which lives at 127.0.4.number. */
     public EntryDaemon startEntry(int number) {
+        EntryDaemon daemon = createEntry(number);
+        start(daemon);
+        return daemon;
+    }
+
+    /** Starts a process of this system that was not started yet. */
+    public void start(FleetDaemon daemon) {
+        daemon.start();
+        daemons.add(daemon);
+    }
+
+    /** Creates one entry host, which is to live at 127.0.4.number. */
+    public EntryDaemon createEntry(int number) {
         String ip = "127.0.4." + number;
         FleetSettings.Entry entry =
                 new FleetSettings.Entry(
                         new Address(ip, port + CALLERS_OFFSET),
                         new Address(ip, port + READINESS_OFFSET));
-        EntryDaemon daemon = new EntryDaemon(settings("entry-" + number, ip, entry, true), entry);
-        daemon.start();
-        daemons.add(daemon);
-        return daemon;
+        return new EntryDaemon(settings("entry-" + number, ip, entry, true), entry);
     }
 
     /** Returns where a process at an address talks to other hosts. */
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
@@ -0,0 +1,81 @@
+package io.stackhall.server.training;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.server.training.WarmUpBudget.Step;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** How long a warm-up goes on, and how fast. */
+class WarmUpBudgetTest {
+
+    /** Of 19 s until traffic a host of 0.12 cores has 2.3 s, of which its start takes 1 s. */
+    @Test
+    void smallHostKeepsMostOfItsTimeBeforeTraffic() {
+        Replay replay = new Replay(0.12, Duration.ofMillis(20));
+        replay.run();
+        assertThat(replay.used).isBetween(Duration.ofMillis(600), Duration.ofMillis(620));
+        assertThat(replay.elapsed).isLessThan(Duration.ofSeconds(8));
+    }
+
+    @Test
+    void largerHostEndsAtTheFixedBound() {
+        Replay replay = new Replay(0.36, Duration.ofMillis(20));
+        replay.run();
+        assertThat(replay.used).isBetween(Duration.ofMillis(1500), Duration.ofMillis(1520));
+    }
+
+    /** A host that uses up its share is throttled, and reads its configuration late. */
+    @Test
+    void paceStaysBelowTheShare() {
+        Replay replay = new Replay(0.27, Duration.ofMillis(30));
+        replay.run();
+        assertThat(replay.mostOverShareMillis).isLessThanOrEqualTo(40);
+    }
+
+    /** A process whose time is not counted must not go on for ever. */
+    @Test
+    void endsWithoutProcessorTime() {
+        Replay replay = new Replay(0.36, Duration.ZERO);
+        replay.run();
+        assertThat(replay.elapsed).isBetween(Duration.ofSeconds(30), Duration.ofSeconds(31));
+    }
+
+    /** Calls that each take processor time, and at least a millisecond. */
+    private static final class Replay {
+
+        private final double share;
+        private final Duration perCall;
+        private final WarmUpBudget budget;
+        private Duration used = Duration.ZERO;
+        private Duration elapsed = Duration.ZERO;
+        private double mostOverShareMillis;
+
+        Replay(double share, Duration perCall) {
+            this.share = share;
+            this.perCall = perCall;
+            this.budget = new WarmUpBudget(share, Duration.ofSeconds(1), 0);
+        }
+
+        void run() {
+            Step step = next();
+            while (!(step instanceof Step.End)) {
+                if (step instanceof Step.Pause(Duration time)) {
+                    elapsed = elapsed.plus(time);
+                } else {
+                    used = used.plus(perCall);
+                    elapsed = elapsed.plus(perCall).plusMillis(1);
+                    mostOverShareMillis =
+                            Math.max(
+                                    mostOverShareMillis,
+                                    used.toMillis() - share * elapsed.toMillis());
+                }
+                step = next();
+            }
+        }
+
+        private Step next() {
+            return budget.next(used.plusSeconds(1), elapsed.toNanos());
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the training run and the warm-up. */
+package io.stackhall.server.training;
