Mend what a reader of the whole change stumbled on

Faults: the meter of the event loop's delay counted its ticks in an int that overflows after 497 days; reported slowdowns had no bounds; shares of customers that are gone were kept; a request whose caller had left was logged as refused by its instance; a warm-up that did not end in time was left running. The warm-up asked the system for the processor time of the process, which not every system tells, and then failed at once: it now counts its active time, of which the process can use no more than its share.

--- a/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
@@ -23,16 +23,18 @@
      */
     private static final Duration UNKNOWN_RETRY = Duration.ofMillis(300);
 
-    /** Denials assume that at least this share of a limit can be granted soon. */
-    private static final double LEAST_EXPECTED_SHARE = 0.5;
+    /**
+     * Denials assume that at least this share of a limit can be granted soon, as most hosts return.
+     */
+    private static final double MIN_EXPECTED_SHARE = 0.5;
 
     private final Map<CustomerId, CustomerAllowance> allowances = new HashMap<>();
-    private Customers configure = Customers.unrestricted();
+    private Customers customers = Customers.unrestricted();
     private Optional<ReservedShares> shares = Optional.empty();
 
     /** Applies the customers of a configuration. */
     public void configure(Customers next, long now) {
-        configure = next;
+        customers = next;
         long clock = clock(now);
         allowances.keySet().removeIf(id -> next.findById(id).isEmpty());
         for (Customer customer : next.all()) {
@@ -53,7 +55,7 @@
      */
     public void reset(long now) {
         allowances.clear();
-        configure(configure, now);
+        configure(customers, now);
     }
 
     /**
@@ -104,7 +106,7 @@
         if (allowance != null) {
             return scaleDenial(allowance.take(cost, clock(now)), now);
         }
-        return configure.findById(customer).isPresent()
+        return customers.findById(customer).isPresent()
                 ? new AllowanceVerdict.Granted()
                 : new AllowanceVerdict.Denied(UNKNOWN_RETRY);
     }
@@ -119,7 +121,7 @@
 
     private AllowanceVerdict scaleDenial(AllowanceVerdict verdict, long now) {
         if (verdict instanceof AllowanceVerdict.Denied(Duration after) && shares.isPresent()) {
-            double share = Math.max(LEAST_EXPECTED_SHARE, shares.get().share(now));
+            double share = Math.max(MIN_EXPECTED_SHARE, shares.get().share(now));
             return new AllowanceVerdict.Denied(
                     Duration.ofNanos(Math.round(after.toNanos() / share)));
         }
--- a/stackhall-core/src/main/java/io/stackhall/core/customer/OutageAllowance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/OutageAllowance.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,7 +26,7 @@
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
     /** A host uses its share of the limits when it has had no answer for this long. */
-    public static final Duration SILENCE = Duration.ofSeconds(1);
+    public static final Duration MIN_SILENCE = Duration.ofSeconds(1);
 
     /** A host that has had no answer for this long no longer uses its share of the limits. */
     static final Duration MAX_SILENCE = Duration.ofSeconds(30);
@@ -98,9 +99,11 @@
         this.random = random;
     }
 
-    /** Adds a customer, whose share grows from now on. */
-    public void addCustomer(CustomerId customer, long now) {
-        shares.computeIfAbsent(customer, ignored -> new Share(now));
+    /** Sets the customers in force; the shares of new ones grow from now on. */
+    public void setCustomers(Set<CustomerId> customers, long now) {
+        shares.keySet().retainAll(customers);
+        limitShares.keySet().retainAll(customers);
+        customers.forEach(customer -> shares.computeIfAbsent(customer, ignored -> new Share(now)));
     }
 
     /**
@@ -148,7 +151,7 @@
         long silence = now - answeredAt;
         return shareReserved
                 && tolerance.allowedExcess(limit) > 0
-                && silence >= SILENCE.toNanos()
+                && silence >= MIN_SILENCE.toNanos()
                 && silence < MAX_SILENCE.toNanos();
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/customer/ReservedShares.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/ReservedShares.java
@@ -17,7 +17,7 @@
 
     /**
      * The share of a host is reserved this long after the question whose answer it last received,
-     * which is before the host uses it: see {@link OutageAllowance#SILENCE}.
+     * which is before the host uses it: see {@link OutageAllowance#MIN_SILENCE}.
      */
     static final Duration TIMEOUT = Duration.ofMillis(800);
 
@@ -122,7 +122,10 @@
         return (long) grantable;
     }
 
-    /** Hosts only become unreachable between two events, so the share at the end is the least. */
+    /**
+     * Until the next event hosts only become unreachable, so the share at the end is the least;
+     * hosts that expire after {@link #EXPIRY} are negligible, since questions come more often.
+     */
     private void advance(long now) {
         grantable += Math.max(0, now - advancedAt) * share(now);
         advancedAt = now;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Dispatcher.java
@@ -43,7 +43,9 @@
     private final Backpressure backpressure;
     private final InstanceSelector selector;
 
-    /** Creates a dispatcher of a host that does not measure its own delay. */
+    /**
+     * Creates a dispatcher of a host that does not measure its delay, which then counts as none.
+     */
     public Dispatcher(ZoneId zone, Backpressure backpressure, RandomGenerator random) {
         this(zone, backpressure, new LoopDelayMeter(), random);
     }
@@ -51,6 +53,7 @@
     /**
      * Creates a dispatcher that knows no instances.
      *
+     * @param zone the zone of this host
      * @param backpressure the limits and rests that instances have asked of this host
      * @param hostDelay the delay of this host, which is not attributed to the instances
      */
@@ -223,8 +226,7 @@
         ServiceName service = inFlight.need().service();
         long nanos = inFlight.upstreamNanos(hostDelay, now);
         load.recordFirstEvent(nanos, services.objective(service), now);
-        // A time that is mostly the delay of this host says too little of the engine.
-        if (2 * nanos >= now - inFlight.startedAt()) {
+        if (inFlight.isMostlyUpstreamTime(nanos, now)) {
             load.recordPrefill(services.prefillRate(service), inFlight, nanos, now);
         }
         load.resetBackoff();
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
@@ -34,8 +34,8 @@
     private static final double OBJECTIVE_SHARE = 0.5;
 
     /**
-     * The same at an engine that reports its slowdown. Prompts of other hosts that are not reported
-     * yet are part of what is expected there.
+     * Share of the latency objective available for prompt processing at engines that report their
+     * slowdown; larger, since the work expected there includes unreported prompts of other hosts.
      */
     private static final double EXPECTED_OBJECTIVE_SHARE = 0.85;
 
@@ -52,6 +52,7 @@
     private static final long SILENCE_NANOS = Duration.ofMillis(1500).toNanos();
 
     private static final double FAILURE_WEIGHT = 6;
+    private static final double SINGLE_TOKEN = 1;
 
     private final ZoneId zone;
     private final RandomGenerator random;
@@ -138,11 +139,15 @@
         double share = load.slowdown().isKnown() ? EXPECTED_OBJECTIVE_SHARE : OBJECTIVE_SHARE;
         Duration available = Duration.ofNanos(Math.round(request.objective().toNanos() * share));
         Duration remaining = request.isLate() ? Duration.ZERO : request.objective();
-        // Even an engine that other hosts keep busy takes prompts that are too long for the
-        // objective: it is never expected to be empty.
-        boolean fits = load.usualRate(ofService).meetsObjective(1, own, available, remaining);
+        // The expected work of other hosts is never zero. A prompt that is too long for the
+        // objective
+        // even behind a single token is judged by the reported work, or it would never be sent.
+        boolean fitsAtUsualSpeed =
+                load.usualRate(ofService).meetsObjective(SINGLE_TOKEN, own, available, remaining);
         double waiting =
-                fits ? load.expectedUnreadTokens(current, now) : load.unreadTokens(current, now);
+                fitsAtUsualSpeed
+                        ? load.expectedUnreadTokens(current, now)
+                        : load.unreadTokens(current, now);
         return current.meetsObjective(waiting, own, available, request.remaining());
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
@@ -6,6 +6,8 @@
 /** A request that is being sent to, or is running at, an instance. */
 public final class InFlightRequest {
 
+    private static final double MIN_UPSTREAM_SHARE = 0.5;
+
     private final UpstreamId instance;
     private final Need need;
     private final long uncachedTokens;
@@ -64,11 +66,11 @@
     }
 
     /**
-     * Records that the request is written to its instance.
+     * Records how long this host has held the request up before it writes it.
      *
-     * @param hostDelay how long this host has held it up, in nanoseconds
+     * @param hostDelay in nanoseconds
      */
-    public void recordWritten(long hostDelay) {
+    public void recordDelayBeforeWrite(long hostDelay) {
         writeDelay = hostDelay;
     }
 
@@ -78,6 +80,14 @@
         return Math.max(0, now - since - hostDelay.unnoticedNanos(since, now));
     }
 
+    /**
+     * Returns whether most of the time since the request was sent is the instance's. A time that is
+     * mostly the delay of this host says too little of the instance's rate.
+     */
+    boolean isMostlyUpstreamTime(long upstreamNanos, long now) {
+        return upstreamNanos >= MIN_UPSTREAM_SHARE * (now - startedAt);
+    }
+
     /** Returns the prompt tokens that the instance was expected to process. */
     long uncachedTokens() {
         return uncachedTokens;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceLoad.java
@@ -243,18 +243,16 @@
 
     private void setRemoteRequests(double reported) {
         remoteRequests = reported;
-        remoteUpdates++;
-        meanRemoteRequests +=
-                (reported - meanRemoteRequests) / Math.min(remoteUpdates, REMOTE_MEMORY);
+        remoteUpdates = Math.min(remoteUpdates + 1, REMOTE_MEMORY);
+        meanRemoteRequests += (reported - meanRemoteRequests) / remoteUpdates;
     }
 
     /** Records how many prompt tokens of other hosts the instance has yet to process. */
     void updateRemoteUnreadTokens(long tokens, long now) {
         remoteUnreadTokens = tokens;
         remoteUnreadAt = now;
-        remoteUnreadUpdates++;
-        meanRemoteUnreadTokens +=
-                (tokens - meanRemoteUnreadTokens) / Math.min(remoteUnreadUpdates, REMOTE_MEMORY);
+        remoteUnreadUpdates = Math.min(remoteUnreadUpdates + 1, REMOTE_MEMORY);
+        meanRemoteUnreadTokens += (tokens - meanRemoteUnreadTokens) / remoteUnreadUpdates;
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
@@ -43,8 +43,8 @@
     private static final double MIN_ACCEPTED_SHARE = 0.05;
 
     /**
-     * Instances whose scores differ by less than this many requests count as equal: what hosts know
-     * of each other's requests is no more exact.
+     * Instances whose scores differ by less than this many requests, or by the time of as many at a
+     * usual instance, count as equal: what hosts know of each other's requests is no more exact.
      */
     private static final double EQUAL_WITHIN_REQUESTS = 1;
 
@@ -75,9 +75,9 @@
     }
 
     /** An instance that may get the request. */
-    private record Option(Instance instance, double score, boolean hasFreeSlots) {
+    private record RatedInstance(Instance instance, double score, boolean hasFreeSlots) {
 
-        private boolean isAsGoodAs(Option best) {
+        private boolean isAsGoodAs(RatedInstance best) {
             return (score - best.score) * instance.slots() < EQUAL_WITHIN_REQUESTS;
         }
     }
@@ -86,7 +86,7 @@
         boolean timed = serving.stream().anyMatch(one -> load(one).slowdown().isKnown());
         List<UsualDuration> durations =
                 serving.stream().map(one -> load(one).usualDuration()).toList();
-        List<Option> options = new ArrayList<>();
+        List<RatedInstance> options = new ArrayList<>();
         for (Instance instance : serving) {
             InstanceLoad load = load(instance);
             if (load.expectedOccupancy(now) < instance.slots() * QUEUE_SHARE) {
@@ -95,7 +95,7 @@
                                 ? expectedTime(instance, load, durations, now)
                                 : workAhead(instance, load, now);
                 options.add(
-                        new Option(
+                        new RatedInstance(
                                 instance,
                                 score(instance, load, work, now),
                                 hasFreeSlots(instance, load, now)));
@@ -112,15 +112,15 @@
         return loads.apply(instance.id());
     }
 
-    private Instance isolated(List<Option> options, Optional<RequestDigest> suspect) {
+    private Instance isolated(List<RatedInstance> options, Optional<RequestDigest> suspect) {
         Candidates candidates = new Candidates();
         options.forEach(option -> candidates.add(option.instance(), option.score(), suspect));
         return candidates.lowestScore(random);
     }
 
-    private Instance best(List<Option> options) {
-        Option best = options.get(random.nextInt(options.size()));
-        for (Option option : options) {
+    private Instance best(List<RatedInstance> options) {
+        RatedInstance best = options.get(random.nextInt(options.size()));
+        for (RatedInstance option : options) {
             if (option.score() < best.score()) {
                 best = option;
             }
@@ -129,7 +129,7 @@
             return best.instance();
         }
         List<Instance> equal = new ArrayList<>();
-        for (Option option : options) {
+        for (RatedInstance option : options) {
             if (option.hasFreeSlots() && option.isAsGoodAs(best)) {
                 equal.add(option.instance());
             }
@@ -172,7 +172,7 @@
 
     private double score(Instance instance, InstanceLoad load, double work, long now) {
         double score = work;
-        score += isInOwnZone(instance) ? 0 : OTHER_ZONE_REQUESTS / instance.slots();
+        score += isInOwnZone(instance) ? 0 : OTHER_ZONE_REQUESTS / Math.max(1, instance.slots());
         score *= 1 + FAILURE_WEIGHT * load.failureShare();
         score += load.inBackoff(now) ? SILENT_PENALTY : 0;
         score += load.isSilentFor(SILENCE_NANOS, now) ? SILENT_PENALTY : 0;
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PrefillRate.java
@@ -4,13 +4,14 @@
 
 /**
  * The rate at which one engine, or the engines of one service, process prompts (prefill), learned
- * from answers of engines that had little else to process. It determines how much may queue at an
- * engine for the next prompt to be processed in time.
+ * from times to the first event: of idle engines, or of all work that was ahead where an engine
+ * reports its slowdown. It determines how much may queue at an engine for the next prompt to be
+ * processed in time.
  */
 final class PrefillRate {
 
     /** The mean weights each new sample by one over this number. */
-    private static final double MEMORY = 16;
+    private static final int MEMORY = 16;
 
     /** Below this number of samples, outliers could dominate the mean. */
     private static final int MIN_SAMPLES = 4;
@@ -26,14 +27,13 @@
     private double nanosPerToken;
     private int samples;
 
-    /** Records how long an engine with little else to process took to the first event. */
+    /** Records how long an engine took to a first event, and the work ahead of it in tokens. */
     void addSample(long tokens, long nanos) {
         if (tokens <= 0) {
             return;
         }
-        samples++;
-        double divisor = Math.min(samples, MEMORY);
-        nanosPerToken += ((double) nanos / tokens - nanosPerToken) / divisor;
+        samples = Math.min(samples + 1, MEMORY);
+        nanosPerToken += ((double) nanos / tokens - nanosPerToken) / samples;
     }
 
     /** Returns whether enough answers were seen for an estimate. */
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportedSlowdown.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/ReportedSlowdown.java
@@ -13,6 +13,11 @@
 
     private static final long HALF_LIFE_NANOS = Duration.ofMillis(300).toNanos();
 
+    /** Reports beyond these bounds would open or close the prompt window without limit. */
+    private static final double MIN = 0.25;
+
+    private static final double MAX = 16;
+
     private boolean known;
     private double latest = 1;
     private double peak = 1;
@@ -21,8 +26,9 @@
     /** Records what an answer reports; one without a figure changes nothing. */
     void update(OptionalDouble reported, long now) {
         if (reported.isPresent()) {
-            peak = Math.max(reported.getAsDouble(), recentPeak(now));
-            latest = reported.getAsDouble();
+            double slowdown = Math.clamp(reported.getAsDouble(), MIN, MAX);
+            peak = Math.max(slowdown, recentPeak(now));
+            latest = slowdown;
             reportedAt = now;
             known = true;
         }
--- a/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
@@ -14,7 +14,8 @@
  *
  * <p>The share of refused requests follows the delay of the host's own event loop. Nothing is
  * refused while the shortest latency objective is reachable. Beyond that, the least urgent class is
- * refused first, all of it before the delay endangers the objectives of more urgent classes.
+ * refused first, and each class entirely before the next more urgent one is. Where both tolerate
+ * the same delay, that is at {@value #MIN_RANGE_RATIO} times this delay.
  *
  * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
  * one thread.
@@ -28,12 +29,12 @@
     private static final double OBJECTIVE_SHARE = 0.5;
 
     /** A class is refused entirely at no less than this multiple of the delay where that begins. */
-    private static final double MIN_RANGE = 2;
+    private static final double MIN_RANGE_RATIO = 2;
 
-    /** Smooths the delay, since a refusal affects it only some ticks later. */
+    /** Time constant by which a rising delay is smoothed: refusals affect it only ticks later. */
     private static final double RISE_NANOS = Duration.ofMillis(200).toNanos();
 
-    /** Longer than the rise, so that the backlog is worked off before requests are admitted. */
+    /** Time constant for a falling delay, longer so that the backlog is worked off first. */
     private static final double FALL_NANOS = Duration.ofMillis(600).toNanos();
 
     /** Time without refusals after which load shedding counts as ended. */
@@ -42,7 +43,7 @@
     /** Without an update for this long, the delay is unknown and nothing is refused. */
     private static final long VALIDITY_NANOS = Duration.ofSeconds(2).toNanos();
 
-    /** Share of a request's remaining time that its retry delay may take. */
+    /** The retry delay is at most the remaining time of a request divided by this. */
     private static final int REMAINING_TIME_DIVISOR = 3;
 
     /**
@@ -56,7 +57,7 @@
     private double smoothedNanos;
     private long updatedAt;
     private boolean shedding;
-    private long lastRefusedAt;
+    private long lastOverloadedAt;
     private long refused;
 
     /** The delays in nanoseconds from which on some, and all, requests of a class are refused. */
@@ -91,7 +92,9 @@
         for (Map.Entry<RequestClass, Double> one : tolerated.descendingMap().entrySet()) {
             from = Math.max(from, one.getValue());
             Map.Entry<RequestClass, Double> moreUrgent = tolerated.lowerEntry(one.getKey());
-            double to = Math.max(from * MIN_RANGE, moreUrgent == null ? 0 : moreUrgent.getValue());
+            double to =
+                    Math.max(
+                            from * MIN_RANGE_RATIO, moreUrgent == null ? 0 : moreUrgent.getValue());
             ranges.put(one.getKey(), new Range(from, to));
             from = to;
         }
@@ -109,14 +112,14 @@
         smoothedNanos += (delay.toNanos() - smoothedNanos) * -Math.expm1(-elapsed / time);
         boolean refuses = !ranges.isEmpty() && smoothedNanos > ranges.lastEntry().getValue().from();
         if (refuses) {
-            lastRefusedAt = now;
+            lastOverloadedAt = now;
         }
         if (refuses && !shedding) {
             shedding = true;
             refused = 0;
             return Change.STARTED;
         }
-        if (shedding && now - lastRefusedAt > QUIET_NANOS) {
+        if (shedding && now - lastOverloadedAt > QUIET_NANOS) {
             shedding = false;
             return Change.ENDED;
         }
@@ -129,7 +132,7 @@
     }
 
     /** Returns the share of the requests of a class that is refused now. */
-    public double share(RequestClass requests) {
+    public double refusedShare(RequestClass requests) {
         Map.Entry<RequestClass, Range> range = ranges.floorEntry(requests);
         return range == null ? 0 : range.getValue().share(smoothedNanos);
     }
@@ -141,14 +144,16 @@
      * @return the retry delay if it is refused, or empty if it is admitted
      */
     public Optional<Duration> refuse(RequestClass requests, Duration remaining, long now) {
-        if (!isShedding(now) || !remaining.isPositive() || random.nextDouble() >= share(requests)) {
+        if (!isShedding(now)
+                || !remaining.isPositive()
+                || random.nextDouble() >= refusedShare(requests)) {
             return Optional.empty();
         }
         refused++;
         return Optional.of(retryDelay(remaining));
     }
 
-    /** Returns a random retry delay, since requests that are refused together should not return. */
+    /** Returns a random retry delay, so that requests refused together do not return together. */
     private Duration retryDelay(Duration remaining) {
         long longest = remaining.toNanos() / REMAINING_TIME_DIVISOR;
         long earlier = Math.round(random.nextDouble() * longest * RETRY_SPREAD);
--- a/stackhall-core/src/main/java/io/stackhall/core/overload/LoopDelayMeter.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoopDelayMeter.java
@@ -19,8 +19,8 @@
     private static final long NOISE_NANOS = Duration.ofMillis(5).toNanos();
 
     /**
-     * Number of ticks in the estimate. The latest one of them is left out: a suspension or a long
-     * garbage collection delays one tick, whatever its length, and an overload delays all.
+     * Number of ticks in the estimate. The longest delay of them is left out: a suspension or a
+     * long garbage collection delays one tick, whatever its length, and an overload delays all.
      */
     private static final int WINDOW = 3;
 
@@ -31,15 +31,17 @@
     private static final long MAX_DELAY_NANOS = Duration.ofSeconds(30).toNanos();
 
     private final long[] delays = new long[WINDOW];
-    private int ticks;
+    private int next;
+    private boolean ticked;
     private long tickedAt;
     private long lastDelay;
 
     /** Records that the periodic task runs; it is due one interval after its last run. */
     public void tick(long now) {
-        lastDelay = ticks == 0 ? 0 : pendingDelay(now);
-        delays[ticks % WINDOW] = lastDelay;
-        ticks++;
+        lastDelay = ticked ? pendingDelay(now) : 0;
+        delays[next] = lastDelay;
+        next = (next + 1) % WINDOW;
+        ticked = true;
         tickedAt = now;
     }
 
@@ -53,7 +55,7 @@
      * without the longest of them; zero if there are no ticks.
      */
     public Duration expectedDelay(long now) {
-        if (ticks == 0 || now - tickedAt > ESTIMATE_VALIDITY_NANOS) {
+        if (!ticked || now - tickedAt > ESTIMATE_VALIDITY_NANOS) {
             return Duration.ZERO;
         }
         long sum = Arrays.stream(delays).sum();
@@ -67,10 +69,10 @@
      * @param moment the earliest time at which it can have happened
      */
     public long unnoticedNanos(long moment, long now) {
-        if (ticks == 0 || now - tickedAt > MAX_DELAY_NANOS) {
+        if (!ticked || now - tickedAt > MAX_DELAY_NANOS) {
             return 0;
         }
-        // What happened during the last delay is noticed up to one iteration after the tick.
+        // Events that arrived during the last delay may be read just after the tick.
         long last = tickedAt - moment > 0 ? lastDelay : 0;
         return Math.clamp(now - moment, 0, Math.max(last, pendingDelay(now)));
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/LimitSimulation.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/LimitSimulation.java
@@ -11,6 +11,8 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * Simulates requests of many customers at many entry hosts with a strategy that enforces their
@@ -125,6 +127,12 @@
         return new CustomerLimit(CustomerLimit.Unit.TOKENS, perSecond, perSecond, 200);
     }
 
+    static Set<CustomerId> customerIds() {
+        return IntStream.range(0, CUSTOMERS)
+                .mapToObj(LimitSimulation::id)
+                .collect(Collectors.toSet());
+    }
+
     static CustomerId id(int customer) {
         return new CustomerId("c" + customer);
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
@@ -23,9 +23,7 @@
                 outages[host] =
                         new OutageAllowance(
                                 LimitSimulation.TOLERANCE, new Random(seed * 1000 + host));
-                for (int customer = 0; customer < LimitSimulation.CUSTOMERS; customer++) {
-                    outages[host].addCustomer(LimitSimulation.id(customer), 0);
-                }
+                outages[host].setCustomers(LimitSimulation.customerIds(), 0);
             }
         }
 
@@ -78,9 +76,7 @@
                 askedAt[host] = -QUESTION_INTERVAL;
                 outages[host] =
                         new OutageAllowance(deployment.tolerance(), new Random(seed * 1000 + host));
-                for (int customer = 0; customer < LimitSimulation.CUSTOMERS; customer++) {
-                    outages[host].addCustomer(LimitSimulation.id(customer), 0);
-                }
+                outages[host].setCustomers(LimitSimulation.customerIds(), 0);
             }
         }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DelayedHostTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DelayedHostTest.java
@@ -55,7 +55,7 @@
     void timeInWhichTheHostDidNotWriteIsNoTimeOfTheInstance() {
         InFlightRequest inFlight = dispatcher.requestSent(ID, NEED, now);
         tick(480);
-        inFlight.recordWritten(meter.unnoticedNanos(inFlight.startedAt(), now));
+        inFlight.recordDelayBeforeWrite(meter.unnoticedNanos(inFlight.startedAt(), now));
         tick(20);
         tick(20);
         dispatcher.responseStarted(inFlight, now);
@@ -111,7 +111,7 @@
 
     private int slowAnswers(Runnable wait) {
         InFlightRequest inFlight = dispatcher.requestSent(ID, NEED, now);
-        inFlight.recordWritten(meter.unnoticedNanos(inFlight.startedAt(), now));
+        inFlight.recordDelayBeforeWrite(meter.unnoticedNanos(inFlight.startedAt(), now));
         wait.run();
         dispatcher.responseStarted(inFlight, now);
         return dispatcher.takeWork().get(ID).slow();
--- a/stackhall-core/src/test/java/io/stackhall/core/overload/LoadShedderTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/overload/LoadShedderTest.java
@@ -25,9 +25,9 @@
     void nothingIsRefusedWhileTheShortestObjectiveIsReachable() {
         setClasses();
         assertThat(update(Duration.ofMillis(12), 100)).isEqualTo(LoadShedder.Change.NONE);
-        assertThat(shedder.share(THIRD)).isZero();
+        assertThat(shedder.refusedShare(THIRD)).isZero();
         assertThat(update(Duration.ofMillis(40), 100)).isEqualTo(LoadShedder.Change.STARTED);
-        assertThat(shedder.share(THIRD)).isBetween(0.4, 0.7);
+        assertThat(shedder.refusedShare(THIRD)).isBetween(0.4, 0.7);
     }
 
     /** A rank whose requests are refused before all less urgent ones are pays for their load. */
@@ -36,10 +36,12 @@
         setClasses();
         for (int millis = 1; millis < 400; millis++) {
             update(Duration.ofMillis(millis), 10);
-            assertThat(shedder.share(SECOND) == 0 || shedder.share(THIRD) == 1).isTrue();
-            assertThat(shedder.share(FIRST) == 0 || shedder.share(SECOND) == 1).isTrue();
+            assertThat(shedder.refusedShare(SECOND) == 0 || shedder.refusedShare(THIRD) == 1)
+                    .isTrue();
+            assertThat(shedder.refusedShare(FIRST) == 0 || shedder.refusedShare(SECOND) == 1)
+                    .isTrue();
         }
-        assertThat(shedder.share(FIRST)).isOne();
+        assertThat(shedder.refusedShare(FIRST)).isOne();
     }
 
     /**
@@ -92,9 +94,10 @@
         shedder.setClasses(List.of(FIRST, SECOND, THIRD, patient));
         for (int millis = 1; millis < 400; millis++) {
             update(Duration.ofMillis(millis), 10);
-            assertThat(shedder.share(THIRD) == 0 || shedder.share(patient) == 1).isTrue();
+            assertThat(shedder.refusedShare(THIRD) == 0 || shedder.refusedShare(patient) == 1)
+                    .isTrue();
         }
-        assertThat(shedder.share(THIRD)).isOne();
+        assertThat(shedder.refusedShare(THIRD)).isOne();
     }
 
     private void setClasses() {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -122,8 +122,11 @@
         }
     }
 
-    /** Notifies all followers at once of instances that leave, drain or have been replaced. */
-    void sendToAll(Collection<Instance> instances) {
+    /**
+     * Notifies all followers at once of instances that leave, drain, turn cold or have a new
+     * incarnation or address.
+     */
+    void notifyAllFollowers(Collection<Instance> instances) {
         if (!instances.isEmpty()) {
             send(updateOf(instances));
         }
@@ -133,7 +136,7 @@
      * Notifies the followers whose primary is this host at once of instances that join or serve an
      * additional model.
      */
-    void sendNow(Collection<Instance> instances) {
+    void notifyOwnFollowers(Collection<Instance> instances) {
         if (!instances.isEmpty()) {
             sendToPrimaries(updateOf(instances));
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -145,10 +145,11 @@
         publish(changed);
     }
 
+    /** Notifies all control hosts and all entry hosts of instances that are no longer usable. */
     private void publish(List<Instance> changed) {
         sendToControlHosts(changed);
         changed.forEach(FleetRegistry::log);
-        followers.sendToAll(changed);
+        followers.notifyAllFollowers(changed);
     }
 
     /** Restarts the timers of silent upstreams, since this host may have been cut off itself. */
@@ -296,8 +297,8 @@
             }
         }
         sendToControlHosts(fromUpstream ? merged : List.of());
-        followers.sendToAll(critical);
-        followers.sendNow(urgent);
+        followers.notifyAllFollowers(critical);
+        followers.notifyOwnFollowers(urgent);
         followers.sendBatched(batched);
         critical.forEach(FleetRegistry::log);
         urgent.forEach(FleetRegistry::log);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AllowanceClient.java
@@ -33,8 +33,8 @@
     private static final Logger logger = LogManager.getLogger(AllowanceClient.class);
 
     /**
-     * A healthy leader answers within some milliseconds; the shortest latency objectives are 120
-     * ms, and the local decision has to come before them.
+     * A healthy leader answers within some milliseconds. Waiting longer would use up the latency
+     * objective of short requests.
      */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
 
@@ -49,8 +49,8 @@
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(150);
 
     /**
-     * The leader reserves this host's share of the limits when it has not heard within 800 ms that
-     * an answer has arrived, which it does with the next question.
+     * Longest time between two questions. Several fit into the time after which the leader reserves
+     * this host's share of the limits, and each tells it that the answer before has arrived.
      */
     private static final Duration QUESTION_INTERVAL = Duration.ofMillis(250);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerWriter.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerWriter.java
@@ -9,9 +9,10 @@
 
     /**
      * Reads from the caller's connection once more, and returns whether it is still open. A close
-     * may have reached the socket that the event loop has not read yet.
+     * may have reached the socket that the event loop has not read yet. Nothing is read while
+     * reading is paused.
      */
-    boolean isConnected();
+    boolean checkConnected();
 
     /** Writes a complete answer, head and body. */
     void writeAnswer(FullHttpResponse response);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -151,7 +151,7 @@
     }
 
     @Override
-    public boolean isConnected() {
+    public boolean checkConnected() {
         boolean mayRead = context.channel().config().isAutoRead();
         moreBytesReceived = mayRead;
         for (int reads = 0; moreBytesReceived && reads < MAX_FINAL_READS; reads++) {
@@ -287,7 +287,7 @@
             return;
         }
         relayed = new RelayedRequest(gateway, request, this);
-        // The connection cannot be read again for isConnected while the decoder is in use.
+        // The connection cannot be read again for checkConnected while the decoder is in use.
         if (reading) {
             startPending = true;
         } else {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerAccess.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CustomerAccess.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Authenticates customers at one entry host and gives access to their limits and allowances. Not
@@ -36,7 +37,8 @@
     void setCustomers(Customers next) {
         currentCustomers = next;
         long now = BootClock.nanos();
-        next.all().forEach(customer -> outageAllowance.addCustomer(customer.id(), now));
+        outageAllowance.setCustomers(
+                next.all().stream().map(Customer::id).collect(Collectors.toSet()), now);
         allowanceClient.setLimitsInForce(
                 next.all().stream().anyMatch(customer -> customer.limit().isPresent()));
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -88,8 +88,8 @@
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
     /**
-     * Hosts with less than this share of a core refuse requests while they are overloaded. Others
-     * are so only for moments in which their callers are better served late.
+     * Hosts with less than this share of a core refuse requests while they are overloaded. Larger
+     * hosts are overloaded only briefly, when serving late is better than refusing.
      */
     private static final double LOAD_SHEDDING_PROCESSOR_SHARE = 0.5;
 
@@ -305,7 +305,7 @@
         follower.activateRoutes();
     }
 
-    /** Returns the event loop on which all work of this process is done. */
+    /** Returns the event loop on which all work of this process is done, for tests. */
     EventLoop loop() {
         return loop;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -266,7 +266,7 @@
 
     @Override
     public boolean onSending() {
-        boolean connected = answers.isConnected();
+        boolean connected = answers.checkConnected();
         if (connected) {
             history.recordSent(attempt.instance().id());
         }
@@ -321,13 +321,13 @@
     @Override
     public void onFailure(CallFailure failure) {
         Instance instance = endAttempt();
+        if (failure.stage() == CallFailure.Stage.WITHDRAWN && !answers.checkConnected()) {
+            callerDisconnected();
+            return;
+        }
         log.attemptFailed(instance, failure.sent(), failure.reason(), stream.lastEventId());
         if (failure.stage() == CallFailure.Stage.WITHDRAWN) {
-            if (answers.isConnected()) {
-                requeue("the instance wants nothing any more");
-            } else {
-                callerDisconnected();
-            }
+            requeue("the instance wants nothing any more");
             return;
         }
         if (!failure.sent()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -82,7 +82,8 @@
     public boolean sending() {
         // Checked again: connecting may take time, and the instance may drain or rest by now.
         long now = BootClock.nanos();
-        inFlight.recordWritten(gateway.loopDelay().unnoticedNanos(inFlight.startedAt(), now));
+        inFlight.recordDelayBeforeWrite(
+                gateway.loopDelay().unnoticedNanos(inFlight.startedAt(), now));
         return gateway.dispatcher().mayWrite(instance.id(), now) && listener.onSending();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -15,7 +15,7 @@
     /** The key that tells these settings from those that name every host. */
     static final String MARK = "discovery";
 
-    /** A process with less cannot start within any deadline. */
+    /** A lower share is taken for a mistake: a process would take minutes to start. */
     private static final double MIN_PROCESSOR_SHARE = 0.01;
 
     private static final int MINUTE_MILLIS = 60_000;
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -92,10 +92,14 @@
     }
 
     private static void warmUp() throws IOException {
-        WarmUp warmUp = new WarmUp(1, WarmUp::processorTime);
+        WarmUp warmUp = new WarmUp(1);
         warmUp.start();
-        if (!warmUp.awaitEnd(PATIENCE) || warmUp.failure().isPresent()) {
-            throw new IOException("the warm-up failed: " + warmUp.failure());
+        if (!warmUp.awaitEnd(PATIENCE)) {
+            warmUp.end();
+            throw new IOException("the warm-up did not end within " + PATIENCE);
+        }
+        if (warmUp.failure().isPresent()) {
+            throw new IOException("the warm-up failed", warmUp.failure().get());
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmUp.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUp.java
@@ -39,9 +39,9 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Sends requests through a {@link LoopbackGateway} until a bound on processor time is reached, so
- * that the path of a request is compiled before an entry host is ready. Runs on a thread of its
- * own, which ends with it and closes all its sockets. A failure ends it and is logged.
+ * Sends requests through a {@link LoopbackGateway} until it is ended or its budget is used, so that
+ * the path of a request is compiled before callers come. Runs on a thread of its own, which ends
+ * with it and closes all its sockets. A failure ends it and is logged.
  */
 final class WarmUp {
 
@@ -63,10 +63,27 @@
     private Duration used = Duration.ZERO;
     private int requests;
     private int round;
+    private long roundStartedAt;
+    private long activeNanos;
 
     /**
      * Creates a warm-up that has not started.
      *
+     * <p>A process that is limited to a share of a core uses at most this share of the time in
+     * which the warm-up has a request under way. That bounds its processor time, the compiler's
+     * included, without a question to the system, which not every system answers.
+     *
+     * @param processorShare the share of a core that this process may use
+     */
+    WarmUp(double processorShare) {
+        this.processorShare = processorShare;
+        this.processorTime = this::maxProcessorTime;
+        this.loop = new SingleThreadIoEventLoop(null, this::newThread, NioIoHandler.newFactory());
+    }
+
+    /**
+     * Creates a warm-up that has not started and takes its processor time from elsewhere.
+     *
      * @param processorShare the share of a core that this process may use
      * @param processorTime the processor time that this process has used
      */
@@ -76,14 +93,6 @@
         this.loop = new SingleThreadIoEventLoop(null, this::newThread, NioIoHandler.newFactory());
     }
 
-    /** Returns the processor time that this process has used. */
-    static Duration processorTime() {
-        return ProcessHandle.current()
-                .info()
-                .totalCpuDuration()
-                .orElseThrow(() -> new IllegalStateException("the system tells no processor time"));
-    }
-
     /** Starts the warm-up unless it was ended before; never blocks. */
     void start() {
         startedAt = BootClock.nanos();
@@ -135,7 +144,7 @@
                         instance("plain", TrainingMessages.plainHeartbeat(address, 1)));
         LoopbackGateway gateway =
                 new LoopbackGateway(
-                        loop, ZONE, routes, instances, TrainingMessages.REFUSED_CUSTOMER);
+                        loop, ZONE, routes, instances, TrainingMessages.DENIED_CUSTOMER);
         listen(gateway.callerChannels(), this::next);
     }
 
@@ -179,7 +188,12 @@
         }
     }
 
+    private Duration maxProcessorTime() {
+        return Duration.ofNanos(Math.round(processorShare * activeNanos));
+    }
+
     private void call(SocketAddress gateway) {
+        roundStartedAt = BootClock.nanos();
         WarmUpCaller caller = new WarmUpCaller(++round, new RoundListener(gateway));
         new Bootstrap()
                 .group(loop)
@@ -262,6 +276,7 @@
 
         @Override
         public void finished() {
+            activeNanos += BootClock.nanos() - roundStartedAt;
             guarded(() -> next(gateway));
         }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
@@ -4,8 +4,8 @@
 
 /**
  * Decides how long a warm-up goes on, and how fast, from the processor time that the whole process
- * has used since it began: that includes the compiler's threads. It is paced below the host's share
- * of a core, so that the host can read its configuration meanwhile.
+ * has used for it: that includes the compiler's threads. It is paced below the host's share of a
+ * core, so that the host can read its configuration meanwhile.
  */
 final class WarmUpBudget {
 
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpCaller.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpCaller.java
@@ -57,7 +57,7 @@
                         TrainingMessages.modelHeaders("stream-" + round)),
                 TrainingCalls.keptGet(
                         TrainingMessages.PLAIN_TARGET,
-                        TrainingMessages.refusedHeaders("refused-" + round)));
+                        TrainingMessages.deniedHeaders("refused-" + round)));
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmingEntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmingEntryDaemon.java
@@ -41,10 +41,7 @@
     public static FleetDaemon around(EntryDaemon entry, FleetSettings settings) {
         double share = settings.limits().processorShare();
         return share < MIN_SHARE_WITHOUT_WARM_UP
-                ? new WarmingEntryDaemon(
-                        entry,
-                        settings.firstStart(),
-                        () -> new WarmUp(share, WarmUp::processorTime))
+                ? new WarmingEntryDaemon(entry, settings.firstStart(), () -> new WarmUp(share))
                 : entry;
     }
 
