All entry hosts are told again of instances that another one displaced

Cause: since appearances come from the primary alone, an instance counts as appearing if the id of the report is unknown. One that a new instance displaced at its address is ended by a report of another id, and one may be first heard of as draining: both were told to the host's own followers only, so that an entry host whose primary is lost went on sending to them.

Change: what is first heard of as not ready is critical, and told by every control host.

Result: the new case of UpdateUrgencyTest failed before (URGENT) and passes now.

--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/UpdateUrgency.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/UpdateUrgency.java
@@ -6,8 +6,8 @@
 public enum UpdateUrgency {
     /**
      * At once and by every control host: requests must no longer be sent to the instance as before,
-     * since it has changed its state, its incarnation or its address, or has turned cold. An entry
-     * host whose primary is lost must be notified too.
+     * since it has changed its state, its incarnation or its address, has turned cold, or is first
+     * heard of as not ready. An entry host whose primary is lost must be notified too.
      */
     CRITICAL,
     /**
@@ -31,7 +31,7 @@
      */
     public static UpdateUrgency of(Optional<Instance> before, Instance after) {
         if (before.isEmpty()) {
-            return URGENT;
+            return after.state() == InstanceState.READY ? URGENT : CRITICAL;
         }
         if (isCritical(before.get(), after)) {
             return CRITICAL;
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/UpdateUrgencyTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/UpdateUrgencyTest.java
@@ -20,6 +20,15 @@
                 .isEqualTo(UpdateUrgency.CRITICAL);
     }
 
+    /** An instance that another one displaced is unknown by the id of the report that ended it. */
+    @Test
+    void instanceThatIsFirstHeardOfAsLeavingOrGoneIsCritical() {
+        Instance draining = KNOWN.withState(InstanceState.DRAINING);
+        Instance gone = KNOWN.withState(InstanceState.GONE);
+        assertThat(UpdateUrgency.of(Optional.empty(), draining)).isEqualTo(UpdateUrgency.CRITICAL);
+        assertThat(UpdateUrgency.of(Optional.empty(), gone)).isEqualTo(UpdateUrgency.CRITICAL);
+    }
+
     /** Sent by every control host, each load would reach each entry host several times. */
     @Test
     void whatCanServeMoreIsUrgent() {
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/control/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of control hosts. */
+package io.stackhall.server.control;
