Small hosts take routes without a latency objective

Cause: a configuration may name a route without a latency objective. Load shedding, which runs on hosts with a small processor share, ranked it with an objective of zero and threw, after the routes were in force and before the requests that wait for them were resumed.

Change: such a route is as patient as its timeout, which a valid configuration always has. Four tests that sent configurations and requests by the same lines use LocalFleet for it.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoadShedding.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoadShedding.java
@@ -63,7 +63,9 @@
         return retryAfter.map(delay -> Answers.overloaded(request.id(), delay));
     }
 
+    /** A route without a latency objective is as patient as its timeout. */
     private static RequestClass classOf(Route route) {
-        return new RequestClass(route.rank(), route.latencyObjective());
+        Duration objective = route.latencyObjective();
+        return new RequestClass(route.rank(), objective.isPositive() ? objective : route.timeout());
     }
 }
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -76,6 +76,24 @@
         return startEntry(number, 1);
     }
 
+    /** Sends a configuration to the first control host; returns the status, 0 if none came. */
+    public int put(String configuration) {
+        try {
+            return control(1, "POST", "/-/config/put", configuration).status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Returns the status of an entry host's answer to a request, 0 if none came. */
+    public int statusOf(int entry, String request) {
+        try {
+            return call(entry, request).status();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Starts one entry host that may use only a share of a core. */
     public EntryDaemon startEntry(int number, double processorShare) {
         EntryDaemon daemon = createEntry(number, processorShare);
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
@@ -69,11 +69,7 @@
     }
 
     int put(String routes) {
-        try {
-            return fleet.control(1, "POST", "/-/config/put", routes).status();
-        } catch (IOException e) {
-            return 0;
-        }
+        return fleet.put(routes);
     }
 
     static void await(CountDownLatch latch) {
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/ClosedCallerTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/ClosedCallerTest.java
@@ -49,7 +49,7 @@
         fleet = new LocalFleet(folder);
         fleet.foundControl();
         entry = fleet.startEntry(1);
-        LocalFleet.await("routes taken", () -> put() == 200);
+        LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
         LocalFleet.await("ready", () -> fleet.ready(1));
         upstream =
                 new ScriptedUpstream(
@@ -100,20 +100,8 @@
         assertThat(status("after")).isEqualTo(200);
     }
 
-    private int put() {
-        try {
-            return fleet.control(1, "POST", "/-/config/put", ROUTES).status();
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
     private int status(String id) {
-        try {
-            return fleet.call(1, get(id)).status();
-        } catch (IOException e) {
-            return 0;
-        }
+        return fleet.statusOf(1, get(id));
     }
 
     private static String get(String id) {
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/LoadSheddingTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/LoadSheddingTest.java
@@ -1,16 +1,23 @@
 package io.stackhall.server.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
+import io.stackhall.core.overload.LoadShedder;
+import io.stackhall.core.overload.LoopDelayMeter;
+import io.stackhall.core.route.RouteTable;
+import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.server.fleet.LocalFleet;
 import io.stackhall.server.fleet.RawHttp;
 import io.stackhall.server.fleet.ScriptedUpstream;
+import io.stackhall.server.metrics.FleetMetrics;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -81,9 +88,22 @@
         assertThat(answersOfDelayedHost(1)).allMatch(answer -> answer.status() == 200);
     }
 
+    /** A failure here leaves requests unanswered that have waited for the first routes. */
+    @Test
+    void routesWithoutALatencyObjectiveAreTaken() {
+        String without = ROUTES.replace("\"target-latency-ms\":500,", "");
+        assertThat(without).doesNotContain("target-latency-ms");
+        RouteTable routes =
+                ConfigurationDecoder.decode(without.getBytes(StandardCharsets.UTF_8)).get();
+        LoadShedding shedding =
+                new LoadShedding(
+                        new LoopDelayMeter(), new LoadShedder(new Random(1)), new FleetMetrics());
+        assertThatCode(() -> shedding.setRoutes(routes)).doesNotThrowAnyException();
+    }
+
     private List<RawHttp.Message> answersOfDelayedHost(double processorShare) throws Exception {
         EntryDaemon entry = fleet.startEntry(1, processorShare);
-        LocalFleet.await("routes taken", () -> put() == 200);
+        LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
         LocalFleet.await("ready", () -> fleet.ready(1));
         fleet.heartbeat(1, upstream, upstream.heartbeat("plain", "ready", 1, "[]"));
         LocalFleet.await("served", () -> status("before") == 200);
@@ -119,20 +139,8 @@
         }
     }
 
-    private int put() {
-        try {
-            return fleet.control(1, "POST", "/-/config/put", ROUTES).status();
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
     private int status(String id) {
-        try {
-            return fleet.call(1, get(id)).status();
-        } catch (IOException e) {
-            return 0;
-        }
+        return fleet.statusOf(1, get(id));
     }
 
     private static String get(String id) {
--- a/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpTest.java
@@ -76,7 +76,7 @@
         try (LocalFleet fleet = new LocalFleet(folder)) {
             startWarming(fleet, true);
             fleet.foundControl();
-            LocalFleet.await("routes taken", () -> put(fleet));
+            LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
             LocalFleet.await("ready", () -> fleet.ready(1));
             assertThat(running()).isTrue();
             try (Socket caller = fleet.callerOf(1)) {
@@ -91,7 +91,7 @@
         try (LocalFleet fleet = new LocalFleet(folder)) {
             startWarming(fleet, false);
             fleet.foundControl();
-            LocalFleet.await("routes taken", () -> put(fleet));
+            LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
             LocalFleet.await("warm-up ended", () -> !running());
             LocalFleet.await("ready", () -> fleet.ready(1));
         }
@@ -146,19 +146,11 @@
                                     Optional.ofNullable(warmUp)
                                             .orElseThrow(
                                                     () -> new IllegalStateException("no file"))));
-            LocalFleet.await("routes taken", () -> put(fleet));
+            LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
             LocalFleet.await("ready", () -> fleet.ready(1));
         }
     }
 
-    private static boolean put(LocalFleet fleet) {
-        try {
-            return fleet.control(1, "POST", "/-/config/put", ROUTES).status() == 200;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
     private static FleetSettings settings(double processorShare) {
         Address unused = new Address("127.0.0.1", 1);
         return new FleetSettings(
