Only hosts with a small processor share measure the delay of their event loop

Cause: the meter ran every 20 ms on every entry host and changed what all of them learn of upstreams, although no setting asked for it on hosts with half a core or more. That half stood in two classes.

Change: FleetSettings.Limits says once what a small share is; the meter, load shedding and the warm-up go by it. Without ticks the meter counts no delay, so larger hosts learn as before.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -87,12 +87,6 @@
      */
     private static final int ASSUMED_ENTRY_HOSTS = 10;
 
-    /**
-     * Hosts with less than this share of a core refuse requests while they are overloaded. Larger
-     * hosts are overloaded only briefly, when serving late is better than refusing.
-     */
-    private static final double LOAD_SHEDDING_PROCESSOR_SHARE = 0.5;
-
     private static final int ACCEPT_BACKLOG = 512;
     private static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -132,10 +126,7 @@
                         settings.peerName(), loop, limited, new ControlConnections(), fleetMetrics);
         LoopDelayMeter loopDelay = new LoopDelayMeter();
         LoadShedding shedding = new LoadShedding(loopDelay, new LoadShedder(random), fleetMetrics);
-        boolean sheds = limits.processorShare() < LOAD_SHEDDING_PROCESSOR_SHARE;
-        this.loopDelayTask =
-                new LoopDelayTask(
-                        loop, loopDelay, fleetMetrics, sheds ? shedding::update : now -> {});
+        this.loopDelayTask = new LoopDelayTask(loop, loopDelay, fleetMetrics, shedding::update);
         this.gateway =
                 new Gateway(
                         loop,
@@ -157,7 +148,7 @@
                         upstreamLimits,
                         fleetMetrics,
                         random);
-        if (sheds) {
+        if (limits.hasSmallProcessorShare()) {
             gateway.setLoadShedding(shedding);
         }
         this.follower =
@@ -193,7 +184,9 @@
         metricsChannel =
                 settings.metrics()
                         .map(at -> SimpleHttpServer.listen(eventLoops, at, this::metricsAnswer));
-        loopDelayTask.start();
+        if (settings.limits().hasSmallProcessorShare()) {
+            loopDelayTask.start();
+        }
         RepeatedTask.every(loop, SYNC_INTERVAL_MILLIS, this::synchronize);
         RepeatedTask.every(
                 loop,
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -85,7 +85,19 @@
             int hostLossesBorne,
             Optional<Duration> keyRevocation,
             LimitTolerance limitTolerance,
-            double processorShare) {}
+            double processorShare) {
+
+        /** Hosts with a larger share compile and serve fast enough from their start on. */
+        private static final double SMALL_PROCESSOR_SHARE = 0.5;
+
+        /**
+         * Returns whether the share is so small that an entry host warms up, measures the delay of
+         * its event loop, and refuses requests while it is overloaded.
+         */
+        public boolean hasSmallProcessorShare() {
+            return processorShare < SMALL_PROCESSOR_SHARE;
+        }
+    }
 
     /** Returns the name under which others reach a host's process: its peer address. */
     public HostId peerName() {
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmingEntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmingEntryDaemon.java
@@ -16,9 +16,6 @@
 
     private static final Logger logger = LogManager.getLogger(WarmingEntryDaemon.class);
 
-    /** A host with a larger share compiles its code fast enough under traffic. */
-    private static final double MIN_SHARE_WITHOUT_WARM_UP = 0.5;
-
     private final EntryDaemon entry;
     private final boolean firstStart;
     private final Supplier<WarmUp> creation;
@@ -40,7 +37,7 @@
     /** Returns the process with a warm-up, or as it is where its share is large enough. */
     public static FleetDaemon around(EntryDaemon entry, FleetSettings settings) {
         double share = settings.limits().processorShare();
-        return share < MIN_SHARE_WITHOUT_WARM_UP
+        return settings.limits().hasSmallProcessorShare()
                 ? new WarmingEntryDaemon(entry, settings.firstStart(), () -> new WarmUp(share))
                 : entry;
     }
