Mend comments, names and a needless step of the parts for hard load

A comment of EngineSelector was torn by the formatter; that of WarmUpBudget spoke of the system's accounting, which it no longer asks; a test named hours of one deployment. Methods that record or set something in AllowanceManager and ReservedShares were named like accessors. PlainServiceSelector collected durations that only count where slowdowns are reported. No behaviour changes; bin/test passes.

--- a/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/AllowanceManager.java
@@ -24,7 +24,8 @@
     private static final Duration UNKNOWN_RETRY = Duration.ofMillis(300);
 
     /**
-     * Denials assume that at least this share of a limit can be granted soon, as most hosts return.
+     * Denials assume that at least this share of a limit can be granted soon. A new leader, which
+     * reserves all shares at first, would otherwise send callers away for too long.
      */
     private static final double MIN_EXPECTED_SHARE = 0.5;
 
@@ -70,18 +71,18 @@
     }
 
     /** Records a question of a named host, with the receipt of the last answer to it. */
-    public void heard(HostId host, AnswerReceipt receipt, long now) {
-        shares.ifPresent(reserved -> reserved.heard(host, receipt, now));
+    public void recordQuestion(HostId host, AnswerReceipt receipt, long now) {
+        shares.ifPresent(reserved -> reserved.recordQuestion(host, receipt, now));
     }
 
     /** Records a question of a host of an earlier version, which does not tell its name. */
-    public void heardOlderVersion(long now) {
-        shares.ifPresent(reserved -> reserved.heardOlderVersion(now));
+    public void recordQuestionOfOlderVersion(long now) {
+        shares.ifPresent(reserved -> reserved.recordQuestionOfOlderVersion(now));
     }
 
     /** Sets the number of entry hosts that are connected to this control host. */
-    public void followers(int count, long now) {
-        shares.ifPresent(reserved -> reserved.followers(count, now));
+    public void setFollowerCount(int count, long now) {
+        shares.ifPresent(reserved -> reserved.setFollowerCount(count, now));
     }
 
     /**
--- a/stackhall-core/src/main/java/io/stackhall/core/customer/ReservedShares.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/ReservedShares.java
@@ -26,12 +26,15 @@
 
     private final long leadership;
     private final Map<HostId, Seen> hosts = new HashMap<>();
-    private int followers;
+    private int followerCount;
     private int predecessorHosts;
     private long predecessorHostsAt;
     private boolean olderVersionSeen;
     private long olderVersionAt;
-    private double grantable;
+
+    /** The clock of the allowances; a fraction, as each advance adds only a share of the time. */
+    private double allowanceClockNanos;
+
     private long advancedAt;
 
     /** When a host was heard of, and the latest question that is known to be answered. */
@@ -45,7 +48,7 @@
     ReservedShares(long leadership, long now) {
         this.leadership = leadership;
         this.advancedAt = now;
-        this.grantable = now;
+        this.allowanceClockNanos = now;
     }
 
     long leadership() {
@@ -53,13 +56,13 @@
     }
 
     /** Sets the number of entry hosts that are connected to this control host. */
-    void followers(int count, long now) {
+    void setFollowerCount(int count, long now) {
         advance(now);
-        followers = count;
+        followerCount = count;
     }
 
     /** Records a question of a host. */
-    void heard(HostId host, AnswerReceipt receipt, long now) {
+    void recordQuestion(HostId host, AnswerReceipt receipt, long now) {
         advance(now);
         boolean answered = receipt.leadership() == leadership;
         if (!answered && receipt.entryHosts() > 0) {
@@ -82,7 +85,7 @@
     }
 
     /** Records a question of a host of an earlier version, which never uses a share. */
-    void heardOlderVersion(long now) {
+    void recordQuestionOfOlderVersion(long now) {
         advance(now);
         olderVersionSeen = true;
         olderVersionAt = now;
@@ -100,7 +103,7 @@
     int entryHosts(long now) {
         hosts.values().removeIf(seen -> now - seen.heardAt() > EXPIRY.toNanos());
         return reservesAll(now)
-                ? Math.max(hosts.size(), Math.max(followers, predecessorHosts(now)))
+                ? Math.max(hosts.size(), Math.max(followerCount, predecessorHosts(now)))
                 : hosts.size();
     }
 
@@ -119,7 +122,7 @@
      */
     long clock(long now) {
         advance(now);
-        return (long) grantable;
+        return (long) allowanceClockNanos;
     }
 
     /**
@@ -127,7 +130,7 @@
      * hosts that expire after {@link #EXPIRY} are negligible, since questions come more often.
      */
     private void advance(long now) {
-        grantable += Math.max(0, now - advancedAt) * share(now);
+        allowanceClockNanos += Math.max(0, now - advancedAt) * share(now);
         advancedAt = now;
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/EngineSelector.java
@@ -139,9 +139,8 @@
         double share = load.slowdown().isKnown() ? EXPECTED_OBJECTIVE_SHARE : OBJECTIVE_SHARE;
         Duration available = Duration.ofNanos(Math.round(request.objective().toNanos() * share));
         Duration remaining = request.isLate() ? Duration.ZERO : request.objective();
-        // The expected work of other hosts is never zero. A prompt that is too long for the
-        // objective
-        // even behind a single token is judged by the reported work, or it would never be sent.
+        // The expected work of other hosts is never zero. A prompt that misses the objective even
+        // behind a single token is judged by the reported work, or it would never be sent.
         boolean fitsAtUsualSpeed =
                 load.usualRate(ofService).meetsObjective(SINGLE_TOKEN, own, available, remaining);
         double waiting =
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InFlightRequest.java
@@ -18,7 +18,7 @@
     private boolean answered;
     private boolean ended;
 
-    InFlightRequest(
+    private InFlightRequest(
             UpstreamId instance,
             Need need,
             long uncachedTokens,
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/PlainServiceSelector.java
@@ -85,7 +85,7 @@
     Choice select(List<Instance> serving, Optional<RequestDigest> suspect, long now) {
         boolean timed = serving.stream().anyMatch(one -> load(one).slowdown().isKnown());
         List<UsualDuration> durations =
-                serving.stream().map(one -> load(one).usualDuration()).toList();
+                timed ? serving.stream().map(one -> load(one).usualDuration()).toList() : List.of();
         List<RatedInstance> options = new ArrayList<>();
         for (Instance instance : serving) {
             InstanceLoad load = load(instance);
--- a/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoadShedder.java
@@ -37,7 +37,7 @@
     /** Time constant for a falling delay, longer so that the backlog is worked off first. */
     private static final double FALL_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** Time without refusals after which load shedding counts as ended. */
+    /** Time without an overload after which load shedding counts as ended. */
     private static final long QUIET_NANOS = Duration.ofSeconds(1).toNanos();
 
     /** Without an update for this long, the delay is unknown and nothing is refused. */
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/LimitStrategies.java
@@ -70,7 +70,7 @@
             askedAt = new long[hostCount];
             allowances.configure(LimitSimulation.customers(), 0);
             allowances.reset(leadership, 0);
-            allowances.followers(hostCount, 0);
+            allowances.setFollowerCount(hostCount, 0);
             for (int host = 0; host < hostCount; host++) {
                 receipts[host] = AnswerReceipt.NONE;
                 askedAt[host] = -QUESTION_INTERVAL;
@@ -109,7 +109,7 @@
         public void leaderChanged(long now) {
             leadership++;
             allowances.reset(leadership, TimeUnit.MILLISECONDS.toNanos(now));
-            allowances.followers(hostCount / 2, TimeUnit.MILLISECONDS.toNanos(now));
+            allowances.setFollowerCount(hostCount / 2, TimeUnit.MILLISECONDS.toNanos(now));
         }
 
         private void ask(int host, LimitSimulation.Link link, long now) {
@@ -118,13 +118,13 @@
             if (link == LimitSimulation.Link.NONE) {
                 return;
             }
-            allowances.heard(LimitSimulation.host(host), receipts[host], nanos);
+            allowances.recordQuestion(LimitSimulation.host(host), receipts[host], nanos);
             if (link == LimitSimulation.Link.BOTH) {
                 AnswerReceipt before = receipts[host];
                 receipts[host] = allowances.receipt(nanos).orElseThrow();
                 outages[host].answered(true, receipts[host].entryHosts(), nanos);
                 if (before.leadership() != leadership) {
-                    allowances.heard(LimitSimulation.host(host), receipts[host], nanos);
+                    allowances.recordQuestion(LimitSimulation.host(host), receipts[host], nanos);
                 }
             }
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/customer/ReservedSharesTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/customer/ReservedSharesTest.java
@@ -23,7 +23,7 @@
     @Test
     void hostThatReceivesNoAnswersIsReserved() {
         for (int millis = 0; millis <= 2000; millis += 100) {
-            shares.heard(NORTH, new AnswerReceipt(7, 0, 1), millis * MILLI);
+            shares.recordQuestion(NORTH, new AnswerReceipt(7, 0, 1), millis * MILLI);
             assertThat(shares.share(millis * MILLI)).isEqualTo(millis < 800 ? 1 : 0);
         }
     }
@@ -31,8 +31,8 @@
     /** Guards against a late frame that makes a host count as reachable again. */
     @Test
     void delayedReceiptDoesNotReplaceANewerOne() {
-        shares.heard(NORTH, new AnswerReceipt(7, 600 * MILLI, 1), 600 * MILLI);
-        shares.heard(NORTH, new AnswerReceipt(7, 0, 1), 1000 * MILLI);
+        shares.recordQuestion(NORTH, new AnswerReceipt(7, 600 * MILLI, 1), 600 * MILLI);
+        shares.recordQuestion(NORTH, new AnswerReceipt(7, 0, 1), 1000 * MILLI);
         assertThat(shares.share(1000 * MILLI)).isEqualTo(1);
         assertThat(shares.share(1400 * MILLI)).isEqualTo(0);
     }
@@ -40,27 +40,27 @@
     /** Guards against a new leader that grants the shares of hosts it has not heard of. */
     @Test
     void newLeaderReservesTheSharesOfHostsThatItsPredecessorKnew() {
-        shares.followers(1, 0);
+        shares.setFollowerCount(1, 0);
         assertThat(shares.share(0)).isEqualTo(0);
-        shares.heard(NORTH, new AnswerReceipt(6, 0, 4), 0);
+        shares.recordQuestion(NORTH, new AnswerReceipt(6, 0, 4), 0);
         assertThat(shares.share(0)).isEqualTo(0);
-        shares.heard(NORTH, new AnswerReceipt(7, 0, 4), 0);
+        shares.recordQuestion(NORTH, new AnswerReceipt(7, 0, 4), 0);
         assertThat(shares.share(0)).isEqualTo(0.25);
     }
 
     /** Guards against reservations during an upgrade for hosts that never use a share. */
     @Test
     void hostsOfAnOlderVersionAreNotReserved() {
-        shares.followers(2, 0);
-        shares.heardOlderVersion(0);
+        shares.setFollowerCount(2, 0);
+        shares.recordQuestionOfOlderVersion(0);
         assertThat(shares.share(0)).isEqualTo(1);
-        shares.heard(SOUTH, new AnswerReceipt(7, 0, 2), 0);
+        shares.recordQuestion(SOUTH, new AnswerReceipt(7, 0, 2), 0);
         assertThat(shares.share(0)).isEqualTo(1);
         assertThat(shares.share(900 * MILLI)).isEqualTo(0);
         AllowanceManager manager = new AllowanceManager();
         manager.reset(7, 0);
         assertThat(manager.receipt(0)).isPresent();
-        manager.heardOlderVersion(0);
+        manager.recordQuestionOfOlderVersion(0);
         assertThat(manager.receipt(0)).isEmpty();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/control/AllowanceService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/AllowanceService.java
@@ -70,11 +70,11 @@
 
     private void recordQuestion(AllowanceAsk request, AllowanceAnswer.Builder answer) {
         long now = BootClock.nanos();
-        manager.followers(entryHostCount.getAsInt(), now);
+        manager.setFollowerCount(entryHostCount.getAsInt(), now);
         if (request.getHost().isEmpty()) {
-            manager.heardOlderVersion(now);
+            manager.recordQuestionOfOlderVersion(now);
         } else {
-            manager.heard(
+            manager.recordQuestion(
                     new HostId(request.getHost()),
                     new AnswerReceipt(
                             request.getLeadership(), request.getAskedAt(), request.getEntryHosts()),
--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
@@ -20,7 +20,7 @@
     /** Part of the host's share that the warm-up uses while it runs. */
     private static final double PACE = 0.5;
 
-    /** Processor time that may be used at once, one tick of the system's accounting. */
+    /** Processor time that may be used before the pace applies. */
     private static final Duration BURST = Duration.ofMillis(10);
 
     private static final Duration MAX_DURATION = Duration.ofSeconds(30);
--- a/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
@@ -9,7 +9,7 @@
 /** How long a warm-up goes on, and how fast. */
 class WarmUpBudgetTest {
 
-    /** Of 19 s until traffic a host of 0.12 cores has 2.3 s, of which its start takes 1 s. */
+    /** A warm-up that takes all the time of a small host leaves none for its start. */
     @Test
     void smallHostKeepsMostOfItsTimeBeforeTraffic() {
         Replay replay = new Replay(0.12, Duration.ofMillis(20));
