--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -0,0 +1,228 @@
+package io.stackhall.core.path;
+
+import io.stackhall.core.id.UpstreamId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tracks which upstreams one host reaches on its own connections, and tells a host that is cut off
+ * from upstreams that are down.
+ *
+ * <p>Answers the load of a host whose links to all upstreams fail while its callers still reach it:
+ * each request would otherwise try every upstream in turn, until its caller is refused.
+ *
+ * <p>The path to an upstream is broken from a failure of a connection until an answer comes on a
+ * later one. The host is cut off if the paths to several upstreams break and nothing has been heard
+ * from any upstream in between: a single upstream that crashes, or falls silent, says nothing about
+ * the others.
+ *
+ * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
+ * one thread.
+ */
+public final class UpstreamPaths {
+
+    /** The number of upstreams whose paths must break for the host to count as cut off. */
+    private static final int MIN_BROKEN = 2;
+
+    /**
+     * Time without a byte from any upstream, while several owe an answer, after which they are
+     * probed. A sound upstream may be silent for a second or so.
+     */
+    private static final long SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** Interval of probes while the host is cut off, so that its end is noticed soon. */
+    private static final long CUT_OFF_PROBE_NANOS = Duration.ofMillis(250).toNanos();
+
+    /** Interval of the probes of a single broken path. */
+    private static final long BROKEN_PROBE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final Set<UpstreamId> known = new HashSet<>();
+    private final Map<UpstreamId, BrokenPath> broken = new LinkedHashMap<>();
+    private final Map<UpstreamId, Unanswered> unanswered = new HashMap<>();
+    private final Set<UpstreamId> brokenSinceHeard = new HashSet<>();
+    private boolean cutOff;
+    private long cutOffAt;
+    private long heardAt;
+    private long probedAt;
+
+    /** A path since its failure. */
+    private static final class BrokenPath {
+        private long failedAt;
+        private long probedAt;
+
+        private BrokenPath(long now) {
+            failedAt = now;
+            probedAt = now;
+        }
+    }
+
+    /** Requests that an upstream owes an answer, and since when nothing has come from it. */
+    private static final class Unanswered {
+        private int count;
+        private long since;
+    }
+
+    /** What an event changes. */
+    public enum Change {
+        NONE,
+        /** The host is cut off from now on. */
+        CUT_OFF,
+        /** The host is not cut off any more. */
+        REACHES_AGAIN
+    }
+
+    /** Adds an upstream that the host may send requests to. */
+    public void add(UpstreamId id) {
+        known.add(id);
+    }
+
+    /** Removes an upstream that is gone. */
+    public void forget(UpstreamId id) {
+        known.remove(id);
+        broken.remove(id);
+        unanswered.remove(id);
+        brokenSinceHeard.remove(id);
+    }
+
+    /** Records that a request is sent to an upstream on this host's own connection. */
+    public void sent(UpstreamId id, long now) {
+        Unanswered owed = unanswered.computeIfAbsent(id, key -> new Unanswered());
+        if (owed.count == 0) {
+            owed.since = now;
+        }
+        owed.count++;
+    }
+
+    /** Records that such a request has ended, however that was. */
+    public void ended(UpstreamId id) {
+        Unanswered owed = unanswered.get(id);
+        if (owed != null && --owed.count <= 0) {
+            unanswered.remove(id);
+        }
+    }
+
+    /**
+     * Records bytes that have come from an upstream on this host's own connection.
+     *
+     * @param askedAt when the request or probe was sent that they answer. An answer to an earlier
+     *     one than the failure of the path says nothing about new connections
+     */
+    public Change heard(UpstreamId id, long askedAt, long now) {
+        heardAt = now;
+        brokenSinceHeard.clear();
+        Unanswered owed = unanswered.get(id);
+        if (owed != null) {
+            owed.since = now;
+        }
+        BrokenPath path = broken.get(id);
+        if (path != null && askedAt - path.failedAt > 0) {
+            broken.remove(id);
+        }
+        if (!cutOff) {
+            return Change.NONE;
+        }
+        cutOff = false;
+        return Change.REACHES_AGAIN;
+    }
+
+    /**
+     * Records that no connection to an upstream came up, or that one has ended before a byte of the
+     * answer had come.
+     */
+    public Change failed(UpstreamId id, long now) {
+        if (!known.contains(id)) {
+            return Change.NONE;
+        }
+        broken.computeIfAbsent(id, key -> new BrokenPath(now)).failedAt = now;
+        brokenSinceHeard.add(id);
+        if (cutOff || brokenSinceHeard.size() < Math.min(MIN_BROKEN, known.size())) {
+            return Change.NONE;
+        }
+        cutOff = true;
+        cutOffAt = now;
+        probedAt = now;
+        return Change.CUT_OFF;
+    }
+
+    /**
+     * Returns whether requests for an upstream should take another path than a connection to it.
+     */
+    public boolean isBroken(UpstreamId id) {
+        return cutOff || broken.containsKey(id);
+    }
+
+    /** Returns whether this host reaches no upstream. */
+    public boolean isCutOff() {
+        return cutOff;
+    }
+
+    /** Returns for how long this host has reached no upstream, zero if it reaches any. */
+    public Duration cutOffFor(long now) {
+        return cutOff ? Duration.ofNanos(now - cutOffAt) : Duration.ZERO;
+    }
+
+    /** Returns the number of broken paths, of all upstreams if the host is cut off. */
+    public int brokenCount() {
+        return cutOff ? known.size() : broken.size();
+    }
+
+    /**
+     * Returns the upstreams to probe now. While the host is cut off that is one after the other,
+     * since any answer ends it; upstreams that owe answers are probed before they count as broken.
+     */
+    public Set<UpstreamId> dueProbes(long now) {
+        Set<UpstreamId> due = new LinkedHashSet<>();
+        if (cutOff) {
+            if (now - probedAt >= CUT_OFF_PROBE_NANOS) {
+                probedAt = now;
+                due.add(nextInTurn(now));
+            }
+            return due;
+        }
+        broken.forEach(
+                (id, path) -> {
+                    if (now - path.probedAt >= BROKEN_PROBE_NANOS) {
+                        path.probedAt = now;
+                        due.add(id);
+                    }
+                });
+        due.addAll(silent(now));
+        return due;
+    }
+
+    /** Moves the upstream that was probed first to the end, so that the next one has its turn. */
+    private UpstreamId nextInTurn(long now) {
+        UpstreamId next =
+                broken.isEmpty() ? known.iterator().next() : broken.keySet().iterator().next();
+        BrokenPath path = broken.remove(next);
+        broken.put(next, path == null ? new BrokenPath(now) : path);
+        return next;
+    }
+
+    /** Returns the upstreams that owe answers, if several do and nothing comes from any. */
+    private List<UpstreamId> silent(long now) {
+        boolean probedLately = now - probedAt < SILENCE_NANOS;
+        if (unanswered.isEmpty() || probedLately || now - heardAt < SILENCE_NANOS) {
+            return List.of();
+        }
+        List<UpstreamId> silent = new ArrayList<>();
+        unanswered.forEach(
+                (id, owed) -> {
+                    if (known.contains(id) && now - owed.since >= SILENCE_NANOS) {
+                        silent.add(id);
+                    }
+                });
+        if (silent.size() < Math.min(MIN_BROKEN, known.size())) {
+            return List.of();
+        }
+        probedAt = now;
+        return silent.subList(0, Math.min(MIN_BROKEN, silent.size()));
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -0,0 +1,130 @@
+package io.stackhall.core.path;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.path.UpstreamPaths.Change;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Evidence by which a host tells that it is cut off from upstreams that are down. */
+class UpstreamPathsTest {
+
+    private static final UpstreamId FIRST = UpstreamId.parse("i-1");
+    private static final UpstreamId SECOND = UpstreamId.parse("i-2");
+    private static final UpstreamId THIRD = UpstreamId.parse("i-3");
+
+    private final UpstreamPaths paths = new UpstreamPaths();
+    private long now = Duration.ofSeconds(100).toNanos();
+
+    @BeforeEach
+    void know() {
+        List.of(FIRST, SECOND, THIRD).forEach(paths::add);
+    }
+
+    @Test
+    void singleUpstreamThatCrashesIsNoCut() {
+        paths.failed(FIRST, now);
+        paths.failed(FIRST, now + 1);
+        assertThat(paths.isCutOff()).isFalse();
+        assertThat(paths.isBroken(FIRST)).isTrue();
+        assertThat(paths.isBroken(SECOND)).isFalse();
+    }
+
+    @Test
+    void upstreamsThatCrashWhileOthersAnswerAreNoCut() {
+        paths.failed(FIRST, now);
+        paths.heard(THIRD, now, now + 1);
+        paths.failed(SECOND, now + 2);
+        assertThat(paths.isCutOff()).isFalse();
+        assertThat(paths.brokenCount()).isEqualTo(2);
+    }
+
+    @Test
+    void severalFailuresWithNothingHeardInBetweenAreACut() {
+        paths.failed(FIRST, now);
+        assertThat(paths.failed(SECOND, now + 1)).isEqualTo(Change.CUT_OFF);
+        assertThat(paths.isBroken(THIRD)).as("not tried yet").isTrue();
+    }
+
+    @Test
+    void answerOnAnOldConnectionDoesNotRestoreThePathOfNewOnes() {
+        long sentAt = now;
+        paths.failed(FIRST, now + 1);
+        paths.heard(FIRST, sentAt, now + 2);
+        assertThat(paths.isBroken(FIRST)).isTrue();
+        paths.heard(FIRST, now + 3, now + 4);
+        assertThat(paths.isBroken(FIRST)).isFalse();
+    }
+
+    @Test
+    void upstreamThatIsSilentForASecondIsNeitherProbedNorBroken() {
+        paths.sent(FIRST, now);
+        now += Duration.ofSeconds(2).toNanos();
+        assertThat(paths.dueProbes(now)).isEmpty();
+        assertThat(paths.isBroken(FIRST)).isFalse();
+    }
+
+    @Test
+    void severalThatOweAnswersAreProbedBeforeTheyCountAsBroken() {
+        paths.heard(THIRD, now, now);
+        paths.sent(FIRST, now);
+        paths.sent(SECOND, now);
+        assertThat(paths.dueProbes(now + Duration.ofMillis(900).toNanos())).isEmpty();
+        now += Duration.ofMillis(1001).toNanos();
+        assertThat(paths.dueProbes(now)).containsExactlyInAnyOrder(FIRST, SECOND);
+        assertThat(paths.isBroken(FIRST)).isFalse();
+        paths.failed(FIRST, now);
+        assertThat(paths.failed(SECOND, now)).isEqualTo(Change.CUT_OFF);
+    }
+
+    @Test
+    void cutOffHostProbesOneAfterTheOtherAndAnyAnswerEndsIt() {
+        paths.failed(FIRST, now);
+        paths.failed(SECOND, now);
+        now += Duration.ofSeconds(1).toNanos();
+        Set<UpstreamId> first = paths.dueProbes(now);
+        assertThat(first).hasSize(1);
+        assertThat(paths.dueProbes(now)).as("not due again").isEmpty();
+        now += Duration.ofSeconds(1).toNanos();
+        assertThat(paths.dueProbes(now)).hasSize(1).doesNotContainAnyElementsOf(first);
+        assertThat(paths.heard(THIRD, now, now + 1)).isEqualTo(Change.REACHES_AGAIN);
+        assertThat(paths.isBroken(THIRD)).isFalse();
+        assertThat(paths.isBroken(FIRST)).as("tried again by a probe alone").isTrue();
+    }
+
+    @Test
+    void onlyUpstreamThatFailsIsTakenForACut() {
+        paths.forget(SECOND);
+        paths.forget(THIRD);
+        assertThat(paths.failed(FIRST, now)).isEqualTo(Change.CUT_OFF);
+    }
+
+    /** Whatever comes in whatever order, a host that has just heard an upstream is not cut off. */
+    @Property(tries = 200)
+    void hostThatHearsAnUpstreamIsNotCutOff(
+            @ForAll List<@IntRange(min = 0, max = 3) Integer> events) {
+        know();
+        List<UpstreamId> all = List.of(FIRST, SECOND, THIRD);
+        for (int i = 0; i < events.size(); i++) {
+            now += Duration.ofMillis(100).toNanos();
+            UpstreamId id = all.get(i % all.size());
+            switch (events.get(i)) {
+                case 0 -> paths.sent(id, now);
+                case 1 -> paths.failed(id, now);
+                case 2 -> paths.ended(id);
+                default -> {
+                    paths.heard(id, now - 1, now);
+                    assertThat(paths.isCutOff()).isFalse();
+                }
+            }
+            paths.dueProbes(now).forEach(due -> assertThat(all).contains(due));
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the paths to upstreams. */
+package io.stackhall.core.path;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -74,7 +74,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
-        gateway.connectionOpened(this);
+        gateway.connections().opened(this);
         startTimeout(gateway.callerLimits().idleTimeout().toMillis(), this::closeIdle);
     }
 
@@ -118,7 +118,7 @@
         cancelTimeout();
         backlog.forEach(ReferenceCountUtil::release);
         backlog.clear();
-        gateway.connectionClosed(this);
+        gateway.connections().closed(this);
         RelayedRequest abandoned = relayed;
         relayed = null;
         if (abandoned != null) {
@@ -163,7 +163,7 @@
 
     @Override
     public void writeAnswer(FullHttpResponse response) {
-        boolean staysOpen = keepAlive && !gateway.isDraining();
+        boolean staysOpen = keepAlive && !gateway.connections().isDraining();
         HttpUtil.setContentLength(response, response.content().readableBytes());
         setConnectionHeader(response, staysOpen);
         relayed = null;
@@ -178,7 +178,7 @@
 
     @Override
     public void writeHead(HttpResponse response) {
-        keepAlive = keepAlive && !gateway.isDraining();
+        keepAlive = keepAlive && !gateway.connections().isDraining();
         setConnectionHeader(response, keepAlive);
         HttpUtil.setTransferEncodingChunked(response, true);
         context.write(response);
@@ -192,7 +192,7 @@
     @Override
     public void end() {
         relayed = null;
-        if (keepAlive && !gateway.isDraining()) {
+        if (keepAlive && !gateway.connections().isDraining()) {
             context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
             processBacklog();
         } else {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -3,16 +3,11 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.stackhall.core.backpressure.Backpressure;
 import io.stackhall.core.backpressure.RestingUpstreams;
 import io.stackhall.core.customer.KeyLease;
@@ -39,6 +34,8 @@
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -111,13 +108,23 @@
 
     /** Creates a process that is not started yet. */
     public EntryDaemon(FleetSettings settings, FleetSettings.Entry entry) {
+        this(settings, entry, new InetSocketAddress(0));
+    }
+
+    /**
+     * Creates a process that is not started yet.
+     *
+     * @param upstreamSource the local address of its connections to upstreams
+     */
+    public EntryDaemon(
+            FleetSettings settings, FleetSettings.Entry entry, SocketAddress upstreamSource) {
         this.settings = settings;
         this.entry = entry;
         Random random = new Random();
         FleetSettings.Limits limits = settings.limits();
         this.transport = new PeerTransport(settings.peers(), eventLoops, FleetDaemon.PEER_TIMING);
         this.controlHosts = new ControlHosts(settings, transport, this::controlHostConnected);
-        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID);
+        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID, upstreamSource);
         LimitedUpstreams limited = new LimitedUpstreams(settings.peerName(), random);
         limited.setHostCount(ASSUMED_ENTRY_HOSTS);
         FleetMetrics fleetMetrics = new FleetMetrics();
@@ -220,12 +227,12 @@
     public void drain() {
         long started = BootClock.nanos();
         logger.info("daemon.draining host={}", settings.host());
-        loop.execute(gateway::drain);
+        loop.execute(gateway.connections()::drain);
         long stopAccepting = started + BALANCER_REACTION_TIME.toNanos();
         long end = started + settings.limits().stopGrace().minus(GRACE_MARGIN).toNanos();
         pauseUntil(stopAccepting);
         callerChannel.close();
-        loop.execute(gateway::closeIdleConnections);
+        loop.execute(gateway.connections()::closeIdle);
         long refuseAt = end - REFUSAL_LEAD_TIME.toNanos();
         awaitNoCallers(refuseAt);
         loop.execute(gateway::refuseWaiting);
@@ -233,7 +240,7 @@
         logger.info(
                 "daemon.drained host={} connections={}",
                 settings.host(),
-                gateway.connectionCount());
+                gateway.connections().count());
     }
 
     @Override
@@ -254,7 +261,7 @@
     }
 
     private void awaitNoCallers(long until) {
-        while (BootClock.nanos() - until < 0 && gateway.connectionCount() > 0) {
+        while (BootClock.nanos() - until < 0 && gateway.connections().count() > 0) {
             pauseUntil(BootClock.nanos() + DRAIN_POLL_INTERVAL.toNanos());
         }
     }
@@ -339,44 +346,12 @@
         }
     }
 
-    /** Sets up the pipeline of a caller's connection. */
-    static final class CallerChannelInitializer extends ChannelInitializer<SocketChannel> {
-
-        private final Gateway gateway;
-        private final Runnable onConnected;
-
-        CallerChannelInitializer(Gateway gateway, Runnable onConnected) {
-            this.gateway = gateway;
-            this.onConnected = onConnected;
-        }
-
-        @Override
-        protected void initChannel(SocketChannel channel) {
-            onConnected.run();
-            channel.config().setTcpNoDelay(true);
-            CallerConnection connection = new CallerConnection(gateway);
-            channel.pipeline()
-                    .addLast(
-                            new ChannelInboundHandlerAdapter() {
-                                @Override
-                                public void channelRead(
-                                        ChannelHandlerContext context, Object bytes) {
-                                    connection.bytesReceived();
-                                    context.fireChannelRead(bytes);
-                                }
-                            },
-                            new RequestDecoder(gateway.callerLimits()),
-                            new HttpResponseEncoder(),
-                            connection);
-        }
-    }
-
     private SimpleHttpServer.Response readinessAnswer(String path) {
         boolean ready =
                 path.equals(Calls.READINESS)
                         && follower.isReady()
                         && gateway.customers().isReady()
-                        && !gateway.isDraining();
+                        && !gateway.connections().isDraining();
         return new SimpleHttpServer.Response(ready ? OK : SERVICE_UNAVAILABLE, new byte[0]);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -25,11 +25,8 @@
 import io.stackhall.server.settings.Address;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -56,18 +53,18 @@
     private final RandomGenerator random;
     private final WaitingRequests waiting;
     private final DemandCounts demand = new DemandCounts();
-    private final Set<CallerConnection> connections = new HashSet<>();
+    private final CallerConnections connections = new CallerConnections();
     private final ControlNotifier notices;
     private final Quarantine quarantine;
     private final CustomerAccess customers;
     private final FleetMetrics metrics;
     private final UpstreamLimitClient upstreamLimits;
     private final UpstreamAnnouncements upstreamAnnouncements;
+    private final UpstreamPathMonitor paths;
     private final LineBudget lineBudget = new LineBudget();
     private Optional<LoadShedding> loadShedding = Optional.empty();
     private RouteTable routes;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
-    private boolean draining;
     private boolean closing;
     private int entryHostCount;
     private Runnable newlyWaitingListener = () -> {};
@@ -96,6 +93,7 @@
         this.upstreamAnnouncements = new UpstreamAnnouncements(limits, dispatcher, notices);
         this.waiting = new WaitingRequests(limits::resetWaiting);
         this.metrics = metrics;
+        this.paths = new UpstreamPathMonitor(metrics);
         this.quarantine = new Quarantine(loop, dispatcher, upstreams, metrics, toControlHosts);
         this.random = random;
     }
@@ -138,6 +136,7 @@
     void instanceChanged(Instance instance) {
         logChange(instance);
         dispatcher.updateInstance(instance);
+        paths.instanceChanged(instance);
         quarantine.instanceAnnounced(instance.id());
         if (instance.state() == InstanceState.GONE) {
             upstreams.forget(Address.parse(instance.address()));
@@ -207,11 +206,6 @@
         }
     }
 
-    /** Closes connections after their current answer from now on. */
-    void drain() {
-        draining = true;
-    }
-
     /** Refuses the requests that have not been sent, and every request that arrives later. */
     void refuseWaiting() {
         closing = true;
@@ -219,20 +213,11 @@
         waiting.retryAll();
     }
 
-    /** Closes the connections that have no request in progress. */
-    void closeIdleConnections() {
-        List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
-    }
-
     /** Returns whether the process is about to stop, so that no more requests are sent. */
     boolean isClosing() {
         return closing;
     }
 
-    boolean isDraining() {
-        return draining;
-    }
-
     FleetMetrics metrics() {
         return metrics;
     }
@@ -247,15 +232,16 @@
         metrics.state("instances", dispatcher.instances().size());
         metrics.state("waiting", waiting.size());
         metrics.state("resends_left", retryLimiter.remaining());
-        metrics.state("caller_connections", connections.size());
+        metrics.state("caller_connections", connections.count());
         quarantine.updateMetrics();
+        paths.updateMetrics();
         upstreamLimits.measure();
         metrics.state("resting_upstreams", dispatcher.restingCount());
     }
 
-    /** Returns the number of open connections from callers. */
-    int connectionCount() {
-        return connections.size();
+    /** Returns the connections of callers. */
+    CallerConnections connections() {
+        return connections;
     }
 
     EventLoop loop() {
@@ -337,6 +323,10 @@
         return upstreamLimits;
     }
 
+    UpstreamPathMonitor paths() {
+        return paths;
+    }
+
     UpstreamAnnouncements upstreamAnnouncements() {
         return upstreamAnnouncements;
     }
@@ -383,12 +373,4 @@
             loop.execute(this::dispatchWaiting);
         }
     }
-
-    void connectionOpened(CallerConnection connection) {
-        connections.add(connection);
-    }
-
-    void connectionClosed(CallerConnection connection) {
-        connections.remove(connection);
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -88,7 +88,7 @@
 
     /** Returns the handler that sets up the channel of a caller. */
     public ChannelHandler callerChannels() {
-        return new EntryDaemon.CallerChannelInitializer(gateway, () -> {});
+        return new CallerChannelInitializer(gateway, () -> {});
     }
 
     private static void drop(Frame ignored) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -32,6 +32,7 @@
     private ByteBuf body;
     private boolean abandoned;
     private boolean firstEventSeen;
+    private boolean written;
 
     /**
      * Creates an attempt, which the dispatcher counts as load of the instance from now on.
@@ -61,6 +62,7 @@
     /** Ends the attempt and cancels its call if that is still in progress. */
     void abandon() {
         abandoned = true;
+        leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (call != null) {
             call.cancel();
@@ -84,13 +86,25 @@
         long now = BootClock.nanos();
         inFlight.recordDelayBeforeWrite(
                 gateway.loopDelay().unnoticedNanos(inFlight.startedAt(), now));
-        return gateway.dispatcher().mayWrite(instance.id(), now) && listener.onSending();
+        written = gateway.dispatcher().mayWrite(instance.id(), now) && listener.onSending();
+        if (written) {
+            gateway.paths().sent(instance.id());
+        }
+        return written;
+    }
+
+    private void leavePath() {
+        if (written) {
+            written = false;
+            gateway.paths().ended(instance.id());
+        }
     }
 
     @Override
     public void answered(HttpResponse answer) {
         head = answer;
         long now = BootClock.nanos();
+        gateway.paths().heard(instance.id(), inFlight.startedAt());
         gateway.upstreamAnnouncements().receive(instance.id(), answer, limitRevision);
         AnswerHeaders.load(answer.headers()::get)
                 .ifPresent(
@@ -114,6 +128,7 @@
 
     @Override
     public void received(ByteBuf part) {
+        gateway.paths().heard(instance.id(), inFlight.startedAt());
         if (body != null) {
             body.writeBytes(part);
             return;
@@ -133,6 +148,7 @@
 
     @Override
     public void completed() {
+        leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (body != null) {
             listener.onAnswer(head, body);
@@ -145,6 +161,10 @@
     @Override
     public void failed(CallFailure failure) {
         long now = BootClock.nanos();
+        leavePath();
+        if (head == null && failure.stage() != CallFailure.Stage.WITHDRAWN) {
+            gateway.paths().failed(instance.id(), failure.stage());
+        }
         if (failure.sent()) {
             gateway.dispatcher().requestEnded(inFlight, now);
         } else {
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -53,6 +53,12 @@
                     .help("Requests for upstreams that want rest, by what became of them.")
                     .labelNames("outcome")
                     .register(registry);
+    private final Counter pathFailures =
+            Counter.builder()
+                    .name("stackhall_upstream_path_failures_total")
+                    .help("Connections to upstreams that failed before an answer, by how far.")
+                    .labelNames("stage")
+                    .register(registry);
     private final Counter shedRequests =
             Counter.builder()
                     .name("stackhall_requests_shed_total")
@@ -106,6 +112,11 @@
         restedRequests.labelValues(outcome).inc();
     }
 
+    /** Notes that a connection to an upstream has failed before an answer began. */
+    public void pathFailed(String stage) {
+        pathFailures.labelValues(stage).inc();
+    }
+
     /** Notes how long after a request's arrival it was sent, first answered or wholly answered. */
     public void reached(String until, long nanos) {
         seconds.labelValues(until).observe(nanos / NANOS_PER_SECOND);
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -16,6 +16,8 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.settings.Address;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -59,9 +61,21 @@
      * @param echoHeader the header by which an upstream says which request an answer belongs to
      */
     public UpstreamClient(EventLoop loop, String echoHeader) {
+        this(loop, echoHeader, new InetSocketAddress(0));
+    }
+
+    /**
+     * Creates a client that opens its connections from one of several addresses of its host.
+     *
+     * @param loop the only thread that uses it
+     * @param echoHeader the header by which an upstream says which request an answer belongs to
+     * @param local the address that its connections come from
+     */
+    public UpstreamClient(EventLoop loop, String echoHeader, SocketAddress local) {
         this.loop = loop;
         this.bootstrap =
                 new Bootstrap()
+                        .localAddress(local)
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
