--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
@@ -0,0 +1,125 @@
+package io.stackhall.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Entry hosts that have lost their links to all upstreams, while callers still reach them. */
+class CutOffHostsTest extends ManyHostsFixture {
+
+    private static final int UPSTREAMS = 3;
+    private static final int PER_SECOND = 60;
+
+    /** Callers may be served worse for this long after their host is cut off. */
+    private static final Duration NOTICED_AFTER = Duration.ofSeconds(3);
+
+    /** One in so many requests may fail. */
+    private static final int TOLERATED_SHARE = 50;
+
+    /** How the connections of a host that is cut off fail, old and new ones. */
+    enum Cut {
+        SILENT,
+        RESET
+    }
+
+    private final Set<Integer> cutHosts = ConcurrentHashMap.newKeySet();
+    private final Queue<String> run = new ConcurrentLinkedQueue<>();
+    private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+    private volatile Cut cut = Cut.SILENT;
+
+    @BeforeEach
+    void startUpstreams() throws IOException {
+        for (int number = 1; number <= UPSTREAMS; number++) {
+            ScriptedUpstream upstream = new ScriptedUpstream("i-" + number, this::answer);
+            upstreams.add(upstream);
+            announce(upstream);
+        }
+    }
+
+    @AfterEach
+    void stopUpstreams() throws IOException {
+        cutHosts.clear();
+        for (ScriptedUpstream upstream : upstreams) {
+            upstream.close();
+        }
+    }
+
+    private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
+            throws IOException {
+        int host = to.socket().getInetAddress().getAddress()[3];
+        if (cutHosts.contains(host)) {
+            if (cut == Cut.RESET) {
+                to.reset();
+            }
+            while (cutHosts.contains(host)) {
+                RelayFixture.pause(20);
+            }
+            throw new IOException("lost on the way");
+        }
+        run.add(request.header("x-request-id"));
+        RelayFixture.pause(20);
+        to.plain(request, 200, "ok");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "SILENT, 2, /safe/x",
+        "RESET, 2, /once/x",
+        "SILENT, 5, /once/x",
+        "RESET, 5, /safe/x"
+    })
+    void callersOfHostsThatReachNoUpstreamAreServedByWayOfOthers(Cut how, int hosts, String path)
+            throws Exception {
+        traffic(path, PER_SECOND, Duration.ofSeconds(1));
+        cut = how;
+        cutOff(hosts);
+        traffic(path, PER_SECOND, NOTICED_AFTER);
+        outcomes.clear();
+        traffic(path, PER_SECOND, Duration.ofSeconds(4));
+        assertMostAreServed();
+        cutHosts.clear();
+        outcomes.clear();
+        traffic(path, PER_SECOND, Duration.ofSeconds(2));
+        assertMostAreServed();
+        if (path.startsWith("/once/")) {
+            assertThat(run).as("none has run twice").doesNotHaveDuplicates();
+        }
+    }
+
+    @Test
+    void callersAreRefusedAtOnceWhileNoHostReachesAnUpstream() throws Exception {
+        traffic(PER_SECOND, Duration.ofSeconds(1));
+        cutOff(HOSTS);
+        traffic(PER_SECOND, NOTICED_AFTER);
+        outcomes.clear();
+        traffic(PER_SECOND, Duration.ofSeconds(2));
+        assertThat(outcomes).isNotEmpty().allMatch(one -> one.status() == 503);
+        assertThat(outcomes).allMatch(one -> one.took().compareTo(Duration.ofMillis(400)) < 0);
+        assertThat(outcomes).allMatch(one -> Double.parseDouble(one.retryAfter()) > 0);
+    }
+
+    private void cutOff(int hosts) {
+        for (int host = 1; host <= hosts; host++) {
+            cutHosts.add(host);
+        }
+    }
+
+    private void assertMostAreServed() {
+        List<Outcome> failed =
+                outcomes.stream().filter(outcome -> outcome.status() != 200).toList();
+        assertThat(outcomes).hasSizeGreaterThan(PER_SECOND);
+        assertThat(failed).hasSizeLessThanOrEqualTo(outcomes.size() / TOLERATED_SHARE);
+    }
+}
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -71,7 +71,7 @@
         return daemon;
     }
 
-    /** Starts one entry host, which lives at 127.0.4.number. */
+    /** Starts one entry host, which lives at 127.0.4.number and calls upstreams from there. */
     public EntryDaemon startEntry(int number) {
         return startEntry(number, 1);
     }
@@ -118,7 +118,10 @@
                 new FleetSettings.Entry(
                         new Address(ip, port + CALLERS_OFFSET),
                         new Address(ip, port + READINESS_OFFSET));
-        return new EntryDaemon(settings("entry-" + number, ip, entry, true, processorShare), entry);
+        return new EntryDaemon(
+                settings("entry-" + number, ip, entry, true, processorShare),
+                entry,
+                new InetSocketAddress(ip, 0));
     }
 
     /** Returns where a process at an address talks to other hosts. */
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
@@ -47,7 +47,7 @@
     private long beats;
 
     /** What a caller got, and when it had sent its request. */
-    record Outcome(long sentAt, int status, Duration took, String retryAfter) {}
+    record Outcome(int host, long sentAt, int status, Duration took, String retryAfter) {}
 
     /** An upstream whose heartbeats come once a second of traffic. */
     private record Announced(ScriptedUpstream upstream, LongFunction<String> heartbeat) {}
@@ -143,7 +143,8 @@
             RawHttp.Message answer =
                     fleet.call(host, RawHttp.get(path, id(host, sentAt), "X-Deadline-Ms: 2000"));
             Duration took = Duration.ofNanos(BootClock.nanos() - sentAt);
-            outcomes.add(new Outcome(sentAt, answer.status(), took, answer.header("retry-after")));
+            outcomes.add(
+                    new Outcome(host, sentAt, answer.status(), took, answer.header("retry-after")));
         } catch (IOException e) {
             // A host that is down takes no request.
         }
