--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -13,6 +13,9 @@
 /** Decides how one request goes on after what its attempts have come to. */
 final class AttemptOutcomes implements AttemptListener {
 
+    private static final String OTHER_PATH = "the instance is not reached on this path";
+    private static final String UNREACHABLE = "the instance cannot be reached";
+
     private final Gateway gateway;
     private final RelayedRequest request;
     private final AnswerWriter answers;
@@ -118,32 +121,39 @@
         }
     }
 
+    private void notReached(Instance instance, CallFailure failure, Optional<HostId> tunnel) {
+        if (tunnel.isPresent()) {
+            notReachedThroughTunnel(instance, failure, tunnel.get());
+            return;
+        }
+        if (failure.unconnected()) {
+            gateway.pathProber().reportUnreached(instance, failure.stage());
+        }
+        if (failure.unconnected() && gateway.paths().hasTunnels()) {
+            request.requeue(OTHER_PATH);
+        } else {
+            tryNextInstance(instance, UNREACHABLE);
+        }
+    }
+
     /**
-     * Tries another path to the instance, and another instance if there is none. A host that is cut
+     * Tries another tunnel, or another instance if the tunnel is not to blame. A host that is cut
      * off does not take an instance for lost which one other host does not reach either: that one
      * may be cut off as well.
      */
-    private void notReached(Instance instance, CallFailure failure, Optional<HostId> tunnel) {
-        boolean ownPath = tunnel.isEmpty() && failure.unconnected();
-        if (ownPath) {
-            gateway.pathProber().reportUnreached(instance, failure.stage());
+    private void notReachedThroughTunnel(Instance instance, CallFailure failure, HostId host) {
+        boolean hostMayBeCutOff =
+                failure.stage() == CallFailure.Stage.NO_CONNECTION && gateway.paths().isCutOff();
+        if (failure.stage() != CallFailure.Stage.NO_TUNNEL && !hostMayBeCutOff) {
+            gateway.notices().notifyUnreachable(instance, failure.stage());
+            tryNextInstance(instance, UNREACHABLE);
+            return;
         }
-        boolean blamesTunnel =
-                failure.stage() == CallFailure.Stage.NO_TUNNEL
-                        || (failure.stage() == CallFailure.Stage.NO_CONNECTION
-                                && gateway.paths().isCutOff());
-        boolean anotherPath =
-                ownPath
-                        ? gateway.paths().hasTunnels()
-                        : tunnel.isPresent() && blamesTunnel && history.tryAcquireTunnelRetry();
-        if (anotherPath) {
-            tunnel.ifPresent(gateway.paths()::tunnelFailed);
-            request.requeue("the instance is not reached on this path");
+        gateway.paths().tunnelFailed(host);
+        if (history.tryAcquireTunnelRetry()) {
+            request.requeue(OTHER_PATH);
         } else {
-            if (tunnel.isPresent()) {
-                gateway.notices().notifyUnreachable(instance, failure.stage());
-            }
-            tryNextInstance(instance, "the instance cannot be reached");
+            tryNextInstance(instance, UNREACHABLE);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -194,10 +194,11 @@
         } else {
             gateway.dispatcher().requestNotWritten(inFlight, now);
         }
-        if (failure.stage() == CallFailure.Stage.NO_TUNNEL) {
-            tunnel.ifPresent(gateway.paths()::tunnelFailed);
-        } else if (failure.stage() != CallFailure.Stage.WITHDRAWN) {
-            recordFailure(failure, now);
+        switch (failure.stage()) {
+            case NO_TUNNEL, WITHDRAWN -> {
+                // Says nothing about the instance.
+            }
+            default -> recordFailure(failure, now);
         }
         listener.onFailure(failure, tunnel);
     }
