--- a/stackhall-core/src/main/java/io/stackhall/core/slot/BrittleUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/slot/BrittleUpstreams.java
@@ -125,6 +125,10 @@
     }
 
     private boolean isBrittle(Upstream upstream, long now) {
+        if (upstream.slots == 0) {
+            // It has not told how many there are to lease.
+            return false;
+        }
         if (upstream.heard) {
             return upstream.brittle;
         }
