--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -16,6 +15,7 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.tunnel.ConnectFailures;
+import io.stackhall.server.tunnel.KeepAlive;
 import io.stackhall.server.tunnel.TunnelConnector;
 import io.stackhall.server.tunnel.TunnelException;
 import java.net.InetSocketAddress;
@@ -28,7 +28,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import jdk.net.ExtendedSocketOptions;
 
 /**
  * Sends requests to upstreams over kept connections, one request at a time on each.
@@ -48,9 +47,6 @@
     /** More resting connections to one upstream than this are closed. */
     private static final int MOST_RESTING = 24;
 
-    private static final int KEEPALIVE_SECONDS = 1;
-    private static final int KEEPALIVE_PROBES = 2;
-
     private final EventLoop loop;
     private final String echoHeader;
     private final Bootstrap bootstrap;
@@ -81,21 +77,11 @@
         this.echoHeader = echoHeader;
         this.tunnels = new TunnelConnector(loop);
         this.bootstrap =
-                new Bootstrap()
+                KeepAlive.enable(new Bootstrap())
                         .localAddress(local)
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
-                                KEEPALIVE_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
-                                KEEPALIVE_SECONDS)
-                        .option(
-                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
-                                KEEPALIVE_PROBES)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelConnector.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelConnector.java
@@ -35,11 +35,10 @@
     public TunnelConnector(EventLoop loop) {
         this.loop = loop;
         this.bootstrap =
-                new Bootstrap()
+                KeepAlive.enable(new Bootstrap())
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.SO_KEEPALIVE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
