--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -21,8 +21,8 @@
  *
  * <p>The path to an upstream is broken from a failure of a connection until an answer comes on a
  * later one. The host is cut off if the paths to several upstreams break and nothing has been heard
- * from any upstream in between: a single upstream that crashes, or falls silent, says nothing about
- * the others.
+ * from any upstream in between and for some time before: a single upstream that crashes, or falls
+ * silent, says nothing about the others.
  *
  * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
  * one thread.
@@ -32,6 +32,12 @@
     /** The number of upstreams whose paths must break for the host to count as cut off. */
     private static final int MIN_BROKEN = 2;
 
+    /**
+     * Time without a byte from any upstream that a cut takes at least. Connections to several
+     * upstreams may fail at the same moment, while others answer all the time.
+     */
+    private static final long QUIET_NANOS = Duration.ofMillis(200).toNanos();
+
     /**
      * Time without a byte from any upstream, while several owe an answer, after which they are
      * probed. A sound upstream may be silent for a second or so.
@@ -157,7 +163,8 @@
             return Change.NONE;
         }
         brokenSinceHeard.add(id);
-        if (cutOff || brokenSinceHeard.size() < MIN_BROKEN) {
+        boolean quiet = now - heardAt >= QUIET_NANOS;
+        if (cutOff || !quiet || brokenSinceHeard.size() < MIN_BROKEN) {
             return Change.NONE;
         }
         cutOff = true;
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -46,6 +46,16 @@
         assertThat(paths.brokenCount()).isEqualTo(2);
     }
 
+    @Test
+    void connectionsThatFailAtTheSameMomentWhileOthersAnswerAreNoCut() {
+        paths.heard(THIRD, now, now);
+        now += Duration.ofMillis(20).toNanos();
+        paths.failed(FIRST, now);
+        assertThat(paths.failed(SECOND, now)).isEqualTo(Change.NONE);
+        now += Duration.ofMillis(200).toNanos();
+        assertThat(paths.failed(SECOND, now)).as("still nothing").isEqualTo(Change.CUT_OFF);
+    }
+
     @Test
     void severalFailuresWithNothingHeardInBetweenAreACut() {
         paths.failed(FIRST, now);
