Logs and metrics tell how an answer's end was recognized

The line of an answered request did not say whether the end of its body was known by a length, by a last chunk or only by the end of its connection, nor whether bytes of an event were left at that point. Two hypotheses of the incident (an orderly close taken for the end, a reset seen as a close) could not be told apart by it. request.answered names the framing and the bytes left; stackhall_upstream_answers_total counts answers by both. Answers are relayed as before.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.AnswerHeaders;
 import io.stackhall.platform.Headers;
@@ -154,7 +155,7 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(BodyFraming framing) {
             finish(Optional.of(status));
         }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.stackhall.core.answer.AnswerEnd;
 import io.stackhall.core.id.HostId;
 import io.stackhall.server.relay.CallFailure;
 import java.util.Optional;
@@ -24,10 +25,10 @@
      *
      * @param rest the bytes after the last complete event
      */
-    void onStreamEnd(HttpResponse head, ByteBuf rest);
+    void onStreamEnd(HttpResponse head, ByteBuf rest, AnswerEnd end);
 
     /** Called with a complete answer that is not a stream; takes ownership of the buffer. */
-    void onAnswer(HttpResponse head, ByteBuf body);
+    void onAnswer(HttpResponse head, ByteBuf body, AnswerEnd end);
 
     /** Called when this host has lost its paths to the upstreams before the attempt has ended. */
     void onPathLost();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.stackhall.core.answer.AnswerEnd;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
 import io.stackhall.server.clock.BootClock;
@@ -57,8 +58,8 @@
     }
 
     @Override
-    public void onStreamEnd(HttpResponse head, ByteBuf rest) {
-        log.answered(head.status().code(), stream.lastEventId(), history.sendCount());
+    public void onStreamEnd(HttpResponse head, ByteBuf rest, AnswerEnd end) {
+        log.answered(head.status().code(), end, stream.lastEventId(), history.sendCount());
         request.endAttempt();
         gateway.quarantine().requestCompleted(request.digest());
         stream.forwardBytes(head, rest);
@@ -67,13 +68,13 @@
     }
 
     @Override
-    public void onAnswer(HttpResponse head, ByteBuf body) {
+    public void onAnswer(HttpResponse head, ByteBuf body, AnswerEnd end) {
         Instance instance = request.endAttempt();
         if (Answers.reportsNotRun(head)) {
             handleNotRun(instance, head);
             return;
         }
-        log.answered(head.status().code(), stream.lastEventId(), history.sendCount());
+        log.answered(head.status().code(), end, stream.lastEventId(), history.sendCount());
         gateway.quarantine().requestCompleted(request.digest());
         history.recordMayHaveRun();
         boolean failed = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
@@ -187,7 +188,7 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(BodyFraming framing) {
             // The connection may be used for requests now.
         }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.stackhall.core.answer.AnswerEnd;
 import io.stackhall.core.customer.Customer;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
@@ -153,17 +154,20 @@
         metrics.reached("first", BootClock.nanos() - arrivedAt);
     }
 
-    void answered(int status, OptionalLong lastEvent, int sends) {
+    void answered(int status, AnswerEnd end, OptionalLong lastEvent, int sends) {
         metrics.requestEnded(route, "answered");
+        metrics.answerEnded(end.framing().name(), end.unfinishedBytes() > 0);
         metrics.customerRequest(customer, "answered");
         metrics.reached("end", BootClock.nanos() - arrivedAt);
         long leftOut = lineBudget.take(LineBudget.Kind.ANSWERED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "request.answered id={} status={} lastEvent={} firstMs={} ageMs={} sends={}"
-                            + " leftOut={}",
+                    "request.answered id={} status={} framing={} unfinishedBytes={} lastEvent={}"
+                            + " firstMs={} ageMs={} sends={} leftOut={}",
                     id,
                     status,
+                    end.framing(),
+                    end.unfinishedBytes(),
                     lastEvent,
                     firstByteMillis,
                     ageMillis(),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -5,6 +5,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.stackhall.core.answer.AnswerEnd;
+import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.dispatch.InFlightRequest;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
@@ -179,14 +181,15 @@
     }
 
     @Override
-    public void completed() {
+    public void completed(BodyFraming framing) {
         leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (body != null) {
-            listener.onAnswer(head, body);
+            listener.onAnswer(head, body, new AnswerEnd(framing, 0));
         } else {
             gateway.dispatcher().requestSucceeded(instance.id());
-            listener.onStreamEnd(head, events.remaining());
+            ByteBuf rest = events.remaining();
+            listener.onStreamEnd(head, rest, new AnswerEnd(framing, rest.readableBytes()));
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -35,6 +35,12 @@
                     .help("Requests sent to upstreams, by service and how they ended.")
                     .labelNames("service", "ending")
                     .register(registry);
+    private final Counter answers =
+            Counter.builder()
+                    .name("stackhall_upstream_answers_total")
+                    .help("Answers that ended as their framing asks for, by framing.")
+                    .labelNames("framing", "within_event")
+                    .register(registry);
     private final Counter customerRequests =
             Counter.builder()
                     .name("stackhall_customer_requests_total")
@@ -102,6 +108,15 @@
         attempts.labelValues(service, ending).inc();
     }
 
+    /**
+     * Notes that an answer has ended as its framing asks for.
+     *
+     * @param withinEvent whether it is a stream that ended within an event
+     */
+    public void answerEnded(String framing, boolean withinEvent) {
+        answers.labelValues(framing, Boolean.toString(withinEvent)).inc();
+    }
+
     /** Notes what became of a request for which an upstream with a limit came into question. */
     public void limitedRequest(String outcome) {
         limitedRequests.labelValues(outcome).inc();
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.stackhall.core.answer.BodyFraming;
 
 /** Hears what becomes of one call; all methods are called on the event loop. */
 public interface CallListener {
@@ -19,8 +20,12 @@
     /** A part of the answer's body has come; the buffer is released by the caller. */
     void received(ByteBuf part);
 
-    /** The answer is whole. */
-    void completed();
+    /**
+     * The answer's body has ended as its framing asks for.
+     *
+     * @param framing by what the end was recognized
+     */
+    void completed(BodyFraming framing);
 
     /**
      * The call has ended without a whole answer.
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.stackhall.core.answer.BodyFraming;
 
 /** One request on its way to an upstream. */
 public final class UpstreamCall {
@@ -84,10 +85,10 @@
         return sent;
     }
 
-    void complete() {
+    void complete(BodyFraming framing) {
         if (!ended) {
             ended = true;
-            listener.completed();
+            listener.completed(framing);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.stackhall.core.answer.BodyFraming;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,6 +34,7 @@
     private boolean answering;
     private boolean reusable;
     private boolean broken;
+    private BodyFraming framing;
     private long keptNanos;
 
     UpstreamHandler(UpstreamClient client, String echoHeader) {
@@ -104,9 +106,8 @@
             return;
         }
         answering = true;
-        boolean framed =
-                HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-        reusable = HttpUtil.isKeepAlive(head) && framed && written;
+        framing = framing(head);
+        reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION && written;
         keptNanos = keptNanos(head.headers().get(HttpHeaderNames.KEEP_ALIVE));
         call.listener().answered(head);
     }
@@ -138,7 +139,7 @@
         } else {
             context.close();
         }
-        done.complete();
+        done.complete(framing);
     }
 
     private void end(ChannelHandlerContext context, String reason) {
@@ -151,6 +152,13 @@
         }
     }
 
+    private static BodyFraming framing(HttpResponse head) {
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            return BodyFraming.CHUNKED;
+        }
+        return HttpUtil.isContentLengthSet(head) ? BodyFraming.LENGTH : BodyFraming.CONNECTION;
+    }
+
     private static long keptNanos(String keepAlive) {
         int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT_PARAMETER);
         if (at < 0) {
--- a/stackhall-server/src/test/java/io/stackhall/server/relay/CancelledCallTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/relay/CancelledCallTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.server.settings.Address;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -95,7 +96,7 @@
         public void received(ByteBuf part) {}
 
         @Override
-        public void completed() {}
+        public void completed(BodyFraming framing) {}
 
         @Override
         public void failed(CallFailure failure) {}
