Failing tests of answers that are broken off and look complete

A stream that ends within an event reaches its caller as complete, whether its upstream closes the connection, sends the last chunk or reaches the length it has named: 12 of 12 cases with a route whose streams are not resumed, 12 of 12 with one whose streams are, where the other upstream is never asked for the rest. An answer that ends with its connection counts as whole if the host that holds its tunnel goes away in the middle. An answer that is reset, directly or through a tunnel, was read right before.

--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -0,0 +1,148 @@
+package io.stackhall.server.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Answers that an upstream breaks off, however they are framed, never look complete. */
+class BrokenOffAnswersTest extends RelayFixture {
+
+    /** A stream of three events, and where it is broken off. */
+    enum Cut {
+        WITHIN_A_LINE("\n", "id: 2\nda"),
+        BEFORE_THE_LAST_LINE_FEED("\n", "id: 2\ndata: b\n"),
+        BETWEEN_CARRIAGE_RETURN_AND_LINE_FEED("\r\n", "id: 2\r\ndata: b\r\n\r"),
+        WITHIN_THE_FIRST_EVENT("\n", "id: 1\nda");
+
+        private final String lineEnd;
+        private final String unfinished;
+
+        Cut(String lineEnd, String unfinished) {
+            this.lineEnd = lineEnd;
+            this.unfinished = unfinished;
+        }
+
+        String wholeEvents() {
+            return this == WITHIN_THE_FIRST_EVENT ? "" : event(1);
+        }
+
+        String event(int id) {
+            return "id: " + id + lineEnd + "data: b" + lineEnd + lineEnd;
+        }
+
+        String wholeStream() {
+            return event(1) + event(2) + event(3);
+        }
+    }
+
+    /** How the upstream ends its answer, though it is not whole. */
+    enum End {
+        CLOSE("Connection: close"),
+        LAST_CHUNK("Transfer-Encoding: chunked"),
+        LENGTH("Content-Length: %d");
+
+        private final String header;
+
+        End(String header) {
+            this.header = header;
+        }
+
+        void send(RawHttp.Message request, ScriptedUpstream.Connection to, String body)
+                throws IOException {
+            to.write(
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                            + String.format(header, body.length())
+                            + "\r\nX-Request-Id: "
+                            + request.header("x-request-id")
+                            + "\r\n\r\n");
+            if (this == LAST_CHUNK) {
+                to.chunk(body);
+                to.chunk("");
+            } else {
+                to.write(body);
+            }
+            if (this == CLOSE) {
+                to.socket().close();
+            }
+        }
+    }
+
+    static Stream<Arguments> brokenOff() {
+        return Arrays.stream(End.values())
+                .flatMap(end -> Arrays.stream(Cut.values()).map(cut -> Arguments.of(end, cut)));
+    }
+
+    // A caller took the half of a summary for all of it.
+    @ParameterizedTest
+    @MethodSource("brokenOff")
+    void streamThatEndsWithinAnEventDoesNotLookComplete(End end, Cut cut) throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) -> end.send(request, to, cut.wholeEvents() + cut.unfinished);
+        try (ScriptedUpstream upstream = upstream(script);
+                Socket caller = fleet.callerOf(1)) {
+            caller.getOutputStream().write(ascii(get("/stream/x", "r1")));
+            InputStream in = caller.getInputStream();
+            int status = RawHttp.readHead(in).status();
+            if (cut.wholeEvents().isEmpty()) {
+                assertThat(status).isEqualTo(502);
+            } else {
+                assertThat(status).isEqualTo(200);
+                assertThat(chunksUntilBroken(in)).isEqualTo(cut.wholeEvents());
+            }
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    // The rest of a broken stream was lost to its caller, though another upstream could go on.
+    @ParameterizedTest
+    @MethodSource("brokenOff")
+    void streamThatEndsWithinAnEventGoesOnElsewhere(End end, Cut cut) throws Exception {
+        ScriptedUpstream.Script broken =
+                (request, to) -> end.send(request, to, cut.wholeEvents() + cut.unfinished);
+        ScriptedUpstream.Script rest =
+                (request, to) -> {
+                    int last = Integer.parseInt("0" + request.header("last-event-id"));
+                    String events = cut.wholeStream().substring(last * cut.event(1).length());
+                    End.CLOSE.send(request, to, events);
+                };
+        List<String> order = new CopyOnWriteArrayList<>();
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    order.add(request.header("x-request-id"));
+                    (order.size() == 1 ? broken : rest).answer(request, to);
+                };
+        try (ScriptedUpstream one = upstream("i-1", script);
+                ScriptedUpstream two = upstream("i-2", script)) {
+            RawHttp.Message answer = fleet.call(1, get("/resumed/x", "r1"));
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.text()).isEqualTo(cut.wholeStream());
+            assertThat(one.requests()).hasSize(1);
+            assertThat(two.requests()).hasSize(1);
+        }
+    }
+
+    /** Reads chunks until the connection ends; fails if a last chunk comes. */
+    private static String chunksUntilBroken(InputStream in) {
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        try {
+            while (true) {
+                byte[] chunk = RawHttp.chunk(in);
+                assertThat(chunk).as("a last chunk after " + received).isNotEmpty();
+                received.write(chunk);
+            }
+        } catch (IOException expected) {
+            return received.toString(StandardCharsets.US_ASCII);
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -0,0 +1,182 @@
+package io.stackhall.server.tunnel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.answer.BodyFraming;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.peer.PeerCodec;
+import io.stackhall.server.relay.CallFailure;
+import io.stackhall.server.relay.CallListener;
+import io.stackhall.server.relay.UpstreamClient;
+import io.stackhall.server.relay.UpstreamRoute;
+import io.stackhall.server.settings.Address;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Answers that end with their connection, by way of another host. */
+class TunneledAnswersTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n";
+
+    private final MultiThreadIoEventLoopGroup threads =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = threads.next();
+    private final CompletableFuture<Channel> tunnel = new CompletableFuture<>();
+    private final Answer answer = new Answer();
+    private ServerSocket upstream;
+
+    @BeforeEach
+    void listen() throws IOException {
+        upstream = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        upstream.close();
+        threads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void answerThatItsUpstreamEndsInGoodOrderIsWhole() throws Exception {
+        try (Socket engine = send()) {
+            engine.getOutputStream().write("whole".getBytes(StandardCharsets.US_ASCII));
+            engine.close();
+            assertThat(answer.ended.get(5, TimeUnit.SECONDS)).isEqualTo("CONNECTION: whole");
+        }
+    }
+
+    @Test
+    void answerThatItsUpstreamResetsIsNotWhole() throws Exception {
+        try (Socket engine = send()) {
+            engine.setSoLinger(true, 0);
+            engine.close();
+            assertThat(answer.ended.get(5, TimeUnit.SECONDS)).startsWith("failed");
+        }
+    }
+
+    // The connections of a host that is killed end in good order.
+    @Test
+    void answerWhoseTunnelEndsWithItsHostIsNotWhole() throws Exception {
+        try (Socket engine = send()) {
+            assertThat(engine.isConnected()).isTrue();
+            tunnel.get(5, TimeUnit.SECONDS).close();
+            assertThat(answer.ended.get(5, TimeUnit.SECONDS)).startsWith("failed");
+        }
+    }
+
+    /** Sends a request through a tunnel; returns once half of its answer has come. */
+    private Socket send() throws Exception {
+        Address upstreamAddress = new Address("127.0.0.1", upstream.getLocalPort());
+        HostId host = new HostId(startHost(upstreamAddress));
+        UpstreamRoute route =
+                new UpstreamRoute(
+                        upstreamAddress,
+                        Optional.of(new TunnelRoute(host, UpstreamId.parse("i-1"))));
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+        loop.execute(() -> new UpstreamClient(loop, "X-Id").send(route, request, "r1", answer));
+        Socket engine = upstream.accept();
+        engine.getInputStream().read();
+        engine.getOutputStream().write((HEAD + "half ").getBytes(StandardCharsets.US_ASCII));
+        assertThat(answer.begun.get(5, TimeUnit.SECONDS)).isEqualTo("half ");
+        engine.getInputStream().readNBytes(engine.getInputStream().available());
+        return engine;
+    }
+
+    /** Starts the other host; returns its peer address. */
+    private String startHost(Address upstreamAddress) throws Exception {
+        UpstreamClient itsClient = new UpstreamClient(loop, "X-Id");
+        TunnelAcceptor acceptor =
+                new TunnelAcceptor(
+                        loop, itsClient::connect, id -> Optional.of(upstreamAddress), () -> false);
+        Channel server =
+                new ServerBootstrap()
+                        .group(threads)
+                        .channel(NioServerSocketChannel.class)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        PeerCodec.addTo(channel.pipeline());
+                                        channel.pipeline().addLast(new Opener(acceptor));
+                                    }
+                                })
+                        .bind("127.0.0.1", 0)
+                        .sync()
+                        .channel();
+        return "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    private final class Opener extends SimpleChannelInboundHandler<Frame> {
+        private final TunnelAcceptor acceptor;
+
+        Opener(TunnelAcceptor acceptor) {
+            this.acceptor = acceptor;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+            tunnel.complete(context.channel());
+            acceptor.accept(frame.getOpenTunnel(), context.channel());
+        }
+    }
+
+    private static final class Answer implements CallListener {
+        private final CompletableFuture<String> begun = new CompletableFuture<>();
+        private final CompletableFuture<String> ended = new CompletableFuture<>();
+        private final StringBuilder body = new StringBuilder();
+
+        @Override
+        public boolean sending() {
+            return true;
+        }
+
+        @Override
+        public void answered(HttpResponse head) {
+            // Only the body counts.
+        }
+
+        @Override
+        public void received(ByteBuf part) {
+            body.append(part.toString(StandardCharsets.US_ASCII));
+            begun.complete(body.toString());
+        }
+
+        @Override
+        public void completed(BodyFraming framing) {
+            ended.complete(framing + ": " + body.substring("half ".length()));
+        }
+
+        @Override
+        public void failed(CallFailure failure) {
+            ended.complete("failed: " + failure);
+        }
+    }
+}
--- /dev/null
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of tunnels over loopback. */
+package io.stackhall.server.tunnel;
