A stream that ends within an event is broken off, however it is framed

Cause: the end of the bytes was taken for the end of the answer. A stream that has neither a length nor chunks ends with its connection, and an engine that breaks it off closes in good order; the piece of an event that was left was passed on and the end written behind it. The same held for a last chunk or a length that is reached within an event.

AnswerEnd decides in one place whether an answer whose body has ended is whole: not if an event has begun and has no end, nor if a stream that ends with its connection had no event at all. What is not whole counts as an attempt that failed: the caller never sees the piece, the stream goes on elsewhere where it may, else the connection is closed without a last chunk, or the answer is 502 where nothing was passed on.

Lines that end with a carriage return alone are read now; such a stream used to be held back to its end, and would have counted as broken. An answer on a streaming route that says it is no event stream is relayed as a plain one.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.stackhall.platform.Headers;
 import java.nio.charset.StandardCharsets;
@@ -99,6 +100,12 @@
                 || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
+    /** Returns whether the body of an answer is a stream of events, as far as its head tells. */
+    static boolean isEventStream(HttpResponse head) {
+        CharSequence type = HttpUtil.getMimeType(head);
+        return type == null || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
+    }
+
     /** Returns an upstream's answer with its full body, without hop-by-hop headers. */
     static FullHttpResponse full(HttpResponse head, ByteBuf body) {
         FullHttpResponse response =
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
@@ -2,24 +2,35 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
+import io.stackhall.core.answer.AnswerEnd;
+import io.stackhall.core.answer.BodyFraming;
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 
 /**
  * Splits the bytes of an event stream into complete events, so that a stream that breaks within an
  * event can be resumed after the last complete one.
+ *
+ * <p>An event ends with an empty line. A line ends with a line feed, a carriage return, or both.
  */
 final class EventAssembler {
 
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COMMENT_START = ':';
     private static final String ID_FIELD = "id:";
+    private static final Pattern LINE_END = Pattern.compile("\r\n|\r|\n");
 
     /** An event of 64 tokens has a few hundred bytes. */
     private static final int INITIAL_BYTES = 512;
 
-    private ByteBuf pending = Unpooled.buffer(INITIAL_BYTES);
+    private final ByteBuf pending = Unpooled.buffer(INITIAL_BYTES);
     private int scannedIndex;
+    private int lineStart;
+    private boolean hasLines;
+    private boolean lastLineEndedByCarriageReturn;
 
     /**
      * One complete event.
@@ -41,50 +52,88 @@
         }
         ByteBuf bytes = pending.readBytes(end - pending.readerIndex());
         pending.discardReadBytes();
-        scannedIndex = 0;
+        restartScan();
         return new Event(bytes, parseId(bytes));
     }
 
+    /**
+     * Returns what is known of the stream if it ends here.
+     *
+     * @param withoutEvent whether no event has come though one was to be expected
+     */
+    AnswerEnd end(BodyFraming framing, boolean withoutEvent) {
+        int unfinishedBytes = hasUnfinishedEvent() ? pending.readableBytes() : 0;
+        return new AnswerEnd(framing, unfinishedBytes, withoutEvent);
+    }
+
+    /**
+     * Returns whether the bytes after the last complete event begin a further one. Empty lines and
+     * comments do not, unless a line has no end.
+     */
+    private boolean hasUnfinishedEvent() {
+        int start = pending.readerIndex();
+        while (start < pending.writerIndex()) {
+            int end = findLineEnd(start);
+            byte first = pending.getByte(start);
+            boolean empty = end == start;
+            if (end < 0 || (!empty && first != COMMENT_START)) {
+                return true;
+            }
+            start = end + 1;
+        }
+        return false;
+    }
+
     /** Removes and returns all remaining bytes. */
     ByteBuf remaining() {
-        scannedIndex = 0;
+        restartScan();
         return pending.readBytes(pending.readableBytes());
     }
 
-    /** Discards the bytes of an incomplete event. */
-    void clear() {
-        pending.clear();
-        scannedIndex = 0;
+    private void restartScan() {
+        scannedIndex = pending.readerIndex();
+        lineStart = pending.readerIndex();
+        hasLines = false;
+        lastLineEndedByCarriageReturn = false;
     }
 
-    /**
-     * Returns the index after the next event, or -1 if it is incomplete. An event ends with an
-     * empty line; lines end with a line feed, optionally preceded by a carriage return.
-     */
+    /** Returns the index after the next event, or -1 if it is incomplete. */
     private int findEventEnd() {
-        int from = Math.max(pending.readerIndex(), scannedIndex);
-        int feed = pending.indexOf(from, pending.writerIndex(), LINE_FEED);
-        while (feed >= 0) {
-            int next = feed + 1;
-            if (next < pending.writerIndex() && pending.getByte(next) == CARRIAGE_RETURN) {
-                next++;
+        int end = findLineEnd(scannedIndex);
+        while (end >= 0) {
+            boolean carriageReturn = pending.getByte(end) == CARRIAGE_RETURN;
+            boolean endsEvent = end == lineStart && hasLines;
+            int next = end + 1;
+            if (carriageReturn && next == pending.writerIndex()) {
+                // A line feed may still follow, unless the lines of this event end without one.
+                scannedIndex = end;
+                return endsEvent && lastLineEndedByCarriageReturn ? next : -1;
             }
-            if (next >= pending.writerIndex()) {
-                scannedIndex = feed;
-                return -1;
+            boolean both = carriageReturn && pending.getByte(next) == LINE_FEED;
+            if (both) {
+                next++;
             }
-            if (pending.getByte(next) == LINE_FEED) {
-                return next + 1;
+            if (endsEvent) {
+                return next;
             }
-            feed = pending.indexOf(next, pending.writerIndex(), LINE_FEED);
+            hasLines |= end > lineStart;
+            lastLineEndedByCarriageReturn = carriageReturn && !both;
+            lineStart = next;
+            scannedIndex = next;
+            end = findLineEnd(next);
         }
         scannedIndex = pending.writerIndex();
         return -1;
     }
 
+    /** Returns the index of the next carriage return or line feed, or -1 if there is none. */
+    private int findLineEnd(int from) {
+        return pending.forEachByte(from, pending.writerIndex() - from, ByteProcessor.FIND_CRLF);
+    }
+
     private static OptionalLong parseId(ByteBuf event) {
         String text = event.toString(StandardCharsets.UTF_8);
-        for (String line : text.split("\r?\n", -1)) {
+        for (String line : LINE_END.split(text, -1)) {
             if (line.startsWith(ID_FIELD)) {
                 return parseNumber(line.substring(ID_FIELD.length()).strip());
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -216,7 +216,8 @@
             return;
         }
         rights.useGrant();
-        attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), outcomes);
+        boolean resuming = stream.hasBegun();
+        attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), resuming, outcomes);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
         log.sent(
                 need, instance, history.sendCount() + 1, why, now - waitingSince, waitReason, load);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -156,18 +156,17 @@
 
     void answered(int status, AnswerEnd end, OptionalLong lastEvent, int sends) {
         metrics.requestEnded(route, "answered");
-        metrics.answerEnded(end.framing().name(), end.unfinishedBytes() > 0);
+        metrics.answerEnded(end.framing().name());
         metrics.customerRequest(customer, "answered");
         metrics.reached("end", BootClock.nanos() - arrivedAt);
         long leftOut = lineBudget.take(LineBudget.Kind.ANSWERED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "request.answered id={} status={} framing={} unfinishedBytes={} lastEvent={}"
+                    "request.answered id={} status={} framing={} lastEvent={}"
                             + " firstMs={} ageMs={} sends={} leftOut={}",
                     id,
                     status,
                     end.framing(),
-                    end.unfinishedBytes(),
                     lastEvent,
                     firstByteMillis,
                     ageMillis(),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -29,6 +29,7 @@
     private final Gateway gateway;
     private final Instance instance;
     private final boolean stream;
+    private final boolean resuming;
     private final AttemptListener listener;
     private final Optional<HostId> tunnel;
     private final InFlightRequest inFlight;
@@ -45,16 +46,19 @@
      * Creates an attempt, which the dispatcher counts as load of the instance from now on.
      *
      * @param kind whether a successful answer is an event stream
+     * @param resuming whether it goes on with a stream of which the caller has events
      */
     UpstreamAttempt(
             Gateway gateway,
             Instance instance,
             Need need,
             RouteKind kind,
+            boolean resuming,
             AttemptListener listener) {
         this.gateway = gateway;
         this.instance = instance;
         this.stream = kind == RouteKind.STREAM;
+        this.resuming = resuming;
         this.listener = listener;
         this.tunnel = gateway.paths().tunnelTo(instance.id());
         this.inFlight = gateway.dispatcher().requestSent(instance.id(), need, BootClock.nanos());
@@ -150,12 +154,13 @@
                                                 load.slowdown(),
                                                 now));
         boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
+        boolean inEvents = success && stream && Answers.isEventStream(answer);
         if (!success) {
             gateway.dispatcher().errorResponseStarted(inFlight, !Answers.reportsNotRun(answer));
-        } else if (!stream) {
+        } else if (!inEvents) {
             gateway.dispatcher().responseStarted(inFlight, now);
         }
-        if (!success || !stream) {
+        if (!inEvents) {
             body = Unpooled.buffer();
         }
     }
@@ -182,14 +187,21 @@
 
     @Override
     public void completed(BodyFraming framing) {
+        AnswerEnd end =
+                body != null
+                        ? AnswerEnd.ofBody(framing)
+                        : events.end(framing, !firstEventSeen && !resuming);
+        if (!end.isWhole()) {
+            failed(new CallFailure(CallFailure.Stage.SENT, end.reason()));
+            return;
+        }
         leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (body != null) {
-            listener.onAnswer(head, body, new AnswerEnd(framing, 0));
+            listener.onAnswer(head, body, end);
         } else {
             gateway.dispatcher().requestSucceeded(instance.id());
-            ByteBuf rest = events.remaining();
-            listener.onStreamEnd(head, rest, new AnswerEnd(framing, rest.readableBytes()));
+            listener.onStreamEnd(head, events.remaining(), end);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -38,8 +38,8 @@
     private final Counter answers =
             Counter.builder()
                     .name("stackhall_upstream_answers_total")
-                    .help("Answers that ended as their framing asks for, by framing.")
-                    .labelNames("framing", "within_event")
+                    .help("Whole answers of upstreams, by what their end was recognized by.")
+                    .labelNames("framing")
                     .register(registry);
     private final Counter customerRequests =
             Counter.builder()
@@ -108,13 +108,9 @@
         attempts.labelValues(service, ending).inc();
     }
 
-    /**
-     * Notes that an answer has ended as its framing asks for.
-     *
-     * @param withinEvent whether it is a stream that ended within an event
-     */
-    public void answerEnded(String framing, boolean withinEvent) {
-        answers.labelValues(framing, Boolean.toString(withinEvent)).inc();
+    /** Notes that an upstream has answered whole. */
+    public void answerEnded(String framing) {
+        answers.labelValues(framing).inc();
     }
 
     /** Notes what became of a request for which an upstream with a limit came into question. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -156,7 +157,13 @@
         if (HttpUtil.isTransferEncodingChunked(head)) {
             return BodyFraming.CHUNKED;
         }
-        return HttpUtil.isContentLengthSet(head) ? BodyFraming.LENGTH : BodyFraming.CONNECTION;
+        boolean lengthKnown = HttpUtil.isContentLengthSet(head) || hasNoBody(head.status());
+        return lengthKnown ? BodyFraming.LENGTH : BodyFraming.CONNECTION;
+    }
+
+    private static boolean hasNoBody(HttpResponseStatus status) {
+        return status.equals(HttpResponseStatus.NO_CONTENT)
+                || status.equals(HttpResponseStatus.NOT_MODIFIED);
     }
 
     private static long keptNanos(String keepAlive) {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -104,6 +105,16 @@
         }
     }
 
+    // A caller got an empty answer with status 200 for a stream that had not begun.
+    @Test
+    void streamWhoseConnectionEndsBeforeAnEventDoesNotLookComplete() throws Exception {
+        ScriptedUpstream.Script script = (request, to) -> End.CLOSE.send(request, to, "");
+        try (ScriptedUpstream upstream = upstream(script)) {
+            assertThat(fleet.call(1, get("/stream/x", "r1")).status()).isEqualTo(502);
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
     // The rest of a broken stream was lost to its caller, though another upstream could go on.
     @ParameterizedTest
     @MethodSource("brokenOff")
