Only its upstream ends an answer that has no length

Half of an answer without a length counted as whole if its connection ended for another reason than the upstream's own end: if the host that holds its tunnel went away (the connections of a killed process end in good order), if this host closed the connection itself, as it does when it stops, or if a write failed on it. Callers of hosts that are cut off, and of hosts that stop, could take such an answer for complete.

Cause: the decoder hears that a connection is gone, not who ended it. Connections to upstreams allow half closure now, so that the end of the peer's bytes is an event of its own, and nothing else ends such an answer. A tunnel carries the upstream's bytes in frames, where an empty frame is its end; any other end of a tunnel resets the side of the upstream or of the cut host.

--- a/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
@@ -1,15 +1,22 @@
 package io.stackhall.server.relay;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
-/** Decodes answers, with bounds on their heads. */
+/**
+ * Decodes answers, with bounds on their heads, and tells the orderly end of the peer's bytes from
+ * any other end of the connection.
+ */
 final class AnswerDecoder extends HttpResponseDecoder {
 
     private static final int MAX_LINE_BYTES = 4096;
     private static final int MAX_HEAD_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    private boolean inputEnded;
+
     AnswerDecoder() {
         super(
                 new HttpDecoderConfig()
@@ -17,4 +24,15 @@
                         .setMaxHeaderSize(MAX_HEAD_BYTES)
                         .setMaxChunkSize(MAX_CHUNK_BYTES));
     }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        inputEnded |= event instanceof ChannelInputShutdownEvent;
+        super.userEventTriggered(context, event);
+    }
+
+    /** Returns whether the peer has ended its bytes in good order. */
+    boolean inputEnded() {
+        return inputEnded;
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -82,6 +82,7 @@
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .handler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -239,11 +240,12 @@
             channel.close();
             return;
         }
+        AnswerDecoder decoder = new AnswerDecoder();
         channel.pipeline()
                 .addLast(
                         new HttpRequestEncoder(),
-                        new AnswerDecoder(),
-                        new UpstreamHandler(this, echoHeader));
+                        decoder,
+                        new UpstreamHandler(this, decoder, echoHeader));
         channel.config().setAutoRead(true);
         write(call, channel);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,8 +18,8 @@
  * Matches what comes on one connection to the request that was sent on it.
  *
  * <p>An answer that echoes another request's id belongs to an earlier request and is passed over. A
- * body without a length is whole only if the upstream ended the connection in good order. After
- * anything odd the connection is closed.
+ * body without a length is whole only if the upstream ended the connection in good order, and not
+ * if this host did, for whatever reason. After anything odd the connection is closed.
  */
 final class UpstreamHandler extends ChannelInboundHandlerAdapter {
 
@@ -27,7 +28,10 @@
     /** An upstream may close a resting connection this much before its time. */
     private static final long EARLY_CLOSE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
+    private static final String CLOSED_EARLY = "connection closed before the answer was whole";
+
     private final UpstreamClient client;
+    private final AnswerDecoder decoder;
     private final String echoHeader;
     private UpstreamCall call;
     private boolean written;
@@ -38,8 +42,9 @@
     private BodyFraming framing;
     private long keptNanos;
 
-    UpstreamHandler(UpstreamClient client, String echoHeader) {
+    UpstreamHandler(UpstreamClient client, AnswerDecoder decoder, String echoHeader) {
         this.client = client;
+        this.decoder = decoder;
         this.echoHeader = echoHeader;
     }
 
@@ -77,6 +82,8 @@
             if (!whole) {
                 end(context, "the request could not be written");
             }
+        } else if (event instanceof ChannelInputShutdownEvent) {
+            end(context, CLOSED_EARLY);
         }
     }
 
@@ -87,7 +94,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        end(context, "connection closed before the answer was whole");
+        end(context, CLOSED_EARLY);
     }
 
     private void head(ChannelHandlerContext context, HttpResponse head) {
@@ -127,7 +134,11 @@
             call.listener().received(content.content());
         }
         if (last && answering && !call.ended()) {
-            finish(context);
+            if (framing == BodyFraming.CONNECTION && !decoder.inputEnded()) {
+                end(context, CLOSED_EARLY);
+            } else {
+                finish(context);
+            }
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.stackhall.core.id.UpstreamId;
@@ -70,10 +71,11 @@
         }
         open.incrementAndGet();
         from.closeFuture().addListener(closed -> open.decrementAndGet());
-        connector.apply(address.get()).addListener(done -> connected(from, done));
+        boolean framed = request.getFramed();
+        connector.apply(address.get()).addListener(done -> connected(from, framed, done));
     }
 
-    private void connected(Channel from, Future<? super Channel> done) {
+    private void connected(Channel from, boolean framed, Future<? super Channel> done) {
         if (!done.isSuccess()) {
             boolean refused = ConnectFailures.isRefusal(done.cause());
             refuse(from, refused ? Result.REFUSED : Result.NO_CONNECTION);
@@ -84,11 +86,17 @@
             to.close();
             return;
         }
-        from.writeAndFlush(reply(Result.OPEN)).addListener(written -> join(from, to));
+        from.writeAndFlush(reply(Result.OPEN, framed))
+                .addListener(written -> join(from, to, framed));
     }
 
-    private static void join(Channel from, Channel to) {
+    private static void join(Channel from, Channel to, boolean framed) {
         PeerCodec.removeAllFrom(from.pipeline());
+        if (framed) {
+            TunnelInput.addEncoder(from.pipeline());
+        }
+        from.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        to.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         from.pipeline().addLast(new TunnelEnd(to));
         to.pipeline().addLast(new TunnelEnd(from));
         to.config().setAutoRead(true);
@@ -98,12 +106,12 @@
     }
 
     private static void refuse(Channel from, Result result) {
-        from.writeAndFlush(reply(result)).addListener(ChannelFutureListener.CLOSE);
+        from.writeAndFlush(reply(result, false)).addListener(ChannelFutureListener.CLOSE);
     }
 
-    private static Frame reply(Result result) {
+    private static Frame reply(Result result, boolean framed) {
         return Frame.newBuilder()
-                .setTunnelReply(TunnelReply.newBuilder().setResult(result))
+                .setTunnelReply(TunnelReply.newBuilder().setResult(result).setFramed(framed))
                 .build();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelConnector.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelConnector.java
@@ -52,8 +52,7 @@
     /**
      * Opens a tunnel.
      *
-     * @return a channel without handlers, whose bytes go to and come from the upstream; or a {@link
-     *     TunnelException}
+     * @return a channel whose bytes go to and come from the upstream; or a {@link TunnelException}
      */
     public Future<Channel> open(TunnelRoute route) {
         Promise<Channel> promise = loop.newPromise();
@@ -78,7 +77,11 @@
                 },
                 REPLY_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
-        OpenTunnel open = OpenTunnel.newBuilder().setInstance(route.upstream().toString()).build();
+        OpenTunnel open =
+                OpenTunnel.newBuilder()
+                        .setInstance(route.upstream().toString())
+                        .setFramed(true)
+                        .build();
         channel.writeAndFlush(Frame.newBuilder().setOpenTunnel(open).build());
     }
 
@@ -104,6 +107,9 @@
             }
             TunnelReply.Result result = frame.getTunnelReply().getResult();
             if (result == Result.OPEN) {
+                if (frame.getTunnelReply().getFramed()) {
+                    context.pipeline().addLast(new TunnelInput());
+                }
                 PeerCodec.removeFrom(context.pipeline());
                 context.pipeline().remove(this);
                 promise.trySuccess(context.channel());
