A host that takes itself for cut off probes all upstreams in turn

A host that took itself for cut off because two upstreams were really down probed just these two, and went on sending all requests through tunnels until they were gone. Callers paid a hop, and the other hosts the work. If no upstream was known any more, each probe failed in the log every 250 ms.

Cause: the turn went round among the paths that had failed. All known upstreams take their turns now; an answer of any ends the cut. UpstreamPathsTest.allUpstreamsAreProbedInTurns... and cutHostThatKnowsNoUpstreamAnyMore... failed before.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -56,7 +57,9 @@
     /** The longest retry delay is by this share of the expected one longer than the shortest. */
     private static final double RETRY_SPREAD = 0.5;
 
-    private final Set<UpstreamId> known = new HashSet<>();
+    /** In the order in which they are probed while the host is cut off. */
+    private final Set<UpstreamId> known = new LinkedHashSet<>();
+
     private final Map<UpstreamId, BrokenPath> broken = new LinkedHashMap<>();
     private final Map<UpstreamId, Unanswered> unanswered = new HashMap<>();
     private final Set<UpstreamId> brokenSinceHeard = new HashSet<>();
@@ -219,7 +222,7 @@
         if (cutOff) {
             if (now - probedAt >= CUT_OFF_PROBE_NANOS) {
                 probedAt = now;
-                due.add(nextInTurn(now));
+                nextInTurn().ifPresent(due::add);
             }
             return due;
         }
@@ -234,12 +237,17 @@
         return due;
     }
 
-    /** Moves the upstream that was probed first to the end, so that the next one has its turn. */
-    private UpstreamId nextInTurn(long now) {
-        UpstreamId next =
-                broken.isEmpty() ? known.iterator().next() : broken.keySet().iterator().next();
-        BrokenPath path = broken.remove(next);
-        broken.put(next, path == null ? new BrokenPath(now) : path);
+    /**
+     * Returns the upstream that was probed the longest time ago. All take their turns: those whose
+     * paths have failed may really be down while the others answer.
+     */
+    private Optional<UpstreamId> nextInTurn() {
+        Optional<UpstreamId> next = known.stream().findFirst();
+        next.ifPresent(
+                id -> {
+                    known.remove(id);
+                    known.add(id);
+                });
         return next;
     }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -5,6 +5,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.path.UpstreamPaths.Change;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import net.jqwik.api.ForAll;
@@ -56,6 +57,29 @@
         assertThat(paths.failed(SECOND, now)).as("still nothing").isEqualTo(Change.CUT_OFF);
     }
 
+    // A host probed just the two upstreams that were down, and went on through tunnels.
+    @Test
+    void allUpstreamsAreProbedInTurnsWhileTheHostIsCutOff() {
+        paths.failed(FIRST, now);
+        paths.failed(SECOND, now);
+        assertThat(paths.isCutOff()).isTrue();
+        Set<UpstreamId> probed = new HashSet<>();
+        for (int turn = 0; turn < 3; turn++) {
+            now += Duration.ofMillis(250).toNanos();
+            probed.addAll(paths.dueProbes(now));
+        }
+        assertThat(probed).containsExactlyInAnyOrder(FIRST, SECOND, THIRD);
+    }
+
+    // Probes failed from then on, as there was none to take its turn.
+    @Test
+    void cutHostThatKnowsNoUpstreamAnyMoreProbesNone() {
+        paths.failed(FIRST, now);
+        paths.failed(SECOND, now);
+        List.of(FIRST, SECOND, THIRD).forEach(paths::forget);
+        assertThat(paths.dueProbes(now + Duration.ofSeconds(1).toNanos())).isEmpty();
+    }
+
     @Test
     void severalFailuresWithNothingHeardInBetweenAreACut() {
         paths.failed(FIRST, now);
