Callers without chunks, and HEAD, get answers that are framed for them

A caller of HTTP/1.0 got the marks of chunks among the events of its stream, and a request with HEAD waited for a body that never comes, 4 s, for 504.

Cause: an answer's framing is chosen without its request. A stream for a caller that cannot read chunks is written as it is and ends with its connection; if it is broken off, the connection is reset, since a close would look like the end. The decoder of answers knows of HEAD, whose answer ends with its head; the length that it names is passed on.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -106,11 +107,18 @@
         return type == null || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
     }
 
-    /** Returns an upstream's answer with its full body, without hop-by-hop headers. */
-    static FullHttpResponse full(HttpResponse head, ByteBuf body) {
+    /**
+     * Returns an upstream's answer with its full body, without hop-by-hop headers. The answer to a
+     * HEAD request has no body, and keeps the length that another method would get.
+     */
+    static FullHttpResponse full(HttpMethod method, HttpResponse head, ByteBuf body) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
         copyHeaders(head.headers(), response.headers());
+        String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (method.equals(HttpMethod.HEAD) && length != null) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
         return response;
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -92,7 +92,7 @@
                     HttpResponseStatus.BAD_GATEWAY, "the instance gave up, and may have run it");
         } else {
             request.close();
-            answers.writeAnswer(Answers.full(head, body));
+            answers.writeAnswer(Answers.full(request.method(), head, body));
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -61,6 +62,7 @@
     private long headReceivedAt;
     private RelayedRequest relayed;
     private boolean keepAlive;
+    private boolean chunksAllowed;
     private boolean closing;
     private boolean reading;
     private boolean startPending;
@@ -164,7 +166,9 @@
     @Override
     public void writeAnswer(FullHttpResponse response) {
         boolean staysOpen = keepAlive && !gateway.connections().isDraining();
-        HttpUtil.setContentLength(response, response.content().readableBytes());
+        if (!HttpUtil.isContentLengthSet(response)) {
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+        }
         setConnectionHeader(response, staysOpen);
         relayed = null;
         if (staysOpen) {
@@ -178,9 +182,9 @@
 
     @Override
     public void writeHead(HttpResponse response) {
-        keepAlive = keepAlive && !gateway.connections().isDraining();
+        keepAlive = keepAlive && chunksAllowed && !gateway.connections().isDraining();
         setConnectionHeader(response, keepAlive);
-        HttpUtil.setTransferEncodingChunked(response, true);
+        HttpUtil.setTransferEncodingChunked(response, chunksAllowed);
         context.write(response);
     }
 
@@ -206,6 +210,10 @@
     public void abort() {
         relayed = null;
         closing = true;
+        if (!chunksAllowed) {
+            // Without chunks, only a reset tells the caller that the answer is not complete.
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         context.close();
     }
 
@@ -279,6 +287,7 @@
                         body.toByteArray(),
                         headReceivedAt);
         keepAlive = HttpUtil.isKeepAlive(head);
+        chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         head = null;
         body = null;
         Optional<FullHttpResponse> refusal = gateway.shed(request);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -1,5 +1,6 @@
 package io.stackhall.server.gateway;
 
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.stackhall.core.dispatch.Admission;
 import io.stackhall.core.dispatch.Admission.Verdict;
@@ -265,6 +266,10 @@
         return ended;
     }
 
+    HttpMethod method() {
+        return request.method();
+    }
+
     RequestDigest digest() {
         return digest;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
@@ -16,6 +17,7 @@
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private boolean inputEnded;
+    private boolean headRequested;
 
     AnswerDecoder() {
         super(
@@ -31,6 +33,21 @@
         super.userEventTriggered(context, event);
     }
 
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+        return headRequested || super.isContentAlwaysEmpty(answer);
+    }
+
+    /** Sets whether the next answer is that to a HEAD request, which has no body. */
+    void setHeadRequested(boolean requested) {
+        headRequested = requested;
+    }
+
+    /** Returns whether the next answer is that to a HEAD request. */
+    boolean headRequested() {
+        return headRequested;
+    }
+
     /** Returns whether the peer has ended its bytes in good order. */
     boolean inputEnded() {
         return inputEnded;
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -50,6 +51,7 @@
 
     void begin(UpstreamCall next) {
         call = next;
+        decoder.setHeadRequested(next.request().method().equals(HttpMethod.HEAD));
         written = false;
         skipping = false;
         answering = false;
@@ -164,7 +166,10 @@
         }
     }
 
-    private static BodyFraming framing(HttpResponse head) {
+    private BodyFraming framing(HttpResponse head) {
+        if (decoder.headRequested()) {
+            return BodyFraming.LENGTH;
+        }
         if (HttpUtil.isTransferEncodingChunked(head)) {
             return BodyFraming.CHUNKED;
         }
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -115,6 +116,61 @@
         }
     }
 
+    // Callers that cannot read chunks got their marks among the events.
+    @Test
+    void callerWithoutChunksGetsTheEventsAlone() throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) -> End.LAST_CHUNK.send(request, to, "id: 1\ndata: b\n\n");
+        try (ScriptedUpstream upstream = upstream(script)) {
+            RawHttp.Message answer = fleet.call(1, olderCallersRequest());
+            assertThat(answer.header("transfer-encoding")).isEmpty();
+            assertThat(answer.text()).isEqualTo("id: 1\ndata: b\n\n");
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    // To a caller without chunks, a connection that ends in good order is the end of the answer.
+    @Test
+    void brokenStreamIsResetForACallerWithoutChunks() throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    to.streamHead(request);
+                    to.chunk("id: 1\ndata: b\n\nid: 2\nda");
+                    pause(50);
+                    to.reset();
+                };
+        try (ScriptedUpstream upstream = upstream(script)) {
+            assertThatThrownBy(() -> fleet.call(1, olderCallersRequest()))
+                    .isInstanceOf(IOException.class)
+                    .hasMessageContaining("reset");
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    // The answer to HEAD names a length and has no body, which the host waited for in vain.
+    @Test
+    void answerToAHeadRequestIsWholeWithoutABody() throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) ->
+                        to.write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 700\r\nX-Request-Id: "
+                                        + request.header("x-request-id")
+                                        + "\r\n\r\n");
+        try (ScriptedUpstream upstream = upstream(script);
+                Socket caller = fleet.callerOf(1)) {
+            String request = get("/once/x", "r1").replace("GET", "HEAD");
+            caller.getOutputStream().write(ascii(request));
+            RawHttp.Message head = RawHttp.readHead(caller.getInputStream());
+            assertThat(head.status()).isEqualTo(200);
+            assertThat(head.header("content-length")).isEqualTo("700");
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    private static String olderCallersRequest() {
+        return get("/stream/x", "r1").replace("HTTP/1.1", "HTTP/1.0");
+    }
+
     // The rest of a broken stream was lost to its caller, though another upstream could go on.
     @ParameterizedTest
     @MethodSource("brokenOff")
