An attempt whose answer may still come is not given up for nothing

Where no host reached an upstream for 1.6 s, requests under way that may be repeated ended at once with 502, "the outcome is unknown", though their answers came a second later and within their deadlines.

Cause: an attempt was broken off as soon as its path was held to be lost, before it was known whether the request may be sent again. It goes on now unless a tunnel is there and the allowance for resends has granted one, which the next send makes use of.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -98,7 +98,8 @@
 
     @Override
     public void onPathLost() {
-        if (mayContinue()) {
+        // An answer that may still come is not given up for nothing.
+        if (mayContinue() && gateway.paths().hasTunnels() && request.acquireResend()) {
             history.recordMayHaveRun();
             request.abandonAttempt();
             request.requeue("this host has lost its paths");
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -34,6 +34,7 @@
     private long sentAt;
     private WaitReason waitReason = WaitReason.NOTHING;
     private Admission admission;
+    private boolean resendAcquired;
     private boolean ended;
     private final StreamedAnswer stream;
     private final RequestTimer timer;
@@ -211,11 +212,12 @@
 
     private void send(Instance instance, String why) {
         long now = BootClock.nanos();
-        if (history.sendCount() > 0 && !gateway.tryAcquireRetry(need.service(), now)) {
+        if (history.sendCount() > 0 && !acquireResend()) {
             finalAnswer.giveUp(
                     "too many requests are sent a second time", FinalAnswer.SHORT_RETRY_DELAY);
             return;
         }
+        resendAcquired = false;
         rights.useGrant();
         boolean resuming = stream.hasBegun();
         attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), resuming, outcomes);
@@ -254,6 +256,13 @@
         abandonAttempt();
     }
 
+    /** Returns whether the request may be sent once more, which the next send makes use of. */
+    boolean acquireResend() {
+        resendAcquired =
+                resendAcquired || gateway.tryAcquireRetry(need.service(), BootClock.nanos());
+        return resendAcquired;
+    }
+
     /** Breaks the current attempt off, if there is one. */
     void abandonAttempt() {
         if (attempt != null) {
