--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
@@ -21,12 +21,19 @@
     void onEvent(HttpResponse head, EventAssembler.Event event);
 
     /**
-     * Called when the stream has ended normally; takes ownership of the buffer.
+     * Called when a stream, or an answer that came in parts, has ended normally; takes ownership of
+     * the buffer.
      *
      * @param rest the bytes after the last complete event
      */
     void onStreamEnd(HttpResponse head, ByteBuf rest, AnswerEnd end);
 
+    /**
+     * Called with a part of an answer that is too long to be held until it is complete; takes
+     * ownership of the buffer.
+     */
+    void onPart(HttpResponse head, ByteBuf bytes);
+
     /** Called with a complete answer that is not a stream; takes ownership of the buffer. */
     void onAnswer(HttpResponse head, ByteBuf body, AnswerEnd end);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -67,6 +67,11 @@
         answers.end();
     }
 
+    @Override
+    public void onPart(HttpResponse head, ByteBuf bytes) {
+        stream.forwardBytes(head, bytes);
+    }
+
     @Override
     public void onAnswer(HttpResponse head, ByteBuf body, AnswerEnd end) {
         Instance instance = request.endAttempt();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
@@ -56,6 +56,11 @@
         return new Event(bytes, parseId(bytes));
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    int remainingBytes() {
+        return pending.readableBytes();
+    }
+
     /**
      * Returns what is known of the stream if it ends here.
      *
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -26,6 +26,12 @@
 /** One attempt to run a request at one instance, which the dispatcher is notified of. */
 final class UpstreamAttempt implements CallListener {
 
+    /** A longer answer is passed on as it comes: a host holds the answers of many requests. */
+    private static final int MAX_HELD_BYTES = 256 << 10;
+
+    /** An event that does not end would fill the memory of its host. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private final Gateway gateway;
     private final Instance instance;
     private final boolean stream;
@@ -38,6 +44,7 @@
     private UpstreamCall call;
     private HttpResponse head;
     private ByteBuf body;
+    private boolean passingOn;
     private boolean abandoned;
     private boolean firstEventSeen;
     private boolean left;
@@ -168,10 +175,30 @@
     @Override
     public void received(ByteBuf part) {
         heard();
-        if (body != null) {
-            body.writeBytes(part);
+        if (passingOn) {
+            listener.onPart(head, part.retain());
+        } else if (body != null) {
+            hold(part);
+        } else {
+            forwardEvents(part);
+        }
+    }
+
+    private void hold(ByteBuf part) {
+        body.writeBytes(part);
+        if (body.readableBytes() <= MAX_HELD_BYTES) {
             return;
         }
+        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (success && !resuming) {
+            passingOn = true;
+            listener.onPart(head, body);
+        } else {
+            breakOff("the answer is too long");
+        }
+    }
+
+    private void forwardEvents(ByteBuf part) {
         events.add(part);
         EventAssembler.Event event = events.next();
         while (event != null && !abandoned) {
@@ -183,6 +210,15 @@
             listener.onEvent(head, event);
             event = events.next();
         }
+        if (!abandoned && events.remainingBytes() > MAX_EVENT_BYTES) {
+            breakOff("an event is too long");
+        }
+    }
+
+    /** Ends the attempt as one whose upstream has broken off. */
+    private void breakOff(String reason) {
+        call.cancel();
+        failed(new CallFailure(CallFailure.Stage.SENT, reason));
     }
 
     @Override
@@ -197,7 +233,7 @@
         }
         leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
-        if (body != null) {
+        if (body != null && !passingOn) {
             listener.onAnswer(head, body, end);
         } else {
             gateway.dispatcher().requestSucceeded(instance.id());
