The soak breaks off a share of its streams

Two more upstreams of the soak frame their streams by a length, chunks or the end of the connection, and break a third of those that begin there off within an event, by a reset or in good order. Callers on all hosts hold what looks complete against the whole stream.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -43,6 +43,7 @@
 
     private static final long CALL_PAUSE_MILLIS = 30;
 
+    private final long seed;
     private final Random random;
     private final SeededHosts hosts;
     private final TroubledHosts trouble;
@@ -55,10 +56,12 @@
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private LimitedUpstream limited;
     private final List<AskingUpstream> asking = new ArrayList<>();
+    private BrokenStreams streams;
     private long version;
 
     /** Creates a run that has not begun. */
     public FaultSoak(Path folder, long seed) {
+        this.seed = seed;
         this.random = new Random(seed);
         this.hosts = new SeededHosts(folder);
         this.trouble = new TroubledHosts(hosts, folder);
@@ -81,8 +84,10 @@
         for (AskingUpstream.Kind kind : AskingUpstream.Kind.values()) {
             asking.add(hosts.startAsking(kind));
         }
+        streams = new BrokenStreams(hosts, seed);
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
+            threads.submit(() -> callStreams(host));
             threads.submit(() -> callAgainAndAgain(host));
             threads.submit(() -> callLimited(host));
             threads.submit(() -> callAsking(host));
@@ -98,18 +103,20 @@
         checkRuns();
         broken.addAll(limited.broken());
         asking.forEach(one -> broken.addAll(one.broken(trouble::wasDisturbed)));
+        broken.addAll(streams.broken());
         return List.copyOf(broken);
     }
 
     /** Returns how many calls were made, and how many were served. */
     public String account() {
-        return "calls=%d served=%d changes=%d limited=%d asking=%s"
+        return "calls=%d served=%d changes=%d limited=%d asking=%s %s"
                 .formatted(
                         calls.get(),
                         served.get(),
                         version,
                         limited.arrivals(),
-                        asking.stream().map(AskingUpstream::arrivals).toList());
+                        asking.stream().map(AskingUpstream::arrivals).toList(),
+                        streams.account());
     }
 
     @Override
@@ -122,6 +129,9 @@
             limited.close();
         }
         asking.forEach(AskingUpstream::close);
+        if (streams != null) {
+            streams.close();
+        }
     }
 
     private void disturb() {
@@ -252,6 +262,13 @@
         }
     }
 
+    private void callStreams(int host) {
+        while (!over.get()) {
+            streams.call(host, "s" + calls.incrementAndGet());
+            Eventually.pause(CALL_PAUSE_MILLIS);
+        }
+    }
+
     /** Returns whether a host had to obey a change when a request was sent. */
     private boolean isHeldTo(String name, long change, long sentAt) {
         boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -120,6 +120,17 @@
         return started;
     }
 
+    /** Starts an upstream that breaks off a share of its streams. */
+    BreakingUpstream startBreaking(String name, long seed) throws IOException {
+        BreakingUpstream started = new BreakingUpstream(name, seed);
+        heartbeats.scheduleAtFixedRate(
+                () -> heartbeat(started.name(), started.heartbeat()),
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return started;
+    }
+
     /** Starts an upstream that ends under one request, and comes back. */
     public void startCrashing(String name) {
         CrashingUpstream started = new CrashingUpstream(name);
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
@@ -20,17 +20,19 @@
                         .mapToObj(number -> route("v" + number, "safe", "plain"))
                         .collect(Collectors.joining(","));
         return """
-        {"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[%s,%s,%s]}"""
+        {"version":%d,"routes":[%s,%s,%s,%s,%s,%s],"services":[%s,%s,%s,%s]}"""
                 .formatted(
                         version,
                         route("base", "safe", "plain"),
                         route("once", "unsafe", "plain"),
                         route("limited", "safe", LimitedUpstream.SERVICE),
                         route("asking", "safe", AskingUpstream.SERVICE),
+                        stream("breaking", BreakingUpstream.SERVICE),
                         added,
                         service("plain"),
                         service(LimitedUpstream.SERVICE),
-                        service(AskingUpstream.SERVICE));
+                        service(AskingUpstream.SERVICE),
+                        service(BreakingUpstream.SERVICE));
     }
 
     private static String service(String name) {
@@ -39,6 +41,11 @@
                 .formatted(name);
     }
 
+    private static String stream(String name, String service) {
+        String route = route(name, "streaming", service);
+        return route.substring(0, route.length() - 1) + ",\"resumable\":true,\"gap-aim-ms\":400}";
+    }
+
     private static String route(String name, String kind, String service) {
         return """
         {"name":"%s","host":"a.example","path-prefix":"/%s/","kind":"%s",\
