The body of an answer has a type for each way it is read

UpstreamAttempt both told the dispatcher of an attempt and read its answer in three ways, told apart by a null and a flag. HeldBody and EventBody read it now, with the bounds of each.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -61,6 +61,7 @@
     public void onStreamEnd(HttpResponse head, ByteBuf rest, AnswerEnd end) {
         log.answered(head.status().code(), end, stream.lastEventId(), history.sendCount());
         Instance instance = request.endAttempt();
+        gateway.dispatcher().requestSucceeded(instance.id());
         gateway.quarantine().requestCompleted(request.digest(), instance, end.framing());
         stream.forwardBytes(head, rest);
         request.close();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -1,7 +1,6 @@
 package io.stackhall.server.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -26,12 +25,6 @@
 /** One attempt to run a request at one instance, which the dispatcher is notified of. */
 final class UpstreamAttempt implements CallListener {
 
-    /** A longer answer is passed on as it comes: a host holds the answers of many requests. */
-    private static final int MAX_HELD_BYTES = 256 << 10;
-
-    /** An event that does not end would fill the memory of its host. */
-    private static final int MAX_EVENT_BYTES = 1 << 20;
-
     private final Gateway gateway;
     private final Instance instance;
     private final boolean stream;
@@ -40,12 +33,8 @@
     private final Optional<HostId> tunnel;
     private final InFlightRequest inFlight;
     private final LimitRevision limitRevision;
-    private final EventAssembler events = new EventAssembler();
     private UpstreamCall call;
-    private HttpResponse head;
-    private ByteBuf body;
-    private boolean passingOn;
-    private boolean abandoned;
+    private AnswerBody body;
     private boolean firstEventSeen;
     private boolean left;
 
@@ -83,8 +72,10 @@
 
     /** Ends the attempt and cancels its call if that is still in progress. */
     void abandon() {
-        abandoned = true;
         leavePath();
+        if (body != null) {
+            body.abandon();
+        }
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (call != null) {
             call.cancel();
@@ -104,7 +95,7 @@
 
     /** Returns whether the answer has begun. */
     boolean isAnswered() {
-        return head != null;
+        return body != null;
     }
 
     @Override
@@ -147,7 +138,6 @@
 
     @Override
     public void answered(HttpResponse answer) {
-        head = answer;
         long now = BootClock.nanos();
         heard();
         gateway.upstreamAnnouncements().receive(instance.id(), answer, limitRevision);
@@ -161,84 +151,52 @@
                                                 load.slowdown(),
                                                 now));
         boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
-        boolean inEvents = success && stream && Answers.isEventStream(answer);
-        if (!success) {
-            gateway.dispatcher().errorResponseStarted(inFlight, !Answers.reportsNotRun(answer));
-        } else if (!inEvents) {
-            gateway.dispatcher().responseStarted(inFlight, now);
-        }
-        if (!inEvents) {
-            body = Unpooled.buffer();
-        }
-    }
-
-    @Override
-    public void received(ByteBuf part) {
-        heard();
-        if (passingOn) {
-            listener.onPart(head, part.retain());
-        } else if (body != null) {
-            hold(part);
-        } else {
-            forwardEvents(part);
-        }
-    }
-
-    private void hold(ByteBuf part) {
-        body.writeBytes(part);
-        if (body.readableBytes() <= MAX_HELD_BYTES) {
+        if (success && stream && Answers.isEventStream(answer)) {
+            body = new EventBody(answer, resuming, listener, this::eventReceived);
             return;
         }
-        boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
-        if (success && !resuming) {
-            passingOn = true;
-            listener.onPart(head, body);
+        if (success) {
+            gateway.dispatcher().responseStarted(inFlight, now);
         } else {
-            breakOff("the answer is too long");
+            gateway.dispatcher().errorResponseStarted(inFlight, !Answers.reportsNotRun(answer));
         }
+        body = new HeldBody(answer, success && !resuming, listener);
     }
 
-    private void forwardEvents(ByteBuf part) {
-        events.add(part);
-        EventAssembler.Event event = events.next();
-        while (event != null && !abandoned) {
-            gateway.dispatcher().responseStarted(inFlight, BootClock.nanos());
-            if (!firstEventSeen) {
-                firstEventSeen = true;
-                gateway.promptProcessed();
-            }
-            listener.onEvent(head, event);
-            event = events.next();
-        }
-        if (!abandoned && events.remainingBytes() > MAX_EVENT_BYTES) {
-            breakOff("an event is too long");
+    private void eventReceived() {
+        gateway.dispatcher().responseStarted(inFlight, BootClock.nanos());
+        if (!firstEventSeen) {
+            firstEventSeen = true;
+            gateway.promptProcessed();
         }
     }
 
-    /** Ends the attempt as one whose upstream has broken off. */
-    private void breakOff(String reason) {
-        call.cancel();
-        failed(new CallFailure(CallFailure.Stage.SENT, reason));
+    @Override
+    public void received(ByteBuf part) {
+        heard();
+        body.add(part)
+                .ifPresent(
+                        reason -> {
+                            call.cancel();
+                            breakOff(reason);
+                        });
     }
 
     @Override
     public void completed(BodyFraming framing) {
-        AnswerEnd end =
-                body != null
-                        ? AnswerEnd.ofBody(framing)
-                        : events.end(framing, !firstEventSeen && !resuming);
+        AnswerEnd end = body.end(framing);
         if (!end.isWhole()) {
-            failed(new CallFailure(CallFailure.Stage.SENT, end.reason()));
+            breakOff(end.reason());
             return;
         }
         leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
-        if (body != null && !passingOn) {
-            listener.onAnswer(head, body, end);
-        } else {
-            gateway.dispatcher().requestSucceeded(instance.id());
-            listener.onStreamEnd(head, events.remaining(), end);
-        }
+        body.complete(end);
+    }
+
+    /** Ends the attempt as one whose upstream has broken off. */
+    private void breakOff(String reason) {
+        failed(new CallFailure(CallFailure.Stage.SENT, reason));
     }
 
     @Override
@@ -260,7 +218,7 @@
     }
 
     private void recordFailure(CallFailure failure, long now) {
-        if (tunnel.isEmpty() && head == null) {
+        if (tunnel.isEmpty() && body == null) {
             gateway.paths().failed(instance.id(), failure.stage());
         }
         boolean mayBeOwnPath =
