--- a/stackhall-core/src/main/java/io/stackhall/core/answer/AnswerEnd.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/answer/AnswerEnd.java
@@ -8,7 +8,7 @@
  *
  * @param framing by what the end was recognized
  * @param unfinishedBytes the number of bytes of an event that has no end, 0 for none
- * @param withoutEvent whether it is a stream of which no event has come, nor was to be left out
+ * @param withoutEvent whether it is a stream from its beginning, and no event has come
  */
 public record AnswerEnd(BodyFraming framing, int unfinishedBytes, boolean withoutEvent) {
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
@@ -118,6 +118,39 @@
         assertThat(outcomes).allMatch(one -> Double.parseDouble(one.retryAfter()) > 0);
     }
 
+    // The callers of a cut host depend on another one, which may end at any moment.
+    @Test
+    void callersOfCutHostsAreServedAfterAHostThatHelpedThemIsGone() throws Exception {
+        traffic("/once/x", PER_SECOND, Duration.ofSeconds(1));
+        cutOff(2);
+        traffic("/once/x", PER_SECOND, NOTICED_AFTER);
+        fleet.stop(entries.get(HOSTS - 1));
+        outcomes.clear();
+        traffic("/once/x", PER_SECOND, Duration.ofSeconds(4));
+        assertMostAreServed();
+        assertThat(run).as("none has run twice").doesNotHaveDuplicates();
+    }
+
+    // A host that is cut off and reaches its upstreams by turns was to serve its callers in both.
+    @Test
+    void callersOfHostsThatAreCutOffAgainAndAgainAreServed() throws Exception {
+        traffic(PER_SECOND, Duration.ofSeconds(1));
+        cut = Cut.RESET;
+        outcomes.clear();
+        for (int turn = 0; turn < 3; turn++) {
+            cutOff(2);
+            traffic(PER_SECOND, Duration.ofSeconds(2));
+            cutHosts.clear();
+            traffic(PER_SECOND, Duration.ofSeconds(2));
+        }
+        long sent = outcomes.stream().filter(one -> one.host() <= 2).count();
+        long served =
+                outcomes.stream().filter(one -> one.host() <= 2 && one.status() == 200).count();
+        assertThat(served).isGreaterThan(sent * 2 / 3);
+        long failed = outcomes.stream().filter(one -> one.status() != 200).count();
+        assertThat(failed).isLessThanOrEqualTo(10 + outcomes.size() / TOLERATED_SHARE);
+    }
+
     // Requests that could have had their answers were ended at once with an unknown outcome.
     @Test
     void requestsUnderWayWaitForTheirAnswersWhileNoOtherPathExists() throws Exception {
