A host that passes answers on hears of their upstreams

A host through which others reach their upstreams counted only the answers to its own requests as heard. Where those were few or late it could take itself for cut off, end its own requests' attempts and decline the tunnels of the hosts that depended on it, while answers went through it all the time.

Bytes that come from an upstream through a tunnel count as heard now. TunneledAnswersTest.hostThatPassesAnswersOn... holds that they are told.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -175,7 +175,8 @@
                         loop,
                         upstreams::connect,
                         this::upstreamAddress,
-                        () -> refusesTunnels(shedding));
+                        () -> refusesTunnels(shedding),
+                        paths::heard);
         paths.onChange(follower::pathsChanged);
         gateway.onNewlyWaiting(reports::reportDemand);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -10,12 +10,14 @@
 import io.stackhall.rpc.generated.fleet.TunnelReply;
 import io.stackhall.rpc.generated.fleet.TunnelReply.Result;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.peer.PeerCodec;
 import io.stackhall.server.settings.Address;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
 
 /**
  * Accepts the tunnels of other hosts to upstreams that this host reaches. It only ever connects to
@@ -33,6 +35,7 @@
     private final Function<Address, Future<Channel>> connector;
     private final Function<UpstreamId, Optional<Address>> addresses;
     private final BooleanSupplier declines;
+    private final ObjLongConsumer<UpstreamId> heard;
     private final AtomicInteger open = new AtomicInteger();
 
     /**
@@ -41,16 +44,20 @@
      * @param connector opens a connection of this host, which does not read yet
      * @param addresses the addresses of the upstreams that this host knows
      * @param declines whether this host passes nothing on now
+     * @param heard told when bytes come from an upstream, and when the connection to it was opened:
+     *     this host reaches it, whether it sends requests of its own there or not
      */
     public TunnelAcceptor(
             EventLoop loop,
             Function<Address, Future<Channel>> connector,
             Function<UpstreamId, Optional<Address>> addresses,
-            BooleanSupplier declines) {
+            BooleanSupplier declines,
+            ObjLongConsumer<UpstreamId> heard) {
         this.loop = loop;
         this.connector = connector;
         this.addresses = addresses;
         this.declines = declines;
+        this.heard = heard;
     }
 
     /** Answers a request for a tunnel. May be called on any thread. */
@@ -64,7 +71,8 @@
     }
 
     private void acceptOnLoop(OpenTunnel request, Channel from) {
-        Optional<Address> address = addresses.apply(UpstreamId.parse(request.getInstance()));
+        UpstreamId id = UpstreamId.parse(request.getInstance());
+        Optional<Address> address = addresses.apply(id);
         if (address.isEmpty() || open.get() >= MAX_TUNNELS || declines.getAsBoolean()) {
             refuse(from, Result.DECLINED);
             return;
@@ -72,10 +80,13 @@
         open.incrementAndGet();
         from.closeFuture().addListener(closed -> open.decrementAndGet());
         boolean framed = request.getFramed();
-        connector.apply(address.get()).addListener(done -> connected(from, framed, done));
+        long openedAt = BootClock.nanos();
+        Runnable onBytes = () -> heard.accept(id, openedAt);
+        connector.apply(address.get()).addListener(done -> connected(from, framed, onBytes, done));
     }
 
-    private void connected(Channel from, boolean framed, Future<? super Channel> done) {
+    private void connected(
+            Channel from, boolean framed, Runnable onBytes, Future<? super Channel> done) {
         if (!done.isSuccess()) {
             boolean refused = ConnectFailures.isRefusal(done.cause());
             refuse(from, refused ? Result.REFUSED : Result.NO_CONNECTION);
@@ -87,18 +98,18 @@
             return;
         }
         from.writeAndFlush(reply(Result.OPEN, framed))
-                .addListener(written -> join(from, to, framed));
+                .addListener(written -> join(from, to, framed, onBytes));
     }
 
-    private static void join(Channel from, Channel to, boolean framed) {
+    private static void join(Channel from, Channel to, boolean framed, Runnable onBytes) {
         PeerCodec.removeAllFrom(from.pipeline());
         if (framed) {
             TunnelInput.addEncoder(from.pipeline());
         }
         from.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         to.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-        from.pipeline().addLast(new TunnelEnd(to));
-        to.pipeline().addLast(new TunnelEnd(from));
+        from.pipeline().addLast(new TunnelEnd(to, () -> {}));
+        to.pipeline().addLast(new TunnelEnd(from, onBytes));
         to.config().setAutoRead(true);
         if (!from.isActive()) {
             to.close();
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelEnd.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelEnd.java
@@ -18,14 +18,22 @@
 final class TunnelEnd extends ChannelInboundHandlerAdapter {
 
     private final Channel other;
+    private final Runnable onBytes;
     private boolean endedByPeer;
 
-    TunnelEnd(Channel other) {
+    /**
+     * Creates the end of a connection.
+     *
+     * @param onBytes run when bytes have come
+     */
+    TunnelEnd(Channel other, Runnable onBytes) {
         this.other = other;
+        this.onBytes = onBytes;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
+        onBytes.run();
         other.writeAndFlush(bytes);
         if (!other.isWritable()) {
             context.channel().config().setAutoRead(false);
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -34,7 +34,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,6 +52,7 @@
     private final EventLoop loop = threads.next();
     private final CompletableFuture<Channel> tunnel = new CompletableFuture<>();
     private final Answer answer = new Answer();
+    private final Queue<UpstreamId> heard = new ConcurrentLinkedQueue<>();
     private ServerSocket upstream;
 
     @BeforeEach
@@ -81,6 +84,16 @@
         }
     }
 
+    // A host without answers of its own took itself for cut off, while others had theirs through
+    // it.
+    @Test
+    void hostThatPassesAnswersOnHearsOfTheirUpstream() throws Exception {
+        try (Socket engine = send()) {
+            assertThat(engine.isConnected()).isTrue();
+            assertThat(heard).contains(UpstreamId.parse("i-1"));
+        }
+    }
+
     // The connections of a host that is killed end in good order.
     @Test
     void answerWhoseTunnelEndsWithItsHostIsNotWhole() throws Exception {
@@ -115,7 +128,11 @@
         UpstreamClient itsClient = new UpstreamClient(loop, "X-Id");
         TunnelAcceptor acceptor =
                 new TunnelAcceptor(
-                        loop, itsClient::connect, id -> Optional.of(upstreamAddress), () -> false);
+                        loop,
+                        itsClient::connect,
+                        id -> Optional.of(upstreamAddress),
+                        () -> false,
+                        (id, openedAt) -> heard.add(id));
         Channel server =
                 new ServerBootstrap()
                         .group(threads)
