--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EventAssembler.java
@@ -106,23 +106,14 @@
     private int findEventEnd() {
         int end = findLineEnd(scannedIndex);
         while (end >= 0) {
-            boolean carriageReturn = pending.getByte(end) == CARRIAGE_RETURN;
+            scannedIndex = end;
             boolean endsEvent = end == lineStart && hasLines;
-            int next = end + 1;
-            if (carriageReturn && next == pending.writerIndex()) {
-                // A line feed may still follow, unless the lines of this event end without one.
-                scannedIndex = end;
-                return endsEvent && lastLineEndedByCarriageReturn ? next : -1;
-            }
-            boolean both = carriageReturn && pending.getByte(next) == LINE_FEED;
-            if (both) {
-                next++;
-            }
-            if (endsEvent) {
+            int next = skipLineEnd(end, endsEvent && lastLineEndedByCarriageReturn);
+            if (next < 0 || endsEvent) {
                 return next;
             }
             hasLines |= end > lineStart;
-            lastLineEndedByCarriageReturn = carriageReturn && !both;
+            lastLineEndedByCarriageReturn = pending.getByte(next - 1) == CARRIAGE_RETURN;
             lineStart = next;
             scannedIndex = next;
             end = findLineEnd(next);
@@ -131,6 +122,22 @@
         return -1;
     }
 
+    /**
+     * Returns the index after the end of a line, or -1 if a line feed may still follow.
+     *
+     * @param withoutLineFeed whether lines of this event end with a carriage return alone
+     */
+    private int skipLineEnd(int end, boolean withoutLineFeed) {
+        int next = end + 1;
+        if (pending.getByte(end) == LINE_FEED) {
+            return next;
+        }
+        if (next == pending.writerIndex()) {
+            return withoutLineFeed ? next : -1;
+        }
+        return pending.getByte(next) == LINE_FEED ? next + 1 : next;
+    }
+
     /** Returns the index of the next carriage return or line feed, or -1 if there is none. */
     private int findLineEnd(int from) {
         return pending.forEachByte(from, pending.writerIndex() - from, ByteProcessor.FIND_CRLF);
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -104,7 +104,7 @@
     private static void join(Channel from, Channel to, boolean framed, Runnable onBytes) {
         PeerCodec.removeAllFrom(from.pipeline());
         if (framed) {
-            TunnelInput.addEncoder(from.pipeline());
+            from.pipeline().addLast(TunnelInput.encoder());
         }
         from.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         to.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelInput.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelInput.java
@@ -1,8 +1,8 @@
 package io.stackhall.server.tunnel;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -20,9 +20,9 @@
         super(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
     }
 
-    /** Has each buffer that is written to a pipeline go out as a frame. */
-    static void addEncoder(ChannelPipeline pipeline) {
-        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    /** Returns the handler of the other end, which sends each buffer as a frame. */
+    static ChannelHandler encoder() {
+        return new LengthFieldPrepender(LENGTH_BYTES);
     }
 
     @Override
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LongAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LongAnswersTest.java
@@ -19,7 +19,7 @@
         CountDownLatch begun = new CountDownLatch(1);
         ScriptedUpstream.Script script =
                 (request, to) -> {
-                    head(request, to, 200, "text/plain");
+                    head(request, to, "text/plain");
                     to.write(HALF);
                     await(begun);
                     to.write(HALF);
@@ -44,7 +44,7 @@
     void longAnswerThatBreaksOffDoesNotLookComplete() throws Exception {
         ScriptedUpstream.Script script =
                 (request, to) -> {
-                    head(request, to, 200, "text/plain");
+                    head(request, to, "text/plain");
                     to.write(HALF);
                     pause(100);
                     to.reset();
@@ -60,7 +60,7 @@
     void eventWithoutEndIsBrokenOff() throws Exception {
         ScriptedUpstream.Script script =
                 (request, to) -> {
-                    head(request, to, 200, "text/event-stream");
+                    head(request, to, "text/event-stream");
                     to.write("data: " + HALF + HALF + "\n\n");
                     to.socket().close();
                 };
@@ -78,13 +78,10 @@
         }
     }
 
-    private static void head(
-            RawHttp.Message request, ScriptedUpstream.Connection to, int status, String type)
+    private static void head(RawHttp.Message request, ScriptedUpstream.Connection to, String type)
             throws IOException {
         to.write(
-                "HTTP/1.1 "
-                        + status
-                        + " X\r\nContent-Type: "
+                "HTTP/1.1 200 OK\r\nContent-Type: "
                         + type
                         + "\r\nX-Request-Id: "
                         + request.header("x-request-id")
