What a host holds of unfinished answers is bounded over all requests

Two hundred answers that do not end, each within the bound of one answer, filled the memory of a small host, and its end took the requests of all its callers with it.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerBody.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AnswerBody.java
@@ -21,6 +21,6 @@
     /** Hands what is left to the listener, as the end of a whole answer. */
     void complete(AnswerEnd end);
 
-    /** Hands nothing on any more. */
+    /** Hands nothing on any more, and holds nothing. */
     void abandon();
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.stackhall.core.answer.HeldBytes;
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.Need;
@@ -65,6 +66,7 @@
     private final UpstreamPathMonitor paths;
     private final PathProber pathProber;
     private final LineBudget lineBudget = new LineBudget();
+    private final HeldBytes heldBytes = new HeldBytes(HeldBody.hostLimit());
     private Optional<LoadShedding> loadShedding = Optional.empty();
     private RouteTable routes;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
@@ -229,6 +231,10 @@
         return lineBudget;
     }
 
+    HeldBytes heldBytes() {
+        return heldBytes;
+    }
+
     /** Updates the gauges of the current state. */
     void updateMetrics() {
         metrics.state("routes_version", routes == null ? -1.0 : (double) routes.version());
@@ -236,6 +242,7 @@
         metrics.state("waiting", waiting.size());
         metrics.state("resends_left", retryLimiter.remaining());
         metrics.state("caller_connections", connections.count());
+        metrics.state("held_answer_bytes", (double) heldBytes.held());
         quarantine.updateMetrics();
         paths.updateMetrics();
         upstreamLimits.measure();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -73,9 +73,7 @@
     /** Ends the attempt and cancels its call if that is still in progress. */
     void abandon() {
         leavePath();
-        if (body != null) {
-            body.abandon();
-        }
+        abandonBody();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         if (call != null) {
             call.cancel();
@@ -121,6 +119,12 @@
         listener.onPathLost();
     }
 
+    private void abandonBody() {
+        if (body != null) {
+            body.abandon();
+        }
+    }
+
     private void leavePath() {
         if (left) {
             return;
@@ -152,7 +156,9 @@
                                                 now));
         boolean success = answer.status().codeClass() == HttpStatusClass.SUCCESS;
         if (success && stream && Answers.isEventStream(answer)) {
-            body = new EventBody(answer, resuming, listener, this::eventReceived);
+            body =
+                    new EventBody(
+                            answer, resuming, gateway.heldBytes(), listener, this::eventReceived);
             return;
         }
         if (success) {
@@ -160,7 +166,7 @@
         } else {
             gateway.dispatcher().errorResponseStarted(inFlight, !Answers.reportsNotRun(answer));
         }
-        body = new HeldBody(answer, success && !resuming, listener);
+        body = new HeldBody(answer, success && !resuming, gateway.heldBytes(), listener);
     }
 
     private void eventReceived() {
@@ -203,6 +209,7 @@
     public void failed(CallFailure failure) {
         long now = BootClock.nanos();
         leavePath();
+        abandonBody();
         if (failure.sent()) {
             gateway.dispatcher().requestEnded(inFlight, now);
         } else {
