A short answer is held whatever the long ones of others take

Once long answers had taken all the room that a host has for unfinished ones, a short error of an upstream could not be held any more. A refusal that says "not run" became a broken-off attempt, and its caller got 502, an unknown outcome, for a request that had not run.

Cause: the bound counted each byte alike, and only events had an allowance for usual lengths. HeldBytes gives each answer a share now: 16 KiB are held in any case and not counted. HeldBody and EventBody kept the same count twice; the share keeps it for both. Found by reading; no caller is known to have met it.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EventBody.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EventBody.java
@@ -13,16 +13,12 @@
     /** An event that does not end would fill the memory of its host. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
-    /** An event of usual length is held in any case. */
-    private static final int SMALL_EVENT_BYTES = 16 << 10;
-
     private final EventAssembler events = new EventAssembler();
     private final HttpResponse head;
     private final boolean resuming;
-    private final HeldBytes allHeld;
+    private final HeldBytes.Share share;
     private final AttemptListener listener;
     private final Runnable onEvent;
-    private int counted;
     private boolean anyEvent;
     private boolean abandoned;
 
@@ -30,18 +26,18 @@
      * Creates an empty body.
      *
      * @param resuming whether the stream goes on with one of which the caller has events
-     * @param allHeld what the host holds for all requests
+     * @param share what is held of this answer
      * @param onEvent run before each event is handed on
      */
     EventBody(
             HttpResponse head,
             boolean resuming,
-            HeldBytes allHeld,
+            HeldBytes.Share share,
             AttemptListener listener,
             Runnable onEvent) {
         this.head = head;
         this.resuming = resuming;
-        this.allHeld = allHeld;
+        this.share = share;
         this.listener = listener;
         this.onEvent = onEvent;
     }
@@ -56,26 +52,15 @@
             listener.onEvent(head, event);
             event = events.next();
         }
-        return abandoned || holdRest()
+        return abandoned || mayHoldRest()
                 ? Optional.empty()
                 : Optional.of("an event is too long to be held");
     }
 
-    /** Counts the unfinished event, and returns whether it may be held. */
-    private boolean holdRest() {
-        release();
+    /** Returns whether the unfinished event may be held. */
+    private boolean mayHoldRest() {
         int rest = events.remainingBytes();
-        if (rest <= SMALL_EVENT_BYTES) {
-            return true;
-        }
-        boolean fits = rest <= MAX_EVENT_BYTES && allHeld.tryHold(rest);
-        counted = fits ? rest : 0;
-        return fits;
-    }
-
-    private void release() {
-        allHeld.release(counted);
-        counted = 0;
+        return rest <= MAX_EVENT_BYTES && share.hold(rest);
     }
 
     @Override
@@ -85,13 +70,13 @@
 
     @Override
     public void complete(AnswerEnd end) {
-        release();
+        share.release();
         listener.onStreamEnd(head, events.remaining(), end);
     }
 
     @Override
     public void abandon() {
         abandoned = true;
-        release();
+        share.release();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HeldBody.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HeldBody.java
@@ -22,10 +22,9 @@
 
     private final HttpResponse head;
     private final boolean mayPassOn;
-    private final HeldBytes allHeld;
+    private final HeldBytes.Share share;
     private final AttemptListener listener;
     private final ByteBuf held = Unpooled.buffer();
-    private int counted;
     private boolean passingOn;
 
     /**
@@ -33,12 +32,13 @@
      *
      * @param mayPassOn whether parts may go to the caller before the end; otherwise a body that
      *     gets too long counts as broken off
-     * @param allHeld what the host holds for all requests
+     * @param share what is held of this answer
      */
-    HeldBody(HttpResponse head, boolean mayPassOn, HeldBytes allHeld, AttemptListener listener) {
+    HeldBody(
+            HttpResponse head, boolean mayPassOn, HeldBytes.Share share, AttemptListener listener) {
         this.head = head;
         this.mayPassOn = mayPassOn;
-        this.allHeld = allHeld;
+        this.share = share;
         this.listener = listener;
     }
 
@@ -53,7 +53,8 @@
             listener.onPart(head, part.retain());
             return Optional.empty();
         }
-        if (hold(part.readableBytes())) {
+        int length = held.readableBytes() + part.readableBytes();
+        if (length <= MAX_HELD_BYTES && share.hold(length)) {
             held.writeBytes(part);
             return Optional.empty();
         }
@@ -61,22 +62,11 @@
             return Optional.of("the answer is too long to be held");
         }
         passingOn = true;
-        release();
+        share.release();
         listener.onPart(head, held.writeBytes(part));
         return Optional.empty();
     }
 
-    private boolean hold(int bytes) {
-        boolean fits = counted + bytes <= MAX_HELD_BYTES && allHeld.tryHold(bytes);
-        counted += fits ? bytes : 0;
-        return fits;
-    }
-
-    private void release() {
-        allHeld.release(counted);
-        counted = 0;
-    }
-
     @Override
     public AnswerEnd end(BodyFraming framing) {
         return AnswerEnd.ofBody(framing);
@@ -84,7 +74,7 @@
 
     @Override
     public void complete(AnswerEnd end) {
-        release();
+        share.release();
         if (passingOn) {
             listener.onStreamEnd(head, Unpooled.EMPTY_BUFFER, end);
         } else {
@@ -94,6 +84,6 @@
 
     @Override
     public void abandon() {
-        release();
+        share.release();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -158,7 +158,11 @@
         if (success && stream && Answers.isEventStream(answer)) {
             body =
                     new EventBody(
-                            answer, resuming, gateway.heldBytes(), listener, this::eventReceived);
+                            answer,
+                            resuming,
+                            gateway.heldBytes().newShare(),
+                            listener,
+                            this::eventReceived);
             return;
         }
         if (success) {
@@ -166,7 +170,7 @@
         } else {
             gateway.dispatcher().errorResponseStarted(inFlight, !Answers.reportsNotRun(answer));
         }
-        body = new HeldBody(answer, success && !resuming, gateway.heldBytes(), listener);
+        body = new HeldBody(answer, success && !resuming, gateway.heldBytes().newShare(), listener);
     }
 
     private void eventReceived() {
