Nothing follows a host's answer to a HEAD request

A caller that sent HEAD on a connection that it went on using read the body of a refusal, or the last chunk of a stream, as its next answer.

Cause: the decoder of upstreams' answers had learned of HEAD, and the encoder of the answers to callers had not. ResponseEncoder ends such an answer with its head; the length stays, as the answer to another method would have it. Both cases of BrokenOffAnswersTest.nothingFollowsTheAnswerToAHeadRequest failed before.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerChannelInitializer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerChannelInitializer.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /** Sets up the pipeline of a caller's connection. */
 final class CallerChannelInitializer extends ChannelInitializer<SocketChannel> {
@@ -21,7 +20,8 @@
     protected void initChannel(SocketChannel channel) {
         onConnected.run();
         channel.config().setTcpNoDelay(true);
-        CallerConnection connection = new CallerConnection(gateway);
+        ResponseEncoder encoder = new ResponseEncoder();
+        CallerConnection connection = new CallerConnection(gateway, encoder);
         channel.pipeline()
                 .addLast(
                         new ChannelInboundHandlerAdapter() {
@@ -32,7 +32,7 @@
                             }
                         },
                         new RequestDecoder(gateway.callerLimits()),
-                        new HttpResponseEncoder(),
+                        encoder,
                         connection);
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -55,6 +56,7 @@
     private static final int MAX_FINAL_READS = 4;
 
     private final Gateway gateway;
+    private final ResponseEncoder encoder;
     private final Deque<Object> backlog = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
@@ -69,8 +71,9 @@
     private boolean moreBytesReceived;
     private ScheduledFuture<?> timeout;
 
-    CallerConnection(Gateway gateway) {
+    CallerConnection(Gateway gateway, ResponseEncoder encoder) {
         this.gateway = gateway;
+        this.encoder = encoder;
     }
 
     @Override
@@ -286,6 +289,7 @@
                         head.headers(),
                         body.toByteArray(),
                         headReceivedAt);
+        encoder.setHeadRequested(head.method().equals(HttpMethod.HEAD));
         keepAlive = HttpUtil.isKeepAlive(head);
         chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         head = null;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Answers that an upstream breaks off, however they are framed, never look complete. */
 class BrokenOffAnswersTest extends RelayFixture {
@@ -167,6 +168,29 @@
         }
     }
 
+    // A body or last chunk behind the answer to HEAD was read as the next answer.
+    @ParameterizedTest
+    @ValueSource(strings = {"/nowhere/x", "/stream/x"})
+    void nothingFollowsTheAnswerToAHeadRequest(String path) throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    if (request.startLine().startsWith("HEAD")) {
+                        to.streamHead(request);
+                    } else {
+                        to.plain(request, 200, "next");
+                    }
+                };
+        try (ScriptedUpstream upstream = upstream(script);
+                Socket caller = fleet.callerOf(1)) {
+            caller.getOutputStream().write(ascii(get(path, "r1").replace("GET", "HEAD")));
+            RawHttp.readHead(caller.getInputStream());
+            RawHttp.Message next = LocalFleet.exchange(caller, get("/once/x", "r2"));
+            assertThat(next.startLine()).startsWith("HTTP/1.1 200");
+            assertThat(next.text()).isEqualTo("next");
+            assertThat(upstream.requests()).isNotEmpty();
+        }
+    }
+
     private static String olderCallersRequest() {
         return get("/stream/x", "r1").replace("HTTP/1.1", "HTTP/1.0");
     }
