Quarantine probes again in one place, and promises no more than it knows

The second probe of an instance was written out twice, once nested in the first. checkLater serves both. Two constants have a reason that can be checked. Nothing else is changed.

--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/UnconfirmedCrashes.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/UnconfirmedCrashes.java
@@ -39,11 +39,10 @@
     /** Time within which a crash that ends connections is observed by one of them. */
     private static final Duration OBSERVATION_TIME = Duration.ofMillis(300);
 
-    /** More answers than this do not end at one instance within the observation time. */
+    /** The oldest are evicted: of a crash, the answers that end last are the closest in time. */
     private static final int MAX_ENDED = 64;
 
     private final Map<UpstreamId, Interrupted> interruptedByIncarnation = new LinkedHashMap<>();
-
     private final Map<UpstreamId, Deque<Ended>> endedByIncarnation = new HashMap<>();
 
     private record Interrupted(Set<RequestDigest> requests, long at) {}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -122,7 +122,7 @@
     /**
      * Records that an instance has answered a request whole. An answer that ends with its
      * connection does not tell whether the instance has crashed at that point, so that a suspect is
-     * acquitted only once the instance has been probed.
+     * acquitted only if two probes do not find that it has.
      */
     void requestCompleted(RequestDigest request, Instance instance, BodyFraming framing) {
         if (framing != BodyFraming.CONNECTION || isExpectedToEnd(instance)) {
@@ -144,15 +144,24 @@
                         incarnationCrashed(instance.id());
                         return;
                     }
-                    crashProbe.checkLater(
-                            instance,
-                            crashedLater -> {
-                                if (crashedLater) {
-                                    incarnationCrashed(instance.id());
-                                } else {
-                                    acquit(suspect);
-                                }
-                            });
+                    checkLater(instance, () -> acquit(suspect));
+                });
+    }
+
+    /**
+     * Checks again whether an instance has crashed whose address did not refuse a connection.
+     *
+     * @param otherwise run if it is not found to have crashed
+     */
+    private void checkLater(Instance instance, Runnable otherwise) {
+        crashProbe.checkLater(
+                instance,
+                crashed -> {
+                    if (crashed) {
+                        incarnationCrashed(instance.id());
+                    } else {
+                        otherwise.run();
+                    }
                 });
     }
 
@@ -182,13 +191,7 @@
                     if (crashed) {
                         incarnationCrashed(instance.id());
                     } else {
-                        crashProbe.checkLater(
-                                instance,
-                                crashedLater -> {
-                                    if (crashedLater) {
-                                        incarnationCrashed(instance.id());
-                                    }
-                                });
+                        checkLater(instance, () -> {});
                     }
                     resume.run();
                 });
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelInput.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelInput.java
@@ -14,6 +14,8 @@
 final class TunnelInput extends LengthFieldBasedFrameDecoder {
 
     private static final int LENGTH_BYTES = 4;
+
+    /** A frame holds what one read of a connection brings, which is far less. */
     private static final int MAX_FRAME_BYTES = 1 << 20;
 
     TunnelInput() {
