Tests of many hosts start and stop their upstreams in one place

Two tests kept the same list of upstreams, each with its own start and end. The fixture does both; a test may start one that is not heard of yet, and stop all while their heartbeats go on. What the tests check is as it was.

--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
@@ -36,24 +35,16 @@
 
     private final Set<Integer> cutHosts = ConcurrentHashMap.newKeySet();
     private final Queue<String> run = new ConcurrentLinkedQueue<>();
-    private final List<ScriptedUpstream> upstreams = new ArrayList<>();
     private volatile Cut cut = Cut.SILENT;
 
     @BeforeEach
     void startUpstreams() throws IOException {
-        for (int number = 1; number <= UPSTREAMS; number++) {
-            ScriptedUpstream upstream = new ScriptedUpstream("i-" + number, this::answer);
-            upstreams.add(upstream);
-            announce(upstream);
-        }
+        startUpstreams(UPSTREAMS, this::answer);
     }
 
     @AfterEach
-    void stopUpstreams() throws IOException {
+    void endCut() {
         cutHosts.clear();
-        for (ScriptedUpstream upstream : upstreams) {
-            upstream.close();
-        }
     }
 
     private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
@@ -44,6 +44,7 @@
     LocalFleet fleet;
     private final Random random = new Random(7);
     private final List<Announced> announced = new ArrayList<>();
+    private final List<ScriptedUpstream> started = new ArrayList<>();
     private long beats;
 
     /** What a caller got, and when it had sent its request. */
@@ -78,9 +79,31 @@
 
     @AfterEach
     void stop() throws IOException {
+        stopUpstreams();
         fleet.close();
     }
 
+    /** Starts upstreams with one script, which run to the end of the test, and announces them. */
+    void startUpstreams(int count, ScriptedUpstream.Script script) throws IOException {
+        for (int number = 1; number <= count; number++) {
+            announce(startUpstream("i-" + number, script));
+        }
+    }
+
+    /** Starts an upstream that is not heard of yet and runs to the end of the test. */
+    ScriptedUpstream startUpstream(String id, ScriptedUpstream.Script script) throws IOException {
+        ScriptedUpstream upstream = new ScriptedUpstream(id, script);
+        started.add(upstream);
+        return upstream;
+    }
+
+    /** Stops the upstreams started so far, whose heartbeats go on. */
+    void stopUpstreams() throws IOException {
+        for (ScriptedUpstream upstream : started) {
+            upstream.close();
+        }
+    }
+
     /** Has an upstream heard of, now and every second of traffic, as one that is ready. */
     void announce(ScriptedUpstream upstream) {
         announce(upstream, beat -> upstream.heartbeat("plain", "ready", beat, "[]"));
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/StalledUpstreamsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/StalledUpstreamsTest.java
@@ -4,8 +4,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,24 +14,16 @@
     private static final int UPSTREAMS = 3;
     private static final int PER_SECOND = 60;
 
-    private final List<ScriptedUpstream> upstreams = new ArrayList<>();
     private volatile boolean stalled;
 
     @BeforeEach
     void startUpstreams() throws IOException {
-        for (int number = 1; number <= UPSTREAMS; number++) {
-            ScriptedUpstream upstream = new ScriptedUpstream("i-" + number, this::answer);
-            upstreams.add(upstream);
-            announce(upstream);
-        }
+        startUpstreams(UPSTREAMS, this::answer);
     }
 
     @AfterEach
-    void stopUpstreams() throws IOException {
+    void goOn() {
         stalled = false;
-        for (ScriptedUpstream upstream : upstreams) {
-            upstream.close();
-        }
     }
 
     private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
