Upstreams that are down are not taken for a cut that never ends

What callers saw: all of them were refused, with a Retry-After around three seconds, though two of four upstreams answered. FatalRequestTest failed so in a run of all tests, in 1 of 2 runs alone on the code before; each of its 61 requests after the third crash got 503 with 2.26 to 3.67 s.

Cause: the refusals lie evenly between 2.25 and 3.75 s, which only hosts that are cut off tell once it has lasted. A host with few requests finds two upstreams refusing within 200 ms in which nothing else came, and takes that for a cut. Only a probe ends it, and the upstreams of that test end the connection of a request without an id in good order, unanswered. Once all hosts think so, none passes requests on.

Fix: an upstream that ends a probe's connection in good order is reached, as a cut resets connections or lets nothing through. Such an end has a stage of its own in logs and figures. And a host that has just taken itself for cut off probes at once those upstreams that have not failed; those that have get their turns after 250 ms as before, since a probe of one that is about to end would reach its last moments.

DownUpstreamsTest and the new case of UpstreamPathsTest failed before. Probing the failed ones at once as well was tried and dropped: QuarantineTest counted the probe among the requests that its instance was sent.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -172,7 +172,9 @@
         }
         cutOff = true;
         cutOffAt = now;
-        probedAt = now;
+        known.removeAll(brokenSinceHeard);
+        probedAt = known.isEmpty() ? now : now - CUT_OFF_PROBE_NANOS;
+        known.addAll(brokenSinceHeard);
         return Change.CUT_OFF;
     }
 
@@ -215,7 +217,9 @@
 
     /**
      * Returns the upstreams to probe now. While the host is cut off that is one after the other,
-     * since any answer ends it; upstreams that owe answers are probed before they count as broken.
+     * since any answer ends it, first, and at once, those that have not failed: a host that takes
+     * several upstreams that are down for a cut is to notice soon. Upstreams that owe answers are
+     * probed before they count as broken.
      */
     public Set<UpstreamId> dueProbes(long now) {
         Set<UpstreamId> due = new LinkedHashSet<>();
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -71,6 +71,15 @@
         assertThat(probed).containsExactlyInAnyOrder(FIRST, SECOND, THIRD);
     }
 
+    // A host went through tunnels until the upstreams that were down had been probed again.
+    @Test
+    void upstreamsThatHaveNotFailedAreProbedFirstAndAtOnce() {
+        paths.failed(FIRST, now);
+        paths.failed(SECOND, now);
+        assertThat(paths.dueProbes(now)).containsExactly(THIRD);
+        assertThat(paths.dueProbes(now + 1)).as("the others take their turns").isEmpty();
+    }
+
     // Probes failed from then on, as there was none to take its turn.
     @Test
     void cutHostThatKnowsNoUpstreamAnyMoreProbesNone() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -60,7 +60,7 @@
     private static final long WORK_CHECK_INTERVAL_MILLIS = 150;
 
     /** Interval at which it is checked whether a probe of a path to an upstream is due. */
-    private static final long PATH_PROBE_INTERVAL_MILLIS = 250;
+    private static final long PATH_PROBE_INTERVAL_MILLIS = 50;
 
     /**
      * Time after which the load balancer sends no more connections here: it removes a host that has
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -150,7 +150,11 @@
                 });
     }
 
-    /** One probe on a new connection of this host; any answer shows that the path works. */
+    /**
+     * One probe on a new connection of this host. Any answer shows that the path works, and so does
+     * an upstream that ends the connection in good order: not all of them serve what probes ask
+     * for. A cut does neither.
+     */
     private final class Probe implements CallListener {
         private final Instance instance;
         private final long startedAt = BootClock.nanos();
@@ -178,8 +182,7 @@
 
         @Override
         public void answered(HttpResponse head) {
-            ended = true;
-            paths.heard(instance.id(), startedAt);
+            reached();
         }
 
         @Override
@@ -194,7 +197,18 @@
 
         @Override
         public void failed(CallFailure failure) {
-            end();
+            if (failure.stage() == Stage.ENDED_BY_UPSTREAM) {
+                reached();
+            } else {
+                end();
+            }
+        }
+
+        private void reached() {
+            if (!ended) {
+                ended = true;
+                paths.heard(instance.id(), startedAt);
+            }
         }
 
         private void timeOut() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -138,7 +138,11 @@
     void failed(UpstreamId id, Stage stage) {
         metrics.pathFailed(stage.name());
         long now = BootClock.nanos();
-        boolean connected = stage == Stage.SENT || stage == Stage.NOT_SENT;
+        boolean connected =
+                switch (stage) {
+                    case SENT, ENDED_BY_UPSTREAM, NOT_SENT -> true;
+                    case REFUSED, NO_CONNECTION, NO_TUNNEL, WITHDRAWN -> false;
+                };
         apply(connected ? paths.interrupted(id, now) : paths.failed(id, now), id);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
@@ -21,12 +21,14 @@
         /** Whoever sends it did not want it written any more once a connection was there. */
         WITHDRAWN,
         /** Bytes of the request may have reached the upstream. */
-        SENT
+        SENT,
+        /** As with {@code SENT}; the upstream itself has ended the connection, in good order. */
+        ENDED_BY_UPSTREAM
     }
 
     /** Returns whether any byte of the request may have reached the upstream. */
     public boolean sent() {
-        return stage == Stage.SENT;
+        return stage == Stage.SENT || stage == Stage.ENDED_BY_UPSTREAM;
     }
 
     /** Returns whether no connection to the upstream came up. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -96,6 +96,11 @@
         fail(sent ? CallFailure.Stage.SENT : CallFailure.Stage.NOT_SENT, reason);
     }
 
+    /** Fails as the upstream has ended the connection in good order. */
+    void failEnded(String reason) {
+        fail(sent ? CallFailure.Stage.ENDED_BY_UPSTREAM : CallFailure.Stage.NOT_SENT, reason);
+    }
+
     void withdraw() {
         fail(CallFailure.Stage.WITHDRAWN, "not wanted any more");
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.stackhall.core.answer.BodyFraming;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Matches what comes on one connection to the request that was sent on it.
@@ -85,7 +86,7 @@
                 end(context, "the request could not be written");
             }
         } else if (event instanceof ChannelInputShutdownEvent) {
-            end(context, CLOSED_EARLY);
+            end(context, failed -> failed.failEnded(CLOSED_EARLY));
         }
     }
 
@@ -157,12 +158,16 @@
     }
 
     private void end(ChannelHandlerContext context, String reason) {
+        end(context, failed -> failed.fail(reason));
+    }
+
+    private void end(ChannelHandlerContext context, Consumer<UpstreamCall> failure) {
         broken = true;
         UpstreamCall failed = call;
         call = null;
         context.close();
         if (failed != null) {
-            failed.fail(reason);
+            failure.accept(failed);
         }
     }
 
