A request is not given up for a tunnel that it cannot take

What callers saw: 502 for requests whose answers came 0.1 s later. Upstreams said nothing to any host for 1.6 s; a host took itself for cut off, gave up what was under way for another host's tunnel, and that host declined, or every instance was full by its own count of the requests just given up.

A tunnel that is declined after that is still open.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -47,6 +47,7 @@
         boolean connected = answers.checkConnected();
         if (connected) {
             history.recordSent(request.attemptedInstance().id());
+            request.recordWritten();
         }
         return connected;
     }
@@ -105,7 +106,8 @@
     @Override
     public void onPathLost() {
         // An answer that may still come is not given up for nothing.
-        if (mayContinue() && gateway.paths().hasTunnels() && request.acquireResend()) {
+        boolean otherPath = gateway.paths().hasTunnels() && request.canBeSentNow();
+        if (mayContinue() && otherPath && request.acquireResend()) {
             history.recordMayHaveRun();
             request.abandonAttempt();
             request.requeue("this host has lost its paths");
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -140,14 +140,7 @@
             finalAnswer.giveUp("instances end under it", remaining);
             return true;
         }
-        Choice choice =
-                gateway.choose(
-                        standing,
-                        digest,
-                        need,
-                        history.allowedInstances(),
-                        times.remainingObjective(now),
-                        now);
+        Choice choice = choose(standing, now);
         int ahead = gateway.countWaitingBefore(this, choice);
         if (choice instanceof Choice.HeldBack held) {
             log.heldBack(held, ahead);
@@ -180,6 +173,22 @@
         return true;
     }
 
+    private Choice choose(Standing standing, long now) {
+        return gateway.choose(
+                standing,
+                digest,
+                need,
+                history.allowedInstances(),
+                times.remainingObjective(now),
+                now);
+    }
+
+    /** Returns whether an instance would take the request at once. */
+    boolean canBeSentNow() {
+        long now = BootClock.nanos();
+        return choose(gateway.quarantine().standing(digest, now), now) instanceof Choice.Send;
+    }
+
     /** Aborts the request, condemned while in flight, unless its answer has begun. */
     void abortCondemned() {
         if (!ended && !stream.hasBegun() && attempt != null) {
@@ -217,7 +226,6 @@
                     "too many requests are sent a second time", FinalAnswer.SHORT_RETRY_DELAY);
             return;
         }
-        resendAcquired = false;
         rights.useGrant();
         boolean resuming = stream.hasBegun();
         attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), resuming, outcomes);
@@ -256,13 +264,21 @@
         abandonAttempt();
     }
 
-    /** Returns whether the request may be sent once more, which the next send makes use of. */
+    /**
+     * Returns whether the request may be written to an instance once more. What was acquired holds
+     * until it is written: an instance or tunnel that is not reached uses up nothing.
+     */
     boolean acquireResend() {
         resendAcquired =
                 resendAcquired || gateway.tryAcquireRetry(need.service(), BootClock.nanos());
         return resendAcquired;
     }
 
+    /** Records that the request is written to the instance of the current attempt. */
+    void recordWritten() {
+        resendAcquired = false;
+    }
+
     /** Breaks the current attempt off, if there is one. */
     void abandonAttempt() {
         if (attempt != null) {
