An adapter in transit is not unloaded, and a refused one takes no slot

Fix: an adapter that no heartbeat has shown and whose load was ordered within the last second is not unloaded; one whose load was refused, and sent once alone, takes no slot.

--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterPlanner.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterPlanner.java
@@ -33,12 +33,13 @@
      *
      * @param fillFreeSlots whether free slots may be filled with adapters that no request waits for
      */
-    Optional<Change> nextChange(EngineTracker engine, EngineSpec spec, boolean fillFreeSlots) {
-        Optional<Change> requested = nextRequested(engine, spec);
+    Optional<Change> nextChange(
+            EngineTracker engine, EngineSpec spec, boolean fillFreeSlots, long now) {
+        Optional<Change> requested = nextRequested(engine, spec, now);
         return requested.isPresent() || !fillFreeSlots ? requested : fillFreeSlot(engine, spec);
     }
 
-    private Optional<Change> nextRequested(EngineTracker engine, EngineSpec spec) {
+    private Optional<Change> nextRequested(EngineTracker engine, EngineSpec spec, long now) {
         Optional<AdapterKey> next = engine.adapterQueue().peek();
         while (next.isPresent()) {
             AdapterKey key = next.get();
@@ -56,7 +57,8 @@
                 engine.adapterQueue().removeFirst();
                 return Optional.of(new Change(true, key));
             }
-            return leastRecentlyUsed(occupied).map(old -> new Change(false, old));
+            return leastRecentlyUsed(engine.removableAdapters(now))
+                    .map(old -> new Change(false, old));
         }
         return Optional.empty();
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
@@ -3,8 +3,11 @@
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.ModelCopy;
 import io.stackhall.core.id.ModelId;
+import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -18,38 +21,65 @@
  */
 final class AdapterSlots {
 
+    /**
+     * The maximum time in which a loaded adapter arrives: some 20 ms, longer if the engine fetches
+     * several from the store.
+     */
+    private static final long TRANSIT_NANOS = Duration.ofSeconds(1).toNanos();
+
     private final Set<AdapterKey> occupying = new HashSet<>();
     private final Set<AdapterKey> unloaded = new HashSet<>();
 
+    /** When adapters that no heartbeat has shown since were ordered. */
+    private final Map<AdapterKey, Long> inTransit = new HashMap<>();
+
     /** Records an order that has been sent or carried out; no effect if it concerns a model. */
-    void applyOrder(EngineOrder order) {
+    void applyOrder(EngineOrder order, long now) {
         if (order.adapter().isEmpty()) {
             return;
         }
         AdapterKey key = new AdapterKey(order.model(), order.adapter().get());
         if (order.load()) {
-            markLoaded(key);
+            markLoaded(key, now);
         } else {
             markUnloaded(key);
         }
     }
 
     /** Records that the load of an adapter has been ordered. */
-    private void markLoaded(AdapterKey key) {
+    private void markLoaded(AdapterKey key, long now) {
         occupying.add(key);
         unloaded.remove(key);
+        inTransit.put(key, now);
     }
 
     /** Records that an adapter is known to be unloaded. */
     private void markUnloaded(AdapterKey key) {
         occupying.remove(key);
         unloaded.add(key);
+        inTransit.remove(key);
+    }
+
+    /**
+     * Records that the engine has refused the load of an adapter. A slot that stayed taken would be
+     * freed by an unload, which an engine without the adapter answers as done although it has
+     * counted no order.
+     */
+    void markRefused(EngineOrder load) {
+        load.adapter()
+                .map(adapter -> new AdapterKey(load.model(), adapter))
+                .ifPresent(
+                        key -> {
+                            occupying.remove(key);
+                            inTransit.remove(key);
+                        });
     }
 
     /** Records that a model, and its adapters with it, is known to be unloaded. */
     void markUnloaded(ModelId model) {
         occupying.removeIf(key -> key.model().equals(model));
         unloaded.removeIf(key -> key.model().equals(model));
+        inTransit.keySet().removeIf(key -> key.model().equals(model));
     }
 
     /** Adds the adapters listed in the engine's status report. */
@@ -65,6 +95,22 @@
     void onHeartbeat(Instance report) {
         Set<AdapterKey> shown = adaptersOf(report);
         unloaded.removeIf(key -> !shown.contains(key));
+        inTransit.keySet().removeAll(shown);
+    }
+
+    /**
+     * Returns the adapters that may be unloaded. Those that may still be in transit are not among
+     * them: the engine answers as if they were unloaded, and they arrive.
+     */
+    Set<AdapterKey> removable(Instance report, long now) {
+        Set<AdapterKey> removable = occupied(report);
+        inTransit.forEach(
+                (key, orderedAt) -> {
+                    if (now - orderedAt < TRANSIT_NANOS) {
+                        removable.remove(key);
+                    }
+                });
+        return removable;
     }
 
     /** Returns the adapters that are, or may be, resident. */
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
@@ -50,6 +50,7 @@
     private final ReportedModels reportedModels = new ReportedModels();
     private long takenAt;
     private long answerLostAt;
+    private boolean resent;
     private long minOrdersTaken;
     private boolean reportPending;
     private long nextReportAt;
@@ -171,12 +172,12 @@
             unansweredOrder = null;
         }
         if (inProgress != null && !report.busy() && now - takenAt > overdueAfter()) {
-            completeOverdue(report);
+            completeOverdue(report, now);
         }
     }
 
     /** An adapter still in use keeps its slot, and blocks other orders until it is unloaded. */
-    private void completeOverdue(EngineReport report) {
+    private void completeOverdue(EngineReport report, long now) {
         if (inProgress.adapter().isPresent()) {
             boolean held =
                     report.models().stream()
@@ -185,7 +186,7 @@
             if (held) {
                 return;
             }
-            slots.applyOrder(inProgress);
+            slots.applyOrder(inProgress, now);
         }
         inProgress = null;
     }
@@ -267,16 +268,18 @@
         return ordersTaken;
     }
 
-    void beginOrder(EngineOrder order) {
+    void beginOrder(EngineOrder order, long now) {
         unansweredOrder = order;
         answerLostAt = 0;
+        resent = false;
         if (order.load()) {
-            slots.applyOrder(order);
+            slots.applyOrder(order, now);
         }
     }
 
     void markResent() {
         answerLostAt = 0;
+        resent = true;
     }
 
     void onAnswer(EngineAnswer answer, long now) {
@@ -290,12 +293,12 @@
                     inProgress = order;
                     takenAt = now;
                 } else {
-                    slots.applyOrder(order);
+                    slots.applyOrder(order, now);
                 }
                 unansweredOrder = null;
             }
             case HOLDS -> {
-                slots.applyOrder(order);
+                slots.applyOrder(order, now);
                 if (isModelLoad(order)) {
                     reportedModels.add(order.model());
                 }
@@ -308,6 +311,8 @@
                 if (isModelLoad(order)) {
                     uncertain = order;
                     uncertainSince = now;
+                } else if (order.load() && !resent) { // No earlier copy was carried out.
+                    slots.markRefused(order);
                 }
                 if (answer == EngineAnswer.OTHER_INSTANCE) {
                     displacedAt = instance.sequence();
@@ -332,6 +337,11 @@
         return slots.occupied(instance);
     }
 
+    /** Returns the adapters that may be unloaded. */
+    Set<AdapterKey> removableAdapters(long now) {
+        return slots.removable(instance, now);
+    }
+
     /** Returns the memory in MB neither occupied nor reserved for orders that may take effect. */
     double freeMb(EngineSpec spec) {
         double used = 0;
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyManager.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyManager.java
@@ -330,7 +330,7 @@
             return Optional.empty();
         }
         return next.flatMap(model -> newModelLoad(engine, spec, model, now))
-                .or(() -> adapterOrder(engine, spec));
+                .or(() -> adapterOrder(engine, spec, now));
     }
 
     private Optional<EngineOrder> newModelLoad(
@@ -345,11 +345,11 @@
         return Optional.of(newOrder(engine, true, model, Optional.empty(), fromStore));
     }
 
-    private Optional<EngineOrder> adapterOrder(EngineTracker engine, EngineSpec spec) {
+    private Optional<EngineOrder> adapterOrder(EngineTracker engine, EngineSpec spec, long now) {
         // An overloaded engine gets no adapter loads that no request waits for.
         boolean fillFreeSlots = !limitedEngines.contains(engine.instance().id());
         return adapterPlanner
-                .nextChange(engine, spec, fillFreeSlots)
+                .nextChange(engine, spec, fillFreeSlots, now)
                 .map(
                         step ->
                                 newOrder(
@@ -378,7 +378,7 @@
 
     private void sendOrder(
             EngineTracker engine, EngineOrder order, List<ResidencyEffect> effects, long now) {
-        engine.beginOrder(order);
+        engine.beginOrder(order, now);
         if (order.fromStore()) {
             storeLimiter.recordLoad(now);
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerFixture.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerFixture.java
@@ -4,8 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.config.PolicyName;
+import io.stackhall.core.fleet.ModelCopy;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.policy.PlacementPolicy;
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.ModelWeights;
@@ -13,11 +15,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 
 /** Base of tests with a {@link ResidencyManager} whose engines hold at most two of three models. */
 abstract class ResidencyManagerFixture {
 
+    static final UpstreamId ENGINE = new UpstreamId("e");
     static final long MILLI = Duration.ofMillis(1).toNanos();
 
     final ResidencyManager manager =
@@ -74,4 +78,11 @@
     void advanceMillis(long millis) {
         now += millis * MILLI;
     }
+
+    /** Reports the adapters of the model of the one engine, which counts three orders. */
+    void reportAdapters(String... adapters) {
+        manager.step(now);
+        ModelCopy copy = new ModelCopy(new ModelId("a"), 1, Set.of(adapters));
+        manager.onReport(ENGINE, new EngineReport(0, 3, false, List.of(copy)), now);
+    }
 }
