--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Queue;
@@ -27,14 +28,17 @@
     /** One in so many requests may fail. */
     private static final int TOLERATED_SHARE = 50;
 
-    /** How the connections of a host that is cut off fail, old and new ones. */
+    /** How the connections of a host that is cut off fail. */
     enum Cut {
         SILENT,
-        RESET
+        RESET,
+        /** Connections on which an answer has come before the cut live on. */
+        RESET_NEW
     }
 
     private final Set<Integer> cutHosts = ConcurrentHashMap.newKeySet();
     private final Queue<String> run = new ConcurrentLinkedQueue<>();
+    private final Set<Socket> answered = ConcurrentHashMap.newKeySet();
     private volatile Cut cut = Cut.SILENT;
 
     @BeforeEach
@@ -50,8 +54,9 @@
     private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
             throws IOException {
         int host = to.socket().getInetAddress().getAddress()[3];
-        if (cutHosts.contains(host)) {
-            if (cut == Cut.RESET) {
+        boolean livesOn = cut == Cut.RESET_NEW && answered.contains(to.socket());
+        if (cutHosts.contains(host) && !livesOn) {
+            if (cut != Cut.SILENT) {
                 to.reset();
             }
             while (cutHosts.contains(host)) {
@@ -64,6 +69,7 @@
             // A probe has no id.
             run.add(id);
         }
+        answered.add(to.socket());
         RelayFixture.pause(20);
         to.plain(request, 200, "ok");
     }
@@ -73,7 +79,8 @@
         "SILENT, 2, /safe/x",
         "RESET, 2, /once/x",
         "SILENT, 5, /once/x",
-        "RESET, 5, /safe/x"
+        "RESET, 5, /safe/x",
+        "RESET_NEW, 3, /once/x"
     })
     void callersOfHostsThatReachNoUpstreamAreServedByWayOfOthers(Cut how, int hosts, String path)
             throws Exception {
