No fifth adapter is ordered while four are in transit

What callers saw: waits of 0.4 s and more for adapters of an engine that has just started or is swapping several. An engine accepts four adapters in transit and refuses the next order; after a refusal it takes no order until its next report.

--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterPlanner.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterPlanner.java
@@ -35,6 +35,9 @@
      */
     Optional<Change> nextChange(
             EngineTracker engine, EngineSpec spec, boolean fillFreeSlots, long now) {
+        if (!engine.slots().acceptsLoad(now)) {
+            return Optional.empty();
+        }
         Optional<Change> requested = nextRequested(engine, spec, now);
         return requested.isPresent() || !fillFreeSlots ? requested : fillFreeSlot(engine, spec);
     }
@@ -57,7 +60,7 @@
                 engine.adapterQueue().removeFirst();
                 return Optional.of(new Change(true, key));
             }
-            return leastRecentlyUsed(engine.removableAdapters(now))
+            return leastRecentlyUsed(engine.slots().removable(engine.instance(), now))
                     .map(old -> new Change(false, old));
         }
         return Optional.empty();
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
@@ -27,6 +27,12 @@
      */
     private static final long TRANSIT_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /** The number of adapters that may be in transit to an engine, which refuses any further. */
+    private static final int MAX_IN_TRANSIT = 4;
+
+    /** The time in which most adapters arrive. */
+    private static final long USUAL_TRANSIT_NANOS = Duration.ofMillis(40).toNanos();
+
     private final Set<AdapterKey> occupying = new HashSet<>();
     private final Set<AdapterKey> unloaded = new HashSet<>();
 
@@ -98,6 +104,15 @@
         inTransit.keySet().removeAll(shown);
     }
 
+    /** Returns whether the engine probably accepts the load of one more adapter. */
+    boolean acceptsLoad(long now) {
+        long recent =
+                inTransit.values().stream()
+                        .filter(orderedAt -> now - orderedAt < USUAL_TRANSIT_NANOS)
+                        .count();
+        return recent < MAX_IN_TRANSIT;
+    }
+
     /**
      * Returns the adapters that may be unloaded. Those that may still be in transit are not among
      * them: the engine answers as if they were unloaded, and they arrive.
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
@@ -337,9 +337,9 @@
         return slots.occupied(instance);
     }
 
-    /** Returns the adapters that may be unloaded. */
-    Set<AdapterKey> removableAdapters(long now) {
-        return slots.removable(instance, now);
+    /** Returns the state of the adapter slots. */
+    AdapterSlots slots() {
+        return slots;
     }
 
     /** Returns the memory in MB neither occupied nor reserved for orders that may take effect. */
