--- a/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/AdapterSlots.java
@@ -14,10 +14,10 @@
  * Tracks which adapters occupy the adapter slots of one engine.
  *
  * <p>An adapter that was ordered, or that the engine's status report lists, occupies its slot until
- * a later order unloads it or its model. Heartbeats never free a slot: one that does not list the
- * adapter may have been created before the adapter was loaded, even if its sequence number is far
- * above that of the last heartbeat received. Freeing slots by heartbeat let the slot limit be
- * exceeded once in 12 days, just after a network partition had healed.
+ * a later order unloads it or its model, or until the engine refuses the order. Heartbeats never
+ * free a slot: one that does not list the adapter may have been created before the adapter was
+ * loaded, even if its sequence number is far above that of the last heartbeat received, as after a
+ * network partition.
  */
 final class AdapterSlots {
 
