Small twins in crash checks and order tests stand once

What a check of an instance leads to, the turns of probes and a lost answer in two tests each stood twice; a method is named after what it records. No behaviour changes.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -172,10 +172,15 @@
         }
         cutOff = true;
         cutOffAt = now;
+        beginTurns(now);
+        return Change.CUT_OFF;
+    }
+
+    /** Begins the turns of probes with the upstreams that have not failed, if any, at once. */
+    private void beginTurns(long now) {
         known.removeAll(brokenSinceHeard);
         probedAt = known.isEmpty() ? now : now - CUT_OFF_PROBE_NANOS;
         known.addAll(brokenSinceHeard);
-        return Change.CUT_OFF;
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/AdapterOrdersTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/AdapterOrdersTest.java
@@ -47,12 +47,7 @@
     void adapterThatAnUnansweredOrderMayHaveLoadedKeepsItsSlot() {
         reportAdapters("a1");
         manager.requestAdapter(ENGINE, new ModelId("a"), "a2", now);
-        EngineOrder order = onlyOrder();
-        manager.onAnswer(order, EngineAnswer.UNKNOWN, now);
-        advanceMillis(400);
-        onlyOrder();
-        manager.onAnswer(order, EngineAnswer.CONFLICT, now);
-        advanceMillis(500);
+        refuseAfterALostAnswer(onlyOrder());
         reportAdapters("a1");
         manager.requestAdapter(ENGINE, new ModelId("a"), "a3", now);
         assertThat(onlyOrder().load()).isFalse();
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerFixture.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerFixture.java
@@ -79,6 +79,15 @@
         now += millis * MILLI;
     }
 
+    /** Loses the answer to an order, and refuses the copy of it that is sent then. */
+    void refuseAfterALostAnswer(EngineOrder order) {
+        manager.onAnswer(order, EngineAnswer.UNKNOWN, now);
+        advanceMillis(400);
+        onlyOrder();
+        manager.onAnswer(order, EngineAnswer.CONFLICT, now);
+        advanceMillis(500);
+    }
+
     /** Reports the adapters of the model of the one engine, which counts three orders. */
     void reportAdapters(String... adapters) {
         manager.step(now);
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerTest.java
@@ -63,12 +63,7 @@
     void loadThatWasCarriedOutThoughItsAnswerWasLostStaysCharged() {
         reportOrdersTaken(7, false);
         requestsWaitFor("b");
-        EngineOrder order = onlyOrder();
-        manager.onAnswer(order, EngineAnswer.UNKNOWN, now);
-        advanceMillis(400);
-        onlyOrder();
-        manager.onAnswer(order, EngineAnswer.CONFLICT, now);
-        advanceMillis(500);
+        refuseAfterALostAnswer(onlyOrder());
         requestsWaitFor("c");
         reportOrdersTaken(8, true);
         advanceMillis(500);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -153,7 +153,7 @@
     /**
      * One probe on a new connection of this host. Any answer shows that the path works, and so does
      * an upstream that ends the connection in good order: not all of them serve what probes ask
-     * for. A cut does neither.
+     * for. Links that are lost reset connections or carry nothing.
      */
     private final class Probe implements CallListener {
         private final Instance instance;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Quarantine.java
@@ -138,14 +138,7 @@
 
     private void probeAfterSuspect(RequestDigest suspect, Instance instance) {
         crashProbe.check(
-                instance,
-                crashed -> {
-                    if (crashed) {
-                        incarnationCrashed(instance.id());
-                        return;
-                    }
-                    checkLater(instance, () -> acquit(suspect));
-                });
+                instance, crashedOr(instance, () -> checkLater(instance, () -> acquit(suspect))));
     }
 
     /**
@@ -154,15 +147,18 @@
      * @param otherwise run if it is not found to have crashed
      */
     private void checkLater(Instance instance, Runnable otherwise) {
-        crashProbe.checkLater(
-                instance,
-                crashed -> {
-                    if (crashed) {
-                        incarnationCrashed(instance.id());
-                    } else {
-                        otherwise.run();
-                    }
-                });
+        crashProbe.checkLater(instance, crashedOr(instance, otherwise));
+    }
+
+    /** Returns what to do with the result of a check of an instance. */
+    private Consumer<Boolean> crashedOr(Instance instance, Runnable otherwise) {
+        return crashed -> {
+            if (crashed) {
+                incarnationCrashed(instance.id());
+            } else {
+                otherwise.run();
+            }
+        };
     }
 
     private void acquit(RequestDigest request) {
@@ -188,11 +184,7 @@
                 instance,
                 crashed -> {
                     unconfirmedCrashes.recordInterrupted(instance.id(), request, BootClock.nanos());
-                    if (crashed) {
-                        incarnationCrashed(instance.id());
-                    } else {
-                        checkLater(instance, () -> {});
-                    }
+                    crashedOr(instance, () -> checkLater(instance, () -> {})).accept(crashed);
                     resume.run();
                 });
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -97,7 +97,7 @@
     }
 
     /** Fails as the upstream has ended the connection in good order. */
-    void failEnded(String reason) {
+    void endedByUpstream(String reason) {
         fail(sent ? CallFailure.Stage.ENDED_BY_UPSTREAM : CallFailure.Stage.NOT_SENT, reason);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -86,7 +86,7 @@
                 end(context, "the request could not be written");
             }
         } else if (event instanceof ChannelInputShutdownEvent) {
-            end(context, failed -> failed.failEnded(CLOSED_EARLY));
+            end(context, failed -> failed.endedByUpstream(CLOSED_EARLY));
         }
     }
 
