A host logs the tunnels of others that it cannot connect

Nothing told whether a host that refuses a tunnel reaches upstreams itself. tunnel.not-connected gives the upstream, the result and how many of its own paths are broken. What an acceptor asks of its host stands in one interface; sockets to upstreams are made by a factory, so that tests have single links refuse connections or carry nothing.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -2,21 +2,21 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.stackhall.core.backpressure.Backpressure;
 import io.stackhall.core.backpressure.RestingUpstreams;
 import io.stackhall.core.customer.KeyLease;
 import io.stackhall.core.customer.OutageAllowance;
 import io.stackhall.core.dispatch.Dispatcher;
 import io.stackhall.core.dispatch.RetryLimiter;
-import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
-import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.overload.LoadShedder;
 import io.stackhall.core.overload.LoopDelayMeter;
@@ -39,8 +39,6 @@
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.settings.FleetSettings;
 import io.stackhall.server.tunnel.TunnelAcceptor;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
@@ -116,23 +114,25 @@
 
     /** Creates a process that is not started yet. */
     public EntryDaemon(FleetSettings settings, FleetSettings.Entry entry) {
-        this(settings, entry, new InetSocketAddress(0));
+        this(settings, entry, NioSocketChannel::new);
     }
 
     /**
      * Creates a process that is not started yet.
      *
-     * @param upstreamSource the local address of its connections to upstreams
+     * @param upstreamChannels creates the sockets of its connections to upstreams
      */
     public EntryDaemon(
-            FleetSettings settings, FleetSettings.Entry entry, SocketAddress upstreamSource) {
+            FleetSettings settings,
+            FleetSettings.Entry entry,
+            ChannelFactory<NioSocketChannel> upstreamChannels) {
         this.settings = settings;
         this.entry = entry;
         Random random = new Random();
         FleetSettings.Limits limits = settings.limits();
         this.transport = new PeerTransport(settings.peers(), eventLoops, FleetDaemon.PEER_TIMING);
         this.controlHosts = new ControlHosts(settings, transport, this::controlHostConnected);
-        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID, upstreamSource);
+        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID, upstreamChannels);
         HostId self = settings.peerName();
         LinkedControlHosts leaders = new LinkedControlHosts(transport, controlHosts);
         LimitedUpstreams limited = new LimitedUpstreams(self, random);
@@ -170,13 +170,7 @@
         this.follower =
                 new ControlSubscriber(settings, loop, transport, controlHosts, gateway, random);
         this.reports = new EntryReporter(settings, gateway, follower);
-        this.tunnels =
-                new TunnelAcceptor(
-                        loop,
-                        upstreams::connect,
-                        this::upstreamAddress,
-                        () -> refusesTunnels(shedding),
-                        paths::heard);
+        this.tunnels = new TunnelAcceptor(loop, new TunnelsOfOthers(gateway, upstreams, shedding));
         paths.onChange(follower::pathsChanged);
         gateway.onNewlyWaiting(reports::reportDemand);
     }
@@ -288,16 +282,6 @@
                 limits.retryWindow());
     }
 
-    private Optional<Address> upstreamAddress(UpstreamId id) {
-        return gateway.dispatcher().find(id).map(Instance::address).map(Address::parse);
-    }
-
-    private boolean refusesTunnels(LoadShedding shedding) {
-        return gateway.paths().isCutOff()
-                || gateway.connections().isDraining()
-                || shedding.isActive(BootClock.nanos());
-    }
-
     private void awaitNoCallers(long until) {
         while (BootClock.nanos() - until < 0
                 && gateway.connections().count() + tunnels.open() > 0) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -83,6 +83,11 @@
         return !alone && paths.isCutOff() && !tunnels.isAvailable(BootClock.nanos());
     }
 
+    /** Returns the number of upstreams that this host does not reach on its own connections. */
+    int brokenCount() {
+        return paths.brokenCount();
+    }
+
     /** Returns when a caller should come back whose request reaches no upstream. */
     Duration retryDelay() {
         return paths.retryDelay(random, BootClock.nanos());
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -18,8 +19,6 @@
 import io.stackhall.server.tunnel.KeepAlive;
 import io.stackhall.server.tunnel.TunnelConnector;
 import io.stackhall.server.tunnel.TunnelException;
-import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -62,25 +61,25 @@
      * @param echoHeader the header by which an upstream says which request an answer belongs to
      */
     public UpstreamClient(EventLoop loop, String echoHeader) {
-        this(loop, echoHeader, new InetSocketAddress(0));
+        this(loop, echoHeader, NioSocketChannel::new);
     }
 
     /**
-     * Creates a client that opens its connections from one of several addresses of its host.
+     * Creates a client with sockets of a certain kind.
      *
      * @param loop the only thread that uses it
      * @param echoHeader the header by which an upstream says which request an answer belongs to
-     * @param local the address that its connections come from
+     * @param channels creates the sockets of its connections to upstreams
      */
-    public UpstreamClient(EventLoop loop, String echoHeader, SocketAddress local) {
+    public UpstreamClient(
+            EventLoop loop, String echoHeader, ChannelFactory<NioSocketChannel> channels) {
         this.loop = loop;
         this.echoHeader = echoHeader;
         this.tunnels = new TunnelConnector(loop);
         this.bootstrap =
                 KeepAlive.enable(new Bootstrap())
-                        .localAddress(local)
                         .group(loop)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(channels)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.OpenTunnel;
 import io.stackhall.rpc.generated.fleet.TunnelReply;
@@ -15,9 +14,6 @@
 import io.stackhall.server.settings.Address;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
-import java.util.function.Function;
-import java.util.function.ObjLongConsumer;
 
 /**
  * Accepts the tunnels of other hosts to upstreams that this host reaches. It only ever connects to
@@ -32,32 +28,13 @@
     private static final int MAX_TUNNELS = 256;
 
     private final EventLoop loop;
-    private final Function<Address, Future<Channel>> connector;
-    private final Function<UpstreamId, Optional<Address>> addresses;
-    private final BooleanSupplier declines;
-    private final ObjLongConsumer<UpstreamId> heard;
+    private final AcceptingHost host;
     private final AtomicInteger open = new AtomicInteger();
 
-    /**
-     * Creates an acceptor.
-     *
-     * @param connector opens a connection of this host, which does not read yet
-     * @param addresses the addresses of the upstreams that this host knows
-     * @param declines whether this host passes nothing on now
-     * @param heard told when bytes come from an upstream, and when the connection to it was opened:
-     *     this host reaches it, whether it sends requests of its own there or not
-     */
-    public TunnelAcceptor(
-            EventLoop loop,
-            Function<Address, Future<Channel>> connector,
-            Function<UpstreamId, Optional<Address>> addresses,
-            BooleanSupplier declines,
-            ObjLongConsumer<UpstreamId> heard) {
+    /** Creates an acceptor. */
+    public TunnelAcceptor(EventLoop loop, AcceptingHost host) {
         this.loop = loop;
-        this.connector = connector;
-        this.addresses = addresses;
-        this.declines = declines;
-        this.heard = heard;
+        this.host = host;
     }
 
     /** Answers a request for a tunnel. May be called on any thread. */
@@ -72,8 +49,8 @@
 
     private void acceptOnLoop(OpenTunnel request, Channel from) {
         UpstreamId id = UpstreamId.parse(request.getInstance());
-        Optional<Address> address = addresses.apply(id);
-        if (address.isEmpty() || open.get() >= MAX_TUNNELS || declines.getAsBoolean()) {
+        Optional<Address> address = host.address(id);
+        if (address.isEmpty() || open.get() >= MAX_TUNNELS || host.isDeclining()) {
             refuse(from, Result.DECLINED);
             return;
         }
@@ -81,18 +58,26 @@
         from.closeFuture().addListener(closed -> open.decrementAndGet());
         boolean framed = request.getFramed();
         long openedAt = BootClock.nanos();
-        Runnable onBytes = () -> heard.accept(id, openedAt);
-        connector.apply(address.get()).addListener(done -> connected(from, framed, onBytes, done));
+        Runnable onBytes = () -> host.heard(id, openedAt);
+        host.connect(address.get())
+                .addListener(
+                        done -> {
+                            if (done.isSuccess()) {
+                                connected(from, (Channel) done.getNow(), framed, onBytes);
+                            } else {
+                                notConnected(id, from, done.cause());
+                            }
+                        });
     }
 
-    private void connected(
-            Channel from, boolean framed, Runnable onBytes, Future<? super Channel> done) {
-        if (!done.isSuccess()) {
-            boolean refused = ConnectFailures.isRefusal(done.cause());
-            refuse(from, refused ? Result.REFUSED : Result.NO_CONNECTION);
-            return;
-        }
-        Channel to = (Channel) done.getNow();
+    private void notConnected(UpstreamId id, Channel from, Throwable cause) {
+        boolean refused = ConnectFailures.isRefusal(cause);
+        Result result = refused ? Result.REFUSED : Result.NO_CONNECTION;
+        host.notConnected(id, result);
+        refuse(from, result);
+    }
+
+    private static void connected(Channel from, Channel to, boolean framed, Runnable onBytes) {
         if (!from.isActive()) {
             to.close();
             return;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -41,6 +41,7 @@
     private final Path folder;
     private final int port = freePorts();
     private final List<FleetDaemon> daemons = new ArrayList<>();
+    private final UpstreamLinks links = new UpstreamLinks();
     private final List<Address> seeds =
             List.of(api("127.0.3.1"), api("127.0.3.2"), api("127.0.3.3"));
 
@@ -49,6 +50,11 @@
         this.folder = folder;
     }
 
+    /** Returns the links of entry hosts to upstreams. */
+    public UpstreamLinks links() {
+        return links;
+    }
+
     /** Starts three control hosts for the first time. */
     public void foundControl() throws IOException {
         for (int number = 1; number <= 3; number++) {
@@ -121,7 +127,7 @@
         return new EntryDaemon(
                 settings("entry-" + number, ip, entry, true, processorShare),
                 entry,
-                new InetSocketAddress(ip, 0));
+                () -> links.openChannel(number, ip));
     }
 
     /** Returns where a process at an address talks to other hosts. */
@@ -228,6 +234,7 @@
         for (FleetDaemon daemon : daemons) {
             daemon.close();
         }
+        links.close();
     }
 
     private FleetSettings settings(
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
@@ -100,7 +100,11 @@
 
     /** Returns where it serves. */
     public String address() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return "127.0.0.1:" + port();
+    }
+
+    int port() {
+        return server.getLocalPort();
     }
 
     /** Returns what it has got. */
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.rpc.generated.fleet.TunnelReply;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.peer.PeerCodec;
 import io.stackhall.server.relay.RecordingListener;
@@ -122,12 +124,7 @@
     private String startHost(Address upstreamAddress) throws Exception {
         UpstreamClient itsClient = new UpstreamClient(loop, "X-Id");
         TunnelAcceptor acceptor =
-                new TunnelAcceptor(
-                        loop,
-                        itsClient::connect,
-                        id -> Optional.of(upstreamAddress),
-                        () -> false,
-                        (id, openedAt) -> heard.add(id));
+                new TunnelAcceptor(loop, new OtherHost(itsClient, upstreamAddress));
         Channel server =
                 new ServerBootstrap()
                         .group(threads)
@@ -146,6 +143,42 @@
         return "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
     }
 
+    /** A host that reaches one upstream. */
+    private final class OtherHost implements AcceptingHost {
+        private final UpstreamClient client;
+        private final Address upstreamAddress;
+
+        OtherHost(UpstreamClient client, Address upstreamAddress) {
+            this.client = client;
+            this.upstreamAddress = upstreamAddress;
+        }
+
+        @Override
+        public Optional<Address> address(UpstreamId id) {
+            return Optional.of(upstreamAddress);
+        }
+
+        @Override
+        public boolean isDeclining() {
+            return false;
+        }
+
+        @Override
+        public Future<Channel> connect(Address address) {
+            return client.connect(address);
+        }
+
+        @Override
+        public void heard(UpstreamId id, long openedAt) {
+            heard.add(id);
+        }
+
+        @Override
+        public void notConnected(UpstreamId id, TunnelReply.Result result) {
+            throw new AssertionError(id + ": " + result);
+        }
+    }
+
     private final class Opener extends SimpleChannelInboundHandler<Frame> {
         private final TunnelAcceptor acceptor;
 
