--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/CutOffHostsTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
-import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,13 +19,6 @@
 class CutOffHostsTest extends ManyHostsFixture {
 
     private static final int UPSTREAMS = 3;
-    private static final int PER_SECOND = 60;
-
-    /** Callers may be served worse for this long after their host is cut off. */
-    private static final Duration NOTICED_AFTER = Duration.ofSeconds(3);
-
-    /** One in so many requests may fail. */
-    private static final int TOLERATED_SHARE = 50;
 
     /** How the connections of a host that is cut off fail. */
     enum Cut {
@@ -150,11 +142,4 @@
             cutHosts.add(host);
         }
     }
-
-    private void assertMostAreServed() {
-        List<Outcome> failed =
-                outcomes.stream().filter(outcome -> outcome.status() != 200).toList();
-        assertThat(outcomes).hasSizeGreaterThan(PER_SECOND);
-        assertThat(failed).hasSizeLessThanOrEqualTo(outcomes.size() / TOLERATED_SHARE);
-    }
 }
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ManyHostsFixture.java
@@ -1,5 +1,7 @@
 package io.stackhall.server.fleet;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.control.ControlDaemon;
 import io.stackhall.server.gateway.EntryDaemon;
@@ -21,6 +23,15 @@
 abstract class ManyHostsFixture {
 
     static final int HOSTS = 6;
+    static final int PER_SECOND = 60;
+
+    private static final Duration DEADLINE = Duration.ofSeconds(2);
+
+    /** Callers may be served worse for this long after their host has lost links. */
+    static final Duration NOTICED_AFTER = Duration.ofSeconds(3);
+
+    /** One in so many requests may fail. */
+    static final int TOLERATED_SHARE = 50;
 
     /** The control host that hears the heartbeats; it runs all the time. */
     private static final int HEARING = 3;
@@ -33,8 +44,18 @@
               "max-attempts":2},
              {"name":"once","host":"a.example","path-prefix":"/once/","kind":"unsafe",
               "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"plain",
-              "max-attempts":1}],
-             "services":[{"name":"plain","health-path":"/health","max-connections":50}]}
+              "max-attempts":1},
+             {"name":"long","host":"a.example","path-prefix":"/long/","kind":"safe",
+              "timeout-ms":60000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":1},
+             {"name":"other","host":"a.example","path-prefix":"/other/","kind":"safe",
+              "timeout-ms":4000,"target-latency-ms":500,"priority":1,"service":"other",
+              "max-attempts":2}],
+             "services":[{"name":"plain","health-path":"/health","max-connections":50},
+              {"name":"long","host":"a.example","path-prefix":"/long/","kind":"safe",
+              "timeout-ms":60000,"target-latency-ms":500,"priority":1,"service":"plain",
+              "max-attempts":1},
+             {"name":"other","health-path":"/health","max-connections":50}]}
             """;
 
     @TempDir private Path folder;
@@ -97,6 +118,11 @@
         return upstream;
     }
 
+    /** Returns the upstreams started so far, in this order. */
+    List<ScriptedUpstream> upstreams() {
+        return started;
+    }
+
     /** Stops the upstreams started so far, whose heartbeats go on. */
     void stopUpstreams() throws IOException {
         for (ScriptedUpstream upstream : started) {
@@ -143,6 +169,11 @@
 
     /** Sends requests for some time, each to a host drawn at random that runs. */
     void traffic(String path, int perSecond, Duration time) throws InterruptedException {
+        traffic(List.of(path), perSecond, time);
+    }
+
+    /** Sends requests for some time, each to a path and a host drawn at random. */
+    void traffic(List<String> paths, int perSecond, Duration time) throws InterruptedException {
         long end = BootClock.nanos() + time.toNanos();
         List<Thread> callers = new ArrayList<>();
         long nextBeat = BootClock.nanos();
@@ -152,7 +183,8 @@
                 nextBeat += TimeUnit.SECONDS.toNanos(1);
             }
             int host = 1 + random.nextInt(HOSTS);
-            callers.add(Thread.startVirtualThread(() -> call(path, host)));
+            String path = paths.get(random.nextInt(paths.size()));
+            callers.add(Thread.startVirtualThread(() -> call(path, host, DEADLINE)));
             Thread.sleep(1000 / perSecond);
         }
         for (Thread caller : callers) {
@@ -160,11 +192,17 @@
         }
     }
 
-    private void call(String path, int host) {
+    /** Sends a request to a host, and keeps what its caller got. */
+    void call(String path, int host, Duration deadline) {
         long sentAt = BootClock.nanos();
         try {
             RawHttp.Message answer =
-                    fleet.call(host, RawHttp.get(path, id(host, sentAt), "X-Deadline-Ms: 2000"));
+                    fleet.call(
+                            host,
+                            RawHttp.get(
+                                    path,
+                                    id(host, sentAt),
+                                    "X-Deadline-Ms: " + deadline.toMillis()));
             Duration took = Duration.ofNanos(BootClock.nanos() - sentAt);
             outcomes.add(
                     new Outcome(host, sentAt, answer.status(), took, answer.header("retry-after")));
@@ -173,6 +211,14 @@
         }
     }
 
+    /** Asserts that of the requests so far all but a few were served. */
+    void assertMostAreServed() {
+        List<Outcome> failed =
+                outcomes.stream().filter(outcome -> outcome.status() != 200).toList();
+        assertThat(outcomes).hasSizeGreaterThan(PER_SECOND);
+        assertThat(failed).hasSizeLessThanOrEqualTo(outcomes.size() / TOLERATED_SHARE);
+    }
+
     /** Returns the id of a request, which tells the host that it was sent to. */
     private static String id(int host, long sentAt) {
         return "c" + host + "-" + sentAt;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/StalledUpstreamsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/StalledUpstreamsTest.java
@@ -12,7 +12,6 @@
 class StalledUpstreamsTest extends ManyHostsFixture {
 
     private static final int UPSTREAMS = 3;
-    private static final int PER_SECOND = 60;
 
     private volatile boolean stalled;
 
