A host that does not reach an upstream says so, and not that it is gone

Cause: a host that was asked for a tunnel answered with what its own connection came to. If it was cut off as well, its "refused" passed for the upstream's: the other host gave the upstream up, for the request, its own choice and the control hosts, and could accuse requests of its end. It did not know that it was cut off, as answers on older connections counted against what new ones showed, and as the failures of others' tunnels did not count at all.

What a connection shows is now dated by its opening. A host whose tunnel connection fails counts that as evidence of its own, and answers "not reached" unless its connections to others of the service come up. It is then avoided for that upstream alone; hosts with broken paths are used last. Where new connections to four upstreams fail, or to all, with none answered in between, the host is cut off whatever older ones bring; what is under way on those goes on. An upstream that no usable host reaches is left out of the choice.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/TunnelHost.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/TunnelHost.java
@@ -8,5 +8,6 @@
  *
  * @param id its peer address
  * @param zone its availability zone
+ * @param impaired whether it reaches some upstreams only through others itself
  */
-public record TunnelHost(HostId id, ZoneId zone) {}
+public record TunnelHost(HostId id, ZoneId zone, boolean impaired) {}
--- a/stackhall-core/src/main/java/io/stackhall/core/path/TunnelRing.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/TunnelRing.java
@@ -4,6 +4,7 @@
 import io.stackhall.core.id.ZoneId;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
@@ -13,7 +14,8 @@
  *
  * <p>The hosts are arranged in a ring by their hashed names, and each may use those that follow it.
  * Whichever hosts are cut off, each of the others is thus used by a few; and all control hosts
- * assign the same ones without agreeing on them.
+ * assign the same ones without agreeing on them. Hosts that are impaired come last: what they do
+ * not reach themselves they are asked for in vain.
  */
 public final class TunnelRing {
 
@@ -38,9 +40,12 @@
     public List<TunnelHost> hostsFor(HostId host, ZoneId zone) {
         List<TunnelHost> near = new ArrayList<>();
         List<TunnelHost> far = new ArrayList<>();
+        List<TunnelHost> others = new ArrayList<>();
         String start = position(host);
-        collect(ring.tailMap(start, false).values(), zone, near, far);
-        collect(ring.headMap(start, false).values(), zone, near, far);
+        others.addAll(ring.tailMap(start, false).values());
+        others.addAll(ring.headMap(start, false).values());
+        others.sort(Comparator.comparing(TunnelHost::impaired));
+        collect(others, zone, near, far);
         near.addAll(far);
         return List.copyOf(near);
     }
--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -20,10 +20,11 @@
  * <p>Answers the load of a host whose links to all upstreams fail while its callers still reach it:
  * each request would otherwise try every upstream in turn, until its caller is refused.
  *
- * <p>The path to an upstream is broken from a failure of a connection until an answer comes on a
- * later one. The host is cut off if the paths to several upstreams break and nothing has been heard
- * from any upstream in between and for some time before: a single upstream that crashes, or falls
- * silent, says nothing about the others.
+ * <p>The path to an upstream is broken from a failure of a connection until an answer comes on one
+ * that was opened later. The host is cut off if the paths to several upstreams break and either
+ * nothing has been heard from any upstream in between and for some time before, or no new
+ * connection to any upstream has been answered in between: older ones may live on while new ones
+ * are refused. A single upstream that crashes, or falls silent, says nothing about the others.
  *
  * <p>Times named {@code now} are on the monotonic clock, in nanoseconds. Not thread-safe: used by
  * one thread.
@@ -39,6 +40,21 @@
      */
     private static final long QUIET_NANOS = Duration.ofMillis(200).toNanos();
 
+    /**
+     * The number of upstreams to which new connections must fail, with none answered in between,
+     * while others are heard on older connections. Upstreams that are down together are fewer, as
+     * those that have not failed are probed meanwhile.
+     */
+    private static final int MIN_BROKEN_WHILE_HEARD = 4;
+
+    /** The number of broken paths from which on other hosts do better to use another helper. */
+    private static final int IMPAIRED_BROKEN = 2;
+
+    /**
+     * A host counts as impaired for this long after it was, so that it does not go back and forth.
+     */
+    private static final long IMPAIRED_NANOS = Duration.ofSeconds(1).toNanos();
+
     /**
      * Time without a byte from any upstream, while several owe an answer, after which they are
      * probed. A sound upstream may be silent for a second or so.
@@ -63,10 +79,16 @@
     private final Map<UpstreamId, BrokenPath> broken = new LinkedHashMap<>();
     private final Map<UpstreamId, Unanswered> unanswered = new HashMap<>();
     private final Set<UpstreamId> brokenSinceHeard = new HashSet<>();
+
+    /** Upstreams whose paths have broken since a new connection to any upstream was answered. */
+    private final Set<UpstreamId> unconnected = new HashSet<>();
+
+    private long unconnectedSince;
     private boolean cutOff;
     private long cutOffAt;
     private long heardAt;
     private long probedAt;
+    private Optional<Long> impairedUntil = Optional.empty();
 
     /** A path since its failure. */
     private static final class BrokenPath {
@@ -105,6 +127,7 @@
         broken.remove(id);
         unanswered.remove(id);
         brokenSinceHeard.remove(id);
+        unconnected.remove(id);
     }
 
     /** Records that a request is sent to an upstream on this host's own connection. */
@@ -127,10 +150,10 @@
     /**
      * Records bytes that have come from an upstream on this host's own connection.
      *
-     * @param askedAt when the request or probe was sent that they answer. An answer to an earlier
-     *     one than the failure of the path says nothing about new connections
+     * @param openedAt when that connection was opened: an answer on one that was opened before a
+     *     failure says nothing about new ones
      */
-    public Change heard(UpstreamId id, long askedAt, long now) {
+    public Change heard(UpstreamId id, long openedAt, long now) {
         heardAt = now;
         brokenSinceHeard.clear();
         Unanswered owed = unanswered.get(id);
@@ -138,10 +161,13 @@
             owed.since = now;
         }
         BrokenPath path = broken.get(id);
-        if (path != null && askedAt - path.failedAt > 0) {
+        if (path != null && openedAt - path.failedAt > 0) {
             broken.remove(id);
         }
-        if (!cutOff) {
+        if (openedAt - unconnectedSince > 0) {
+            unconnected.clear();
+        }
+        if (!cutOff || openedAt - cutOffAt <= 0) {
             return Change.NONE;
         }
         cutOff = false;
@@ -153,8 +179,26 @@
         if (!known.contains(id)) {
             return Change.NONE;
         }
-        broken.computeIfAbsent(id, key -> new BrokenPath(now)).failedAt = now;
-        return interrupted(id, now);
+        BrokenPath path = broken.get(id);
+        if (path == null) {
+            broken.put(id, new BrokenPath(now));
+            recordNewlyBroken(id, now);
+        } else {
+            path.failedAt = now;
+        }
+        Change change = interrupted(id, now);
+        if (cutOff || broken.size() >= IMPAIRED_BROKEN) {
+            impairedUntil = Optional.of(now + IMPAIRED_NANOS);
+        }
+        return change;
+    }
+
+    /** An upstream that stays down is no further evidence of a cut. */
+    private void recordNewlyBroken(UpstreamId id, long now) {
+        if (unconnected.isEmpty()) {
+            unconnectedSince = now;
+        }
+        unconnected.add(id);
     }
 
     /**
@@ -166,8 +210,7 @@
             return Change.NONE;
         }
         brokenSinceHeard.add(id);
-        boolean quiet = now - heardAt >= QUIET_NANOS;
-        if (cutOff || !quiet || brokenSinceHeard.size() < MIN_BROKEN) {
+        if (cutOff || !(isCutOffInSilence(now) || isCutOffFromNewConnections())) {
             return Change.NONE;
         }
         cutOff = true;
@@ -176,6 +219,20 @@
         return Change.CUT_OFF;
     }
 
+    private boolean isCutOffInSilence(long now) {
+        return isQuiet(now) && brokenSinceHeard.size() >= MIN_BROKEN;
+    }
+
+    private boolean isCutOffFromNewConnections() {
+        boolean allBroken = known.size() >= MIN_BROKEN && broken.size() == known.size();
+        return unconnected.size() >= MIN_BROKEN_WHILE_HEARD || allBroken;
+    }
+
+    /** Returns whether nothing has come from any upstream for longer than between answers. */
+    public boolean isQuiet(long now) {
+        return now - heardAt >= QUIET_NANOS;
+    }
+
     /** Begins the turns of probes with the upstreams that have not failed, if any, at once. */
     private void beginTurns(long now) {
         known.removeAll(brokenSinceHeard);
@@ -195,6 +252,14 @@
         return cutOff;
     }
 
+    /**
+     * Returns whether this host reaches some upstreams only through others, so that it is of less
+     * help to other hosts.
+     */
+    public boolean isImpaired(long now) {
+        return cutOff || impairedUntil.filter(until -> now - until < 0).isPresent();
+    }
+
     /** Returns for how long this host has reached no upstream, zero if it reaches any. */
     public Duration cutOffFor(long now) {
         return cutOff ? Duration.ofNanos(now - cutOffAt) : Duration.ZERO;
@@ -222,9 +287,10 @@
 
     /**
      * Returns the upstreams to probe now. While the host is cut off that is one after the other,
-     * since any answer ends it, first, and at once, those that have not failed: a host that takes
-     * several upstreams that are down for a cut is to notice soon. Upstreams that owe answers are
-     * probed before they count as broken.
+     * since an answer ends it, first, and at once, those that have not failed: a host that takes
+     * several upstreams that are down for a cut is to notice soon. So are some that have not failed
+     * while no new connection is answered. Upstreams that owe answers are probed before they count
+     * as broken.
      */
     public Set<UpstreamId> dueProbes(long now) {
         Set<UpstreamId> due = new LinkedHashSet<>();
@@ -242,6 +308,13 @@
                         due.add(id);
                     }
                 });
+        if (unconnected.size() >= MIN_BROKEN && now - probedAt >= CUT_OFF_PROBE_NANOS) {
+            probedAt = now;
+            known.stream()
+                    .filter(id -> !unconnected.contains(id))
+                    .limit(MIN_BROKEN)
+                    .forEach(due::add);
+        }
         due.addAll(silent(now));
         return due;
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/path/TunnelHostsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/TunnelHostsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,6 +20,9 @@
     private static final ZoneId NEAR = new ZoneId("near");
     private static final ZoneId FAR = new ZoneId("far");
 
+    private static final UpstreamId UPSTREAM = UpstreamId.parse("i-1");
+    private static final UpstreamId OTHER = UpstreamId.parse("i-2");
+
     private final TunnelHosts hosts = new TunnelHosts(NEAR, new Random(1));
 
     @Test
@@ -26,7 +30,7 @@
         hosts.replace(List.of(host(1, NEAR), host(2, NEAR), host(3, FAR)));
         Map<HostId, Integer> used = new HashMap<>();
         for (int i = 0; i < 14; i++) {
-            HostId chosen = hosts.choose(0).orElseThrow();
+            HostId chosen = hosts.choose(UPSTREAM, 0).orElseThrow();
             hosts.opened(chosen);
             used.merge(chosen, 1, Integer::sum);
         }
@@ -40,7 +44,30 @@
         hosts.replace(List.of(host(1, NEAR)));
         hosts.failed(id(1), 0);
         assertThat(hosts.isAvailable(0)).isFalse();
-        assertThat(hosts.choose(Duration.ofSeconds(1).toNanos())).contains(id(1));
+        assertThat(hosts.choose(UPSTREAM, Duration.ofSeconds(1).toNanos())).contains(id(1));
+    }
+
+    // One upstream that a host did not reach kept it from helping with all others.
+    @Test
+    void hostThatDoesNotReachAnUpstreamIsAvoidedForThatOneAlone() {
+        hosts.replace(List.of(host(1, NEAR)));
+        hosts.unreached(id(1), UPSTREAM, 0);
+        assertThat(hosts.choose(UPSTREAM, 0)).isEmpty();
+        assertThat(hosts.isAvailable(UPSTREAM, 0)).isFalse();
+        assertThat(hosts.choose(OTHER, 0)).contains(id(1));
+        assertThat(hosts.choose(UPSTREAM, Duration.ofSeconds(1).toNanos())).contains(id(1));
+    }
+
+    @Test
+    void impairedHostsOfTheOwnZoneComeAfterSoundOnesOfOthers() {
+        hosts.replace(List.of(new TunnelHost(id(1), NEAR, true), host(2, FAR)));
+        assertThat(hosts.choose(UPSTREAM, 0)).contains(id(2));
+        TunnelRing ring =
+                new TunnelRing(
+                        IntStream.rangeClosed(1, 6)
+                                .mapToObj(number -> new TunnelHost(id(number), NEAR, number > 1))
+                                .toList());
+        assertThat(ring.hostsFor(id(9), NEAR)).hasSize(4).contains(host(1, NEAR));
     }
 
     /** Whoever is cut off, the load of the cut hosts is shared by the others of their zone. */
@@ -81,7 +108,7 @@
     }
 
     private static TunnelHost host(int number, ZoneId zone) {
-        return new TunnelHost(id(number), zone);
+        return new TunnelHost(id(number), zone, false);
     }
 
     private static HostId id(int number) {
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -80,6 +80,33 @@
         assertThat(paths.dueProbes(now + 1)).as("the others take their turns").isEmpty();
     }
 
+    // A host whose older connections lived on did not notice that new ones failed, and helped
+    // others.
+    @Test
+    void hostIsCutOffFromNewConnectionsThoughOlderOnesAnswer() {
+        long before = now - 1;
+        for (UpstreamId id : List.of(FIRST, SECOND)) {
+            paths.heard(THIRD, before, ++now);
+            assertThat(paths.failed(id, ++now)).isEqualTo(Change.NONE);
+        }
+        assertThat(paths.isImpaired(now)).isTrue();
+        assertThat(paths.dueProbes(now)).as("before it sends requests there").contains(THIRD);
+        assertThat(paths.failed(THIRD, ++now)).isEqualTo(Change.CUT_OFF);
+        assertThat(paths.heard(THIRD, before, ++now)).as("an old one").isEqualTo(Change.NONE);
+        assertThat(paths.heard(THIRD, now, ++now)).isEqualTo(Change.REACHES_AGAIN);
+    }
+
+    @Test
+    void upstreamsThatStayDownAreNoFurtherEvidenceOfACut() {
+        paths.failed(FIRST, now);
+        paths.heard(THIRD, now + 1, now + 2);
+        paths.failed(SECOND, now + 3);
+        paths.heard(THIRD, now + 4, now + 5);
+        paths.failed(FIRST, now + 6);
+        paths.failed(SECOND, now + 7);
+        assertThat(paths.dueProbes(now + 8)).isEmpty();
+    }
+
     // Probes failed from then on, as there was none to take its turn.
     @Test
     void cutHostThatKnowsNoUpstreamAnyMoreProbesNone() {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -65,6 +65,7 @@
         private boolean primary;
         private Optional<ZoneId> zone = Optional.empty();
         private boolean refusesTunnels;
+        private boolean impaired;
         private List<TunnelHost> tunnelHosts = List.of();
         private final EmptyReportFilter workReports = new EmptyReportFilter();
 
@@ -95,8 +96,12 @@
         follower.primary = follow.getPrimary();
         follower.replier = replier;
         follower.followedAt = BootClock.nanos();
-        boolean tunnelsChange = isNew || follower.refusesTunnels != follow.getRefusesTunnels();
+        boolean tunnelsChange =
+                isNew
+                        || follower.refusesTunnels != follow.getRefusesTunnels()
+                        || follower.impaired != follow.getImpaired();
         follower.refusesTunnels = follow.getRefusesTunnels();
+        follower.impaired = follow.getImpaired();
         follower.zone =
                 Optional.of(follow.getZone()).filter(name -> !name.isEmpty()).map(ZoneId::new);
         followers.put(follow.getHost(), follower);
@@ -237,7 +242,12 @@
                 (host, follower) -> {
                     if (!follower.refusesTunnels) {
                         follower.zone.ifPresent(
-                                zone -> accepting.add(new TunnelHost(new HostId(host), zone)));
+                                zone ->
+                                        accepting.add(
+                                                new TunnelHost(
+                                                        new HostId(host),
+                                                        zone,
+                                                        follower.impaired)));
                     }
                 });
         TunnelRing ring = new TunnelRing(accepting);
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/TunnelCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/TunnelCodec.java
@@ -16,7 +16,10 @@
     public static Frame encode(List<TunnelHost> hosts) {
         TunnelHosts.Builder message = TunnelHosts.newBuilder();
         for (TunnelHost host : hosts) {
-            message.addHostsBuilder().setHost(host.id().value()).setZone(host.zone().value());
+            message.addHostsBuilder()
+                    .setHost(host.id().value())
+                    .setZone(host.zone().value())
+                    .setImpaired(host.impaired());
         }
         return Frame.newBuilder().setTunnelHosts(message).build();
     }
@@ -24,7 +27,12 @@
     /** Returns the hosts that a message names. */
     public static List<TunnelHost> decode(TunnelHosts message) {
         return message.getHostsList().stream()
-                .map(host -> new TunnelHost(new HostId(host.getHost()), new ZoneId(host.getZone())))
+                .map(
+                        host ->
+                                new TunnelHost(
+                                        new HostId(host.getHost()),
+                                        new ZoneId(host.getZone()),
+                                        host.getImpaired()))
                 .toList();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -139,7 +139,7 @@
         if (failure.unconnected()) {
             gateway.pathProber().reportUnreached(instance, failure.stage());
         }
-        if (failure.unconnected() && gateway.paths().hasTunnels()) {
+        if (failure.unconnected() && gateway.paths().hasTunnelTo(instance.id())) {
             request.requeue(OTHER_PATH);
         } else {
             tryNextInstance(instance, UNREACHABLE);
@@ -147,20 +147,15 @@
     }
 
     /**
-     * Tries another tunnel, or another instance if the tunnel is not to blame. A host that is cut
-     * off does not take an instance for lost which one other host does not reach either: that one
-     * may be cut off as well.
+     * Tries another tunnel, or another instance if that was the last one or the instance is to
+     * blame.
      */
     private void notReachedThroughTunnel(Instance instance, CallFailure failure, HostId host) {
-        boolean hostMayBeCutOff =
-                failure.stage() == CallFailure.Stage.NO_CONNECTION && gateway.paths().isCutOff();
-        if (failure.stage() != CallFailure.Stage.NO_TUNNEL && !hostMayBeCutOff) {
+        gateway.paths().tunnelFailed(host, instance, failure.stage());
+        if (failure.unconnected()) {
             gateway.notices().notifyUnreachable(instance, failure.stage());
             tryNextInstance(instance, UNREACHABLE);
-            return;
-        }
-        gateway.paths().tunnelFailed(host);
-        if (history.tryAcquireTunnelRetry()) {
+        } else if (history.tryAcquireTunnelRetry()) {
             request.requeue(OTHER_PATH);
         } else {
             tryNextInstance(instance, UNREACHABLE);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -336,6 +336,7 @@
                 .setEvacuations(evacuatedZones.revision())
                 .setZone(settings.zone().value())
                 .setRefusesTunnels(gateway.paths().isCutOff() || gateway.connections().isDraining())
+                .setImpaired(gateway.paths().isImpaired())
                 .setPrimary(primary.filter(host::equals).isPresent());
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -102,7 +102,7 @@
         this.waiting = new WaitingRequests(List.of(limits::resetWaiting, slots::resetWaiting));
         this.metrics = metrics;
         this.paths = paths;
-        this.pathProber = new PathProber(loop, upstreams, paths, dispatcher, notices);
+        this.pathProber = new PathProber(loop, upstreams, paths, dispatcher, notices, random);
         this.quarantine =
                 new Quarantine(
                         loop,
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -33,6 +33,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /**
  * Probes upstreams: on a new connection of this host, to see whether its path works again, and
@@ -51,6 +52,7 @@
     private final UpstreamPathMonitor paths;
     private final Dispatcher dispatcher;
     private final ControlNotifier notices;
+    private final OwnLinks ownLinks;
     private final Map<ServiceName, String> healthPaths = new HashMap<>();
     private final Set<UpstreamId> asked = new HashSet<>();
 
@@ -59,14 +61,20 @@
             UpstreamClient upstreams,
             UpstreamPathMonitor paths,
             Dispatcher dispatcher,
-            ControlNotifier notices) {
+            ControlNotifier notices,
+            RandomGenerator random) {
         this.loop = loop;
         this.upstreams = upstreams;
         this.paths = paths;
         this.dispatcher = dispatcher;
+        this.ownLinks = new OwnLinks(upstreams, paths, dispatcher, random);
         this.notices = notices;
     }
 
+    OwnLinks ownLinks() {
+        return ownLinks;
+    }
+
     void setRoutes(RouteTable routes) {
         healthPaths.clear();
         for (ServiceEntry service : routes.services()) {
@@ -131,25 +139,30 @@
 
     private void probeThroughOtherHost(
             Instance instance, Stage own, Consumer<Optional<Stage>> result) {
-        Optional<HostId> host = paths.anyTunnelHost();
+        Optional<HostId> host = paths.tunnelHostFor(instance.id());
         if (host.isEmpty()) {
-            boolean ownCounts = paths.isAlone() || !paths.isCutOff();
-            result.accept(ownCounts ? Optional.of(own) : Optional.empty());
+            ownLinks.checkUpstreamIsToBlame(
+                    instance,
+                    own,
+                    toBlame -> result.accept(toBlame ? Optional.of(own) : Optional.empty()));
             return;
         }
         TunnelRoute tunnel = new TunnelRoute(host.get(), instance.id());
         upstreams.probe(
                 new UpstreamRoute(Address.parse(instance.address()), Optional.of(tunnel)),
                 stage -> {
-                    if (stage.isEmpty()) {
+                    if (stage.isEmpty() && own != Stage.REFUSED) {
                         paths.lost(instance.id());
-                    } else if (stage.get() == Stage.NO_TUNNEL) {
-                        paths.tunnelFailed(host.get());
                     }
-                    result.accept(stage.filter(one -> one != Stage.NO_TUNNEL));
+                    stage.ifPresent(failure -> paths.tunnelFailed(host.get(), instance, failure));
+                    result.accept(stage.filter(PathProber::speaksOfUpstream));
                 });
     }
 
+    private static boolean speaksOfUpstream(Stage stage) {
+        return stage != Stage.NO_TUNNEL && stage != Stage.NOT_REACHED;
+    }
+
     /**
      * One probe on a new connection of this host. Any answer shows that the path works, and so does
      * an upstream that ends the connection in good order: not all of them serve what probes ask
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -178,7 +178,7 @@
                 standing,
                 digest,
                 need,
-                history.allowedInstances(),
+                history.allowedInstances().and(gateway.paths()::isReachable),
                 times.remainingObjective(now),
                 now);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
@@ -6,10 +6,12 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.TunnelReply.Result;
 import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.relay.CallFailure.Stage;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.tunnel.AcceptingHost;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -51,7 +53,36 @@
     }
 
     @Override
-    public void notConnected(UpstreamId id, Result result) {
+    public boolean isBroken(UpstreamId id) {
+        return gateway.paths().isBroken(id);
+    }
+
+    @Override
+    public void notConnected(UpstreamId id, boolean refused, Consumer<Result> judgement) {
+        Stage stage = refused ? Stage.REFUSED : Stage.NO_CONNECTION;
+        Optional<Instance> instance = gateway.dispatcher().find(id);
+        if (instance.isEmpty()) {
+            judgement.accept(Result.NOT_REACHED);
+            return;
+        }
+        gateway.pathProber()
+                .ownLinks()
+                .checkUpstreamIsToBlame(
+                        instance.get(),
+                        stage,
+                        toBlame -> {
+                            Result result = toBlame ? of(stage) : Result.NOT_REACHED;
+                            log(id, result);
+                            judgement.accept(result);
+                        });
+        gateway.paths().failed(id, stage);
+    }
+
+    private static Result of(Stage stage) {
+        return stage == Stage.REFUSED ? Result.REFUSED : Result.NO_CONNECTION;
+    }
+
+    private void log(UpstreamId id, Result result) {
         logger.info(
                 "tunnel.not-connected instance={} result={} brokenPaths={} instances={}",
                 id,
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -136,7 +136,7 @@
 
     private void heard() {
         if (tunnel.isEmpty()) {
-            gateway.paths().heard(instance.id(), inFlight.startedAt());
+            gateway.paths().heard(instance.id(), call.connectedAt());
         }
     }
 
@@ -220,7 +220,7 @@
             gateway.dispatcher().requestNotWritten(inFlight, now);
         }
         switch (failure.stage()) {
-            case NO_TUNNEL, WITHDRAWN -> {
+            case NO_TUNNEL, NOT_REACHED, WITHDRAWN -> {
                 // Says nothing about the instance.
             }
             default -> recordFailure(failure, now);
@@ -233,7 +233,9 @@
             gateway.paths().failed(instance.id(), failure.stage());
         }
         boolean mayBeOwnPath =
-                tunnel.isEmpty() && failure.unconnected() && gateway.paths().hasTunnels();
+                tunnel.isEmpty()
+                        && failure.unconnected()
+                        && gateway.paths().hasTunnelTo(instance.id());
         if (!mayBeOwnPath) {
             gateway.dispatcher().connectionFailed(instance.id(), now);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -44,7 +44,7 @@
         this.random = random;
     }
 
-    /** Sets the listener to call when this host is cut off, and when it reaches upstreams again. */
+    /** Sets the listener to call when this host has become of less help to others, or of more. */
     void onChange(Runnable listener) {
         changeListener = listener;
     }
@@ -88,6 +88,11 @@
         return paths.brokenCount();
     }
 
+    /** Returns whether requests reach an upstream, directly or through another host. */
+    boolean isReachable(UpstreamId id) {
+        return !paths.isBroken(id) || tunnels.isEmpty() || hasTunnelTo(id);
+    }
+
     /** Returns when a caller should come back whose request reaches no upstream. */
     Duration retryDelay() {
         return paths.retryDelay(random, BootClock.nanos());
@@ -98,19 +103,34 @@
         return !paths.isCutOff() && paths.isBroken(id);
     }
 
-    /** Returns whether a request whose connection did not come up may take another path. */
+    /** Returns whether this host reaches some upstreams only through others. */
+    boolean isImpaired() {
+        return paths.isImpaired(BootClock.nanos());
+    }
+
+    /** Returns whether a request may take a tunnel to any upstream. */
     boolean hasTunnels() {
         return tunnels.isAvailable(BootClock.nanos());
     }
 
+    /** Returns whether a request whose connection did not come up may take another path. */
+    boolean hasTunnelTo(UpstreamId id) {
+        return tunnels.isAvailable(id, BootClock.nanos());
+    }
+
     /** Returns the host through which a request is sent, or empty if it is sent directly. */
     Optional<HostId> tunnelTo(UpstreamId id) {
-        return paths.isBroken(id) ? anyTunnelHost() : Optional.empty();
+        return paths.isBroken(id) ? tunnelHostFor(id) : Optional.empty();
     }
 
-    /** Returns a host that may reach upstreams which this one does not reach. */
-    Optional<HostId> anyTunnelHost() {
-        return tunnels.choose(BootClock.nanos());
+    /** Returns a host that may reach an upstream which this one does not reach. */
+    Optional<HostId> tunnelHostFor(UpstreamId id) {
+        return tunnels.choose(id, BootClock.nanos());
+    }
+
+    /** Returns whether connections of this host to an upstream fail at present. */
+    boolean isBroken(UpstreamId id) {
+        return paths.isBroken(id);
     }
 
     /** Records that a request is written on a connection of this host. */
@@ -129,10 +149,10 @@
     /**
      * Records bytes from an upstream on a connection of this host.
      *
-     * @param askedAt when the request or probe that they answer was sent
+     * @param openedAt when that connection was opened
      */
-    void heard(UpstreamId id, long askedAt) {
-        apply(paths.heard(id, askedAt, BootClock.nanos()), id);
+    void heard(UpstreamId id, long openedAt) {
+        apply(paths.heard(id, openedAt, BootClock.nanos()), id);
     }
 
     /**
@@ -146,9 +166,14 @@
         boolean connected =
                 switch (stage) {
                     case SENT, ENDED_BY_UPSTREAM, NOT_SENT -> true;
-                    case REFUSED, NO_CONNECTION, NO_TUNNEL, WITHDRAWN -> false;
+                    case REFUSED, NO_CONNECTION, NO_TUNNEL, NOT_REACHED, WITHDRAWN -> false;
                 };
-        apply(connected ? paths.interrupted(id, now) : paths.failed(id, now), id);
+        boolean wasImpaired = paths.isImpaired(now);
+        Change change = connected ? paths.interrupted(id, now) : paths.failed(id, now);
+        apply(change, id);
+        if (change == Change.NONE && !wasImpaired && paths.isImpaired(now)) {
+            changeListener.run();
+        }
     }
 
     /**
@@ -173,10 +198,21 @@
         tunnels.closed(host);
     }
 
-    /** Records that a tunnel through a host has not come up. */
-    void tunnelFailed(HostId host) {
-        metrics.pathFailed(Stage.NO_TUNNEL.name());
-        tunnels.failed(host, BootClock.nanos());
+    /**
+     * Records that a tunnel through a host has not come up.
+     *
+     * @param stage how far it came; where the upstream itself could not be reached, that says
+     *     nothing about the host
+     */
+    void tunnelFailed(HostId host, Instance instance, Stage stage) {
+        metrics.pathFailed(stage.name());
+        switch (stage) {
+            case NO_TUNNEL -> tunnels.failed(host, BootClock.nanos());
+            case NOT_REACHED -> tunnels.unreached(host, instance.id(), BootClock.nanos());
+            default -> {
+                // Another host would fare no better.
+            }
+        }
     }
 
     /** Returns the upstreams to probe now. */
@@ -197,7 +233,9 @@
             case CUT_OFF -> {
                 cutOffAt = now;
                 logger.warn("upstreams.cut-off instance={} inFlight={}", id, attempts.size());
-                List.copyOf(attempts).forEach(UpstreamAttempt::pathLost);
+                if (paths.isQuiet(now)) {
+                    List.copyOf(attempts).forEach(UpstreamAttempt::pathLost);
+                }
                 changeListener.run();
             }
             case REACHES_AGAIN -> {
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
@@ -16,6 +16,8 @@
         NO_CONNECTION,
         /** The host that should have passed the request on could not be reached, or declined. */
         NO_TUNNEL,
+        /** The host that should have passed the request on does not reach the upstream itself. */
+        NOT_REACHED,
         /** A connection was there, and no byte was written. */
         NOT_SENT,
         /** Whoever sends it did not want it written any more once a connection was there. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -13,6 +13,7 @@
     private final String requestId;
     private final CallListener listener;
     private Channel channel;
+    private long connectedAt;
     private boolean sent;
     private boolean ended;
 
@@ -55,6 +56,14 @@
         }
     }
 
+    /**
+     * Returns when the connection of this call came up, on the monotonic clock in nanoseconds; to
+     * be asked once the call is being sent.
+     */
+    public long connectedAt() {
+        return connectedAt;
+    }
+
     UpstreamRoute route() {
         return route;
     }
@@ -79,6 +88,10 @@
         channel = bound;
     }
 
+    void recordConnectedAt(long openedAt) {
+        connectedAt = openedAt;
+    }
+
     /** Returns whether the request may be written now. */
     boolean sending() {
         sent = listener.sending();
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -254,6 +254,7 @@
             return switch (failed.result()) {
                 case REFUSED -> CallFailure.Stage.REFUSED;
                 case NO_CONNECTION -> CallFailure.Stage.NO_CONNECTION;
+                case NOT_REACHED -> CallFailure.Stage.NOT_REACHED;
                 default -> CallFailure.Stage.NO_TUNNEL;
             };
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.stackhall.core.answer.BodyFraming;
+import io.stackhall.server.clock.BootClock;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -35,6 +36,7 @@
     private final UpstreamClient client;
     private final AnswerDecoder decoder;
     private final String echoHeader;
+    private final long openedAt = BootClock.nanos();
     private UpstreamCall call;
     private boolean written;
     private boolean skipping;
@@ -52,6 +54,7 @@
 
     void begin(UpstreamCall next) {
         call = next;
+        next.recordConnectedAt(openedAt);
         decoder.setHeadRequested(next.request().method().equals(HttpMethod.HEAD));
         written = false;
         skipping = false;
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
@@ -6,6 +6,7 @@
 import io.stackhall.rpc.generated.fleet.TunnelReply.Result;
 import io.stackhall.server.settings.Address;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** The host that accepts tunnels of others. Used on its event loop. */
 public interface AcceptingHost {
@@ -27,6 +28,15 @@
      */
     void heard(UpstreamId id, long openedAt);
 
-    /** Records that the connection of this host to an upstream has not come up. */
-    void notConnected(UpstreamId id, Result result);
+    /** Returns whether connections of this host to an upstream are known to fail. */
+    boolean isBroken(UpstreamId id);
+
+    /**
+     * Records that the connection of this host to an upstream has not come up, and judges what that
+     * says of the upstream.
+     *
+     * @param refused whether it was refused, rather than timed out
+     * @param judgement told what to reply
+     */
+    void notConnected(UpstreamId id, boolean refused, Consumer<Result> judgement);
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -54,6 +54,10 @@
             refuse(from, Result.DECLINED);
             return;
         }
+        if (host.isBroken(id)) {
+            refuse(from, Result.NOT_REACHED);
+            return;
+        }
         open.incrementAndGet();
         from.closeFuture().addListener(closed -> open.decrementAndGet());
         boolean framed = request.getFramed();
@@ -72,9 +76,7 @@
 
     private void notConnected(UpstreamId id, Channel from, Throwable cause) {
         boolean refused = ConnectFailures.isRefusal(cause);
-        Result result = refused ? Result.REFUSED : Result.NO_CONNECTION;
-        host.notConnected(id, result);
-        refuse(from, result);
+        host.notConnected(id, refused, result -> refuse(from, result));
     }
 
     private static void connected(Channel from, Channel to, boolean framed, Runnable onBytes) {
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -174,8 +175,14 @@
         }
 
         @Override
-        public void notConnected(UpstreamId id, TunnelReply.Result result) {
-            throw new AssertionError(id + ": " + result);
+        public boolean isBroken(UpstreamId id) {
+            return false;
+        }
+
+        @Override
+        public void notConnected(
+                UpstreamId id, boolean refused, Consumer<TunnelReply.Result> judgement) {
+            throw new AssertionError(id + " is not reached");
         }
     }
 
