--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
@@ -52,6 +52,11 @@
         gateway.paths().heard(id, openedAt);
     }
 
+    @Override
+    public void brokenOff(UpstreamId id) {
+        gateway.paths().failed(id, Stage.SENT);
+    }
+
     @Override
     public boolean isBroken(UpstreamId id) {
         return gateway.paths().isBroken(id);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -241,6 +241,9 @@
         if (tunnel.isEmpty() && body == null) {
             gateway.paths().failed(instance.id(), failure.stage());
         }
+        if (tunnel.isPresent() && body == null && failure.sent()) {
+            gateway.paths().tunnelFailed(tunnel.get(), instance, failure.stage());
+        }
         boolean mayBeOwnPath =
                 tunnel.isEmpty()
                         && failure.unconnected()
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
@@ -28,6 +28,9 @@
      */
     void heard(UpstreamId id, long openedAt);
 
+    /** Records that a connection to an upstream was reset before any byte had come on it. */
+    void brokenOff(UpstreamId id);
+
     /** Returns whether connections of this host to an upstream are known to fail. */
     boolean isBroken(UpstreamId id);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -62,12 +62,12 @@
         from.closeFuture().addListener(closed -> open.decrementAndGet());
         boolean framed = request.getFramed();
         long openedAt = BootClock.nanos();
-        Runnable onBytes = () -> host.heard(id, openedAt);
+        TunnelEnd.Listener upstream = new UpstreamSide(id, openedAt);
         host.connect(address.get())
                 .addListener(
                         done -> {
                             if (done.isSuccess()) {
-                                connected(from, (Channel) done.getNow(), framed, onBytes);
+                                connected(from, (Channel) done.getNow(), framed, upstream);
                             } else {
                                 notConnected(id, from, done.cause());
                             }
@@ -79,24 +79,26 @@
         host.notConnected(id, refused, result -> refuse(from, result));
     }
 
-    private static void connected(Channel from, Channel to, boolean framed, Runnable onBytes) {
+    private static void connected(
+            Channel from, Channel to, boolean framed, TunnelEnd.Listener upstream) {
         if (!from.isActive()) {
             to.close();
             return;
         }
         from.writeAndFlush(reply(Result.OPEN, framed))
-                .addListener(written -> join(from, to, framed, onBytes));
+                .addListener(written -> join(from, to, framed, upstream));
     }
 
-    private static void join(Channel from, Channel to, boolean framed, Runnable onBytes) {
+    private static void join(
+            Channel from, Channel to, boolean framed, TunnelEnd.Listener upstream) {
         PeerCodec.removeAllFrom(from.pipeline());
         if (framed) {
             from.pipeline().addLast(TunnelInput.encoder());
         }
         from.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         to.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-        from.pipeline().addLast(new TunnelEnd(to, () -> {}));
-        to.pipeline().addLast(new TunnelEnd(from, onBytes));
+        from.pipeline().addLast(new TunnelEnd(to, TunnelEnd.Listener.NONE));
+        to.pipeline().addLast(new TunnelEnd(from, upstream));
         to.config().setAutoRead(true);
         if (!from.isActive()) {
             to.close();
@@ -112,4 +114,25 @@
                 .setTunnelReply(TunnelReply.newBuilder().setResult(result).setFramed(framed))
                 .build();
     }
+
+    /** Tells the host what the upstream's side of a tunnel shows. */
+    private final class UpstreamSide implements TunnelEnd.Listener {
+        private final UpstreamId id;
+        private final long openedAt;
+
+        UpstreamSide(UpstreamId id, long openedAt) {
+            this.id = id;
+            this.openedAt = openedAt;
+        }
+
+        @Override
+        public void received() {
+            host.heard(id, openedAt);
+        }
+
+        @Override
+        public void resetBeforeBytes() {
+            host.brokenOff(id);
+        }
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelEnd.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelEnd.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import java.io.IOException;
 
 /**
  * Passes the bytes of one connection on to another. If the peer ends its side in good order, the
@@ -18,22 +19,42 @@
 final class TunnelEnd extends ChannelInboundHandlerAdapter {
 
     private final Channel other;
-    private final Runnable onBytes;
+    private final Listener listener;
     private boolean endedByPeer;
+    private boolean received;
 
-    /**
-     * Creates the end of a connection.
-     *
-     * @param onBytes run when bytes have come
-     */
-    TunnelEnd(Channel other, Runnable onBytes) {
+    /** Hears what comes on the connection. */
+    interface Listener {
+        /** Hears nothing of it. */
+        Listener NONE =
+                new Listener() {
+                    @Override
+                    public void received() {
+                        // Nobody wants to know.
+                    }
+
+                    @Override
+                    public void resetBeforeBytes() {
+                        // Nobody wants to know.
+                    }
+                };
+
+        /** Called when bytes have come. */
+        void received();
+
+        /** Called when the peer has reset the connection before any byte had come. */
+        void resetBeforeBytes();
+    }
+
+    TunnelEnd(Channel other, Listener listener) {
         this.other = other;
-        this.onBytes = onBytes;
+        this.listener = listener;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) {
-        onBytes.run();
+        received = true;
+        listener.received();
         other.writeAndFlush(bytes);
         if (!other.isWritable()) {
             context.channel().config().setAutoRead(false);
@@ -64,6 +85,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!received && cause instanceof IOException) {
+            listener.resetBeforeBytes();
+        }
         resetOther();
         context.close();
     }
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -33,8 +33,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +54,7 @@
     private final CompletableFuture<Channel> tunnel = new CompletableFuture<>();
     private final RecordingListener answer = new RecordingListener();
     private final Queue<UpstreamId> heard = new ConcurrentLinkedQueue<>();
+    private final BlockingQueue<UpstreamId> brokenOff = new LinkedBlockingQueue<>();
     private ServerSocket upstream;
 
     @BeforeEach
@@ -92,6 +95,18 @@
         }
     }
 
+    // Hosts whose new connections are reset did not notice it by the tunnels of others.
+    @Test
+    void hostWhoseUpstreamResetsTheTunnelOfAnotherOneHearsOfIt() throws Exception {
+        sendRequest();
+        try (Socket engine = upstream.accept()) {
+            engine.getInputStream().read();
+            engine.setSoLinger(true, 0);
+        }
+        assertThat(answer.ended()).isEqualTo("failed");
+        assertThat(brokenOff.poll(5, TimeUnit.SECONDS)).isEqualTo(UpstreamId.parse("i-1"));
+    }
+
     // The connections of a host that is killed end in good order.
     @Test
     void answerWhoseTunnelEndsWithItsHostIsNotWhole() throws Exception {
@@ -104,6 +119,16 @@
 
     /** Sends a request through a tunnel; returns once half of its answer has come. */
     private Socket send() throws Exception {
+        sendRequest();
+        Socket engine = upstream.accept();
+        engine.getInputStream().read();
+        engine.getOutputStream().write((HEAD + "half ").getBytes(StandardCharsets.US_ASCII));
+        assertThat(answer.begun()).isEqualTo("half ");
+        engine.getInputStream().readNBytes(engine.getInputStream().available());
+        return engine;
+    }
+
+    private void sendRequest() throws Exception {
         Address upstreamAddress = new Address("127.0.0.1", upstream.getLocalPort());
         HostId host = new HostId(startHost(upstreamAddress));
         UpstreamRoute route =
@@ -113,12 +138,6 @@
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         loop.execute(() -> new UpstreamClient(loop, "X-Id").send(route, request, "r1", answer));
-        Socket engine = upstream.accept();
-        engine.getInputStream().read();
-        engine.getOutputStream().write((HEAD + "half ").getBytes(StandardCharsets.US_ASCII));
-        assertThat(answer.begun()).isEqualTo("half ");
-        engine.getInputStream().readNBytes(engine.getInputStream().available());
-        return engine;
     }
 
     /** Starts the other host; returns its peer address. */
@@ -174,6 +193,11 @@
             heard.add(id);
         }
 
+        @Override
+        public void brokenOff(UpstreamId id) {
+            brokenOff.add(id);
+        }
+
         @Override
         public boolean isBroken(UpstreamId id) {
             return false;
