An attempt is given up only once another path to an instance is open

Requests under way that could have had their answers ended with 502, "the outcome is unknown", when all hosts took themselves for cut off at the same moment: each gave up its attempts for tunnels that the others declined some milliseconds later.

A tunnel to the instance that would take the request is opened first, and the attempt goes on if something comes meanwhile, or if no tunnel is. It stays among those that are under way, so that the next check of its upstream tries again.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.server.relay.CallFailure;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** Receives the events of one attempt to run a request at an instance. */
 interface AttemptListener {
@@ -37,8 +38,12 @@
     /** Called with a complete answer that is not a stream; takes ownership of the buffer. */
     void onAnswer(HttpResponse head, ByteBuf body, AnswerEnd end);
 
-    /** Called when this host has lost its paths to the upstreams before the attempt has ended. */
-    void onPathLost();
+    /**
+     * Called when this host has lost its path to the instance before the attempt has ended.
+     *
+     * @param stillLost whether the attempt goes on and nothing has come since
+     */
+    void onPathLost(BooleanSupplier stillLost);
 
     /**
      * Called when the instance could not be reached or the connection broke during the attempt.
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -10,6 +10,7 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** Decides how one request goes on after what its attempts have come to. */
 final class AttemptOutcomes implements AttemptListener {
@@ -104,10 +105,19 @@
     }
 
     @Override
-    public void onPathLost() {
-        // An answer that may still come is not given up for nothing.
-        boolean otherPath = gateway.paths().hasTunnels() && request.canBeSentNow();
-        if (mayContinue() && otherPath && request.acquireResend()) {
+    public void onPathLost(BooleanSupplier stillLost) {
+        if (mayContinue()) {
+            request.instanceNow()
+                    .ifPresent(
+                            instance ->
+                                    gateway.pathProber()
+                                            .openTunnel(instance, () -> changePath(stillLost)));
+        }
+    }
+
+    /** An answer that may still come is given up only once there is another path. */
+    private void changePath(BooleanSupplier stillLost) {
+        if (stillLost.getAsBoolean() && mayContinue() && request.acquireResend()) {
             history.recordMayHaveRun();
             request.abandonAttempt();
             request.requeue("this host has lost its paths");
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -141,9 +141,8 @@
                     toBlame -> result.accept(toBlame ? Optional.of(own) : Optional.empty()));
             return;
         }
-        TunnelRoute tunnel = new TunnelRoute(host.get(), instance.id());
         upstreams.probe(
-                new UpstreamRoute(Address.parse(instance.address()), Optional.of(tunnel)),
+                route(host.get(), instance),
                 stage -> {
                     if (stage.isEmpty()) {
                         paths.lost(instance.id(), own);
@@ -153,6 +152,33 @@
                 });
     }
 
+    /**
+     * Finds out whether an upstream is reached through another host.
+     *
+     * @param opened run if it is, before anything else is sent through that host
+     */
+    void openTunnel(Instance instance, Runnable opened) {
+        paths.tunnelHostFor(instance.id())
+                .ifPresent(
+                        host ->
+                                upstreams.probe(
+                                        route(host, instance),
+                                        failure -> {
+                                            if (failure.isPresent()) {
+                                                paths.tunnelFailed(host, instance, failure.get());
+                                            } else {
+                                                paths.tunnelHostReaches(host, instance);
+                                                opened.run();
+                                            }
+                                        }));
+    }
+
+    private static UpstreamRoute route(HostId host, Instance instance) {
+        return new UpstreamRoute(
+                Address.parse(instance.address()),
+                Optional.of(new TunnelRoute(host, instance.id())));
+    }
+
     private static boolean speaksOfUpstream(Stage stage) {
         return stage != Stage.NO_TUNNEL && stage != Stage.NOT_REACHED;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -183,10 +183,11 @@
                 now);
     }
 
-    /** Returns whether an instance would take the request at once. */
-    boolean canBeSentNow() {
+    /** Returns the instance that would take the request at once, if there is one. */
+    Optional<Instance> instanceNow() {
         long now = BootClock.nanos();
-        return choose(gateway.quarantine().standing(digest, now), now) instanceof Choice.Send;
+        Choice choice = choose(gateway.quarantine().standing(digest, now), now);
+        return choice instanceof Choice.Send send ? Optional.of(send.instance()) : Optional.empty();
     }
 
     /** Aborts the request, condemned while in flight, unless its answer has begun. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -118,13 +118,13 @@
     }
 
     /**
-     * Called when this host reaches no upstream any more. An attempt whose answer may still come
-     * does not count as work of the instance from now on.
+     * Called when this host does not reach the upstream any more. An attempt whose answer may still
+     * come does not count as work of the instance from now on.
      */
     void pathLost() {
-        gateway.paths().ended(this);
-        gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
-        listener.onPathLost();
+        long lostAt = BootClock.nanos();
+        gateway.dispatcher().requestEnded(inFlight, lostAt);
+        listener.onPathLost(() -> !left && heardAt - lostAt < 0);
     }
 
     private void abandonBody() {
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/PartlyCutOffHostsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/PartlyCutOffHostsTest.java
@@ -61,7 +61,7 @@
         }
     }
 
-    private void cutOff(Failure how, int hosts, int ofUpstreams) throws IOException {
+    private void cutOff(Failure how, int hosts, int ofUpstreams) {
         for (int host = 1; host <= hosts; host++) {
             for (ScriptedUpstream upstream : upstreams().subList(0, ofUpstreams)) {
                 fleet.links().fail(host, upstream, how);
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RefusedLinksTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RefusedLinksTest.java
@@ -65,7 +65,7 @@
         assertThat(run).as("none has run twice").doesNotHaveDuplicates();
     }
 
-    private void cutOff(int hosts) throws IOException {
+    private void cutOff(int hosts) {
         for (int host = 1; host <= hosts; host++) {
             for (ScriptedUpstream upstream : upstreams()) {
                 fleet.links().fail(host, upstream, Failure.REFUSED);
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLinks.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLinks.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -36,7 +37,7 @@
     private record Link(int host, int upstreamPort) {}
 
     /** Has new connections from a host to an upstream fail from now on. */
-    public void fail(int host, ScriptedUpstream upstream, Failure failure) throws IOException {
+    public void fail(int host, ScriptedUpstream upstream, Failure failure) {
         if (blackHole == null) {
             openBlackHole();
         }
@@ -69,17 +70,26 @@
     }
 
     /** Opens a listener whose queue is full, so that it drops opening packets. */
-    private void openBlackHole() throws IOException {
-        blackHole = new ServerSocket();
-        blackHole.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 1);
-        while (true) {
-            Socket socket = new Socket();
-            queued.add(socket);
-            try {
-                socket.connect(blackHole.getLocalSocketAddress(), PROBE_MILLIS);
-            } catch (SocketTimeoutException e) {
-                return;
+    private void openBlackHole() {
+        try {
+            blackHole = new ServerSocket();
+            blackHole.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 1);
+            while (connects()) {
+                // The queue has room left.
             }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private boolean connects() throws IOException {
+        Socket socket = new Socket();
+        queued.add(socket);
+        try {
+            socket.connect(blackHole.getLocalSocketAddress(), PROBE_MILLIS);
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
         }
     }
 
