--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -55,20 +56,11 @@
     private static final long IMPAIRED_NANOS = Duration.ofSeconds(1).toNanos();
 
     /**
-     * Time without a byte from an upstream that owes an answer, after which it is checked, and
-     * between checks. A sound upstream may be silent for a second or so.
+     * Time without a byte from an upstream that owes an answer, after which it is checked. A sound
+     * upstream may be silent for a second or so.
      */
     public static final long SILENCE_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Upstreams that are checked at a time: together they tell a cut from slow answers. */
-    private static final int MAX_CHECKS = 4;
-
-    /**
-     * Checks in which no host has got an answer, after which silence counts as a failure if nothing
-     * comes from any upstream: a stall of them all has ended by then.
-     */
-    private static final int MAX_UNCONFIRMED_CHECKS = 2;
-
     /** Interval of probes while the host is cut off, so that its end is noticed soon. */
     private static final long CUT_OFF_PROBE_NANOS = Duration.ofMillis(250).toNanos();
 
@@ -85,7 +77,7 @@
     private final Set<UpstreamId> known = new LinkedHashSet<>();
 
     private final Map<UpstreamId, BrokenPath> broken = new LinkedHashMap<>();
-    private final Map<UpstreamId, Unanswered> unanswered = new HashMap<>();
+    private final OwedAnswers owed = new OwedAnswers();
 
     /** Upstreams that broke connections off, and when they were last checked for it. */
     private final Map<UpstreamId, Long> interrupted = new HashMap<>();
@@ -101,6 +93,10 @@
     private long cutOffAt;
     private long heardAt;
     private long probedAt;
+
+    /** When upstreams that have not failed were last probed, to tell a cut from those that have. */
+    private long testedAt;
+
     private Optional<Long> impairedUntil = Optional.empty();
 
     /** A path since its failure. */
@@ -114,18 +110,6 @@
         }
     }
 
-    /** Requests that an upstream owes an answer, and since when nothing has come from it. */
-    private static final class Unanswered {
-        private int count;
-        private long since;
-        private long checkedAt;
-        private int unconfirmedChecks;
-
-        private boolean isCheckDue(long now) {
-            return now - since >= SILENCE_NANOS && now - checkedAt >= SILENCE_NANOS;
-        }
-    }
-
     /** What an event changes. */
     public enum Change {
         NONE,
@@ -144,7 +128,7 @@
     public void forget(UpstreamId id) {
         known.remove(id);
         broken.remove(id);
-        unanswered.remove(id);
+        owed.forget(id);
         brokenSinceHeard.remove(id);
         unconnected.remove(id);
         interrupted.remove(id);
@@ -153,20 +137,12 @@
 
     /** Records that a request is sent to an upstream on this host's own connection. */
     public void sent(UpstreamId id, long now) {
-        Unanswered owed = unanswered.computeIfAbsent(id, key -> new Unanswered());
-        if (owed.count == 0) {
-            owed.since = now;
-            owed.checkedAt = now;
-        }
-        owed.count++;
+        owed.sent(id, now);
     }
 
     /** Records that such a request has ended, however that was. */
     public void ended(UpstreamId id) {
-        Unanswered owed = unanswered.get(id);
-        if (owed != null && --owed.count <= 0) {
-            unanswered.remove(id);
-        }
+        owed.ended(id);
     }
 
     /**
@@ -178,11 +154,7 @@
     public Change heard(UpstreamId id, long openedAt, long now) {
         heardAt = now;
         brokenSinceHeard.clear();
-        Unanswered owed = unanswered.get(id);
-        if (owed != null) {
-            owed.since = now;
-            owed.unconfirmedChecks = 0;
-        }
+        owed.heard(id, now);
         BrokenPath path = broken.get(id);
         if (path != null && openedAt - path.failedAt > 0) {
             broken.remove(id);
@@ -256,14 +228,7 @@
      * connection of this host nor through another one.
      */
     public Change silenceUnconfirmed(UpstreamId id, long now) {
-        Unanswered owed = unanswered.get(id);
-        if (owed == null) {
-            return Change.NONE;
-        }
-        owed.unconfirmedChecks++;
-        boolean nothingHeard = now - heardAt >= MAX_UNCONFIRMED_CHECKS * SILENCE_NANOS;
-        boolean counts = nothingHeard && owed.unconfirmedChecks >= MAX_UNCONFIRMED_CHECKS;
-        return counts ? failed(id, now) : Change.NONE;
+        return owed.isSilenceAFailure(id, now - heardAt) ? failed(id, now) : Change.NONE;
     }
 
     private boolean isCutOffInSilence(long now) {
@@ -282,9 +247,11 @@
 
     /** Begins the turns of probes with the upstreams that have not failed, if any, at once. */
     private void beginTurns(long now) {
-        known.removeAll(brokenSinceHeard);
+        Set<UpstreamId> failed = new LinkedHashSet<>(brokenSinceHeard);
+        failed.addAll(broken.keySet());
+        known.removeAll(failed);
         probedAt = known.isEmpty() ? now : now - CUT_OFF_PROBE_NANOS;
-        known.addAll(brokenSinceHeard);
+        known.addAll(failed);
     }
 
     /**
@@ -354,35 +321,39 @@
                         due.add(id);
                     }
                 });
-        if (unconnected.size() >= MIN_BROKEN && now - probedAt >= CUT_OFF_PROBE_NANOS) {
-            probedAt = now;
-            known.stream()
-                    .filter(id -> !unconnected.contains(id))
-                    .limit(MIN_BROKEN)
-                    .forEach(due::add);
+        if (unconnected.size() >= MIN_BROKEN && now - testedAt >= BROKEN_PROBE_NANOS) {
+            testedAt = now;
+            due.addAll(nextUnbroken());
         }
         return due;
     }
 
     /**
-     * Returns the upstreams to check now, on a new connection and through another host: those that
-     * owe answers in silence, and those that broke a connection off.
+     * Returns the upstreams that owe answers in silence and are to be checked now, on a new
+     * connection and through other hosts at the same time.
      */
-    public Set<UpstreamId> dueChecks(long now) {
-        Set<UpstreamId> due = new LinkedHashSet<>();
-        toCheck.stream().limit(MAX_CHECKS).forEach(due::add);
-        unanswered.forEach(
-                (id, owed) -> {
-                    boolean wanted = known.contains(id) && owed.isCheckDue(now);
-                    if (wanted && due.size() < MAX_CHECKS) {
-                        owed.checkedAt = now;
-                        due.add(id);
-                    }
-                });
-        toCheck.removeAll(due);
+    public Set<UpstreamId> dueSilenceChecks(long now) {
+        return owed.dueChecks(this::isBroken, now);
+    }
+
+    /**
+     * Returns the upstreams that broke connections off and are to be checked now, on a new
+     * connection, and through other hosts if that fails: they may only be full.
+     */
+    public Set<UpstreamId> dueBreakOffChecks() {
+        Set<UpstreamId> due = new LinkedHashSet<>(toCheck);
+        toCheck.clear();
         return due;
     }
 
+    private List<UpstreamId> nextUnbroken() {
+        List<UpstreamId> next =
+                known.stream().filter(id -> !broken.containsKey(id)).limit(MIN_BROKEN).toList();
+        known.removeAll(next);
+        known.addAll(next);
+        return next;
+    }
+
     /**
      * Returns the upstream that was probed the longest time ago. All take their turns: those whose
      * paths have failed may really be down while the others answer.
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -137,10 +137,10 @@
     void upstreamThatIsSilentForASecondIsCheckedAndNotBroken() {
         paths.sent(FIRST, now);
         now += Duration.ofMillis(900).toNanos();
-        assertThat(paths.dueChecks(now)).isEmpty();
+        assertThat(paths.dueSilenceChecks(now)).isEmpty();
         now += Duration.ofMillis(101).toNanos();
-        assertThat(paths.dueChecks(now)).containsExactly(FIRST);
-        assertThat(paths.dueChecks(now)).as("under way").isEmpty();
+        assertThat(paths.dueSilenceChecks(now)).containsExactly(FIRST);
+        assertThat(paths.dueSilenceChecks(now)).as("under way").isEmpty();
         assertThat(paths.silenceUnconfirmed(FIRST, now)).isEqualTo(Change.NONE);
         assertThat(paths.dueProbes(now)).isEmpty();
         assertThat(paths.isBroken(FIRST)).isFalse();
@@ -154,7 +154,7 @@
             now += Duration.ofMillis(101).toNanos();
             paths.heard(THIRD, now, now);
         }
-        assertThat(paths.dueChecks(now)).containsExactly(FIRST);
+        assertThat(paths.dueSilenceChecks(now)).containsExactly(FIRST);
     }
 
     // Requests went on to be sent on new connections that were reset, as the upstream might be
@@ -163,13 +163,13 @@
     void upstreamThatBreaksConnectionsOffIsCheckedOnceASecond() {
         paths.interrupted(FIRST, now);
         paths.interrupted(FIRST, now + 1);
-        assertThat(paths.dueChecks(now + 2)).containsExactly(FIRST);
+        assertThat(paths.dueBreakOffChecks()).containsExactly(FIRST);
         paths.interrupted(FIRST, now + 3);
-        assertThat(paths.dueChecks(now + 4)).isEmpty();
+        assertThat(paths.dueBreakOffChecks()).isEmpty();
         assertThat(paths.isBroken(FIRST)).isFalse();
         now += Duration.ofSeconds(1).toNanos();
         paths.interrupted(FIRST, now);
-        assertThat(paths.dueChecks(now)).containsExactly(FIRST);
+        assertThat(paths.dueBreakOffChecks()).containsExactly(FIRST);
     }
 
     @Test
@@ -178,12 +178,12 @@
         paths.sent(FIRST, now);
         paths.sent(SECOND, now);
         now += Duration.ofMillis(1001).toNanos();
-        assertThat(paths.dueChecks(now)).containsExactlyInAnyOrder(FIRST, SECOND);
+        assertThat(paths.dueSilenceChecks(now)).containsExactlyInAnyOrder(FIRST, SECOND);
         paths.silenceUnconfirmed(FIRST, now);
         paths.silenceUnconfirmed(SECOND, now);
         assertThat(paths.isBroken(FIRST)).isFalse();
         now += Duration.ofMillis(1001).toNanos();
-        assertThat(paths.dueChecks(now)).containsExactlyInAnyOrder(FIRST, SECOND);
+        assertThat(paths.dueSilenceChecks(now)).containsExactlyInAnyOrder(FIRST, SECOND);
         paths.silenceUnconfirmed(FIRST, now);
         assertThat(paths.silenceUnconfirmed(SECOND, now)).isEqualTo(Change.CUT_OFF);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
@@ -25,11 +25,26 @@
         this.paths = paths;
     }
 
-    /** Starts to check an upstream. */
-    void check(Instance instance) {
+    /** Checks an upstream that owes answers, in all ways at once as requests wait for them. */
+    void checkSilent(Instance instance) {
         new Check(instance).start();
     }
 
+    /** Checks an upstream that broke a connection off, through others only if it does so again. */
+    void checkBrokenOff(Instance instance) {
+        long startedAt = BootClock.nanos();
+        probes.send(
+                instance,
+                Optional.empty(),
+                failure -> {
+                    if (failure.isPresent()) {
+                        new Check(instance).startThroughOthers(failure.get());
+                    } else {
+                        paths.heard(instance.id(), startedAt);
+                    }
+                });
+    }
+
     private final class Check {
         private final Instance instance;
         private final List<HostId> others;
@@ -46,6 +61,16 @@
         void start() {
             pending = 1 + others.size();
             probes.send(instance, Optional.empty(), this::ownResult);
+            askOthers();
+        }
+
+        void startThroughOthers(Stage own) {
+            pending = 1 + others.size();
+            askOthers();
+            ownResult(Optional.of(own));
+        }
+
+        private void askOthers() {
             for (HostId host : others) {
                 probes.send(instance, Optional.of(host), failure -> otherResult(host, failure));
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -63,12 +63,18 @@
         for (UpstreamId id : paths.dueProbes()) {
             dispatcher.find(id).ifPresent(this::probe);
         }
-        for (UpstreamId id : paths.dueChecks()) {
-            dispatcher.find(id).ifPresent(pathChecks::check);
+        for (UpstreamId id : paths.dueSilenceChecks()) {
+            dispatcher.find(id).ifPresent(pathChecks::checkSilent);
+        }
+        for (UpstreamId id : paths.dueBreakOffChecks()) {
+            dispatcher.find(id).ifPresent(pathChecks::checkBrokenOff);
         }
     }
 
-    /** Probes an upstream on a new connection of this host. */
+    /**
+     * Probes an upstream on a new connection of this host. One that does not answer in time may
+     * only be slow, unless its path is known to be broken.
+     */
     private void probe(Instance instance) {
         long startedAt = BootClock.nanos();
         healthProbes.send(
@@ -77,7 +83,7 @@
                 failure -> {
                     if (failure.isEmpty()) {
                         paths.heard(instance.id(), startedAt);
-                    } else {
+                    } else if (failure.get() != Stage.SENT || paths.isBroken(instance.id())) {
                         paths.failed(instance.id(), Stage.NO_CONNECTION);
                     }
                 });
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -205,9 +205,14 @@
         apply(paths.silenceUnconfirmed(id, BootClock.nanos()), id);
     }
 
-    /** Returns the upstreams to check now, on a new connection and through other hosts. */
-    Set<UpstreamId> dueChecks() {
-        return paths.dueChecks(BootClock.nanos());
+    /** Returns the silent upstreams to check now. */
+    Set<UpstreamId> dueSilenceChecks() {
+        return paths.dueSilenceChecks(BootClock.nanos());
+    }
+
+    /** Returns the upstreams to check now that broke connections off. */
+    Set<UpstreamId> dueBreakOffChecks() {
+        return paths.dueBreakOffChecks();
     }
 
     /** Records that a request is sent through a host. */
