A host that is alone checks no paths

Found by a run of all checks: an upstream of a single entry host got health checks while it was slow or broke connections off (12 requests where 8 were to come, 4 begun where 2 were; StreamAndStopTest, QuarantineTest). They can lead to nothing there, as no other host could stand in.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathProber.java
@@ -58,11 +58,14 @@
         healthProbes.setRoutes(routes);
     }
 
-    /** Sends the probes that are due. */
+    /** Sends the probes that are due, and checks of paths that other hosts could stand in for. */
     void probeDue() {
         for (UpstreamId id : paths.dueProbes()) {
             dispatcher.find(id).ifPresent(this::probe);
         }
+        if (paths.isAlone()) {
+            return;
+        }
         for (UpstreamId id : paths.dueSilenceChecks()) {
             dispatcher.find(id).ifPresent(pathChecks::checkSilent);
         }
