A refused check needs no second opinion

Each connection that broke off had its upstream checked through three other hosts even where this host's own check was refused, as after any crash: some twelve connections a host and second for nothing. Others are asked only if the check comes up and is broken off as well.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
@@ -30,21 +30,30 @@
         new Check(instance).start();
     }
 
-    /** Checks an upstream that broke a connection off, through others only if it does so again. */
+    /**
+     * Checks an upstream that broke a connection off. Others are asked only if it does so again: a
+     * connection that does not come up needs no second opinion.
+     */
     void checkBrokenOff(Instance instance) {
         long startedAt = BootClock.nanos();
         probes.send(
                 instance,
                 Optional.empty(),
                 failure -> {
-                    if (failure.isPresent()) {
-                        new Check(instance).startThroughOthers(failure.get());
-                    } else {
+                    if (failure.isEmpty()) {
                         paths.heard(instance.id(), startedAt);
+                    } else if (isUnconnected(failure.get())) {
+                        paths.failed(instance.id(), failure.get());
+                    } else {
+                        new Check(instance).startThroughOthers(failure.get());
                     }
                 });
     }
 
+    private static boolean isUnconnected(Stage stage) {
+        return stage == Stage.REFUSED || stage == Stage.NO_CONNECTION;
+    }
+
     private final class Check {
         private final Instance instance;
         private final List<HostId> others;
@@ -109,9 +118,5 @@
                 paths.silenceUnconfirmed(instance.id());
             }
         }
-
-        private static boolean isUnconnected(Stage stage) {
-            return stage == Stage.REFUSED || stage == Stage.NO_CONNECTION;
-        }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -226,10 +226,10 @@
     }
 
     /**
-     * Records that a tunnel through a host has not come up.
+     * Records that a tunnel through a host has not come up, or has broken off without an answer.
      *
-     * @param stage how far it came; where the upstream itself could not be reached, that says
-     *     nothing about the host
+     * @param stage how far it came; where the upstream itself is to blame, that says nothing about
+     *     the host
      */
     void tunnelFailed(HostId host, Instance instance, Stage stage) {
         metrics.pathFailed(stage.name());
