A host whose path is broken still says what becomes of a connection

A host that knew its path to be broken answered "not reached" without a try, and as all hosts find a crash at the same time, nobody vouched for it.

It tries now, and is judged by its links to others, unless most of these are broken as well or the path carries nothing.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/UpstreamPaths.java
@@ -103,6 +103,7 @@
     private static final class BrokenPath {
         private long failedAt;
         private long probedAt;
+        private boolean mute;
 
         private BrokenPath(long now) {
             failedAt = now;
@@ -188,6 +189,22 @@
         return change;
     }
 
+    /** Records that connections to an upstream come up and carry nothing, though others' do. */
+    public Change mute(UpstreamId id, long now) {
+        Change change = failed(id, now);
+        BrokenPath path = broken.get(id);
+        if (path != null) {
+            path.mute = true;
+        }
+        return change;
+    }
+
+    /** Returns whether new connections to an upstream come up and carry nothing. */
+    public boolean isMute(UpstreamId id) {
+        BrokenPath path = broken.get(id);
+        return path != null && path.mute;
+    }
+
     /** An upstream that stays down is no further evidence of a cut. */
     private void recordNewlyBroken(UpstreamId id, long now) {
         if (unconnected.isEmpty()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -162,7 +162,10 @@
      */
     private void notReachedThroughTunnel(Instance instance, CallFailure failure, HostId host) {
         gateway.paths().tunnelFailed(host, instance, failure.stage());
-        if (failure.unconnected()) {
+        // A host that is just being cut off itself may not know it yet.
+        boolean doubted =
+                failure.stage() == CallFailure.Stage.NO_CONNECTION && gateway.paths().isCutOff();
+        if (failure.unconnected() && !doubted) {
             gateway.notices().notifyUnreachable(instance, failure.stage());
             tryNextInstance(instance, UNREACHABLE);
         } else if (history.tryAcquireTunnelRetry()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnLinks.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnLinks.java
@@ -35,6 +35,15 @@
         this.random = random;
     }
 
+    /**
+     * Returns whether connections of this host to an upstream are known to fail, and its own links
+     * are to blame for it.
+     */
+    boolean areToBlame(Instance instance) {
+        boolean broken = paths.isBroken(instance.id());
+        return broken && (paths.isMute(instance.id()) || areMostOthersBroken(instance));
+    }
+
     /**
      * Finds out whether the upstream is to blame for a connection of this host that failed. Where
      * it was refused, connections to others of its service show it at once; where nothing came
@@ -48,14 +57,22 @@
         } else if (stage == Stage.REFUSED) {
             connectToOthers(failed, result);
         } else {
-            result.accept(!paths.isImpaired());
+            result.accept(!areMostOthersBroken(failed));
         }
     }
 
+    private boolean areMostOthersBroken(Instance failed) {
+        List<Instance> others = othersLike(failed);
+        return 2 * unbroken(others).size() < others.size();
+    }
+
+    private List<Instance> unbroken(List<Instance> all) {
+        return all.stream().filter(one -> !paths.isBroken(one.id())).toList();
+    }
+
     private void connectToOthers(Instance failed, Consumer<Boolean> result) {
         List<Instance> others = othersLike(failed);
-        List<Instance> unbroken =
-                new ArrayList<>(others.stream().filter(one -> !paths.isBroken(one.id())).toList());
+        List<Instance> unbroken = new ArrayList<>(unbroken(others));
         Collections.shuffle(unbroken, random);
         LinkEvidence evidence = new LinkEvidence(others.size(), unbroken.size());
         if (evidence.verdict().isPresent()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/PathChecks.java
@@ -112,7 +112,9 @@
             }
             Stage own = ownFailure.get();
             if (otherAnswered) {
-                paths.failed(instance.id(), isUnconnected(own) ? own : Stage.NO_CONNECTION);
+                if (!isUnconnected(own)) {
+                    paths.mute(instance.id());
+                }
                 paths.lost(instance.id(), own);
             } else if (!isUnconnected(own)) {
                 paths.silenceUnconfirmed(instance.id());
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/TunnelsOfOthers.java
@@ -58,8 +58,11 @@
     }
 
     @Override
-    public boolean isBroken(UpstreamId id) {
-        return gateway.paths().isBroken(id);
+    public boolean isAtFault(UpstreamId id) {
+        return gateway.dispatcher()
+                .find(id)
+                .filter(gateway.pathProber().ownLinks()::areToBlame)
+                .isPresent();
     }
 
     @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -200,6 +200,17 @@
                 .forEach(UpstreamAttempt::pathLost);
     }
 
+    /** Records that connections of this host to an upstream carry nothing, though others' do. */
+    void mute(UpstreamId id) {
+        metrics.pathFailed(Stage.NO_CONNECTION.name());
+        apply(paths.mute(id, BootClock.nanos()), id);
+    }
+
+    /** Returns whether connections of this host to an upstream come up and carry nothing. */
+    boolean isMute(UpstreamId id) {
+        return paths.isMute(id);
+    }
+
     /** Records that a silent upstream has not answered a check of this host or of another one. */
     void silenceUnconfirmed(UpstreamId id) {
         apply(paths.silenceUnconfirmed(id, BootClock.nanos()), id);
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/AcceptingHost.java
@@ -31,8 +31,11 @@
     /** Records that a connection to an upstream was reset before any byte had come on it. */
     void brokenOff(UpstreamId id);
 
-    /** Returns whether connections of this host to an upstream are known to fail. */
-    boolean isBroken(UpstreamId id);
+    /**
+     * Returns whether connections of this host to an upstream are known to fail, and its own links
+     * are to blame for it.
+     */
+    boolean isAtFault(UpstreamId id);
 
     /**
      * Records that the connection of this host to an upstream has not come up, and judges what that
--- a/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/tunnel/TunnelAcceptor.java
@@ -54,7 +54,7 @@
             refuse(from, Result.DECLINED);
             return;
         }
-        if (host.isBroken(id)) {
+        if (host.isAtFault(id)) {
             refuse(from, Result.NOT_REACHED);
             return;
         }
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -199,7 +199,7 @@
         }
 
         @Override
-        public boolean isBroken(UpstreamId id) {
+        public boolean isAtFault(UpstreamId id) {
             return false;
         }
 
