The software version of instances, and what callers take up, are logged

A caller's report of a stream with events of two software versions could not be traced: heartbeats name the version of an upstream's software, and it was read and dropped, and no line said that a caller takes a stream up.

Instances carry the version now, between hosts as well; request.sent names the version, the attempt that the caller takes up and the last event that it has, and instance.changed names the version. Nothing is decided by it yet.

--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/Instance.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/Instance.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import java.time.Duration;
@@ -24,6 +25,7 @@
  * @param inHostMemory the models that it can load from its host's memory
  * @param onDisk the models that it can load from its disk
  * @param ordersTaken the number of orders that it has taken
+ * @param software the version of its software; empty if a host of an earlier version reported it
  */
 public record Instance(
         UpstreamId id,
@@ -37,7 +39,8 @@
         List<ModelCopy> models,
         Set<ModelId> inHostMemory,
         Set<ModelId> onDisk,
-        long ordersTaken) {
+        long ordersTaken,
+        Optional<SoftwareVersion> software) {
 
     /** Creates an instance with copies of the collections. */
     public Instance {
@@ -78,6 +81,7 @@
                 models,
                 inHostMemory,
                 onDisk,
-                ordersTaken);
+                ordersTaken,
+                software);
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -2,11 +2,13 @@
 
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Factory of instances for tests. */
@@ -66,7 +68,8 @@
                 instance.models(),
                 instance.inHostMemory(),
                 instance.onDisk(),
-                instance.ordersTaken());
+                instance.ordersTaken(),
+                instance.software());
     }
 
     /** Returns an instance at an address. */
@@ -87,6 +90,7 @@
                 copies,
                 Set.of(),
                 Set.of(),
-                0);
+                0,
+                Optional.of(new SoftwareVersion("v1")));
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.fleet.ModelCopy;
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
@@ -18,6 +19,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Encodes instances for other hosts. */
@@ -58,6 +60,7 @@
                             .setVersion(copy.version())
                             .addAllAdapters(copy.adapters()));
         }
+        instance.software().ifPresent(version -> record.setSoftware(version.value()));
         instance.inHostMemory().forEach(model -> record.addCopiesInMemory(model.value()));
         instance.onDisk().forEach(model -> record.addCopiesOnDisk(model.value()));
         return record.build();
@@ -97,7 +100,10 @@
                 models,
                 modelIds(record.getCopiesInMemoryList()),
                 modelIds(record.getCopiesOnDiskList()),
-                record.getOrdersTaken());
+                record.getOrdersTaken(),
+                record.hasSoftware()
+                        ? Optional.of(SoftwareVersion.of(record.getSoftware()))
+                        : Optional.empty());
     }
 
     private static Set<ModelId> modelIds(List<String> names) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -32,6 +32,19 @@
         return RequestHeaders.requestId(headers::get);
     }
 
+    /**
+     * Returns the id of the attempt that brought the first event of a stream, if the caller takes
+     * that stream up with this request.
+     */
+    Optional<String> resumedId() {
+        return Optional.ofNullable(headers.get(Headers.RESUMES));
+    }
+
+    /** Returns the id of the last event that the caller has of the stream that it takes up. */
+    OptionalLong lastEventId() {
+        return RequestHeaders.lastEventId(headers::get);
+    }
+
     /** Returns the value of the Host header, or an empty string. */
     String authority() {
         return headers.get(HttpHeaderNames.HOST, "");
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/InstanceLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/InstanceLog.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.gateway;
 
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.SoftwareVersion;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,11 +20,12 @@
     static void logChange(Instance instance, Optional<Instance> known) {
         if (known.filter(before -> before.state() == instance.state()).isEmpty()) {
             logger.info(
-                    "instance.changed id={} address={} state={} sequence={}",
+                    "instance.changed id={} address={} state={} sequence={} software={}",
                     instance.id(),
                     instance.address(),
                     instance.state(),
-                    instance.sequence());
+                    instance.sequence(),
+                    instance.software().map(SoftwareVersion::value).orElse(""));
         }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -15,6 +15,7 @@
 import io.stackhall.server.gateway.RequestAuthorization.Decision;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** One caller's request from its arrival to its final answer. Used on one event loop. */
@@ -232,7 +233,14 @@
         attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), resuming, outcomes);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
         log.sent(
-                need, instance, history.sendCount() + 1, why, now - waitingSince, waitReason, load);
+                need,
+                instance,
+                history.sendCount() + 1,
+                why,
+                now - waitingSince,
+                waitReason,
+                load,
+                lastEvent());
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt() - now);
         sentAt = now;
         gateway.quarantine().attemptStarted(digest, instance, this);
@@ -248,6 +256,11 @@
                 request.id());
     }
 
+    /** Returns the id of the last event that the caller has, from this answer or an earlier one. */
+    private OptionalLong lastEvent() {
+        return stream.hasBegun() ? stream.lastEventId() : request.lastEventId();
+    }
+
     private void timeOut() {
         if (!ended) {
             finalAnswer.timeOut();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -7,6 +7,7 @@
 import io.stackhall.core.dispatch.WaitReason;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
@@ -34,6 +35,7 @@
     private final String id;
     private final RequestDigest digest;
     private final long arrivedAt;
+    private final String resumes;
     private String route = "none";
     private String customer = "";
     private long firstByteMillis = -1;
@@ -45,6 +47,7 @@
         this.id = request.id();
         this.digest = digest;
         this.arrivedAt = request.arrivedAt();
+        this.resumes = request.resumedId().orElse("");
     }
 
     /** Sets the name of the request's route. */
@@ -78,6 +81,7 @@
      * @param why the reason for which the dispatcher has chosen the instance
      * @param load the estimated number of requests that the instance runs or queues; the line also
      *     names the sequence number of the announcement that it is based on
+     * @param lastEvent the last event that the caller has of the stream, if it has one
      */
     void sent(
             Need need,
@@ -86,14 +90,16 @@
             String why,
             long waitedNanos,
             WaitReason waitedFor,
-            double load) {
+            double load,
+            OptionalLong lastEvent) {
         metrics.reached("send", waitedNanos);
         long leftOut = lineBudget.take(LineBudget.Kind.SENT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
                     "request.sent id={} digest={} instance={} service={} model={} adapter={}"
                             + " send={} why={} waitedMs={} waitedFor={} occupancy={}"
-                            + " instanceSequence={} customer={} leftOut={}",
+                            + " instanceSequence={} software={} resumes={} afterEvent={}"
+                            + " customer={} leftOut={}",
                     id,
                     digest,
                     instance.id(),
@@ -106,6 +112,9 @@
                     waitedFor,
                     (long) load,
                     instance.sequence(),
+                    instance.software().map(SoftwareVersion::value).orElse(""),
+                    resumes,
+                    lastEvent,
                     customer,
                     leftOut);
         }
--- a/stackhall-server/src/test/java/io/stackhall/server/control/EntryFollowersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/control/EntryFollowersTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -80,6 +81,7 @@
                 List.of(),
                 Set.of(),
                 Set.of(),
-                0);
+                0,
+                Optional.empty());
     }
 }
