--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -55,11 +55,13 @@
         return links;
     }
 
-    /** Starts three control hosts for the first time. */
-    public void foundControl() throws IOException {
+    /** Starts three control hosts for the first time, and returns them. */
+    public List<ControlDaemon> foundControl() throws IOException {
+        List<ControlDaemon> started = new ArrayList<>();
         for (int number = 1; number <= 3; number++) {
-            startControl(number, true);
+            started.add(startControl(number, true));
         }
+        return started;
     }
 
     /** Starts one control host, which lives at 127.0.3.number. */
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.stackhall.server.control.ControlDaemon;
 import io.stackhall.server.gateway.EntryDaemon;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -41,11 +43,12 @@
     @TempDir private Path folder;
     LocalFleet fleet;
     EntryDaemon entry;
+    List<ControlDaemon> controls;
 
     @BeforeEach
     void start() throws Exception {
         fleet = new LocalFleet(folder);
-        fleet.foundControl();
+        controls = fleet.foundControl();
         entry = fleet.startEntry(1);
         LocalFleet.await("routes taken", () -> put(ROUTES) == 200);
         LocalFleet.await("ready", () -> fleet.ready(1));
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
@@ -117,14 +117,20 @@
         return connections.size();
     }
 
-    /** Returns the body of a heartbeat. */
+    /** Returns the body of a heartbeat of software v1. */
     public String heartbeat(String service, String state, long sequence, String models) {
+        return heartbeat(service, "v1", state, sequence, models);
+    }
+
+    /** Returns the body of a heartbeat. */
+    public String heartbeat(
+            String service, String software, String state, long sequence, String models) {
         return """
-                {"service":"%s","address":"%s","zone":"plateau","version":"v1","slots":4,
+                {"service":"%s","address":"%s","zone":"plateau","version":"%s","slots":4,
                  "state":"%s","cold-remaining-ms":0,"sequence":%d,"stage":"both","models":%s,
                  "at-hand":{"in-memory":[],"on-disk":[]}}
                 """
-                .formatted(service, address(), state, sequence, models);
+                .formatted(service, address(), software, state, sequence, models);
     }
 
     @Override
