A stream goes on only at the software version that began it

Callers got streams whose first events came from one software version of an engine and the others from another. The version that heartbeats tell was dropped, so whoever went on with a stream chose any instance: the host itself within one answer, and every host for a caller that takes a stream up.

An event binds its request to the instance's software (Need.software). The host that passes the first event on remembers it by the id of the attempt; while a service has more than one version, one control host of its zone and one of another remember it too. A host that gets a stream to take up asks its own memory, then all control hosts: a record decides. Without one the stream goes on only if a majority of the control hosts, and the host, have seen a single version for as long as the stream can have lived. Otherwise, and where no instance of the version serves it, the caller is refused at once with 503, which is true: it has not run.

Nothing is sent for streams of a service that has one version. The case of streams taken up within one answer sends whole streams first: 20 resends among 20 requests are more than the allowance for resends permits, so that the fifth got 502 whatever its version; its check is the same.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Admission.java
@@ -116,6 +116,10 @@
                             WaitReason.NO_INSTANCE,
                             "no instance of its service is known",
                             now);
+            case Choice.VersionMissing() ->
+                    new Verdict.GiveUp(
+                            "no instance of the software that began the stream serves it",
+                            NEXT_HEARTBEAT);
             case Choice.Apart() ->
                     waitBudget.isExhausted(Duration.ZERO, now)
                             ? new Verdict.GiveUp(
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/Choice.java
@@ -105,6 +105,12 @@
      */
     record NoPath(Duration retryAfter) implements Choice {}
 
+    /**
+     * The request may run at one version of the software only, and no instance of that version
+     * serves it.
+     */
+    record VersionMissing() implements Choice {}
+
     /** No instance of the service is known that accepts requests. */
     record NobodyServes() implements Choice {}
 
--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceSelector.java
@@ -65,8 +65,25 @@
                 selectServing(partition, request).or(() -> waitForTimeSlot(partition));
         Optional<Choice> later = orWaitForRestEnd(partition.resting, now, request);
         Optional<Choice> decided = orWaitForPermit(partition.limited, later, request);
-        return decided.orElseGet(
-                () -> partition.anyReady ? new Choice.AllTried() : new Choice.NobodyServes());
+        Choice choice =
+                decided.orElseGet(
+                        () ->
+                                partition.anyReady
+                                        ? new Choice.AllTried()
+                                        : new Choice.NobodyServes());
+        return request.need().software().isPresent() ? withoutWaitingForOthers(choice) : choice;
+    }
+
+    /**
+     * Returns the choice for a request that only one version of the software may run. What is
+     * missing there need not come: loads go to instances of any version.
+     */
+    private static Choice withoutWaitingForOthers(Choice choice) {
+        return switch (choice) {
+            case Choice.NobodyServes none -> new Choice.VersionMissing();
+            case Choice.ModelMissing missing -> new Choice.VersionMissing();
+            default -> choice;
+        };
     }
 
     private Partition partition(
@@ -80,7 +97,7 @@
             boolean fits =
                     instance.state() == InstanceState.READY
                             && !evacuated.contains(instance.zone())
-                            && instance.service().equals(request.need().service());
+                            && request.need().isMetBy(instance);
             partition.anyReady |= fits;
             if (!fits || !allowed.test(instance.id())) {
                 continue;
--- a/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.id.ServiceName;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A route: where requests for a host name and path prefix go, and their limits and objectives.
@@ -50,6 +51,25 @@
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
     }
 
+    /**
+     * Returns the longest time from the first event of a stream to the moment at which its caller
+     * takes it up: one answer lasts as long as the timeout, and so may the one that goes on with
+     * it.
+     */
+    public Duration maxStreamLife() {
+        return timeout.multipliedBy(2);
+    }
+
+    /** Returns whether some of its requests go to a service. */
+    public boolean leadsTo(ServiceName service) {
+        return split.stream().anyMatch(share -> share.service().equals(service));
+    }
+
+    /** Returns the service of all its requests, if there is only one. */
+    public Optional<ServiceName> onlyService() {
+        return split.size() == 1 ? Optional.of(split.getFirst().service()) : Optional.empty();
+    }
+
     /**
      * Returns the service for a request.
      *
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -86,6 +86,7 @@
     private final EvacuationService evacuations;
     private final LimitService limits;
     private final SlotService slots;
+    private final StreamOriginService streamOrigins;
     private Channel listener;
     private Optional<Channel> metricsListener = Optional.empty();
     private final FleetMetrics metrics = new FleetMetrics();
@@ -104,7 +105,7 @@
         this.control = control;
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
         this.hosts = new ControlHosts(settings, transport, host -> {});
-        this.fleet = new FleetRegistry(loop, transport, hosts, settings.limits().heartbeat());
+        this.fleet = new FleetRegistry(settings, loop, transport, hosts);
         this.workRelay = new WorkRelay(hosts.self(), fleet.followers(), fleet::sendToControlHosts);
         this.stateMachine = new ControlStateMachine();
         this.group =
@@ -124,6 +125,7 @@
         this.allowances = new AllowanceService(group, fleet.followers()::count, new Random());
         this.limits = new LimitService(group, fleet, hosts.self());
         this.slots = new SlotService(group, loop, hosts.self());
+        this.streamOrigins = new StreamOriginService(fleet, hosts.self());
         this.orders =
                 new OrderIssuer(
                         settings,
@@ -213,6 +215,8 @@
             case LIMIT_WORDS -> limits.receive(frame.getLimitWords());
             case LIMIT_HEARD -> limits.handleObservation(frame.getLimitHeard());
             case PERMIT_ASK -> limits.handlePermitRequest(frame.getPermitAsk(), replier);
+            case STREAM_ORIGINS -> streamOrigins.receive(frame.getStreamOrigins());
+            case STREAM_ORIGIN_ASK -> streamOrigins.handle(frame.getStreamOriginAsk(), replier);
             case SLOT_ASK -> slots.handle(frame.getSlotAsk(), replier);
             case ALLOWANCE_ASK -> allowances.handle(frame.getAllowanceAsk(), replier);
             default -> logger.debug("peer.frame-ignored kind={}", frame.getBodyCase());
@@ -289,6 +293,7 @@
         metrics.state("routes_version", (double) fleet.routes().getVersion());
         metrics.state("instances", fleet.instances().size());
         metrics.state("limited_upstreams", limits.limitedUpstreams().size());
+        metrics.state("stream_origins", streamOrigins.size());
         metrics.state("followers", fleet.followers().count());
         metrics.state("refused_records", (double) fleet.refusedRecords());
         return new SimpleHttpServer.Response(HttpResponseStatus.OK.code(), metrics.scrape());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -8,9 +8,12 @@
 import io.stackhall.core.fleet.UpdateUrgency;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
+import io.stackhall.core.stream.VersionHistory;
+import io.stackhall.core.stream.VersionsSeen;
 import io.stackhall.platform.ConfigurationDecoder;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
@@ -25,6 +28,7 @@
 import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
+import io.stackhall.server.settings.FleetSettings;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -57,6 +61,7 @@
     private final ControlHosts hosts;
     private final InstanceTable table;
     private final EntryFollowers followers;
+    private final VersionHistory versions;
     private ByteString packedRoutes = ByteString.EMPTY;
     private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
 
@@ -65,12 +70,18 @@
     private long refusedRecords;
     private long refusalLoggedAt;
 
-    FleetRegistry(EventLoop loop, PeerTransport transport, ControlHosts hosts, Duration heartbeat) {
+    FleetRegistry(
+            FleetSettings settings, EventLoop loop, PeerTransport transport, ControlHosts hosts) {
         this.loop = loop;
         this.transport = transport;
         this.hosts = hosts;
         this.followers = new EntryFollowers(loop, hosts.self());
-        this.table = new InstanceTable(heartbeat.multipliedBy(SILENT_HEARTBEATS));
+        this.table =
+                new InstanceTable(settings.limits().heartbeat().multipliedBy(SILENT_HEARTBEATS));
+        this.versions =
+                settings.firstStart()
+                        ? VersionHistory.ofNewFleet()
+                        : VersionHistory.since(BootClock.nanos());
     }
 
     /**
@@ -148,6 +159,7 @@
     /** Notifies all control hosts and all entry hosts of instances that are no longer usable. */
     private void publish(List<Instance> changed) {
         sendToControlHosts(changed);
+        changed.forEach(instance -> versions.update(instance, BootClock.nanos()));
         changed.forEach(FleetRegistry::log);
         followers.notifyAllFollowers(changed);
     }
@@ -259,6 +271,11 @@
         return table.all();
     }
 
+    /** Returns the versions of a service's software that were there within a period. */
+    VersionsSeen versionsSeen(ServiceName service, Duration period) {
+        return versions.seen(service, period, BootClock.nanos());
+    }
+
     ControlSnapshot routes() {
         return routes;
     }
@@ -285,6 +302,7 @@
         for (Instance instance : instances) {
             Optional<Instance> before = table.find(instance.id());
             for (Instance after : table.merge(instance, BootClock.nanos())) {
+                versions.update(after, BootClock.nanos());
                 merged.add(after);
                 switch (UpdateUrgency.of(before, after)) {
                     case CRITICAL -> critical.add(after);
@@ -319,13 +337,14 @@
     private static void log(Instance instance) {
         logger.info(
                 "upstream.changed id={} address={} service={} zone={} state={} sequence={}"
-                        + " models={}",
+                        + " software={} models={}",
                 instance.id(),
                 instance.address(),
                 instance.service(),
                 instance.zone(),
                 instance.state(),
                 instance.sequence(),
+                instance.software().map(SoftwareVersion::value).orElse(""),
                 instance.models());
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/explain/RequestStory.java
@@ -10,9 +10,9 @@
 import java.util.stream.Stream;
 
 /**
- * What the logs say of one request: its own lines, what was held against its content until its end,
- * and for the time from before its first to its last what was believed of the instances, the model
- * and the routes that they name.
+ * What the logs say of one request: its own lines and those of the attempt whose stream it goes on
+ * with, what was held against its content until its end, and for the time from before its first to
+ * its last what was believed of the instances, the model and the routes that they name.
  */
 public final class RequestStory {
 
@@ -20,13 +20,15 @@
     private static final String INSTANCE = "instance";
     private static final String MODEL = "model";
     private static final String DIGEST = "digest";
+    private static final String RESUMES = "resumes";
 
     private RequestStory() {}
 
     /** Returns the lines of a request's story in the order of their times. */
     public static List<LogLine> of(String requestId, Collection<LogLine> all) {
         List<LogLine> sorted = all.stream().sorted().toList();
-        List<LogLine> own = sorted.stream().filter(line -> isOfRequest(line, requestId)).toList();
+        Set<String> attempts = attempts(requestId, sorted);
+        List<LogLine> own = sorted.stream().filter(line -> isOfRequest(line, attempts)).toList();
         if (own.isEmpty()) {
             return List.of();
         }
@@ -54,10 +56,21 @@
         return story.stream().sorted().toList();
     }
 
-    private static boolean isOfRequest(LogLine line, String requestId) {
+    /** Returns the request's id, and that of the attempt whose stream it goes on with. */
+    private static Set<String> attempts(String requestId, List<LogLine> all) {
+        Set<String> attempts = new LinkedHashSet<>(Set.of(requestId));
+        all.stream()
+                .filter(line -> isOfRequest(line, Set.of(requestId)))
+                .map(line -> line.field(RESUMES))
+                .forEach(attempts::add);
+        attempts.remove("");
+        return attempts;
+    }
+
+    private static boolean isOfRequest(LogLine line, Set<String> requestIds) {
         boolean ofRequests =
                 line.event().startsWith("request.") || line.event().startsWith("attempt.");
-        return ofRequests && line.field(ID).equals(requestId);
+        return ofRequests && requestIds.contains(line.field(ID));
     }
 
     private static boolean isHeldAgainst(LogLine line, Set<String> digests) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -56,6 +56,7 @@
     @Override
     public void onEvent(HttpResponse head, EventAssembler.Event event) {
         gateway.quarantine().answerBegun(request.digest(), request.attemptedInstance().id());
+        request.eventReceived();
         stream.forwardEvent(head, event);
     }
 
@@ -189,7 +190,8 @@
     }
 
     private boolean mayContinue() {
-        return history.mayContinue(stream.hasBegun(), stream.lastEventId().isPresent());
+        return request.mayGoOnElsewhere()
+                && history.mayContinue(stream.hasBegun(), stream.lastEventId().isPresent());
     }
 
     private void tryNextInstance(Instance instance, String reason) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -45,6 +45,11 @@
         return RequestHeaders.lastEventId(headers::get);
     }
 
+    /** Returns whether the caller takes up a stream of which it has events. */
+    boolean takesUpStream() {
+        return resumedId().isPresent() || headers.contains(Headers.LAST_EVENT_ID);
+    }
+
     /** Returns the value of the Host header, or an empty string. */
     String authority() {
         return headers.get(HttpHeaderNames.HOST, "");
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
@@ -1,8 +1,10 @@
 package io.stackhall.server.gateway;
 
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.peer.Frame;
 import java.util.List;
+import java.util.Map;
 
 /** The connections of an entry host to the control hosts. */
 interface ControlHostConnections {
@@ -17,6 +19,12 @@
     /** Returns the connected control hosts. */
     List<HostId> connected();
 
+    /** Returns the zones of the connected control hosts that have told theirs. */
+    Map<HostId, ZoneId> zones();
+
+    /** Returns the number of known control hosts, connected or not. */
+    int knownCount();
+
     /** Sends a frame to every connected control host. */
     default void sendToAll(Frame frame) {
         connected().forEach(host -> send(host, frame));
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -100,7 +100,8 @@
 
     /**
      * Subscribes to a control host to which a connection has been established, and sends it the
-     * crash and leaving notices that it may have missed. May be called on any thread.
+     * crash and leaving notices and the origins of streams that it may have missed. May be called
+     * on any thread.
      */
     void onConnected(HostId host) {
         loop.execute(
@@ -112,6 +113,7 @@
                     gateway.upstreamAnnouncements()
                             .leavingFrames()
                             .forEach(frame -> transport.send(host, frame));
+                    gateway.streamOrigins().connected(host);
                     subscribe(host);
                 });
     }
@@ -212,6 +214,8 @@
                     gateway.dispatchWaiting();
                 }
             }
+            case STREAM_ORIGIN_ANSWER ->
+                    gateway.streamOrigins().receive(frame.getStreamOriginAnswer());
             case PERMIT_REPLY -> receivePermitReply(frame.getPermitReply());
             case ALLOWANCE_ANSWER ->
                     gateway.customers().allowanceClient().receive(frame.getAllowanceAnswer());
@@ -227,7 +231,10 @@
         }
         update.getInstancesList().forEach(this::updateInstance);
         gateway.setEntryHostCount(update.getEntryHosts());
-        knowsInstances |= update.getWhole();
+        if (update.getWhole()) {
+            knowsInstances = true;
+            gateway.streamOrigins().startWatching();
+        }
         gateway.dispatchWaiting();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -162,6 +162,7 @@
                         this::sendToControlHosts,
                         upstreamLimits,
                         new UpstreamSlotClient(self, loop, slots, leaders, fleetMetrics),
+                        new StreamOriginClient(settings.zone(), loop, leaders, fleetMetrics),
                         fleetMetrics,
                         random);
         if (limits.hasSmallProcessorShare()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -62,6 +62,7 @@
     private final FleetMetrics metrics;
     private final UpstreamLimitClient upstreamLimits;
     private final UpstreamSlotClient upstreamSlots;
+    private final StreamOriginClient streamOrigins;
     private final UpstreamAnnouncements upstreamAnnouncements;
     private final UpstreamPathMonitor paths;
     private final PathProber pathProber;
@@ -87,6 +88,7 @@
             Consumer<Frame> toControlHosts,
             UpstreamLimitClient limits,
             UpstreamSlotClient slots,
+            StreamOriginClient streamOrigins,
             FleetMetrics metrics,
             RandomGenerator random) {
         this.loop = loop;
@@ -98,6 +100,7 @@
         this.customers = customers;
         this.upstreamLimits = limits;
         this.upstreamSlots = slots;
+        this.streamOrigins = streamOrigins;
         this.upstreamAnnouncements = new UpstreamAnnouncements(limits, slots, dispatcher, notices);
         this.waiting = new WaitingRequests(List.of(limits::resetWaiting, slots::resetWaiting));
         this.metrics = metrics;
@@ -155,6 +158,7 @@
         InstanceLog.logChange(instance, dispatcher.find(instance.id()));
         dispatcher.updateInstance(instance);
         paths.instanceChanged(instance);
+        streamOrigins.instanceChanged(instance);
         if (instance.state() != InstanceState.GONE) {
             upstreamSlots.instanceChanged(instance);
         }
@@ -247,6 +251,7 @@
         paths.updateMetrics();
         upstreamLimits.measure();
         upstreamSlots.measure();
+        streamOrigins.measure();
         metrics.state("resting_upstreams", dispatcher.restingCount());
     }
 
@@ -347,6 +352,10 @@
         return upstreamSlots;
     }
 
+    StreamOriginClient streamOrigins() {
+        return streamOrigins;
+    }
+
     UpstreamAnnouncements upstreamAnnouncements() {
         return upstreamAnnouncements;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
@@ -1,10 +1,12 @@
 package io.stackhall.server.gateway;
 
 import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.peer.PeerTransport;
 import java.util.List;
+import java.util.Map;
 
 /** The connections that this host keeps to the control hosts. */
 record LinkedControlHosts(PeerTransport transport, ControlHosts controlHosts)
@@ -19,4 +21,14 @@
     public List<HostId> connected() {
         return controlHosts.knownHosts().stream().filter(transport::connected).toList();
     }
+
+    @Override
+    public Map<HostId, ZoneId> zones() {
+        return controlHosts.connected();
+    }
+
+    @Override
+    public int knownCount() {
+        return controlHosts.knownHosts().size();
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -27,6 +27,7 @@
 import io.stackhall.server.relay.UpstreamClient;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 
@@ -84,6 +85,7 @@
                         new UpstreamLimitClient(SELF, loop, limited, leader, metrics),
                         new UpstreamSlotClient(
                                 SELF, loop, new BrittleUpstreams(SELF), leader, metrics),
+                        new StreamOriginClient(zone, loop, leader, metrics),
                         metrics,
                         random);
         gateway.setEntryHostCount(1);
@@ -122,6 +124,16 @@
         public List<HostId> connected() {
             return List.of(LEADER);
         }
+
+        @Override
+        public Map<HostId, ZoneId> zones() {
+            return Map.of();
+        }
+
+        @Override
+        public int knownCount() {
+            return 1;
+        }
     }
 
     private Frame decide(Frame question) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -11,6 +11,8 @@
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.Route;
+import io.stackhall.core.stream.StreamOrigin;
+import io.stackhall.core.stream.TakeUp;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.gateway.RequestAuthorization.Decision;
 import java.time.Duration;
@@ -21,6 +23,9 @@
 /** One caller's request from its arrival to its final answer. Used on one event loop. */
 final class RelayedRequest {
 
+    /** A control host that has started again is told within this time what it has lost. */
+    private static final Duration UNKNOWN_ORIGIN_RETRY_DELAY = Duration.ofSeconds(1);
+
     private final Gateway gateway;
     private final CallerRequest request;
     private final RequestDigest digest;
@@ -28,6 +33,7 @@
     private final FinalAnswer finalAnswer;
     private final AttemptHistory history = new AttemptHistory();
     private Route route;
+    private RequestStream origin;
     private Need need;
     private RequestDeadlines times;
     private RequestAuthorization rights;
@@ -80,7 +86,30 @@
             return;
         }
         log.setCustomer(rights.customer());
-        need = request.need(route.chooseService(gateway.drawTicket()), rights.rank());
+        origin = new RequestStream(gateway.streamOrigins(), request, route);
+        if (origin.isTakenUp()) {
+            origin.inquire(this::takeUp);
+        } else {
+            admit(request.need(route.chooseService(gateway.drawTicket()), rights.rank()));
+        }
+    }
+
+    /** Goes on with the stream that the caller takes up, at the software that began it. */
+    private void takeUp(TakeUp decision) {
+        if (ended) {
+            return;
+        }
+        log.takenUp(decision);
+        switch (decision) {
+            case TakeUp.GoOn(StreamOrigin begun, TakeUp.Evidence evidence) ->
+                    admit(request.need(begun.service(), rights.rank()).atVersion(begun.software()));
+            case TakeUp.Refused(TakeUp.Reason reason) ->
+                    finalAnswer.refuse(reason.text(), UNKNOWN_ORIGIN_RETRY_DELAY);
+        }
+    }
+
+    private void admit(Need what) {
+        need = what;
         finalAnswer.setNeed(need);
         admission = times.admission(request.arrivedAt());
         gateway.requestArrived(need);
@@ -126,6 +155,9 @@
         if (ended || attempt != null) {
             return true;
         }
+        if (need == null) {
+            return false;
+        }
         if (gateway.isClosing()) {
             finalAnswer.giveUp("this host is about to stop", Duration.ZERO);
             return true;
@@ -313,6 +345,16 @@
         return digest;
     }
 
+    /** Records an event that the current attempt has brought. */
+    void eventReceived() {
+        need = origin.eventReceived(attempt.instance(), need);
+    }
+
+    /** Returns whether another instance may go on with a stream that has begun. */
+    boolean mayGoOnElsewhere() {
+        return origin.mayGoOn(need);
+    }
+
     /** Returns when the current attempt was sent, on the monotonic clock in nanoseconds. */
     long sentAt() {
         return sentAt;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -9,6 +9,8 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.quarantine.RequestDigest;
+import io.stackhall.core.stream.StreamOrigin;
+import io.stackhall.core.stream.TakeUp;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
@@ -157,6 +159,31 @@
         }
     }
 
+    /** Logs whether a stream that the caller takes up goes on, and what that is known from. */
+    void takenUp(TakeUp decision) {
+        String outcome =
+                switch (decision) {
+                    case TakeUp.GoOn go -> go.evidence().name();
+                    case TakeUp.Refused refused -> refused.reason().name();
+                };
+        String software =
+                decision instanceof TakeUp.GoOn(StreamOrigin origin, TakeUp.Evidence evidence)
+                        ? origin.software().value()
+                        : "";
+        metrics.streamTakenUp(outcome);
+        long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
+        if (leftOut >= 0) {
+            logger.info(
+                    "request.takes-up id={} resumes={} known={} software={} ageMs={} leftOut={}",
+                    id,
+                    resumes,
+                    outcome,
+                    software,
+                    ageMillis(),
+                    leftOut);
+        }
+    }
+
     /** Records that the first bytes of the answer have arrived. */
     void answerBegun() {
         firstByteMillis = ageMillis();
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -0,0 +1,201 @@
+package io.stackhall.server.gateway;
+
+import io.netty.channel.EventLoop;
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.HostId;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.ZoneId;
+import io.stackhall.core.route.Route;
+import io.stackhall.core.stream.OriginHolders;
+import io.stackhall.core.stream.OriginInquiry;
+import io.stackhall.core.stream.OriginLookup;
+import io.stackhall.core.stream.StreamKey;
+import io.stackhall.core.stream.StreamOrigin;
+import io.stackhall.core.stream.StreamOrigins;
+import io.stackhall.core.stream.StreamOrigins.Memory;
+import io.stackhall.core.stream.TakeUp;
+import io.stackhall.core.stream.VersionHistory;
+import io.stackhall.core.stream.VersionsSeen;
+import io.stackhall.rpc.generated.fleet.StreamOriginAnswer;
+import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
+import io.stackhall.server.fleet.StreamOriginCodec;
+import io.stackhall.server.metrics.FleetMetrics;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Remembers where the streams of one entry host began, has control hosts remember it while a
+ * service runs several versions of its software, and asks them for streams that began at other
+ * hosts. Not thread-safe: confined to one event loop.
+ */
+final class StreamOriginClient {
+
+    /** A control host answers within some milliseconds; a caller waits for this decision. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 250;
+
+    /** Whoever has told of two versions goes on telling for this long after one of them is gone. */
+    private static final Duration MIX_MEMORY = Duration.ofDays(1);
+
+    private final ZoneId zone;
+    private final EventLoop loop;
+    private final ControlHostConnections controlHosts;
+    private final FleetMetrics metrics;
+    private final StreamOrigins origins = new StreamOrigins();
+    private final VersionHistory versions = VersionHistory.notWatching();
+    private final Map<Long, Question> questions = new HashMap<>();
+    private long lastNumber;
+
+    /** A question that control hosts have not answered yet, and who waits for its decision. */
+    private record Question(OriginInquiry inquiry, Consumer<TakeUp> decided) {}
+
+    StreamOriginClient(
+            ZoneId zone,
+            EventLoop loop,
+            ControlHostConnections controlHosts,
+            FleetMetrics metrics) {
+        this.zone = zone;
+        this.loop = loop;
+        this.controlHosts = controlHosts;
+        this.metrics = metrics;
+    }
+
+    /** Records that all instances of the moment are known. */
+    void startWatching() {
+        versions.startWatching(BootClock.nanos());
+    }
+
+    /** Applies a change of an instance. */
+    void instanceChanged(Instance instance) {
+        long now = BootClock.nanos();
+        boolean first = versions.update(instance, now);
+        if (first && mayMix(instance.service(), MIX_MEMORY, now)) {
+            tellHolders(
+                    origins.all(now).stream()
+                            .filter(one -> one.origin().service().equals(instance.service()))
+                            .toList());
+        }
+    }
+
+    /** Tells a control host that has just been connected what it may have lost or missed. */
+    void connected(HostId host) {
+        long now = BootClock.nanos();
+        List<Memory> mixed =
+                origins.all(now).stream()
+                        .filter(memory -> mayMix(memory.origin().service(), MIX_MEMORY, now))
+                        .toList();
+        if (!mixed.isEmpty()) {
+            controlHosts.send(host, StreamOriginCodec.encode(mixed));
+        }
+    }
+
+    /**
+     * Records the first event of a stream, or of its continuation.
+     *
+     * @param route the route of its request
+     */
+    void begun(StreamKey key, StreamOrigin origin, Route route) {
+        long now = BootClock.nanos();
+        Duration keep = route.maxStreamLife();
+        origins.record(key, origin, keep, now);
+        if (mayMix(origin.service(), keep, now)) {
+            tellHolders(List.of(new Memory(key, origin, keep)));
+        }
+    }
+
+    /**
+     * Finds out whether a stream that its caller takes up goes on. Decided at once if this host
+     * knows the stream, otherwise once control hosts have answered.
+     *
+     * @param key the stream, if its caller says which one it is
+     */
+    void inquire(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided) {
+        long now = BootClock.nanos();
+        OriginLookup own =
+                key.map(stream -> origins.find(stream, now)).orElseGet(OriginLookup.Unknown::new);
+        switch (own) {
+            case OriginLookup.Known(StreamOrigin origin) ->
+                    decided.accept(new TakeUp.GoOn(origin, TakeUp.Evidence.OWN_RECORD).on(route));
+            case OriginLookup.Contradictory() ->
+                    decided.accept(new TakeUp.Refused(TakeUp.Reason.CONTRADICTORY));
+            case OriginLookup.Unknown() ->
+                    ask(key, route, takeUp -> decided.accept(takeUp.on(route)), now);
+        }
+    }
+
+    private void ask(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided, long now) {
+        Optional<ServiceName> service = route.onlyService();
+        Duration life = route.maxStreamLife();
+        long number = ++lastNumber;
+        Frame question = StreamOriginCodec.question(number, key, service, life);
+        List<HostId> asked = new ArrayList<>();
+        for (HostId host : controlHosts.connected()) {
+            if (controlHosts.send(host, question)) {
+                asked.add(host);
+            }
+        }
+        VersionsSeen seen =
+                service.map(name -> versions.seen(name, life, now))
+                        .orElseGet(VersionsSeen::nothing);
+        OriginInquiry inquiry =
+                new OriginInquiry(controlHosts.knownCount(), asked, service, life, seen);
+        if (asked.isEmpty()) {
+            decided.accept(inquiry.conclude());
+            return;
+        }
+        questions.put(number, new Question(inquiry, decided));
+        loop.schedule(() -> timeOut(number), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Receives a control host's answer. */
+    void receive(StreamOriginAnswer answer) {
+        Question question = questions.get(answer.getNumber());
+        if (question == null) {
+            return;
+        }
+        question.inquiry()
+                .answer(
+                        new HostId(answer.getHost()),
+                        StreamOriginCodec.lookup(answer),
+                        StreamOriginCodec.seen(answer))
+                .ifPresent(
+                        takeUp -> {
+                            questions.remove(answer.getNumber());
+                            question.decided().accept(takeUp);
+                        });
+    }
+
+    private void timeOut(long number) {
+        Question question = questions.remove(number);
+        if (question != null) {
+            question.decided().accept(question.inquiry().conclude());
+        }
+    }
+
+    /** Updates the gauges. */
+    void measure() {
+        metrics.state("stream_origins", origins.size());
+        metrics.state("stream_origin_questions", questions.size());
+    }
+
+    private boolean mayMix(ServiceName service, Duration period, long now) {
+        return versions.seen(service, period, now).mayMix();
+    }
+
+    private void tellHolders(List<Memory> memories) {
+        Map<HostId, ZoneId> zones = controlHosts.zones();
+        Map<HostId, List<Memory>> byHolder = new HashMap<>();
+        for (Memory memory : memories) {
+            for (HostId holder : OriginHolders.select(memory.key(), zone, zones)) {
+                byHolder.computeIfAbsent(holder, host -> new ArrayList<>()).add(memory);
+            }
+        }
+        byHolder.forEach((host, told) -> controlHosts.send(host, StreamOriginCodec.encode(told)));
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -59,6 +59,12 @@
                     .help("Requests for upstreams that want rest, by what became of them.")
                     .labelNames("outcome")
                     .register(registry);
+    private final Counter takenUpStreams =
+            Counter.builder()
+                    .name("stackhall_streams_taken_up_total")
+                    .help("Streams that callers take up, by what is known of their origin.")
+                    .labelNames("outcome")
+                    .register(registry);
     private final Counter pathFailures =
             Counter.builder()
                     .name("stackhall_upstream_path_failures_total")
@@ -123,6 +129,11 @@
         restedRequests.labelValues(outcome).inc();
     }
 
+    /** Notes whether a stream that its caller takes up goes on, and why. */
+    public void streamTakenUp(String outcome) {
+        takenUpStreams.labelValues(outcome).inc();
+    }
+
     /** Notes that a connection to an upstream has failed before an answer began. */
     public void pathFailed(String stage) {
         pathFailures.labelValues(stage).inc();
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/MixedVersionsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/MixedVersionsTest.java
@@ -89,6 +89,7 @@
 
     @Test
     void streamThatAHostTakesUpWithinOneAnswerKeepsItsVersion() throws Exception {
+        earnResends();
         for (int number = 0; number < STREAMS; number++) {
             String id = "w" + number;
             breakOff.add(id);
@@ -172,6 +173,18 @@
         }
     }
 
+    /** Sends as many whole streams as the allowance for resends takes to cover all broken ones. */
+    private void earnResends() throws InterruptedException {
+        List<Thread> callers = new ArrayList<>();
+        for (int number = 0; number < 6 * STREAMS; number++) {
+            String request = get("/resumed/x", "whole" + number);
+            callers.add(Thread.startVirtualThread(() -> fleet.statusOf(1, request)));
+        }
+        for (Thread caller : callers) {
+            caller.join();
+        }
+    }
+
     /** Begins streams, each on a connection that its caller closes after the first event. */
     private List<Begun> begin(int host, String prefix, int count) throws IOException {
         List<Begun> begun = new ArrayList<>();
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -15,6 +15,7 @@
 import io.stackhall.core.id.CustomerId;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.route.Route;
 import io.stackhall.core.route.RouteKind;
 import io.stackhall.rpc.generated.fleet.AllowanceAnswer;
@@ -26,6 +27,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -71,6 +73,16 @@
         public List<HostId> connected() {
             return List.of(LEADER);
         }
+
+        @Override
+        public Map<HostId, ZoneId> zones() {
+            return Map.of(LEADER, new ZoneId("plateau"));
+        }
+
+        @Override
+        public int knownCount() {
+            return 1;
+        }
     }
 
     @BeforeEach
