--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -29,7 +29,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -41,12 +40,6 @@
 
     private static final Logger logger = LogManager.getLogger(Gateway.class);
 
-    /**
-     * Interval at which waiting requests are reconsidered: a thirtieth of the shortest latency
-     * objectives in use.
-     */
-    private static final long RECHECK_INTERVAL_MILLIS = 25;
-
     private final EventLoop loop;
     private final LoopDelayMeter loopDelay;
     private final Dispatcher dispatcher;
@@ -74,7 +67,7 @@
     private boolean closing;
     private int entryHostCount;
     private Runnable newlyWaitingListener = () -> {};
-    private boolean recheckScheduled;
+    private final RecheckTimer recheckTimer;
 
     Gateway(
             EventLoop loop,
@@ -103,6 +96,7 @@
         this.streamOrigins = streamOrigins;
         this.upstreamAnnouncements = new UpstreamAnnouncements(limits, slots, dispatcher, notices);
         this.waiting = new WaitingRequests(List.of(limits::resetWaiting, slots::resetWaiting));
+        this.recheckTimer = new RecheckTimer(loop, () -> !waiting.isEmpty(), this::recheckWaiting);
         this.metrics = metrics;
         this.paths = paths;
         this.pathProber = new PathProber(loop, upstreams, paths, dispatcher, notices, random);
@@ -192,26 +186,10 @@
         upstreamSlots.scheduleCheck();
     }
 
-    /**
-     * Schedules the next check while any request waits: the passage of time alone may let a request
-     * be sent or refused.
-     */
-    private void scheduleRecheck() {
-        if (!recheckScheduled && !waiting.isEmpty()) {
-            recheckScheduled = true;
-            loop.schedule(this::recheckWaiting, RECHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
     private void recheckWaiting() {
-        recheckScheduled = false;
-        try {
-            dispatchWaiting();
-            if (demand.hasNewlyWaiting()) {
-                newlyWaitingListener.run();
-            }
-        } finally {
-            scheduleRecheck();
+        dispatchWaiting();
+        if (demand.hasNewlyWaiting()) {
+            newlyWaitingListener.run();
         }
     }
 
@@ -365,7 +343,7 @@
         demand.recordWaitStart(request.need());
         upstreamLimits.scheduleCheck();
         upstreamSlots.scheduleCheck();
-        scheduleRecheck();
+        recheckTimer.schedule();
     }
 
     RequestsAwaitingRoutes firstRoutes() {
