The soak has upstreams of two versions, and callers that take streams up

Upstreams of v1 and v2 break off a third of their streams while hosts are killed, frozen and stopped; a caller takes the rest up at the next host. What looks complete must be whole and of one version, as before; no chain of attempts may hold events of two. Streams of a version that does not hold the model are refused at once (DispatcherTest), and explain tells a stream that is taken up with the attempt that began it.

--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.dispatch;
 
 import static io.stackhall.core.fleet.Instances.SERVICE;
+import static io.stackhall.core.fleet.Instances.atVersion;
 import static io.stackhall.core.fleet.Instances.incarnation;
 import static io.stackhall.core.fleet.Instances.instance;
 import static io.stackhall.core.fleet.Instances.instanceInZone;
@@ -9,6 +10,7 @@
 import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.ModelId;
+import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.route.EngineSpec;
@@ -283,6 +285,22 @@
         assertThat(limiter.tryTake(SERVICE, NOW)).isFalse();
     }
 
+    // A stream that waited for its model at its own version waited for a load that nobody orders.
+    @Test
+    void streamWhoseVersionLacksItsModelIsRefusedAtOnce() {
+        dispatcher.updateInstance(instance("old", 1, "m"));
+        dispatcher.updateInstance(atVersion("new-1", "v2", "other"));
+        Need goingOn = need(Optional.empty()).atVersion(new SoftwareVersion("v2"));
+        assertThat(dispatcher.choose(goingOn, id -> true, false, NOW))
+                .isEqualTo(new Choice.VersionMissing());
+        dispatcher.updateInstance(atVersion("new-2-too", "v2", "m"));
+        assertThat(sentTo(goingOn)).contains("new-2-too");
+        Need nowhere = need(Optional.empty()).atVersion(new SoftwareVersion("v3"));
+        Admission admission = new Admission(NOW + Duration.ofSeconds(9).toNanos());
+        assertThat(admission.decide(dispatcher.choose(nowhere, id -> true, false, NOW), 0, NOW))
+                .isInstanceOf(Admission.Verdict.GiveUp.class);
+    }
+
     private Optional<String> sentTo(Need need) {
         return idOf(dispatcher.choose(need, id -> true, false, NOW));
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -72,6 +72,25 @@
                 instance.software());
     }
 
+    /** Returns an instance of a version of the software that holds some models. */
+    public static Instance atVersion(String id, String software, String... models) {
+        Instance instance = instance(id, 1, models);
+        return new Instance(
+                instance.id(),
+                instance.service(),
+                instance.address(),
+                instance.zone(),
+                instance.slots(),
+                instance.state(),
+                instance.sequence(),
+                instance.cold(),
+                instance.models(),
+                instance.inHostMemory(),
+                instance.onDisk(),
+                instance.ordersTaken(),
+                Optional.of(new SoftwareVersion(software)));
+    }
+
     /** Returns an instance at an address. */
     public static Instance instance(String id, String address, long sequence, String... models) {
         List<ModelCopy> copies =
--- a/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/explain/RequestStoryTest.java
@@ -38,6 +38,17 @@
                         "request.failed");
     }
 
+    @Test
+    void streamThatIsTakenUpIsToldWithTheAttemptThatBeganIt() {
+        line("front-1", "01", "request.sent id=r1 instance=i-1 software=v1 resumes=");
+        line("front-1", "02", "request.broken-off id=r1 lastEvent=3");
+        line("front-2", "03", "request.takes-up id=r2 resumes=r1 known=RECORD software=v1");
+        line("front-2", "04", "request.sent id=r2 instance=i-2 software=v1 resumes=r1");
+        assertThat(events("r2"))
+                .containsExactly(
+                        "request.sent", "request.broken-off", "request.takes-up", "request.sent");
+    }
+
     @Test
     void refusedRequestIsToldWithWhatWasHeldAgainstItsContentBefore() {
         line("front-2", "01", "request.suspected digest=d1 instance=i-1 standing=Suspect");
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/BreakingUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/BreakingUpstream.java
@@ -16,22 +16,25 @@
 
 /**
  * An upstream whose streams it frames in different ways, and of which it breaks off a share within
- * an event. What another one has begun it finishes whole.
+ * an event. What another one has begun it finishes whole. Each event names its software.
  */
 final class BreakingUpstream implements AutoCloseable {
 
     static final String SERVICE = "breaking";
 
-    /** The stream that each request asks for. */
-    static final String STREAM = event(1) + event(2) + event(3);
+    private static final int EVENTS = 3;
+
+    /** Between the two halves of an answer, so that hosts end in the middle of streams. */
+    private static final long PAUSE_MILLIS = 20;
 
     /** One in so many streams that begin here is broken off. */
     private static final int BROKEN_SHARE = 3;
 
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
-    private final Heartbeats heartbeats = new Heartbeats(SERVICE);
+    private final Heartbeats heartbeats;
     private final AtomicLong brokenOff = new AtomicLong();
     private final String name;
+    private final String software;
     private final Random random;
     private final ServerSocket server;
 
@@ -42,8 +45,10 @@
         CONNECTION
     }
 
-    BreakingUpstream(String name, long seed) throws IOException {
+    BreakingUpstream(String name, String software, long seed) throws IOException {
         this.name = name;
+        this.software = software;
+        this.heartbeats = new Heartbeats(SERVICE, software);
         this.random = new Random(seed);
         this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         threads.submit(this::accept);
@@ -106,15 +111,19 @@
 
     private void answer(Socket socket, String id, int lastEvent) throws IOException {
         Framing framing = Framing.values()[draw(Framing.values().length)];
-        String body = STREAM.substring(lastEvent * event(1).length());
+        String body = stream(software).substring(lastEvent * event(1, software).length());
         boolean breaksOff = lastEvent == 0 && draw(BROKEN_SHARE) == 0;
         if (breaksOff) {
             brokenOff.incrementAndGet();
-            int within = 1 + draw(event(1).length() - 1);
-            body = body.substring(0, draw(3) * event(1).length() + within);
+            int within = 1 + draw(event(1, software).length() - 1);
+            body = body.substring(0, draw(EVENTS) * event(1, software).length() + within);
         }
         OutputStream out = socket.getOutputStream();
-        out.write(message(framing, id, body).getBytes(StandardCharsets.ISO_8859_1));
+        byte[] message = message(framing, id, body).getBytes(StandardCharsets.ISO_8859_1);
+        out.write(message, 0, message.length / 2);
+        out.flush();
+        Eventually.pause(PAUSE_MILLIS);
+        out.write(message, message.length / 2, message.length - message.length / 2);
         out.flush();
         if (breaksOff && draw(2) == 0) {
             socket.setSoLinger(true, 0);
@@ -137,8 +146,17 @@
         return Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
     }
 
-    private static String event(int number) {
-        return "id: " + number + "\ndata: part\n\n";
+    /** Returns the whole stream that each request asks for, from one version of the software. */
+    static String stream(String software) {
+        StringBuilder stream = new StringBuilder();
+        for (int number = 1; number <= EVENTS; number++) {
+            stream.append(event(number, software));
+        }
+        return stream.toString();
+    }
+
+    private static String event(int number, String software) {
+        return "id: " + number + "\ndata: " + software + "\n\n";
     }
 
     private synchronized int draw(int bound) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
@@ -1,59 +1,115 @@
 package io.stackhall.tests.harness;
 
 import java.io.IOException;
-import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 
-/** Callers of streams of which upstreams break off a share: what looks complete must be whole. */
+/**
+ * Callers of streams of which upstreams break off a share, and which they take up again at another
+ * host: what looks complete must be whole, and no stream may hold events of two versions.
+ */
 final class BrokenStreams implements AutoCloseable {
 
     private static final int OK = 200;
+    private static final String PATH = "/breaking/x";
+    private static final String DATA = "data: ";
 
-    /** What one has broken off, the other one goes on with. */
-    private static final int UPSTREAMS = 2;
+    /** What one has broken off, another of its version goes on with. */
+    private static final List<String> SOFTWARE = List.of("v1", "v1", "v2", "v2");
 
     private final SeededHosts hosts;
     private final List<BreakingUpstream> upstreams = new ArrayList<>();
     private final AtomicLong whole = new AtomicLong();
+    private final AtomicLong takenUp = new AtomicLong();
+    private final AtomicLong wentOn = new AtomicLong();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
 
     BrokenStreams(SeededHosts hosts, long seed) throws IOException {
         this.hosts = hosts;
-        for (int number = 1; number <= UPSTREAMS; number++) {
-            upstreams.add(hosts.startBreaking("i-breaking-" + number, seed + number));
+        for (int number = 1; number <= SOFTWARE.size(); number++) {
+            String software = SOFTWARE.get(number - 1);
+            upstreams.add(hosts.startBreaking("i-breaking-" + number, software, seed + number));
         }
     }
 
-    /** Asks a host for one stream. */
+    /** Asks a host for one stream, and the next host for the rest if it breaks off. */
     void call(int host, String id) {
+        List<String> lines = new ArrayList<>();
+        boolean complete = read(host, id, lines);
+        long events = lines.stream().filter(String::isEmpty).count();
+        if (!complete && events > 0) {
+            takenUp.incrementAndGet();
+            keepWholeEvents(lines);
+            complete =
+                    read(
+                            1 + host % TroubledHosts.ENTRY_HOSTS,
+                            id + "-again",
+                            lines,
+                            "Last-Event-Id",
+                            Long.toString(events),
+                            "Resumes",
+                            id);
+            wentOn.addAndGet(complete ? 1 : 0);
+        }
+        check(id, lines, complete);
+    }
+
+    private static void keepWholeEvents(List<String> lines) {
+        lines.subList(lines.lastIndexOf("") + 1, lines.size()).clear();
+    }
+
+    /** Returns whether an answer came to its end. */
+    private boolean read(int host, String id, List<String> lines, String... headers) {
+        List<String> received = new ArrayList<>();
         try {
-            HttpResponse<String> answer = hosts.callRoute(host, "/breaking/x", id);
-            if (answer.statusCode() != OK) {
-                return;
-            }
-            whole.incrementAndGet();
-            if (!answer.body().equals(BreakingUpstream.STREAM)) {
-                broken.add(id + " looks complete, with " + answer.body());
+            int status = hosts.stream(host, PATH, id, received::add, headers);
+            if (status != OK) {
+                received.clear();
             }
+            return status == OK;
         } catch (IOException e) {
             // It says that it is not complete.
+            return false;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return false;
+        } finally {
+            lines.addAll(received);
+        }
+    }
+
+    private void check(String id, List<String> lines, boolean complete) {
+        Set<String> software =
+                lines.stream()
+                        .filter(line -> line.startsWith(DATA + "v") && line.length() == 8)
+                        .map(line -> line.substring(DATA.length()))
+                        .collect(Collectors.toSet());
+        if (software.size() > 1) {
+            broken.add(id + " holds events of " + software + ": " + lines);
+        }
+        if (complete) {
+            whole.incrementAndGet();
+            String text = String.join("\n", lines) + "\n";
+            if (SOFTWARE.stream().noneMatch(one -> text.equals(BreakingUpstream.stream(one)))) {
+                broken.add(id + " looks complete, with " + text);
+            }
         }
     }
 
-    /** Returns what looked complete and was not, or that nothing was served. */
+    /** Returns what was not as it should be, or that nothing was served. */
     List<String> broken() {
         return whole.get() == 0 ? List.of("no stream came whole") : List.copyOf(broken);
     }
 
-    /** Returns how many streams came whole, and how many were broken off. */
+    /** Returns how many streams came whole, were broken off, taken up again and went on. */
     String account() {
         long brokenOff = upstreams.stream().mapToLong(BreakingUpstream::brokenOff).sum();
-        return "streams=%d brokenOff=%d".formatted(whole.get(), brokenOff);
+        return "streams=%d brokenOff=%d takenUp=%d wentOn=%d"
+                .formatted(whole.get(), brokenOff, takenUp.get(), wentOn.get());
     }
 
     @Override
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Heartbeats.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Heartbeats.java
@@ -6,10 +6,17 @@
 final class Heartbeats {
 
     private final String service;
+    private final String software;
     private final AtomicLong sequence = new AtomicLong();
 
     Heartbeats(String service) {
+        this(service, "v1");
+    }
+
+    /** Creates those of an upstream with a version of its software. */
+    Heartbeats(String service, String software) {
         this.service = service;
+        this.software = software;
     }
 
     /** Returns the next one of an upstream that does not tell when it started. */
@@ -34,9 +41,9 @@
     private String text(int port, String born) {
         return """
                {"service": "%s", "address": "127.0.0.1:%d", "zone": "z", "slots": 8,
-                "version": "v1", %s
+                "version": "%s", %s
                 "state": "ready", "cold-remaining-ms": 0, "sequence": %d}
                """
-                .formatted(service, port, born, sequence.incrementAndGet());
+                .formatted(service, port, software, born, sequence.incrementAndGet());
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -1,7 +1,10 @@
 package io.stackhall.tests.harness;
 
 import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -23,6 +26,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 /** Real processes that find each other by seeds, and one plain upstream that announces itself. */
 public final class SeededHosts implements AutoCloseable {
@@ -121,8 +125,8 @@
     }
 
     /** Starts an upstream that breaks off a share of its streams. */
-    BreakingUpstream startBreaking(String name, long seed) throws IOException {
-        BreakingUpstream started = new BreakingUpstream(name, seed);
+    BreakingUpstream startBreaking(String name, String software, long seed) throws IOException {
+        BreakingUpstream started = new BreakingUpstream(name, software, seed);
         heartbeats.scheduleAtFixedRate(
                 () -> heartbeat(started.name(), started.heartbeat()),
                 0,
@@ -183,6 +187,31 @@
         return send(request(number, path, id).header("Host", ROUTE_HOST));
     }
 
+    /**
+     * Sends a request for a stream through an entry host, and passes its lines on as they come.
+     *
+     * @param headers further headers, names and values by turns
+     * @return the status
+     * @throws IOException if the answer breaks off
+     */
+    public int stream(int number, String path, String id, Consumer<String> lines, String... headers)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request = request(number, path, id).header("Host", ROUTE_HOST);
+        if (headers.length > 0) {
+            request.headers(headers);
+        }
+        HttpResponse<InputStream> answer =
+                client.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+        try (BufferedReader body =
+                new BufferedReader(
+                        new InputStreamReader(answer.body(), StandardCharsets.ISO_8859_1))) {
+            for (String line = body.readLine(); line != null; line = body.readLine()) {
+                lines.accept(line);
+            }
+        }
+        return answer.statusCode();
+    }
+
     /** Sends a request with a customer's key through an entry host. */
     public HttpResponse<String> callWithKey(int number, String path, String id, String key)
             throws IOException, InterruptedException {
