A control host whose connection was reset is still asked for a stream's origin

A question stays open for 250 ms now and is put to hosts as they are connected again, unless all have answered or one version is proved.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
@@ -5,24 +5,24 @@
 import io.stackhall.core.stream.TakeUp.Evidence;
 import io.stackhall.core.stream.TakeUp.Reason;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
 /**
- * One question for the origin of a stream that its caller takes up, put to all connected control
- * hosts.
+ * One question for the origin of a stream that its caller takes up, put to every control host that
+ * is connected or becomes so while the question is open.
  *
  * <p>A record decides at once. Without one the stream goes on only if its service has had a single
  * version for as long as the stream can have lived. One version in this host's sight proves
  * nothing: more than half of the known control hosts must have seen no other, and someone must have
- * watched for that long.
+ * watched for that long. While that is not so, a control host whose connection has just been reset
+ * may still know the stream, so it is waited for.
  */
 public final class OriginInquiry {
 
     private final int knownHosts;
-    private final Set<HostId> outstanding;
+    private final Set<HostId> outstanding = new HashSet<>();
     private final Optional<ServiceName> service;
     private final Duration life;
     private VersionsSeen seen;
@@ -32,24 +32,23 @@
      * Creates a question.
      *
      * @param knownHosts the number of control hosts, whether connected or not
-     * @param asked the control hosts that the question was sent to
      * @param service the service that the stream began at, if its route leads to one only
      * @param life the longest time since the stream can have begun
      * @param own what this host has seen of the service
      */
     public OriginInquiry(
-            int knownHosts,
-            Collection<HostId> asked,
-            Optional<ServiceName> service,
-            Duration life,
-            VersionsSeen own) {
+            int knownHosts, Optional<ServiceName> service, Duration life, VersionsSeen own) {
         this.knownHosts = knownHosts;
-        this.outstanding = new HashSet<>(asked);
         this.service = service;
         this.life = life;
         this.seen = own;
     }
 
+    /** Records that the question was sent to a control host. */
+    public void sent(HostId host) {
+        outstanding.add(host);
+    }
+
     /**
      * Records the answer of a control host.
      *
@@ -66,24 +65,34 @@
                     Optional.of(new TakeUp.GoOn(origin, Evidence.RECORD));
             case OriginLookup.Contradictory() ->
                     Optional.of(new TakeUp.Refused(Reason.CONTRADICTORY));
-            case OriginLookup.Unknown() ->
-                    outstanding.isEmpty() ? Optional.of(conclude()) : Optional.empty();
+            case OriginLookup.Unknown() -> decideWithoutRecord();
         };
     }
 
-    /** Decides by the answers so far, after those that are outstanding have been waited for. */
+    private Optional<TakeUp> decideWithoutRecord() {
+        boolean complete = outstanding.isEmpty() && (isSoleVersionProved() || allHaveAnswered());
+        return complete ? Optional.of(conclude()) : Optional.empty();
+    }
+
+    private boolean allHaveAnswered() {
+        return answers >= knownHosts;
+    }
+
+    /** Decides by the answers so far, after further ones have been waited for. */
     public TakeUp conclude() {
-        boolean majority = answers * 2 > knownHosts;
-        boolean sole =
-                majority
-                        && service.isPresent()
-                        && !seen.mayMix()
-                        && !seen.versions().isEmpty()
-                        && seen.watched().compareTo(life) >= 0;
-        return sole
+        return isSoleVersionProved()
                 ? new TakeUp.GoOn(
-                        new StreamOrigin(service.get(), seen.versions().iterator().next()),
+                        new StreamOrigin(service.orElseThrow(), seen.versions().iterator().next()),
                         Evidence.SOLE_VERSION)
                 : new TakeUp.Refused(Reason.UNKNOWN);
     }
+
+    private boolean isSoleVersionProved() {
+        boolean majority = answers * 2 > knownHosts;
+        return majority
+                && service.isPresent()
+                && !seen.mayMix()
+                && !seen.versions().isEmpty()
+                && seen.watched().compareTo(life) >= 0;
+    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -37,7 +37,10 @@
  */
 final class StreamOriginClient {
 
-    /** A control host answers within some milliseconds; a caller waits for this decision. */
+    /**
+     * A control host answers within some milliseconds, and one whose connection was reset is
+     * connected again within a tenth of a second; a caller waits for this decision.
+     */
     private static final long ANSWER_TIMEOUT_MILLIS = 250;
 
     /** Whoever has told of two versions goes on telling for this long after one of them is gone. */
@@ -53,7 +56,7 @@
     private long lastNumber;
 
     /** A question that control hosts have not answered yet, and who waits for its decision. */
-    private record Question(OriginInquiry inquiry, Consumer<TakeUp> decided) {}
+    private record Question(Frame frame, OriginInquiry inquiry, Consumer<TakeUp> decided) {}
 
     StreamOriginClient(
             ZoneId zone,
@@ -83,9 +86,13 @@
         }
     }
 
-    /** Tells a control host that has just been connected what it may have lost or missed. */
+    /**
+     * Tells a control host that has just been connected what it may have lost or missed, and asks
+     * it what is being asked.
+     */
     void connected(HostId host) {
         long now = BootClock.nanos();
+        questions.values().forEach(question -> send(question, host));
         List<Memory> mixed =
                 origins.all(now).stream()
                         .filter(memory -> mayMix(memory.origin().service(), MIX_MEMORY, now))
@@ -132,27 +139,24 @@
     private void ask(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided, long now) {
         Optional<ServiceName> service = route.onlyService();
         Duration life = route.maxStreamLife();
-        long number = ++lastNumber;
-        Frame question = StreamOriginCodec.question(number, key, service, life);
-        List<HostId> asked = new ArrayList<>();
-        for (HostId host : controlHosts.connected()) {
-            if (controlHosts.send(host, question)) {
-                asked.add(host);
-            }
-        }
         VersionsSeen seen =
                 service.map(name -> versions.seen(name, life, now))
                         .orElseGet(VersionsSeen::nothing);
-        OriginInquiry inquiry =
-                new OriginInquiry(controlHosts.knownCount(), asked, service, life, seen);
-        if (asked.isEmpty()) {
-            decided.accept(inquiry.conclude());
-            return;
-        }
-        questions.put(number, new Question(inquiry, decided));
+        OriginInquiry inquiry = new OriginInquiry(controlHosts.knownCount(), service, life, seen);
+        long number = ++lastNumber;
+        Frame frame = StreamOriginCodec.question(number, key, service, life);
+        Question question = new Question(frame, inquiry, decided);
+        questions.put(number, question);
+        controlHosts.connected().forEach(host -> send(question, host));
         loop.schedule(() -> timeOut(number), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void send(Question question, HostId host) {
+        if (controlHosts.send(host, question.frame())) {
+            question.inquiry().sent(host);
+        }
+    }
+
     /** Receives a control host's answer. */
     void receive(StreamOriginAnswer answer) {
         Question question = questions.get(answer.getNumber());
