--- a/stackhall-core/src/main/java/io/stackhall/core/path/LinkEvidence.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/LinkEvidence.java
@@ -28,13 +28,23 @@
      * @param unbroken those of them to which no connection of this host fails
      */
     public LinkEvidence(int others, int unbroken) {
-        boolean mostBroken = 2 * unbroken < others;
+        boolean mostBroken = areMostBroken(others, unbroken);
         this.wanted = mostBroken ? 0 : Math.min(unbroken, MAX_CHECKED);
         if (mostBroken) {
             failed = 1;
         }
     }
 
+    /**
+     * Returns whether connections to most upstreams fail, so that the host's links are to blame.
+     *
+     * @param all the upstreams
+     * @param unbroken those of them to which no connection fails
+     */
+    public static boolean areMostBroken(int all, int unbroken) {
+        return 2 * unbroken < all;
+    }
+
     /** Returns the number of unbroken upstreams to connect to, zero if none is needed. */
     public int wanted() {
         return wanted;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnLinks.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/OwnLinks.java
@@ -63,7 +63,7 @@
 
     private boolean areMostOthersBroken(Instance failed) {
         List<Instance> others = othersLike(failed);
-        return 2 * unbroken(others).size() < others.size();
+        return LinkEvidence.areMostBroken(others.size(), unbroken(others).size());
     }
 
     private List<Instance> unbroken(List<Instance> all) {
