A control host that answers twice counts once

A host whose connection is reset is asked again, and both answers counted towards the majority that proves one version: one control host of three could have let a stream go on at a version that the others know not to be the only one. Found by reading; hostThatAnswersAgainAfterAResetCountsOnce fails without it.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
@@ -26,7 +26,7 @@
     private final Optional<ServiceName> service;
     private final Duration life;
     private VersionsSeen seen;
-    private int answers;
+    private final Set<HostId> answered = new HashSet<>();
 
     /**
      * Creates a question.
@@ -44,7 +44,7 @@
         this.seen = own;
     }
 
-    /** Records that the question was sent to a control host. */
+    /** Records that the question was sent to a control host, perhaps once more. */
     public void sent(HostId host) {
         outstanding.add(host);
     }
@@ -58,7 +58,7 @@
         if (!outstanding.remove(host)) {
             return Optional.empty();
         }
-        answers++;
+        answered.add(host);
         seen = seen.and(theirs);
         return switch (lookup) {
             case OriginLookup.Known(StreamOrigin origin) ->
@@ -75,7 +75,7 @@
     }
 
     private boolean allHaveAnswered() {
-        return answers >= knownHosts;
+        return answered.size() >= knownHosts;
     }
 
     /** Decides by the answers so far, after further ones have been waited for. */
@@ -88,7 +88,7 @@
     }
 
     private boolean isSoleVersionProved() {
-        boolean majority = answers * 2 > knownHosts;
+        boolean majority = answered.size() * 2 > knownHosts;
         return majority
                 && service.isPresent()
                 && !seen.mayMix()
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
@@ -74,6 +74,15 @@
         return inquiry.answer(B, UNKNOWN, theirs).orElseGet(inquiry::conclude);
     }
 
+    @Test
+    void hostThatAnswersAgainAfterAResetCountsOnce() {
+        OriginInquiry inquiry = inquiry(3, seen(LONG, "v1"));
+        assertThat(inquiry.answer(A, UNKNOWN, seen(LONG, "v1"))).isEmpty();
+        inquiry.sent(A);
+        assertThat(inquiry.answer(A, UNKNOWN, seen(LONG, "v1"))).isEmpty();
+        assertThat(inquiry.conclude()).isEqualTo(REFUSED);
+    }
+
     @Test
     void hostThatDoesNotAnswerIsNotTakenForAgreement() {
         OriginInquiry inquiry = inquiry(3, seen(LONG, "v1"));
