Hashes, and the versions present, are computed in one place

The versions of a service are counted as instances come and go, so that the first event of a stream does not walk over all instances. Names of the stream's binding follow what it does.

--- a/stackhall-core/src/main/java/io/stackhall/core/customer/KeyDigest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/customer/KeyDigest.java
@@ -1,8 +1,7 @@
 package io.stackhall.core.customer;
 
-import java.nio.charset.StandardCharsets;
+import io.stackhall.core.hash.Sha256;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
 /**
@@ -21,12 +20,7 @@
 
     /** Returns the digest of a key. */
     public static KeyDigest of(String key) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return new KeyDigest(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+        return new KeyDigest(Sha256.of(key));
     }
 
     /**
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Cryptographic hashes that every Java runtime has. */
+package io.stackhall.core.hash;
--- a/stackhall-core/src/main/java/io/stackhall/core/id/SoftwareVersion.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/id/SoftwareVersion.java
@@ -1,8 +1,6 @@
 package io.stackhall.core.id;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import io.stackhall.core.hash.Sha256;
 import java.util.HexFormat;
 import java.util.Objects;
 
@@ -32,16 +30,8 @@
     public static SoftwareVersion of(String named) {
         boolean fits =
                 named.length() <= MAX_LENGTH && named.chars().noneMatch(Character::isISOControl);
-        return new SoftwareVersion(fits ? named : "sha256:" + hash(named));
-    }
-
-    private static String hash(String text) {
-        try {
-            MessageDigest hash = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(hash.digest(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has SHA-256", e);
-        }
+        return new SoftwareVersion(
+                fits ? named : "sha256:" + HexFormat.of().formatHex(Sha256.of(named)));
     }
 
     @Override
--- a/stackhall-core/src/main/java/io/stackhall/core/quarantine/RequestDigest.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/quarantine/RequestDigest.java
@@ -1,8 +1,8 @@
 package io.stackhall.core.quarantine;
 
+import io.stackhall.core.hash.Sha256;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Optional;
@@ -46,7 +46,7 @@
      * @param body the whole body, without transfer coding
      */
     public static RequestDigest of(String method, String authority, String target, byte[] body) {
-        MessageDigest hash = sha256();
+        MessageDigest hash = Sha256.start();
         add(hash, method);
         add(hash, authority.toLowerCase(Locale.ROOT));
         add(hash, target);
@@ -62,14 +62,6 @@
         hash.update((byte) 0);
     }
 
-    private static MessageDigest sha256() {
-        try {
-            return MessageDigest.getInstance("SHA-256");
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has SHA-256", e);
-        }
-    }
-
     @Override
     public String toString() {
         return value;
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/StreamKey.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/StreamKey.java
@@ -1,9 +1,7 @@
 package io.stackhall.core.stream;
 
+import io.stackhall.core.hash.Sha256;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 
 /**
  * Identifies a stream among hosts by a hash of the id under which its caller got the first event.
@@ -15,13 +13,7 @@
 
     /** Returns the key of the stream whose first event came with an attempt of the given id. */
     public static StreamKey of(String attemptId) {
-        try {
-            MessageDigest hash = MessageDigest.getInstance("SHA-256");
-            byte[] bytes = hash.digest(attemptId.getBytes(StandardCharsets.UTF_8));
-            return new StreamKey(ByteBuffer.wrap(bytes).getLong());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has SHA-256", e);
-        }
+        return new StreamKey(ByteBuffer.wrap(Sha256.of(attemptId)).getLong());
     }
 
     @Override
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/StreamOrigins.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/StreamOrigins.java
@@ -41,7 +41,7 @@
      *
      * @param keep how long it may be asked for
      */
-    public void record(StreamKey key, StreamOrigin origin, Duration keep, long now) {
+    public void remember(StreamKey key, StreamOrigin origin, Duration keep, long now) {
         Entry known = findEntry(key, now);
         boolean contradicts = known != null && !known.origin().filter(origin::equals).isPresent();
         long expiresAt = now + keep.toNanos();
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/TakeUp.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/TakeUp.java
@@ -12,12 +12,6 @@
      */
     record GoOn(StreamOrigin origin, Evidence evidence) implements TakeUp {}
 
-    /** Returns the decision under a route, which may lead to other services than it did. */
-    default TakeUp on(Route route) {
-        boolean moved = this instanceof GoOn go && !route.leadsTo(go.origin().service());
-        return moved ? new Refused(Reason.MOVED) : this;
-    }
-
     /** It is refused, since going on would be a guess. */
     record Refused(Reason reason) implements TakeUp {}
 
@@ -51,4 +45,10 @@
             return text;
         }
     }
+
+    /** Returns the decision under a route, which may lead to other services than it did. */
+    default TakeUp on(Route route) {
+        boolean moved = this instanceof GoOn go && !route.leadsTo(go.origin().service());
+        return moved ? new Refused(Reason.MOVED) : this;
+    }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
@@ -27,9 +27,10 @@
     private static final int MAX_GONE = 1_000;
 
     private final Map<UpstreamId, Software> present = new HashMap<>();
+    private final Map<Software, Integer> presentCounts = new HashMap<>();
     private final Map<Software, Long> goneAt = new LinkedHashMap<>();
-    private Optional<Long> watchingSince;
     private final boolean fromTheBeginning;
+    private Optional<Long> watchingSince;
 
     /** The software of an instance; the version is empty if it is not known. */
     private record Software(ServiceName service, Optional<SoftwareVersion> version) {}
@@ -69,18 +70,16 @@
     public boolean update(Instance instance, long now) {
         Software software = new Software(instance.service(), instance.software());
         if (instance.state() == InstanceState.GONE) {
-            Software known = present.remove(instance.id());
-            recordGone(known == null ? software : known, now);
+            removePresent(present.remove(instance.id()), now);
+            recordGone(software, now);
             return false;
         }
         Software before = present.put(instance.id(), software);
         if (software.equals(before)) {
             return false;
         }
-        if (before != null) {
-            recordGone(before, now);
-        }
-        return present.values().stream().filter(software::equals).limit(2).count() == 1;
+        removePresent(before, now);
+        return presentCounts.merge(software, 1, Integer::sum) == 1;
     }
 
     /**
@@ -107,7 +106,7 @@
     }
 
     private Set<Software> softwareWithin(Duration period, long now) {
-        Set<Software> all = new HashSet<>(present.values());
+        Set<Software> all = new HashSet<>(presentCounts.keySet());
         goneAt.forEach(
                 (software, at) -> {
                     if (now - at <= period.toNanos()) {
@@ -117,6 +116,13 @@
         return all;
     }
 
+    private void removePresent(Software software, long now) {
+        if (software != null) {
+            presentCounts.computeIfPresent(software, (one, count) -> count == 1 ? null : count - 1);
+            recordGone(software, now);
+        }
+    }
+
     private void recordGone(Software software, long now) {
         goneAt.remove(software);
         goneAt.put(software, now);
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
@@ -50,12 +50,12 @@
 
     private void tell(int holder, StreamKey key, Random random) {
         StreamOrigin origin = begun.computeIfAbsent(key, one -> origin("v" + random.nextInt(3)));
-        holders.get(holder).record(key, origin, KEEP, now);
+        holders.get(holder).remember(key, origin, KEEP, now);
     }
 
     private void tellAgain(int from, int to) {
         for (StreamOrigins.Memory memory : holders.get(from).all(now)) {
-            holders.get(to).record(memory.key(), memory.origin(), memory.remaining(), now);
+            holders.get(to).remember(memory.key(), memory.origin(), memory.remaining(), now);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/callers/Digests.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/callers/Digests.java
@@ -1,9 +1,9 @@
 package io.stackhall.server.callers;
 
+import io.stackhall.core.hash.Sha256;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
 /** Computes digests of requests. */
@@ -15,24 +15,16 @@
 
     /** Returns the SHA-256 of several parts, each preceded by its length. */
     static byte[] sha256(byte[]... parts) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            for (byte[] part : parts) {
-                digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
-                digest.update(part);
-            }
-            return digest.digest();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
+        MessageDigest digest = Sha256.start();
+        for (byte[] part : parts) {
+            digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
+            digest.update(part);
         }
+        return digest.digest();
     }
 
     static byte[] sha256(byte[] bytes) {
-        try {
-            return MessageDigest.getInstance("SHA-256").digest(bytes);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+        return Sha256.start().digest(bytes);
     }
 
     /** Returns a digest that detects whether a key is reused for a different request. */
--- a/stackhall-server/src/main/java/io/stackhall/server/control/StreamOriginService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/StreamOriginService.java
@@ -34,7 +34,7 @@
                 .map(StreamOriginCodec::memory)
                 .forEach(
                         memory ->
-                                origins.record(
+                                origins.remember(
                                         memory.key(), memory.origin(), memory.remaining(), now));
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -33,7 +33,7 @@
     private final FinalAnswer finalAnswer;
     private final AttemptHistory history = new AttemptHistory();
     private Route route;
-    private RequestStream origin;
+    private StreamBinding binding;
     private Need need;
     private RequestDeadlines times;
     private RequestAuthorization rights;
@@ -86,9 +86,9 @@
             return;
         }
         log.setCustomer(rights.customer());
-        origin = new RequestStream(gateway.streamOrigins(), request, route);
-        if (origin.isTakenUp()) {
-            origin.inquire(this::takeUp);
+        binding = new StreamBinding(gateway.streamOrigins(), request, route);
+        if (binding.isTakenUp()) {
+            binding.inquire(this::takeUp);
         } else {
             admit(request.need(route.chooseService(gateway.drawTicket()), rights.rank()));
         }
@@ -347,12 +347,12 @@
 
     /** Records an event that the current attempt has brought. */
     void eventReceived() {
-        need = origin.eventReceived(attempt.instance(), need);
+        need = binding.eventReceived(attempt.instance(), need);
     }
 
     /** Returns whether another instance may go on with a stream that has begun. */
     boolean mayGoOnElsewhere() {
-        return origin.mayGoOn(need);
+        return binding.mayGoOn(need);
     }
 
     /** Returns when the current attempt was sent, on the monotonic clock in nanoseconds. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestStream.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamBinding.java
@@ -9,14 +9,14 @@
 import java.util.function.Consumer;
 
 /** Keeps the stream of one request at the software that brought its first event. */
-final class RequestStream {
+final class StreamBinding {
 
     private final StreamOriginClient origins;
     private final CallerRequest request;
     private final Route route;
     private boolean begun;
 
-    RequestStream(StreamOriginClient origins, CallerRequest request, Route route) {
+    StreamBinding(StreamOriginClient origins, CallerRequest request, Route route) {
         this.origins = origins;
         this.request = request;
         this.route = route;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -110,7 +110,7 @@
     void begun(StreamKey key, StreamOrigin origin, Route route) {
         long now = BootClock.nanos();
         Duration keep = route.maxStreamLife();
-        origins.record(key, origin, keep, now);
+        origins.remember(key, origin, keep, now);
         if (mayMix(origin.service(), keep, now)) {
             tellHolders(List.of(new Memory(key, origin, keep)));
         }
