One version is proved by a majority of the control group's voters

The majority was taken of the control hosts that an entry host knows, and it knows its seeds for ever: after all three had been replaced, three of six could never prove anything, and every caller that takes a stream up without naming it would have been refused for good. Control hosts tell now how many voters their group has, if they are voters themselves.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
@@ -15,30 +15,27 @@
  *
  * <p>A record decides at once. Without one the stream goes on only if its service has had a single
  * version for as long as the stream can have lived. One version in this host's sight proves
- * nothing: more than half of the known control hosts must have seen no other, and someone must have
- * watched for that long. While that is not so, a control host whose connection has just been reset
- * may still know the stream, so it is waited for.
+ * nothing: more than half of the voters of the control group must have seen no other, and someone
+ * must have watched for that long. While that is not so, a control host whose connection has just
+ * been reset may still know the stream, so it is waited for.
  */
 public final class OriginInquiry {
 
-    private final int knownHosts;
     private final Set<HostId> outstanding = new HashSet<>();
     private final Optional<ServiceName> service;
     private final Duration life;
     private VersionsSeen seen;
-    private final Set<HostId> answered = new HashSet<>();
+    private final Set<HostId> answeredVoters = new HashSet<>();
+    private int voters;
 
     /**
      * Creates a question.
      *
-     * @param knownHosts the number of control hosts, whether connected or not
      * @param service the service that the stream began at, if its route leads to one only
      * @param life the longest time since the stream can have begun
      * @param own what this host has seen of the service
      */
-    public OriginInquiry(
-            int knownHosts, Optional<ServiceName> service, Duration life, VersionsSeen own) {
-        this.knownHosts = knownHosts;
+    public OriginInquiry(Optional<ServiceName> service, Duration life, VersionsSeen own) {
         this.service = service;
         this.life = life;
         this.seen = own;
@@ -54,13 +51,16 @@
      *
      * @return the decision, empty while further answers may decide otherwise
      */
-    public Optional<TakeUp> answer(HostId host, OriginLookup lookup, VersionsSeen theirs) {
+    public Optional<TakeUp> answer(HostId host, OriginAnswer answer) {
         if (!outstanding.remove(host)) {
             return Optional.empty();
         }
-        answered.add(host);
-        seen = seen.and(theirs);
-        return switch (lookup) {
+        if (answer.voters() > 0) {
+            answeredVoters.add(host);
+            voters = Math.max(voters, answer.voters());
+        }
+        seen = seen.and(answer.seen());
+        return switch (answer.lookup()) {
             case OriginLookup.Known(StreamOrigin origin) ->
                     Optional.of(new TakeUp.GoOn(origin, Evidence.RECORD));
             case OriginLookup.Contradictory() ->
@@ -70,12 +70,13 @@
     }
 
     private Optional<TakeUp> decideWithoutRecord() {
-        boolean complete = outstanding.isEmpty() && (isSoleVersionProved() || allHaveAnswered());
+        boolean complete =
+                outstanding.isEmpty() && (isSoleVersionProved() || allVotersHaveAnswered());
         return complete ? Optional.of(conclude()) : Optional.empty();
     }
 
-    private boolean allHaveAnswered() {
-        return answered.size() >= knownHosts;
+    private boolean allVotersHaveAnswered() {
+        return voters > 0 && answeredVoters.size() >= voters;
     }
 
     /** Decides by the answers so far, after further ones have been waited for. */
@@ -88,7 +89,7 @@
     }
 
     private boolean isSoleVersionProved() {
-        boolean majority = answered.size() * 2 > knownHosts;
+        boolean majority = answeredVoters.size() * 2 > voters;
         return majority
                 && service.isPresent()
                 && !seen.mayMix()
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
@@ -36,8 +36,8 @@
                 watched);
     }
 
-    private static OriginInquiry inquiry(int known, VersionsSeen own) {
-        OriginInquiry inquiry = new OriginInquiry(known, Optional.of(SERVICE), LIFE, own);
+    private static OriginInquiry inquiry(VersionsSeen own) {
+        OriginInquiry inquiry = new OriginInquiry(Optional.of(SERVICE), LIFE, own);
         inquiry.sent(A);
         inquiry.sent(B);
         return inquiry;
@@ -47,9 +47,18 @@
     void recordDecidesWhileOthersAreSilent() {
         StreamOrigin origin = new StreamOrigin(SERVICE, new SoftwareVersion("v2"));
         VersionsSeen mixed = seen(LONG, "v1", "v2");
-        assertThat(inquiry(3, mixed).answer(A, new OriginLookup.Known(origin), mixed))
+        assertThat(
+                        inquiry(mixed)
+                                .answer(
+                                        A,
+                                        new OriginAnswer(new OriginLookup.Known(origin), mixed, 3)))
                 .contains(new TakeUp.GoOn(origin, TakeUp.Evidence.RECORD));
-        assertThat(inquiry(3, mixed).answer(A, new OriginLookup.Contradictory(), mixed))
+        assertThat(
+                        inquiry(mixed)
+                                .answer(
+                                        A,
+                                        new OriginAnswer(
+                                                new OriginLookup.Contradictory(), mixed, 3)))
                 .contains(new TakeUp.Refused(Reason.CONTRADICTORY));
     }
 
@@ -61,6 +70,7 @@
                         TakeUp.Evidence.SOLE_VERSION);
         assertThat(decide(3, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(goesOn);
         assertThat(decide(4, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(REFUSED);
+        assertThat(decide(0, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(REFUSED);
         assertThat(decide(3, seen(LONG, "v1"), seen(LONG, "v1", "v2"))).isEqualTo(REFUSED);
         assertThat(decide(3, seen(LIFE.minusMillis(1), "v1"), seen(Duration.ZERO, "v1")))
                 .isEqualTo(REFUSED);
@@ -68,25 +78,30 @@
         assertThat(decide(3, seen(LONG, "v1"), untold)).isEqualTo(REFUSED);
     }
 
-    private static TakeUp decide(int known, VersionsSeen own, VersionsSeen theirs) {
-        OriginInquiry inquiry = inquiry(known, own);
-        assertThat(inquiry.answer(A, UNKNOWN, theirs)).isEmpty();
-        return inquiry.answer(B, UNKNOWN, theirs).orElseGet(inquiry::conclude);
+    private static OriginAnswer unknown(VersionsSeen seen) {
+        return new OriginAnswer(UNKNOWN, seen, 3);
+    }
+
+    private static TakeUp decide(int voters, VersionsSeen own, VersionsSeen theirs) {
+        OriginInquiry inquiry = inquiry(own);
+        OriginAnswer answer = new OriginAnswer(UNKNOWN, theirs, voters);
+        assertThat(inquiry.answer(A, answer)).isEmpty();
+        return inquiry.answer(B, answer).orElseGet(inquiry::conclude);
     }
 
     @Test
     void hostThatAnswersAgainAfterAResetCountsOnce() {
-        OriginInquiry inquiry = inquiry(3, seen(LONG, "v1"));
-        assertThat(inquiry.answer(A, UNKNOWN, seen(LONG, "v1"))).isEmpty();
+        OriginInquiry inquiry = inquiry(seen(LONG, "v1"));
+        assertThat(inquiry.answer(A, unknown(seen(LONG, "v1")))).isEmpty();
         inquiry.sent(A);
-        assertThat(inquiry.answer(A, UNKNOWN, seen(LONG, "v1"))).isEmpty();
+        assertThat(inquiry.answer(A, unknown(seen(LONG, "v1")))).isEmpty();
         assertThat(inquiry.conclude()).isEqualTo(REFUSED);
     }
 
     @Test
     void hostThatDoesNotAnswerIsNotTakenForAgreement() {
-        OriginInquiry inquiry = inquiry(3, seen(LONG, "v1"));
-        assertThat(inquiry.answer(A, UNKNOWN, seen(LONG, "v1"))).isEmpty();
+        OriginInquiry inquiry = inquiry(seen(LONG, "v1"));
+        assertThat(inquiry.answer(A, unknown(seen(LONG, "v1")))).isEmpty();
         assertThat(inquiry.conclude()).isEqualTo(REFUSED);
     }
 
@@ -94,13 +109,15 @@
     @Test
     void hostWhoseConnectionWasResetIsWaitedFor() {
         VersionsSeen mixed = seen(LONG, "v1", "v2");
-        OriginInquiry inquiry = inquiry(3, mixed);
-        assertThat(inquiry.answer(A, UNKNOWN, mixed)).isEmpty();
-        assertThat(inquiry.answer(B, UNKNOWN, mixed)).isEmpty();
+        OriginInquiry inquiry = inquiry(mixed);
+        assertThat(inquiry.answer(A, unknown(mixed))).isEmpty();
+        assertThat(inquiry.answer(B, unknown(mixed))).isEmpty();
         HostId again = new HostId("c");
         inquiry.sent(again);
         StreamOrigin origin = new StreamOrigin(SERVICE, new SoftwareVersion("v2"));
-        assertThat(inquiry.answer(again, new OriginLookup.Known(origin), mixed))
+        assertThat(
+                        inquiry.answer(
+                                again, new OriginAnswer(new OriginLookup.Known(origin), mixed, 3)))
                 .contains(new TakeUp.GoOn(origin, TakeUp.Evidence.RECORD));
     }
 
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
@@ -63,12 +63,14 @@
         List<HostId> hosts = List.of(new HostId("a"), new HostId("b"), new HostId("c"));
         VersionsSeen mixed = OriginInquiryTest.seen(Duration.ofDays(1), "v0", "v1", "v2");
         OriginInquiry inquiry =
-                new OriginInquiry(HOLDERS, Optional.of(OriginInquiryTest.SERVICE), KEEP, mixed);
+                new OriginInquiry(Optional.of(OriginInquiryTest.SERVICE), KEEP, mixed);
         hosts.forEach(inquiry::sent);
         int first = random.nextInt(HOLDERS);
         for (int turn = 0; turn < HOLDERS; turn++) {
             int holder = (first + turn) % HOLDERS;
-            inquiry.answer(hosts.get(holder), holders.get(holder).find(key, now), mixed)
+            inquiry.answer(
+                            hosts.get(holder),
+                            new OriginAnswer(holders.get(holder).find(key, now), mixed, HOLDERS))
                     .filter(TakeUp.GoOn.class::isInstance)
                     .map(TakeUp.GoOn.class::cast)
                     .ifPresent(go -> assertThat(go.origin()).isEqualTo(begun.get(key)));
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -125,7 +125,7 @@
         this.allowances = new AllowanceService(group, fleet.followers()::count, new Random());
         this.limits = new LimitService(group, fleet, hosts.self());
         this.slots = new SlotService(group, loop, hosts.self());
-        this.streamOrigins = new StreamOriginService(fleet, hosts.self());
+        this.streamOrigins = new StreamOriginService(group, fleet, hosts.self());
         this.orders =
                 new OrderIssuer(
                         settings,
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -124,6 +124,13 @@
         return replica.view().role() == Role.LEADER && replica.holdsLeaseNow();
     }
 
+    /** Returns the number of voters, 0 if this host is not one of them. */
+    int votersOfOwnGroup() {
+        ReplicaView view = replica.view();
+        List<ReplicaId> voters = view.membership().voters();
+        return voters.contains(view.id()) ? voters.size() : 0;
+    }
+
     ReplicaView view() {
         return replica.view();
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/StreamOriginService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/StreamOriginService.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.stream.OriginAnswer;
 import io.stackhall.core.stream.OriginLookup;
 import io.stackhall.core.stream.StreamKey;
 import io.stackhall.core.stream.StreamOrigins;
@@ -19,10 +20,12 @@
 final class StreamOriginService {
 
     private final StreamOrigins origins = new StreamOrigins();
+    private final ControlGroup group;
     private final FleetRegistry fleet;
     private final HostId self;
 
-    StreamOriginService(FleetRegistry fleet, HostId self) {
+    StreamOriginService(ControlGroup group, FleetRegistry fleet, HostId self) {
+        this.group = group;
         this.fleet = fleet;
         this.self = self;
     }
@@ -51,7 +54,8 @@
                         : fleet.versionsSeen(
                                 new ServiceName(question.getService()),
                                 Duration.ofMillis(question.getLifeMillis()));
-        replier.send(StreamOriginCodec.answer(question.getNumber(), self, lookup, seen));
+        OriginAnswer answer = new OriginAnswer(lookup, seen, group.votersOfOwnGroup());
+        replier.send(StreamOriginCodec.encode(question.getNumber(), self, answer));
     }
 
     /** Returns the number of streams that are remembered. */
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/StreamOriginCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/StreamOriginCodec.java
@@ -3,6 +3,7 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.SoftwareVersion;
+import io.stackhall.core.stream.OriginAnswer;
 import io.stackhall.core.stream.OriginLookup;
 import io.stackhall.core.stream.StreamKey;
 import io.stackhall.core.stream.StreamOrigin;
@@ -58,23 +59,36 @@
     }
 
     /** Returns the frame that answers a question. */
-    public static Frame answer(long number, HostId self, OriginLookup lookup, VersionsSeen seen) {
+    public static Frame encode(long number, HostId self, OriginAnswer answer) {
+        VersionsSeen seen = answer.seen();
         StreamOriginAnswer.Builder message =
                 StreamOriginAnswer.newBuilder()
                         .setNumber(number)
                         .setHost(self.value())
-                        .setContradictory(lookup instanceof OriginLookup.Contradictory)
+                        .setContradictory(answer.lookup() instanceof OriginLookup.Contradictory)
                         .setOthersPossible(seen.othersPossible())
-                        .setWatchedMillis(seen.watched().toMillis());
-        if (lookup instanceof OriginLookup.Known(StreamOrigin origin)) {
+                        .setWatchedMillis(seen.watched().toMillis())
+                        .setVoters(answer.voters());
+        if (answer.lookup() instanceof OriginLookup.Known(StreamOrigin origin)) {
             message.setOrigin(encode(new StreamKey(0), origin));
         }
         seen.versions().forEach(version -> message.addVersions(version.value()));
         return Frame.newBuilder().setStreamOriginAnswer(message).build();
     }
 
-    /** Decodes what the sender of an answer knows of the stream. */
-    public static OriginLookup lookup(StreamOriginAnswer message) {
+    /** Decodes the answer to a question. */
+    public static OriginAnswer answer(StreamOriginAnswer message) {
+        VersionsSeen seen =
+                new VersionsSeen(
+                        message.getVersionsList().stream()
+                                .map(SoftwareVersion::of)
+                                .collect(Collectors.toSet()),
+                        message.getOthersPossible(),
+                        Duration.ofMillis(message.getWatchedMillis()));
+        return new OriginAnswer(lookup(message), seen, message.getVoters());
+    }
+
+    private static OriginLookup lookup(StreamOriginAnswer message) {
         if (message.getContradictory()) {
             return new OriginLookup.Contradictory();
         }
@@ -83,16 +97,6 @@
                 : new OriginLookup.Unknown();
     }
 
-    /** Decodes what the sender of an answer has seen of the service. */
-    public static VersionsSeen seen(StreamOriginAnswer message) {
-        return new VersionsSeen(
-                message.getVersionsList().stream()
-                        .map(SoftwareVersion::of)
-                        .collect(Collectors.toSet()),
-                message.getOthersPossible(),
-                Duration.ofMillis(message.getWatchedMillis()));
-    }
-
     private static io.stackhall.rpc.generated.fleet.StreamOrigin.Builder encode(
             StreamKey key, StreamOrigin origin) {
         return io.stackhall.rpc.generated.fleet.StreamOrigin.newBuilder()
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
@@ -22,9 +22,6 @@
     /** Returns the zones of the connected control hosts that have told theirs. */
     Map<HostId, ZoneId> zones();
 
-    /** Returns the number of known control hosts, connected or not. */
-    int knownCount();
-
     /** Sends a frame to every connected control host. */
     default void sendToAll(Frame frame) {
         connected().forEach(host -> send(host, frame));
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
@@ -26,9 +26,4 @@
     public Map<HostId, ZoneId> zones() {
         return controlHosts.connected();
     }
-
-    @Override
-    public int knownCount() {
-        return controlHosts.knownHosts().size();
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -129,11 +129,6 @@
         public Map<HostId, ZoneId> zones() {
             return Map.of();
         }
-
-        @Override
-        public int knownCount() {
-            return 1;
-        }
     }
 
     private Frame decide(Frame question) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -142,7 +142,7 @@
         VersionsSeen seen =
                 service.map(name -> versions.seen(name, life, now))
                         .orElseGet(VersionsSeen::nothing);
-        OriginInquiry inquiry = new OriginInquiry(controlHosts.knownCount(), service, life, seen);
+        OriginInquiry inquiry = new OriginInquiry(service, life, seen);
         long number = ++lastNumber;
         Frame frame = StreamOriginCodec.question(number, key, service, life);
         Question question = new Question(frame, inquiry, decided);
@@ -164,10 +164,7 @@
             return;
         }
         question.inquiry()
-                .answer(
-                        new HostId(answer.getHost()),
-                        StreamOriginCodec.lookup(answer),
-                        StreamOriginCodec.seen(answer))
+                .answer(new HostId(answer.getHost()), StreamOriginCodec.answer(answer))
                 .ifPresent(
                         takeUp -> {
                             questions.remove(answer.getNumber());
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -78,11 +78,6 @@
         public Map<HostId, ZoneId> zones() {
             return Map.of(LEADER, new ZoneId("plateau"));
         }
-
-        @Override
-        public int knownCount() {
-            return 1;
-        }
     }
 
     @BeforeEach
