A silent cut is found though callers' deadlines end between the checks

From the log: its requests ended by their deadlines between two checks of a silent upstream, and what the first check had found was forgotten with the last request. Two checks in a row never came together.

A check counts now until something is heard from the upstream, or for two seconds after the last request. UpstreamPathsTest.silenceOfAllIsACutThough... failed before.

--- a/stackhall-core/src/main/java/io/stackhall/core/path/OwedAnswers.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/path/OwedAnswers.java
@@ -28,6 +28,12 @@
      */
     private static final int MAX_UNCONFIRMED_CHECKS = 2;
 
+    /**
+     * How long a check counts after the last request has ended. Callers' deadlines may be as short
+     * as two checks take, so that each check sees other requests.
+     */
+    private static final long CHECK_VALID_NANOS = 2 * UpstreamPaths.SILENCE_NANOS;
+
     private final Map<UpstreamId, Owed> upstreams = new HashMap<>();
 
     /** Requests that an upstream owes answers, and since when nothing has come from it. */
@@ -35,6 +41,7 @@
         private int count;
         private long silentSince;
         private long checkedAt;
+        private boolean checked;
         private int unconfirmedChecks;
 
         private Owed(long now) {
@@ -44,7 +51,9 @@
 
         private boolean isCheckDue(boolean broken, long now) {
             long interval = broken ? BROKEN_CHECK_NANOS : UpstreamPaths.SILENCE_NANOS;
-            return now - silentSince >= UpstreamPaths.SILENCE_NANOS && now - checkedAt >= interval;
+            return count > 0
+                    && now - silentSince >= UpstreamPaths.SILENCE_NANOS
+                    && now - checkedAt >= interval;
         }
     }
 
@@ -53,21 +62,36 @@
     }
 
     void sent(UpstreamId id, long now) {
-        upstreams.computeIfAbsent(id, key -> new Owed(now)).count++;
+        Owed known = upstreams.get(id);
+        boolean outdated =
+                known != null && known.count == 0 && now - known.checkedAt > CHECK_VALID_NANOS;
+        if (known == null || outdated) {
+            upstreams.put(id, new Owed(now));
+        }
+        upstreams.get(id).count++;
     }
 
     void ended(UpstreamId id) {
         Owed owed = upstreams.get(id);
-        if (owed != null && --owed.count <= 0) {
+        if (owed == null) {
+            return;
+        }
+        owed.count = Math.max(0, owed.count - 1);
+        if (owed.count == 0 && !owed.checked) {
             upstreams.remove(id);
         }
     }
 
     void heard(UpstreamId id, long now) {
         Owed owed = upstreams.get(id);
-        if (owed != null) {
-            owed.silentSince = now;
-            owed.unconfirmedChecks = 0;
+        if (owed == null) {
+            return;
+        }
+        owed.silentSince = now;
+        owed.checked = false;
+        owed.unconfirmedChecks = 0;
+        if (owed.count == 0) {
+            upstreams.remove(id);
         }
     }
 
@@ -78,6 +102,7 @@
                 (id, owed) -> {
                     if (due.size() < MAX_CHECKS && owed.isCheckDue(isBroken.test(id), now)) {
                         owed.checkedAt = now;
+                        owed.checked = true;
                         due.add(id);
                     }
                 });
--- a/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/path/UpstreamPathsTest.java
@@ -188,6 +188,47 @@
         assertThat(paths.silenceUnconfirmed(SECOND, now)).isEqualTo(Change.CUT_OFF);
     }
 
+    // Callers with deadlines of two seconds were held to the end: checks were forgotten with them.
+    @Test
+    void silenceOfAllIsACutThoughTheRequestsEndBetweenTheChecks() {
+        paths.heard(THIRD, now, now);
+        paths.sent(FIRST, now);
+        paths.sent(SECOND, now);
+        now += Duration.ofMillis(1001).toNanos();
+        assertThat(paths.dueSilenceChecks(now)).hasSize(2);
+        now += Duration.ofMillis(400).toNanos();
+        paths.silenceUnconfirmed(FIRST, now);
+        paths.silenceUnconfirmed(SECOND, now);
+        now += Duration.ofMillis(601).toNanos();
+        paths.ended(FIRST);
+        paths.ended(SECOND);
+        assertThat(paths.dueSilenceChecks(now)).as("nothing is owed").isEmpty();
+        now += Duration.ofMillis(100).toNanos();
+        paths.sent(FIRST, now);
+        paths.sent(SECOND, now);
+        assertThat(paths.dueSilenceChecks(now)).hasSize(2);
+        paths.ended(FIRST);
+        now += Duration.ofMillis(400).toNanos();
+        paths.silenceUnconfirmed(FIRST, now);
+        assertThat(paths.silenceUnconfirmed(SECOND, now)).isEqualTo(Change.CUT_OFF);
+    }
+
+    @Test
+    void silenceOfLongAgoIsNotHeldAgainstAnUpstream() {
+        paths.sent(FIRST, now);
+        now += Duration.ofMillis(1001).toNanos();
+        paths.dueSilenceChecks(now);
+        paths.silenceUnconfirmed(FIRST, now);
+        paths.ended(FIRST);
+        now += Duration.ofSeconds(3).toNanos();
+        paths.sent(FIRST, now);
+        assertThat(paths.dueSilenceChecks(now)).isEmpty();
+        now += Duration.ofMillis(1001).toNanos();
+        assertThat(paths.dueSilenceChecks(now)).containsExactly(FIRST);
+        paths.silenceUnconfirmed(FIRST, now);
+        assertThat(paths.isBroken(FIRST)).isFalse();
+    }
+
     @Test
     void cutOffHostProbesOneAfterTheOtherAndAnyAnswerEndsIt() {
         paths.failed(FIRST, now);
