A stream whose attempt had no id is not taken for another one

Callers need not name their attempts. All such streams were remembered under the same empty id, and a caller that takes one up with an empty Resumes went on at the version of whichever had begun last: a guess, and events of two versions in one stream. An empty id is no id now: nothing is remembered under it, and without proof of one version the caller is refused.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -37,7 +37,7 @@
      * that stream up with this request.
      */
     Optional<String> resumedId() {
-        return Optional.ofNullable(headers.get(Headers.RESUMES));
+        return Optional.ofNullable(headers.get(Headers.RESUMES)).filter(id -> !id.isBlank());
     }
 
     /** Returns the id of the last event that the caller has of the stream that it takes up. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamBinding.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamBinding.java
@@ -48,7 +48,9 @@
         }
         StreamOrigin origin = new StreamOrigin(instance.service(), instance.software().get());
         String firstAttempt = request.resumedId().orElseGet(request::id);
-        origins.begun(StreamKey.of(firstAttempt), origin, route);
+        if (!firstAttempt.isEmpty()) {
+            origins.begun(StreamKey.of(firstAttempt), origin, route);
+        }
         return need.atVersion(origin.software());
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/MixedVersionsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/MixedVersionsTest.java
@@ -156,6 +156,16 @@
         assertThat(TimeUnit.NANOSECONDS.toMillis(perRequest)).isLessThan(400);
     }
 
+    // Streams without an id of their attempt would all pass for the same one.
+    @Test
+    void streamWithoutAnIdIsNotTakenForAnother() throws Exception {
+        for (int number = 0; number < STREAMS; number++) {
+            begin(1, get("/resumed/x", ""));
+            RawHttp.Message answer = takeUp(1, new Begun("", "v1"), "nameless" + number);
+            assertThat(answer.status()).isEqualTo(503);
+        }
+    }
+
     // A host that hears from no control host has to say that it does not know.
     @Test
     void streamIsNotTakenUpByGuessWhileNoControlHostAnswers() throws Exception {
@@ -190,17 +200,22 @@
         List<Begun> begun = new ArrayList<>();
         for (int number = 0; number < count; number++) {
             String id = prefix + number;
-            try (Socket caller = fleet.callerOf(host)) {
-                caller.getOutputStream().write(ascii(get("/resumed/x", id)));
-                InputStream in = caller.getInputStream();
-                assertThat(RawHttp.readHead(in).status()).isEqualTo(200);
-                String event = new String(RawHttp.chunk(in), StandardCharsets.US_ASCII);
-                begun.add(new Begun(id, software(event).iterator().next()));
-            }
+            begun.add(new Begun(id, begin(host, get("/resumed/x", id))));
         }
         return begun;
     }
 
+    /** Begins a stream, and returns the version that its first event came from. */
+    private String begin(int host, String request) throws IOException {
+        try (Socket caller = fleet.callerOf(host)) {
+            caller.getOutputStream().write(ascii(request));
+            InputStream in = caller.getInputStream();
+            assertThat(RawHttp.readHead(in).status()).isEqualTo(200);
+            String event = new String(RawHttp.chunk(in), StandardCharsets.US_ASCII);
+            return software(event).iterator().next();
+        }
+    }
+
     private List<RawHttp.Message> takeUp(int host, List<Begun> begun, String suffix)
             throws IOException {
         List<RawHttp.Message> answers = new ArrayList<>();
