A stream does not go on at a service that its route has been taken from

A configuration may leave a service in a route's split with weight 0. Such a route counted as leading there, so that a stream which began there went on at the service of an older configuration; and a split with one service of any weight was taken for one of several, so that callers who do not name their stream were refused. Only services with a weight count now.

--- a/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * A route: where requests for a host name and path prefix go, and their limits and objectives.
@@ -62,12 +63,17 @@
 
     /** Returns whether some of its requests go to a service. */
     public boolean leadsTo(ServiceName service) {
-        return split.stream().anyMatch(share -> share.service().equals(service));
+        return services().anyMatch(service::equals);
     }
 
     /** Returns the service of all its requests, if there is only one. */
     public Optional<ServiceName> onlyService() {
-        return split.size() == 1 ? Optional.of(split.getFirst().service()) : Optional.empty();
+        List<ServiceName> services = services().distinct().toList();
+        return services.size() == 1 ? Optional.of(services.getFirst()) : Optional.empty();
+    }
+
+    private Stream<ServiceName> services() {
+        return split.stream().filter(share -> share.weight() > 0).map(Share::service);
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
@@ -15,6 +15,20 @@
 
     private static final ServiceName PLAIN = new ServiceName("plain");
 
+    // A stream went on at a service that its route had been taken away from.
+    @Test
+    void serviceWithoutWeightGetsNoRequests() {
+        ServiceName next = new ServiceName("next");
+        Route moved =
+                route("r", "/r/", List.of(new Route.Share(PLAIN, 0), new Route.Share(next, 100)));
+        assertThat(moved.leadsTo(PLAIN)).isFalse();
+        assertThat(moved.leadsTo(next)).isTrue();
+        assertThat(moved.onlyService()).contains(next);
+        Route shared =
+                route("s", "/s/", List.of(new Route.Share(PLAIN, 1), new Route.Share(next, 1)));
+        assertThat(shared.onlyService()).isEmpty();
+    }
+
     @Test
     void longestPrefixOfTheHostWins() {
         RouteTable table =
