A stream bound to a version waits for no load beside a resting instance

A request that goes on at one version only is refused at once where no instance of it holds its model. Where one that does wants rest, or is at its limit, the choice without that one was still to wait for a load, which nobody orders at a version: its caller was held for up to the time of a load and then refused. The choice is adapted where it is made now. Found by reading; DispatcherTest.streamWhoseVersionRestsOr... failed before.

--- a/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceSelector.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/dispatch/InstanceSelector.java
@@ -65,25 +65,22 @@
                 selectServing(partition, request).or(() -> waitForTimeSlot(partition));
         Optional<Choice> later = orWaitForRestEnd(partition.resting, now, request);
         Optional<Choice> decided = orWaitForPermit(partition.limited, later, request);
-        Choice choice =
-                decided.orElseGet(
-                        () ->
-                                partition.anyReady
-                                        ? new Choice.AllTried()
-                                        : new Choice.NobodyServes());
-        return request.need().software().isPresent() ? withoutWaitingForOthers(choice) : choice;
+        return decided.orElseGet(
+                () ->
+                        partition.anyReady
+                                ? new Choice.AllTried()
+                                : forVersion(new Choice.NobodyServes(), request));
     }
 
     /**
-     * Returns the choice for a request that only one version of the software may run. What is
+     * Returns a choice, adapted if only one version of the software may run the request. What is
      * missing there need not come: loads go to instances of any version.
      */
-    private static Choice withoutWaitingForOthers(Choice choice) {
-        return switch (choice) {
-            case Choice.NobodyServes none -> new Choice.VersionMissing();
-            case Choice.ModelMissing missing -> new Choice.VersionMissing();
-            default -> choice;
-        };
+    private static Choice forVersion(Choice choice, DispatchRequest request) {
+        boolean missing =
+                choice instanceof Choice.NobodyServes || choice instanceof Choice.ModelMissing;
+        boolean bound = request.need().software().isPresent();
+        return missing && bound ? new Choice.VersionMissing() : choice;
     }
 
     private Partition partition(
@@ -148,7 +145,8 @@
             return Optional.of(plain.select(instances, request.suspect(), request.now()));
         }
         PrefillRate rate = services.prefillRate(request.need().service());
-        return Optional.of(engines.select(request, instances, engine.get(), rate));
+        return Optional.of(
+                forVersion(engines.select(request, instances, engine.get(), rate), request));
     }
 
     private boolean canSendTo(Instance instance, DispatchRequest request) {
--- a/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/dispatch/DispatcherTest.java
@@ -301,6 +301,19 @@
                 .isInstanceOf(Admission.Verdict.GiveUp.class);
     }
 
+    // Beside a resting instance, such a stream waited for a load all the same.
+    @Test
+    void streamWhoseVersionRestsOrLacksItsModelIsRefusedAtOnce() {
+        dispatcher.updateInstance(atVersion("holder", "v2", "m"));
+        dispatcher.updateInstance(atVersion("other", "v2"));
+        dispatcher.recordRest(new UpstreamId("holder"), Duration.ofMinutes(1), NOW);
+        Need goingOn = need(Optional.empty()).atVersion(new SoftwareVersion("v2"));
+        Choice choice = dispatcher.choose(goingOn, id -> true, false, NOW);
+        assertThat(choice).isInstanceOf(Choice.Resting.class);
+        Admission admission = new Admission(NOW + Duration.ofSeconds(20).toNanos());
+        assertThat(admission.decide(choice, 0, NOW)).isInstanceOf(Admission.Verdict.GiveUp.class);
+    }
+
     private Optional<String> sentTo(Need need) {
         return idOf(dispatcher.choose(need, id -> true, false, NOW));
     }
