--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/StreamLedger.java
@@ -0,0 +1,84 @@
+package io.stackhall.core.stream;
+
+import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.id.ServiceName;
+import io.stackhall.core.stream.StreamOrigins.Memory;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * What one entry host knows of the streams that began there, and which of them it has control hosts
+ * remember: none while a service runs a single version, all of them otherwise.
+ *
+ * <p>Answers the load of a rollout on many hosts of which some are killed: their callers come to
+ * other hosts, with streams of several versions. Until then nothing is sent.
+ *
+ * <p>Times are on the monotonic clock, in nanoseconds. Not thread-safe.
+ */
+public final class StreamLedger {
+
+    /** What may have been lost is told again if versions have mixed within this time. */
+    private static final Duration MIX_MEMORY = Duration.ofDays(1);
+
+    private final StreamOrigins origins = new StreamOrigins();
+    private final VersionHistory versions = VersionHistory.notWatching();
+
+    /** Records that all instances of the moment are known. */
+    public void startWatching(long now) {
+        versions.startWatching(now);
+    }
+
+    /**
+     * Applies a change of an instance.
+     *
+     * @return the streams to be remembered elsewhere from now on
+     */
+    public List<Memory> instanceChanged(Instance instance, long now) {
+        boolean first = versions.update(instance, now);
+        if (!first || !mayMix(instance.service(), MIX_MEMORY, now)) {
+            return List.of();
+        }
+        return origins.all(now).stream()
+                .filter(memory -> memory.origin().service().equals(instance.service()))
+                .toList();
+    }
+
+    /** Returns the streams that a control host may have lost or missed. */
+    public List<Memory> toRemember(long now) {
+        return origins.all(now).stream()
+                .filter(memory -> mayMix(memory.origin().service(), MIX_MEMORY, now))
+                .toList();
+    }
+
+    /**
+     * Records the first event of a stream, or of its continuation.
+     *
+     * @param keep how long its caller may still take it up
+     * @return the stream, if it is to be remembered elsewhere
+     */
+    public List<Memory> begun(StreamKey key, StreamOrigin origin, Duration keep, long now) {
+        origins.remember(key, origin, keep, now);
+        return mayMix(origin.service(), keep, now)
+                ? List.of(new Memory(key, origin, keep))
+                : List.of();
+    }
+
+    /** Returns what is known of a stream. */
+    public OriginLookup find(StreamKey key, long now) {
+        return origins.find(key, now);
+    }
+
+    /** Returns the versions of a service that have been there at some time within a period. */
+    public VersionsSeen seen(ServiceName service, Duration period, long now) {
+        return versions.seen(service, period, now);
+    }
+
+    /** Returns the number of streams that are remembered here. */
+    public int size() {
+        return origins.size();
+    }
+
+    private boolean mayMix(ServiceName service, Duration period, long now) {
+        return seen(service, period, now).mayMix();
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/Instances.java
@@ -56,6 +56,16 @@
 
     private static Instance with(
             Instance instance, UpstreamId id, ZoneId zone, int slots, Duration cold) {
+        return with(instance, id, zone, slots, cold, instance.software().orElseThrow());
+    }
+
+    private static Instance with(
+            Instance instance,
+            UpstreamId id,
+            ZoneId zone,
+            int slots,
+            Duration cold,
+            SoftwareVersion software) {
         return new Instance(
                 id,
                 instance.service(),
@@ -69,26 +79,19 @@
                 instance.inHostMemory(),
                 instance.onDisk(),
                 instance.ordersTaken(),
-                instance.software());
+                Optional.of(software));
     }
 
     /** Returns an instance of a version of the software that holds some models. */
     public static Instance atVersion(String id, String software, String... models) {
         Instance instance = instance(id, 1, models);
-        return new Instance(
+        return with(
+                instance,
                 instance.id(),
-                instance.service(),
-                instance.address(),
                 instance.zone(),
                 instance.slots(),
-                instance.state(),
-                instance.sequence(),
                 instance.cold(),
-                instance.models(),
-                instance.inHostMemory(),
-                instance.onDisk(),
-                instance.ordersTaken(),
-                Optional.of(new SoftwareVersion(software)));
+                new SoftwareVersion(software));
     }
 
     /** Returns an instance at an address. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -10,11 +10,10 @@
 import io.stackhall.core.stream.OriginInquiry;
 import io.stackhall.core.stream.OriginLookup;
 import io.stackhall.core.stream.StreamKey;
+import io.stackhall.core.stream.StreamLedger;
 import io.stackhall.core.stream.StreamOrigin;
-import io.stackhall.core.stream.StreamOrigins;
 import io.stackhall.core.stream.StreamOrigins.Memory;
 import io.stackhall.core.stream.TakeUp;
-import io.stackhall.core.stream.VersionHistory;
 import io.stackhall.core.stream.VersionsSeen;
 import io.stackhall.rpc.generated.fleet.StreamOriginAnswer;
 import io.stackhall.rpc.generated.peer.Frame;
@@ -43,15 +42,11 @@
      */
     private static final long ANSWER_TIMEOUT_MILLIS = 250;
 
-    /** Whoever has told of two versions goes on telling for this long after one of them is gone. */
-    private static final Duration MIX_MEMORY = Duration.ofDays(1);
-
     private final ZoneId zone;
     private final EventLoop loop;
     private final ControlHostConnections controlHosts;
     private final FleetMetrics metrics;
-    private final StreamOrigins origins = new StreamOrigins();
-    private final VersionHistory versions = VersionHistory.notWatching();
+    private final StreamLedger ledger = new StreamLedger();
     private final Map<Long, Question> questions = new HashMap<>();
     private long lastNumber;
 
@@ -71,19 +66,12 @@
 
     /** Records that all instances of the moment are known. */
     void startWatching() {
-        versions.startWatching(BootClock.nanos());
+        ledger.startWatching(BootClock.nanos());
     }
 
     /** Applies a change of an instance. */
     void instanceChanged(Instance instance) {
-        long now = BootClock.nanos();
-        boolean first = versions.update(instance, now);
-        if (first && mayMix(instance.service(), MIX_MEMORY, now)) {
-            tellHolders(
-                    origins.all(now).stream()
-                            .filter(one -> one.origin().service().equals(instance.service()))
-                            .toList());
-        }
+        tellHolders(ledger.instanceChanged(instance, BootClock.nanos()));
     }
 
     /**
@@ -91,14 +79,10 @@
      * it what is being asked.
      */
     void connected(HostId host) {
-        long now = BootClock.nanos();
         questions.values().forEach(question -> send(question, host));
-        List<Memory> mixed =
-                origins.all(now).stream()
-                        .filter(memory -> mayMix(memory.origin().service(), MIX_MEMORY, now))
-                        .toList();
-        if (!mixed.isEmpty()) {
-            controlHosts.send(host, StreamOriginCodec.encode(mixed));
+        List<Memory> memories = ledger.toRemember(BootClock.nanos());
+        if (!memories.isEmpty()) {
+            controlHosts.send(host, StreamOriginCodec.encode(memories));
         }
     }
 
@@ -108,12 +92,7 @@
      * @param route the route of its request
      */
     void begun(StreamKey key, StreamOrigin origin, Route route) {
-        long now = BootClock.nanos();
-        Duration keep = route.maxStreamLife();
-        origins.remember(key, origin, keep, now);
-        if (mayMix(origin.service(), keep, now)) {
-            tellHolders(List.of(new Memory(key, origin, keep)));
-        }
+        tellHolders(ledger.begun(key, origin, route.maxStreamLife(), BootClock.nanos()));
     }
 
     /**
@@ -125,7 +104,7 @@
     void inquire(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided) {
         long now = BootClock.nanos();
         OriginLookup own =
-                key.map(stream -> origins.find(stream, now)).orElseGet(OriginLookup.Unknown::new);
+                key.map(stream -> ledger.find(stream, now)).orElseGet(OriginLookup.Unknown::new);
         switch (own) {
             case OriginLookup.Known(StreamOrigin origin) ->
                     decided.accept(new TakeUp.GoOn(origin, TakeUp.Evidence.OWN_RECORD).on(route));
@@ -140,8 +119,7 @@
         Optional<ServiceName> service = route.onlyService();
         Duration life = route.maxStreamLife();
         VersionsSeen seen =
-                service.map(name -> versions.seen(name, life, now))
-                        .orElseGet(VersionsSeen::nothing);
+                service.map(name -> ledger.seen(name, life, now)).orElseGet(VersionsSeen::nothing);
         OriginInquiry inquiry = new OriginInquiry(service, life, seen);
         long number = ++lastNumber;
         Frame frame = StreamOriginCodec.question(number, key, service, life);
@@ -181,14 +159,10 @@
 
     /** Updates the gauges. */
     void measure() {
-        metrics.state("stream_origins", origins.size());
+        metrics.state("stream_origins", ledger.size());
         metrics.state("stream_origin_questions", questions.size());
     }
 
-    private boolean mayMix(ServiceName service, Duration period, long now) {
-        return versions.seen(service, period, now).mayMix();
-    }
-
     private void tellHolders(List<Memory> memories) {
         Map<HostId, ZoneId> zones = controlHosts.zones();
         Map<HostId, List<Memory>> byHolder = new HashMap<>();
