Review: a case of MIXED, an answer without a length whose runner is killed

Cause: the end of a connection counts as the end of an answer without a length, and a process that is killed ends its connections in good order. The part is passed on as a success with a length of the entry host's own.

Nothing of the product is changed.

--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -40,6 +40,7 @@
     private long sequence;
     private volatile boolean beating = true;
     private volatile boolean ended;
+    private volatile boolean unframed;
 
     Runner(
             String id,
@@ -65,6 +66,16 @@
         this.free = new Semaphore(slots, true);
     }
 
+    /** Has answers carry no length and end with their connection, written in two parts. */
+    void answerWithoutLength() {
+        unframed = true;
+    }
+
+    /** Returns the whole body of the answer to a request. */
+    static String bodyOf(String id, String requestId) {
+        return "answer of " + id + " to " + requestId + " " + "=".repeat(2000) + " end";
+    }
+
     void start() {
         Thread.startVirtualThread(this::accept);
         Thread.startVirtualThread(this::beat);
@@ -153,6 +164,9 @@
                     request != null;
                     request = Http.read(in, false)) {
                 answer(request, out);
+                if (unframed && request.header("X-Request-Id") != null) {
+                    return;
+                }
             }
         } catch (IOException | InterruptedException e) {
             // The caller has gone, or this runner has ended.
@@ -200,7 +214,24 @@
             present.decrementAndGet();
         }
         headers.put("X-Server-Stamp", id + "." + requestId);
+        if (unframed) {
+            answerInTwoParts(headers, requestId, out);
+            return;
+        }
         byte[] body = ("answer of " + id + " to " + requestId).getBytes(StandardCharsets.UTF_8);
         Http.send(out, "HTTP/1.1 200 OK", null, headers, body);
     }
+
+    private void answerInTwoParts(Map<String, String> headers, String requestId, OutputStream out)
+            throws IOException, InterruptedException {
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nConnection: close\r\n");
+        headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+        String body = bodyOf(id, requestId);
+        int half = body.length() / 2;
+        out.write((head + "\r\n" + body.substring(0, half)).getBytes(StandardCharsets.UTF_8));
+        out.flush();
+        Thread.sleep(60);
+        out.write(body.substring(half).getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
 }
