--- a/review/standins/FirstStart.java
+++ b/review/standins/FirstStart.java
@@ -71,9 +71,11 @@
                             ? String.format(
                                     Locale.ROOT,
                                     "no acknowledgement in %.0f s; %d control machines run;"
+                                            + " %d entry machines are ready;"
                                             + " reading the configuration: %s",
                                     END,
                                     running,
+                                    system.fronts.stream().filter(Node::isReady).count(),
                                     read)
                             : String.format(
                                     Locale.ROOT,
