Review: streams in the case of MIXED

Cause: as before, the end of a connection counts as the end of an answer without a length.

Nothing of the product is changed.

--- a/review/standins/Configurations.java
+++ b/review/standins/Configurations.java
@@ -8,6 +8,15 @@
         return plain(version, 16384);
     }
 
+    /** The same with a route of streams, which may not be taken up. */
+    static String withStreams(long version) {
+        String stream =
+                """
+                {"name":"r-stream","host":"feed.example","path-prefix":"/stream/","kind":"streaming","timeout-ms":5000,"target-latency-ms":800,"priority":1,"service":"feed-api","max-attempts":1,"session-affinity":false,"resumable":false,"gap-aim-ms":400},
+                """;
+        return plain(version).replace("\"routes\":[", "\"routes\":[" + stream);
+    }
+
     /** The same with another limit of a request's head. */
     static String plain(long version, int maxHeaderBytes) {
         return """
--- a/review/standins/CutShort.java
+++ b/review/standins/CutShort.java
@@ -35,10 +35,11 @@
         AtomicBoolean stop = new AtomicBoolean();
         AtomicInteger whole = new AtomicInteger();
         AtomicInteger shortBodies = new AtomicInteger();
+        AtomicInteger shortStreams = new AtomicInteger();
         AtomicInteger others = new AtomicInteger();
         try (Deployment system = new Deployment(root, record, 1)) {
             system.startAll();
-            if (new Operator(system.controls(), record).put(Configurations.plain(7), 30) < 0) {
+            if (new Operator(system.controls(), record).put(Configurations.withStreams(7), 30) < 0) {
                 system.reportEnded();
                 return 2;
             }
@@ -63,6 +64,7 @@
                                                     stop,
                                                     whole,
                                                     shortBodies,
+                                                    shortStreams,
                                                     others,
                                                     record)));
                 }
@@ -91,12 +93,14 @@
                         + " successes with the whole body, "
                         + shortBodies
                         + " successes with a part of it, "
+                        + shortStreams
+                        + " streams that end as complete before their last piece, "
                         + others
                         + " other outcomes");
         if (whole.get() < 100) {
             return 2;
         }
-        boolean broken = shortBodies.get() > 0;
+        boolean broken = shortBodies.get() + shortStreams.get() > 0;
         record.say(broken ? "MIXED is broken" : "MIXED holds");
         return broken ? 1 : 0;
     }
@@ -127,17 +131,24 @@
         return process;
     }
 
+    private static String expected(String stamp, String requestId, boolean stream) {
+        String runner = stamp.split("\\.")[0];
+        return stream ? Runner.streamOf(runner, requestId) : Runner.bodyOf(runner, requestId);
+    }
+
     private static void client(
             Node front,
             int number,
             AtomicBoolean stop,
             AtomicInteger whole,
             AtomicInteger shortBodies,
+            AtomicInteger shortStreams,
             AtomicInteger others,
             Record record) {
-        boolean safe = number % 2 == 0;
+        boolean safe = number % 3 == 0;
+        boolean stream = number % 3 == 1;
         for (int i = 0; !stop.get(); i++) {
-            String id = front.name + (safe ? "-s" : "-u") + number + "-" + i;
+            String id = front.name + (safe ? "-s" : stream ? "-e" : "-u") + number + "-" + i;
             try {
                 Map<String, String> headers =
                         Map.of("Host", "feed.example", "X-Request-Id", id, "X-Deadline-Ms", "3000");
@@ -145,7 +156,7 @@
                         Http.call(
                                 front.front(),
                                 safe ? "GET" : "POST",
-                                safe ? "/snippet/2f" : "/status/2f",
+                                safe ? "/snippet/2f" : stream ? "/stream/2f" : "/status/2f",
                                 headers,
                                 new byte[0],
                                 3500);
@@ -153,10 +164,10 @@
                 if (answer == null || answer.status() != 200 || stamp == null) {
                     others.incrementAndGet();
                     record.line("client " + id + " -> " + (answer == null ? "closed" : answer.first()));
-                } else if (answer.text().equals(Runner.bodyOf(stamp.split("\\.")[0], id))) {
+                } else if (answer.text().equals(expected(stamp, id, stream))) {
                     whole.incrementAndGet();
                 } else {
-                    shortBodies.incrementAndGet();
+                    (stream ? shortStreams : shortBodies).incrementAndGet();
                     record.line(
                             "SHORT: client "
                                     + id
@@ -167,7 +178,7 @@
                                     + ", "
                                     + answer.body().length
                                     + " bytes of "
-                                    + Runner.bodyOf(stamp.split("\\.")[0], id).length());
+                                    + expected(stamp, id, stream).length());
                 }
             } catch (IOException e) {
                 others.incrementAndGet();
--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -24,6 +24,8 @@
         void arrived(Runner runner, String requestId);
     }
 
+    private static final int EVENTS = 6;
+
     final String id;
     final String address;
     private final String service;
@@ -76,6 +78,19 @@
         return "answer of " + id + " to " + requestId + " " + "=".repeat(2000) + " end";
     }
 
+    /** Returns the whole stream of the answer to a request. */
+    static String streamOf(String id, String requestId) {
+        StringBuilder all = new StringBuilder();
+        for (int event = 1; event <= EVENTS; event++) {
+            all.append(event(id, requestId, event));
+        }
+        return all.toString();
+    }
+
+    private static String event(String id, String requestId, int number) {
+        return "id: " + number + "\ndata: " + id + " " + requestId + " piece " + number + "\n\n";
+    }
+
     void start() {
         Thread.startVirtualThread(this::accept);
         Thread.startVirtualThread(this::beat);
@@ -215,7 +230,11 @@
         }
         headers.put("X-Server-Stamp", id + "." + requestId);
         if (unframed) {
-            answerInTwoParts(headers, requestId, out);
+            if (path.startsWith("/stream/")) {
+                answerInEvents(headers, requestId, out);
+            } else {
+                answerInTwoParts(headers, requestId, out);
+            }
             return;
         }
         byte[] body = ("answer of " + id + " to " + requestId).getBytes(StandardCharsets.UTF_8);
@@ -234,4 +253,19 @@
         out.write(body.substring(half).getBytes(StandardCharsets.UTF_8));
         out.flush();
     }
+
+    private void answerInEvents(Map<String, String> headers, String requestId, OutputStream out)
+            throws IOException, InterruptedException {
+        StringBuilder head =
+                new StringBuilder(
+                        "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                + "Content-Type: text/event-stream\r\n");
+        headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+        out.write((head + "\r\n").getBytes(StandardCharsets.UTF_8));
+        for (int event = 1; event <= EVENTS; event++) {
+            out.write(event(id, requestId, event).getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            Thread.sleep(event < EVENTS ? 20 : 0);
+        }
+    }
 }
