Review: only loopback addresses in the stand-ins

Cause: free ports were looked for on the address of all interfaces.

Nothing of the product is changed.

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -148,11 +148,17 @@
         throw new IOException("no loopback net is free");
     }
 
-    /** Returns a port that nobody listens at, below those that outgoing connections take. */
-    private static int freePort() throws IOException {
+    /** Returns a port that no machine's address has taken, below those of outgoing connections. */
+    private int freePort() throws IOException {
         for (int tries = 0; tries < 1000; tries++) {
             int port = 12_000 + 2 * new Random().nextInt(9_000);
-            if (isFree("0.0.0.0", port) && isFree("0.0.0.0", port + 1)) {
+            boolean free = true;
+            for (int zone = 1; zone <= ZONES.size(); zone++) {
+                for (int host : List.of(11, 12, 41, 42)) {
+                    free &= isFree(ip(zone, host), port) && isFree(ip(zone, host), port + 1);
+                }
+            }
+            if (free) {
                 return port;
             }
         }
