Hosts log and count what they deny, and how old their configuration may be

A denial was logged with the active version alone, so that a route that is missing in the newest configuration and one that is missing in an old one looked alike. The line now has the newest version that was reported and the age of the last confirmation by a quorum; denials are counted by status and reason.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -320,7 +320,16 @@
     }
 
     private void rejectMalformed(HttpResponseStatus status, String reason) {
-        logger.info("request.malformed status={} reason={}", status.code(), reason);
+        RoutesStanding standing = gateway.routesStanding();
+        gateway.metrics().requestDenied(status.code(), "malformed");
+        logger.info(
+                "request.malformed status={} reason={} routesVersion={} reportedVersion={}"
+                        + " confirmationAgeMs={}",
+                status.code(),
+                reason,
+                standing.version(),
+                standing.reported(),
+                standing.confirmationAge().toMillis());
         head = null;
         closing = true;
         cancelTimeout();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/FinalAnswer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/FinalAnswer.java
@@ -71,10 +71,17 @@
         } else if (refused.retryAfter().isPresent()) {
             refuse(refused.status(), refused.reason(), refused.retryAfter().get());
         } else {
-            fail(refused.status(), refused.reason());
+            deny(refused.status(), refused.reason());
         }
     }
 
+    /** Answers that the active configuration does not allow the request. */
+    void deny(HttpResponseStatus status, String reason) {
+        log.denied(status.code(), reason, request, gateway.routesStanding());
+        close.run();
+        answers.writeAnswer(Answers.failure(status, reason, request.id()));
+    }
+
     /** Ends a request whose deadline has passed. */
     void timeOut() {
         if (stream.hasBegun()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -62,6 +62,7 @@
     private final HeldBytes heldBytes = new HeldBytes(HeldBody.hostLimit());
     private Optional<LoadShedding> loadShedding = Optional.empty();
     private RouteTable routes;
+    private long reportedRoutes = -1;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
     private boolean closing;
     private int entryHostCount;
@@ -268,6 +269,17 @@
         return routes;
     }
 
+    /** Records the newest version of the routes that a control host has reported. */
+    void setReportedRoutes(long version) {
+        reportedRoutes = version;
+    }
+
+    /** Returns how old the active routes may be. */
+    RoutesStanding routesStanding() {
+        return new RoutesStanding(
+                hasRoutes() ? routes.version() : -1, reportedRoutes, customers.confirmationAge());
+    }
+
     CallerLimits callerLimits() {
         return routes == null ? CallerLimits.initial() : routes.limits();
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -72,8 +72,7 @@
         String host = request.authority();
         Optional<Route> found = gateway.routes().find(host, request.target());
         if (found.isEmpty()) {
-            log.noRoute(host, request.target(), gateway.routes().version());
-            finalAnswer.fail(HttpResponseStatus.NOT_FOUND, "no route leads here");
+            finalAnswer.deny(HttpResponseStatus.NOT_FOUND, "no route leads here");
             return;
         }
         route = found.get();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -71,16 +71,25 @@
         customer = holder.map(one -> one.id().value()).orElse("");
     }
 
-    void noRoute(String host, String target, long routesVersion) {
-        metrics.requestEnded(route, "no-route");
+    /** Logs that the active configuration does not allow the request, and how old it may be. */
+    void denied(int status, String reason, CallerRequest request, RoutesStanding standing) {
+        metrics.requestEnded(route, "denied");
+        metrics.requestDenied(status, reason);
+        metrics.customerRequest(customer, "denied");
         long leftOut = lineBudget.take(LineBudget.Kind.FAILED, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "request.no-route id={} host={} target={} routesVersion={} leftOut={}",
+                    "request.denied id={} status={} reason={} host={} target={} routesVersion={}"
+                            + " reportedVersion={} confirmationAgeMs={} ageMs={} leftOut={}",
                     id,
-                    host,
-                    target,
-                    routesVersion,
+                    status,
+                    reason,
+                    request.authority(),
+                    request.target(),
+                    standing.version(),
+                    standing.reported(),
+                    standing.confirmationAge().toMillis(),
+                    ageMillis(),
                     leftOut);
         }
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
@@ -68,6 +68,7 @@
     void receive(RoutesUpdate update) {
         long now = BootClock.nanos();
         confirmation.reported(update.getVersion(), now);
+        gateway.setReportedRoutes(confirmation.reported());
         if (update.getVersion() > confirmation.held()) {
             store(update, now);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -29,6 +29,12 @@
                     .help("Callers' requests by route and how they ended.")
                     .labelNames("route", "outcome")
                     .register(registry);
+    private final Counter deniedRequests =
+            Counter.builder()
+                    .name("stackhall_denied_requests_total")
+                    .help("Requests that this host denied for good, by status and reason.")
+                    .labelNames("status", "reason")
+                    .register(registry);
     private final Counter attempts =
             Counter.builder()
                     .name("stackhall_upstream_attempts_total")
@@ -113,6 +119,11 @@
         requests.labelValues(bounded(routes, route), outcome).inc();
     }
 
+    /** Counts a request that this host has denied for good, with a status of its own. */
+    public void requestDenied(int status, String reason) {
+        deniedRequests.labelValues(Integer.toString(status), reason).inc();
+    }
+
     /** Notes how a customer's request ended; one without a customer is not noted. */
     public void customerRequest(String customer, String outcome) {
         if (!customer.isEmpty()) {
