--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -36,9 +36,13 @@
     /** Within which time of its acknowledgement a key that was taken away ends everywhere. */
     public static final Duration KEY_REVOCATION = Duration.ofSeconds(3);
 
+    /** How old an active configuration may be that a host denies requests by. */
+    public static final Duration ROUTES_STALENESS = Duration.ofSeconds(2);
+
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
     private final Path folder;
+    private final Optional<Duration> keyRevocation;
     private final int port = freePorts();
     private final List<FleetDaemon> daemons = new ArrayList<>();
     private final UpstreamLinks links = new UpstreamLinks();
@@ -47,7 +51,15 @@
 
     /** Creates a system whose replicas keep their state under a folder. */
     public LocalFleet(Path folder) throws IOException {
+        this(folder, Optional.of(KEY_REVOCATION));
+    }
+
+    /**
+     * Creates a system whose hosts may rely on keys for a time, without limit where it is empty.
+     */
+    LocalFleet(Path folder, Optional<Duration> keyRevocation) throws IOException {
         this.folder = folder;
+        this.keyRevocation = keyRevocation;
     }
 
     /** Returns the links of entry hosts to upstreams. */
@@ -262,7 +274,7 @@
                         Duration.ofSeconds(10),
                         Duration.ofSeconds(5),
                         1,
-                        Optional.of(KEY_REVOCATION),
+                        keyRevocation,
                         new LimitTolerance(Duration.ofSeconds(8), 0.1, 2),
                         processorShare),
                 Optional.empty());
