A host denies a request only by a configuration that a quorum has confirmed

Callers of routes and keys that an acknowledged configuration had added were answered 404 and 401, after which they do not try again: by hosts that no quorum had answered since their start, that had stood still over a change, or that had lost all control hosts. What a host may activate was decided with care, what it may say by it was not: serving by an old configuration and denying by it are two questions.

A host now denies only if a quorum has confirmed its configuration at most half of the time ago within which a change has to be active everywhere, asked by this host (DenialPolicy). Else it asks, through its primary and soon through all control hosts, holds the request for 0.4 s at most, and refuses it with a retry delay if no quorum answers. Requests that are allowed pay nothing.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -81,6 +81,8 @@
         this.random = random;
         this.primarySelector = new PrimarySelector(settings.peerName(), settings.zone());
         this.routesUpdater = new RoutesUpdater(loop, gateway, this::requestRoutes);
+        gateway.denials()
+                .setQuestions(this::requestConfirmationOfPrimary, this::requestConfirmationOfAll);
         gateway.upstreamAnnouncements()
                 .setLeavingListener(
                         id -> instanceTable.drain(id).forEach(gateway::instanceChanged));
@@ -145,6 +147,16 @@
         loop.execute(gateway::dispatchWaiting);
     }
 
+    /** Requests a confirmation of the active routes by a quorum through the primary. */
+    void requestConfirmationOfPrimary() {
+        primary.ifPresent(host -> subscribe(host, true));
+    }
+
+    /** Requests a confirmation of the active routes by a quorum through every control host. */
+    void requestConfirmationOfAll() {
+        connectedHosts().forEach(host -> subscribe(host, true));
+    }
+
     private List<HostId> connectedHosts() {
         return controlHosts.knownHosts().stream().filter(transport::connected).toList();
     }
--- /dev/null
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
@@ -0,0 +1,98 @@
+package io.stackhall.server.gateway;
+
+import io.netty.channel.EventLoop;
+import io.stackhall.core.route.DenialPolicy;
+import io.stackhall.core.route.DenialPolicy.Verdict;
+import io.stackhall.server.clock.BootClock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Holds requests that the active configuration does not allow until a quorum has told whether it is
+ * the newest. Used on one event loop.
+ */
+final class Denials {
+
+    private final EventLoop loop;
+    private final DenialPolicy policy;
+    private Runnable askPrimary = () -> {};
+    private Runnable askAll = () -> {};
+    private List<Runnable> held = new ArrayList<>();
+
+    /** Receives what becomes of a request. */
+    interface Outcome {
+
+        /** Denies the request for good. */
+        void deny();
+
+        /** Refuses the request, which another configuration may allow. */
+        void refuse(Duration retryAfter);
+
+        /** Considers the request again, by the configuration that is active now. */
+        void reconsider();
+    }
+
+    Denials(EventLoop loop, DenialPolicy policy) {
+        this.loop = loop;
+        this.policy = policy;
+    }
+
+    /**
+     * Sets what asks a quorum for a confirmation of the active configuration, through one control
+     * host and through all of them.
+     */
+    void setQuestions(Runnable throughPrimary, Runnable throughAll) {
+        askPrimary = throughPrimary;
+        askAll = throughAll;
+    }
+
+    /** Denies or refuses a request at once, or has it reconsidered later. */
+    void decide(Outcome outcome) {
+        switch (policy.decide(BootClock.nanos())) {
+            case Verdict.Deny() -> outcome.deny();
+            case Verdict.Refuse(Duration retryAfter, boolean ask) -> {
+                ask(ask);
+                outcome.refuse(retryAfter);
+            }
+            case Verdict.Hold(boolean ask) -> {
+                held.add(outcome::reconsider);
+                ask(ask);
+            }
+        }
+    }
+
+    /**
+     * Records that a quorum has confirmed the active configuration as the newest.
+     *
+     * @param askedAt when this host asked for it, in nanoseconds of {@code BootClock}
+     */
+    void confirmed(long askedAt) {
+        policy.confirmed(askedAt);
+        resumeAll();
+    }
+
+    /** Reconsiders all requests that are held. */
+    void resumeAll() {
+        List<Runnable> all = held;
+        held = new ArrayList<>();
+        all.forEach(Runnable::run);
+    }
+
+    private void ask(boolean due) {
+        if (!due) {
+            return;
+        }
+        askPrimary.run();
+        long timeout = DenialPolicy.ANSWER_TIMEOUT.toMillis();
+        loop.schedule(this::askAllIfHeld, timeout / 3, TimeUnit.MILLISECONDS);
+        loop.schedule(this::resumeAll, timeout, TimeUnit.MILLISECONDS);
+    }
+
+    private void askAllIfHeld() {
+        if (!held.isEmpty()) {
+            askAll.run();
+        }
+    }
+}
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -24,6 +24,7 @@
 import io.stackhall.core.overload.WorkShare;
 import io.stackhall.core.path.TunnelHosts;
 import io.stackhall.core.quarantine.HostPauseDetector;
+import io.stackhall.core.route.DenialPolicy;
 import io.stackhall.core.slot.BrittleUpstreams;
 import io.stackhall.platform.Calls;
 import io.stackhall.platform.Headers;
@@ -167,6 +168,7 @@
                         retryLimiter(limits),
                         new ControlNotifier(self, this::sendToControlHosts),
                         customerGate(random),
+                        new DenialPolicy(limits.routesStaleness()),
                         this::sendToControlHosts,
                         upstreamLimits,
                         new UpstreamSlotClient(self, loop, slots, leaders, fleetMetrics),
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.CallerLimits;
+import io.stackhall.core.route.DenialPolicy;
 import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
@@ -61,6 +62,7 @@
     private final LineBudget lineBudget = new LineBudget();
     private final HeldBytes heldBytes = new HeldBytes(HeldBody.hostLimit());
     private Optional<LoadShedding> loadShedding = Optional.empty();
+    private final Denials denials;
     private RouteTable routes;
     private long reportedRoutes = -1;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
@@ -78,6 +80,7 @@
             RetryLimiter retries,
             ControlNotifier notices,
             CustomerAccess customers,
+            DenialPolicy denialPolicy,
             Consumer<Frame> toControlHosts,
             UpstreamLimitClient limits,
             UpstreamSlotClient slots,
@@ -91,6 +94,7 @@
         this.retryLimiter = retries;
         this.notices = notices;
         this.customers = customers;
+        this.denials = new Denials(loop, denialPolicy);
         this.upstreamLimits = limits;
         this.upstreamSlots = slots;
         this.streamOrigins = streamOrigins;
@@ -135,6 +139,7 @@
         loadShedding.ifPresent(shedding -> shedding.setRoutes(next));
         pathProber.setRoutes(next);
         firstRoutes.resumeAll();
+        denials.resumeAll();
         dispatchWaiting();
     }
 
@@ -204,6 +209,7 @@
     void refuseWaiting() {
         closing = true;
         firstRoutes.resumeAll();
+        denials.resumeAll();
         waiting.retryAll();
     }
 
@@ -328,6 +334,20 @@
         return quarantine;
     }
 
+    Denials denials() {
+        return denials;
+    }
+
+    /**
+     * Records that a quorum has confirmed the active configuration as the newest.
+     *
+     * @param askedAt when this host asked for it, in nanoseconds of {@code BootClock}
+     */
+    void routesConfirmed(long askedAt) {
+        customers.recordConfirmation(askedAt);
+        denials.confirmed(askedAt);
+    }
+
     CustomerAccess customers() {
         return customers;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -16,6 +16,7 @@
 import io.stackhall.core.limit.LimitedUpstreams;
 import io.stackhall.core.overload.LoopDelayMeter;
 import io.stackhall.core.path.TunnelHosts;
+import io.stackhall.core.route.DenialPolicy;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.slot.BrittleUpstreams;
 import io.stackhall.platform.Headers;
@@ -23,6 +24,7 @@
 import io.stackhall.rpc.generated.fleet.AllowanceClaim;
 import io.stackhall.rpc.generated.fleet.AllowanceDecision;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.UpstreamClient;
 import java.time.Duration;
@@ -81,6 +83,7 @@
                                 new KeyLease(Optional.empty()),
                                 outage,
                                 new AllowanceClient(SELF, loop, leader, outage, () -> 1)),
+                        new DenialPolicy(Duration.ofDays(1)),
                         LoopbackGateway::drop,
                         new UpstreamLimitClient(SELF, loop, limited, leader, metrics),
                         new UpstreamSlotClient(
@@ -90,6 +93,7 @@
                         random);
         gateway.setEntryHostCount(1);
         gateway.setRoutes(routes);
+        gateway.routesConfirmed(BootClock.nanos());
         instances.forEach(gateway::instanceChanged);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -64,6 +64,9 @@
 
     /** Starts processing the request, or continues with it once the first routes are known. */
     void start() {
+        if (ended) {
+            return;
+        }
         timer.cancel();
         if (!gateway.hasRoutes()) {
             awaitRoutes();
@@ -72,7 +75,7 @@
         String host = request.authority();
         Optional<Route> found = gateway.routes().find(host, request.target());
         if (found.isEmpty()) {
-            finalAnswer.deny(HttpResponseStatus.NOT_FOUND, "no route leads here");
+            denyIfConfirmed(HttpResponseStatus.NOT_FOUND, "no route leads here");
             return;
         }
         route = found.get();
@@ -82,7 +85,11 @@
         timer.scheduleAt(times.deadlineAt());
         rights = new RequestAuthorization(gateway.customers(), request, route, this::reconsider);
         if (rights.evaluate() instanceof Decision.Refused refused) {
-            finalAnswer.deny(refused);
+            if (refused.retryAfter().isPresent()) {
+                finalAnswer.deny(refused);
+            } else {
+                denyIfConfirmed(refused.status(), refused.reason());
+            }
             return;
         }
         log.setCustomer(rights.customer());
@@ -94,6 +101,33 @@
         }
     }
 
+    /** Denies the request, unless the configuration that does not allow it may be outdated. */
+    private void denyIfConfirmed(HttpResponseStatus status, String reason) {
+        if (gateway.isClosing()) {
+            finalAnswer.refuse("this host is about to stop", Duration.ZERO);
+            return;
+        }
+        gateway.denials()
+                .decide(
+                        new Denials.Outcome() {
+                            @Override
+                            public void deny() {
+                                finalAnswer.deny(status, reason);
+                            }
+
+                            @Override
+                            public void refuse(Duration retryAfter) {
+                                finalAnswer.refuse(
+                                        "no quorum has confirmed the configuration", retryAfter);
+                            }
+
+                            @Override
+                            public void reconsider() {
+                                start();
+                            }
+                        });
+    }
+
     /** Goes on with the stream that the caller takes up, at the software that began it. */
     private void takeUp(TakeUp decision) {
         if (ended) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
@@ -39,6 +39,7 @@
     private final Gateway gateway;
     private final Runnable requestRoutes;
     private final RoutesConfirmation confirmation = new RoutesConfirmation(UNCONFIRMED_WAIT);
+    private long confirmationAskedAt;
     private byte[] heldBody = new byte[0];
     private boolean awaitingRoutes;
     private boolean activationScheduled;
@@ -101,6 +102,7 @@
                                         "routes.unreadable version={} {}",
                                         confirmation.held(),
                                         finding));
+        reportConfirmation();
     }
 
     private void recordConfirmation(RoutesUpdate update, long now) {
@@ -112,9 +114,16 @@
                     update.getVersion(),
                     confirmation.held());
         }
+        if (update.getVersion() >= confirmation.confirmed()) {
+            confirmationAskedAt = update.getAskedAt();
+        }
         activateIfAllowed();
-        if (activeVersion() >= update.getVersion()) {
-            gateway.customers().recordConfirmation(update.getAskedAt());
+        reportConfirmation();
+    }
+
+    private void reportConfirmation() {
+        if (confirmation.isConfirmed() && activeVersion() >= confirmation.confirmed()) {
+            gateway.routesConfirmed(confirmationAskedAt);
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettings.java
@@ -70,6 +70,8 @@
      * @param keyRevocation within which time of its acknowledgement a configuration that takes a
      *     customer's key away holds on every host; empty where a host that no word of it reaches
      *     may go on
+     * @param routesStaleness the time after its acknowledgement within which a configuration is
+     *     active on every host that is connected
      * @param limitTolerance by how much the hosts together may exceed a customer's limit
      * @param processorShare the share of a core that this process may use, at most 1
      */
@@ -84,6 +86,7 @@
             Duration storeWindow,
             int hostLossesBorne,
             Optional<Duration> keyRevocation,
+            Duration routesStaleness,
             LimitTolerance limitTolerance,
             double processorShare) {
 
--- a/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/settings/FleetSettingsReader.java
@@ -106,6 +106,7 @@
                                         section.decimalMillis(
                                                 "keyRevocationMillis", 0, 0, MINUTE_MILLIS))
                                 .filter(Duration::isPositive),
+                        section.decimalMillis("routesStalenessMillis", 2000, 100, MINUTE_MILLIS),
                         tolerance(section),
                         section.decimal("processorShare", 1, MIN_PROCESSOR_SHARE, 1));
         section.finish();
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -142,6 +142,7 @@
                         Duration.ofSeconds(5),
                         0,
                         Optional.of(KEY_REVOCATION),
+                        Duration.ofSeconds(2),
                         new LimitTolerance(Duration.ofSeconds(8), 0, 0),
                         1),
                 Optional.empty());
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -275,6 +275,7 @@
                         Duration.ofSeconds(5),
                         1,
                         keyRevocation,
+                        ROUTES_STALENESS,
                         new LimitTolerance(Duration.ofSeconds(8), 0.1, 2),
                         processorShare),
                 Optional.empty());
--- a/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/settings/FleetSettingsReaderTest.java
@@ -31,6 +31,7 @@
                     Map.entry("{{bounds.budget-window-s}}", "10"),
                     Map.entry("{{bounds.ceiling-window-s}}", "5"),
                     Map.entry("{{bounds.revoke-ms}}", "5000"),
+                    Map.entry("{{bounds.config-apply-ms}}", "1700"),
                     Map.entry("{{bounds.quota-window-s}}", "8"),
                     Map.entry("{{bounds.quota-overage}}", "0.1"),
                     Map.entry("{{bounds.quota-slack}}", "17000"),
@@ -60,6 +61,7 @@
         assertThat(settings.limits().retryRatio()).isEqualTo(0.2);
         assertThat(settings.limits().stopGrace()).hasSeconds(8);
         assertThat(settings.limits().fenceChecked()).isTrue();
+        assertThat(settings.limits().routesStaleness()).hasMillis(1700);
         assertThat(settings.limits().processorShare()).isEqualTo(0.36);
         assertThat(settings.seedPeers())
                 .extracting(Object::toString)
@@ -182,12 +184,14 @@
     private static String fill(String present, String absent, Map<String, String> other)
             throws IOException {
         String text = with(Files.readString(TEMPLATE), present);
+        text = with(text, "bounds.config-apply-ms");
         text = with(with(without(text, absent), "bounds.revoke-strict"), "bounds.quota-window-s");
         return fillGaps(text, other);
     }
 
     private static String fillKeepingBounds() throws IOException {
         String text = with(Files.readString(TEMPLATE), "listen.front");
+        text = without(text, "bounds.config-apply-ms");
         return fillGaps(without(text, "listen.control"), Map.of());
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpTest.java
@@ -176,6 +176,7 @@
                 Duration.ofSeconds(5),
                 0,
                 Optional.empty(),
+                Duration.ofSeconds(2),
                 null,
                 processorShare);
     }
