Limits of callers hold as they are in force, and deny only once a quorum has confirmed them

After an operator had raised max-header-bytes, requests on kept connections were refused with 431 for as long as the connection lived; a host without a configuration refused with 431 and 413 by limits of its own. The decoder of a connection took its limit when the connection was accepted.

The decoder now measures each head against the limit at that moment; a timeout that runs out looks at its limit once more, so that a raised idle timeout holds for connections that rest already. A request beyond a limit is denied as any other is (DenialPolicy), else refused with a retry delay.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerChannelInitializer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerChannelInitializer.java
@@ -35,7 +35,7 @@
                                 context.fireChannelRead(bytes);
                             }
                         },
-                        new RequestDecoder(gateway.callerLimits()),
+                        new RequestDecoder(() -> gateway.callerLimits().maxHeaderBytes()),
                         encoder,
                         connection);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -23,14 +23,17 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.core.route.CallerLimits;
 import io.stackhall.server.clock.BootClock;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -80,14 +83,14 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         gateway.connections().opened(this);
-        startTimeout(gateway.callerLimits().idleTimeout().toMillis(), this::closeIdle);
+        startTimeout(CallerLimits::idleTimeout, this::closeIdle);
     }
 
     /** Called when bytes have arrived: restarts the header timeout while a head is incomplete. */
     void bytesReceived() {
         moreBytesReceived = true;
         if (relayed == null && head == null && !closing) {
-            startTimeout(gateway.callerLimits().headerTimeout().toMillis(), this::headTimedOut);
+            startTimeout(CallerLimits::headerTimeout, this::headTimedOut);
         }
     }
 
@@ -237,15 +240,16 @@
         cancelTimeout();
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
-            rejectMalformed(
-                    cause instanceof TooLongHttpHeaderException
-                            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                            : HttpResponseStatus.BAD_REQUEST,
-                    String.valueOf(cause.getMessage()));
+            if (cause instanceof TooLongHttpHeaderException) {
+                rejectTooLarge(
+                        HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long");
+            } else {
+                rejectMalformed(HttpResponseStatus.BAD_REQUEST, String.valueOf(cause.getMessage()));
+            }
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > gateway.callerLimits().maxBodyBytes()) {
-            rejectMalformed(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            rejectTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
         head = request;
@@ -258,7 +262,7 @@
                             HttpResponseStatus.CONTINUE,
                             Unpooled.EMPTY_BUFFER));
         }
-        startTimeout(gateway.callerLimits().idleTimeout().toMillis(), this::bodyTimedOut);
+        startTimeout(CallerLimits::idleTimeout, this::bodyTimedOut);
     }
 
     private void addContent(HttpContent content) {
@@ -272,7 +276,7 @@
             throw new UncheckedIOException("cannot write to a byte array", e);
         }
         if (body.size() > gateway.callerLimits().maxBodyBytes()) {
-            rejectMalformed(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
+            rejectTooLarge(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long");
             return;
         }
         if (content instanceof LastHttpContent) {
@@ -312,13 +316,49 @@
     private void processBacklog() {
         context.channel().config().setAutoRead(true);
         if (backlog.isEmpty()) {
-            startTimeout(gateway.callerLimits().idleTimeout().toMillis(), this::closeIdle);
+            startTimeout(CallerLimits::idleTimeout, this::closeIdle);
         }
         while (!backlog.isEmpty() && relayed == null && !closing) {
             process(backlog.pollFirst());
         }
     }
 
+    /** Rejects a request beyond a limit, unless the limit may have been raised. */
+    private void rejectTooLarge(HttpResponseStatus status, String reason) {
+        head = null;
+        body = null;
+        closing = true;
+        cancelTimeout();
+        long version = gateway.routesStanding().version();
+        gateway.denials()
+                .decide(
+                        new Denials.Outcome() {
+                            @Override
+                            public void deny() {
+                                rejectMalformed(status, reason);
+                            }
+
+                            @Override
+                            public void refuse(Duration retryAfter) {
+                                reject(
+                                        Answers.refusal(
+                                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                                reason + ", unless the limit has been raised",
+                                                "",
+                                                retryAfter));
+                            }
+
+                            @Override
+                            public void reconsider() {
+                                if (gateway.routesStanding().version() == version) {
+                                    rejectTooLarge(status, reason);
+                                } else {
+                                    refuse(FinalAnswer.SHORT_RETRY_DELAY);
+                                }
+                            }
+                        });
+    }
+
     private void rejectMalformed(HttpResponseStatus status, String reason) {
         RoutesStanding standing = gateway.routesStanding();
         gateway.metrics().requestDenied(status.code(), "malformed");
@@ -330,10 +370,13 @@
                 standing.version(),
                 standing.reported(),
                 standing.confirmationAge().toMillis());
+        reject(Answers.failure(status, reason, ""));
+    }
+
+    private void reject(FullHttpResponse response) {
         head = null;
         closing = true;
         cancelTimeout();
-        FullHttpResponse response = Answers.failure(status, reason, "");
         setConnectionHeader(response, false);
         HttpUtil.setContentLength(response, response.content().readableBytes());
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -352,9 +395,30 @@
         context.close();
     }
 
-    private void startTimeout(long millis, Runnable then) {
+    private void startTimeout(Function<CallerLimits, Duration> limit, Runnable then) {
         cancelTimeout();
-        timeout = context.executor().schedule(then, millis, TimeUnit.MILLISECONDS);
+        scheduleTimeout(limit, then, BootClock.nanos(), limit.apply(gateway.callerLimits()));
+    }
+
+    private void scheduleTimeout(
+            Function<CallerLimits, Duration> limit, Runnable then, long startedAt, Duration left) {
+        timeout =
+                context.executor()
+                        .schedule(
+                                () -> timedOut(limit, then, startedAt),
+                                left.toNanos(),
+                                TimeUnit.NANOSECONDS);
+    }
+
+    /** Acts on a timeout, or goes on waiting if its limit has been raised since it began. */
+    private void timedOut(Function<CallerLimits, Duration> limit, Runnable then, long startedAt) {
+        Duration elapsed = Duration.ofNanos(BootClock.nanos() - startedAt);
+        Duration left = limit.apply(gateway.callerLimits()).minus(elapsed);
+        if (left.isPositive()) {
+            scheduleTimeout(limit, then, startedAt, left);
+        } else {
+            then.run();
+        }
     }
 
     private void cancelTimeout() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
@@ -1,26 +1,82 @@
 package io.stackhall.server.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.stackhall.core.route.CallerLimits;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.List;
+import java.util.function.IntSupplier;
 
 /**
- * Decodes callers' requests. Rejects a request with both a length and a chunked encoding, whose end
- * is ambiguous.
+ * Decodes callers' requests. A head is held to the limit that is in force when it arrives, as a
+ * connection outlives configurations. Rejects a request with both a length and a chunked encoding,
+ * whose end is ambiguous.
  */
 final class RequestDecoder extends HttpRequestDecoder {
 
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    RequestDecoder(CallerLimits limits) {
+    private final IntSupplier maxHeaderBytes;
+    private boolean inHead = true;
+    private boolean rejected;
+    private int headBytes;
+
+    /**
+     * Creates the decoder of one connection.
+     *
+     * @param maxHeaderBytes returns the maximum size of a head at present
+     */
+    RequestDecoder(IntSupplier maxHeaderBytes) {
         super(
                 new HttpDecoderConfig()
-                        .setMaxInitialLineLength(limits.maxHeaderBytes())
-                        .setMaxHeaderSize(limits.maxHeaderBytes())
+                        .setMaxInitialLineLength(Integer.MAX_VALUE)
+                        .setMaxHeaderSize(Integer.MAX_VALUE)
                         .setMaxChunkSize(MAX_CHUNK_BYTES));
+        this.maxHeaderBytes = maxHeaderBytes;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        if (rejected) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int start = in.readerIndex();
+        int decoded = out.size();
+        super.decode(context, in, out);
+        if (inHead) {
+            headBytes += in.readerIndex() - start;
+            checkHead(in, out, decoded);
+        }
+        if (out.size() > decoded) {
+            inHead = out.getLast() instanceof LastHttpContent;
+            headBytes = 0;
+        }
+    }
+
+    private void checkHead(ByteBuf in, List<Object> out, int decoded) {
+        boolean complete = out.size() > decoded;
+        int size = complete ? headBytes : headBytes + in.readableBytes();
+        if (size <= maxHeaderBytes.getAsInt()) {
+            return;
+        }
+        rejected = true;
+        in.skipBytes(in.readableBytes());
+        DecoderResult failure =
+                DecoderResult.failure(new TooLongHttpHeaderException("the head is too long"));
+        if (!complete) {
+            out.add(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+        }
+        ((HttpMessage) out.get(decoded)).setDecoderResult(failure);
     }
 
     @Override
