A full update of the upstreams names those that have ended

Requests went on to an upstream, seconds after its end had been acknowledged and for as long as it served, from a host that had stood still or had been cut off at that moment: the end was reported once, and the full update that the host received when it was back only added. Control hosts brought each other up to date the same way, and one that did not know the upstream reported its end to nobody.

A full update now has the incarnations that the sender remembers as ended, and an end that is news to a control host is passed on whether or not it knew the upstream. What is received late is thus the same as what is received at once.

--- a/stackhall-core/src/main/java/io/stackhall/core/fleet/InstanceTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/fleet/InstanceTable.java
@@ -129,6 +129,21 @@
         return List.of();
     }
 
+    /**
+     * Records that another host knows an incarnation to be gone. Other incarnations of its name are
+     * not affected.
+     *
+     * @return the removed instance, or an empty list if it was not known
+     */
+    public List<Instance> recordGone(UpstreamId id) {
+        Instance known = instances.get(id);
+        if (known != null) {
+            return List.of(markGone(known));
+        }
+        gone.put(id, true);
+        return List.of();
+    }
+
     /**
      * Marks an incarnation as draining.
      *
@@ -185,6 +200,14 @@
         return gone.containsKey(id);
     }
 
+    /**
+     * Returns the incarnations that are known to be gone, the latest ones where there are many, for
+     * hosts that may have missed their end.
+     */
+    public Collection<UpstreamId> gone() {
+        return List.copyOf(gone.keySet());
+    }
+
     private List<Instance> silence(Instance known, Instance report) {
         boolean later = known != null && report.sequence() < known.sequence();
         if (known == null || later || known.state() == InstanceState.SILENT) {
--- a/stackhall-core/src/test/java/io/stackhall/core/fleet/InstanceTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/fleet/InstanceTableTest.java
@@ -22,6 +22,21 @@
 
     private final InstanceTable table = new InstanceTable(SILENCE);
 
+    @Test
+    void endOfAnIncarnationThatIsReportedLateRemovesItAlone() {
+        InstanceTable told = new InstanceTable(SILENCE);
+        Instance ended = incarnation("i-1", 100, 1);
+        told.merge(ended, 0);
+        told.remove(ended.id());
+        InstanceTable missed = new InstanceTable(SILENCE);
+        missed.merge(ended, 0);
+        Instance next = incarnation("i-1", 200, 1);
+        missed.merge(next, 0);
+        told.gone().forEach(missed::recordGone);
+        assertThat(missed.all()).containsExactly(next);
+        assertThat(missed.merge(ended, 0)).isEmpty();
+    }
+
     @Test
     void lateReportChangesNothing() {
         table.merge(instance("a", 5, "new"), 0);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -127,7 +127,13 @@
     void remove(UpstreamId id) {
         List<Instance> changed = table.remove(id);
         logger.info("upstream.left id={} known={}", id, !changed.isEmpty());
-        publish(changed);
+        if (changed.isEmpty()) {
+            Frame gone = InstanceCodec.goneFrame(id, followers.count());
+            sendToControlHosts(gone);
+            followers.send(gone);
+        } else {
+            publish(changed);
+        }
     }
 
     /**
@@ -148,6 +154,20 @@
             InstanceCodec.decode(item).peek(instances::add).peekLeft(this::recordRefusal);
         }
         merge(instances, false);
+        InstanceCodec.gone(update).forEach(this::receiveGone);
+    }
+
+    /** Removes an upstream whose end this host has missed, and notifies the entry hosts. */
+    private void receiveGone(UpstreamId id) {
+        boolean news = !table.isGone(id);
+        List<Instance> changed = table.recordGone(id);
+        changed.forEach(instance -> versions.update(instance, BootClock.nanos()));
+        changed.forEach(FleetRegistry::log);
+        if (!changed.isEmpty()) {
+            followers.notifyAllFollowers(changed);
+        } else if (news) {
+            followers.send(InstanceCodec.goneFrame(id, followers.count()));
+        }
     }
 
     /** Marks upstreams that have been silent for too long. Called on the leader only. */
@@ -365,7 +385,7 @@
     }
 
     private Frame fullUpdate() {
-        return InstanceCodec.frame(table.all(), true, followers.count());
+        return InstanceCodec.fullFrame(table.all(), table.gone(), followers.count());
     }
 
     private RoutesUpdate.Builder fullRoutes() {
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -40,6 +40,31 @@
         return Frame.newBuilder().setInstances(update).build();
     }
 
+    /**
+     * Returns a frame in which a control host reports all the instances that it knows, and those
+     * that it knows to be gone: a receiver that missed their end would use them on.
+     *
+     * @param entryHosts number of entry hosts that follow it
+     */
+    public static Frame fullFrame(
+            Collection<Instance> instances, Collection<UpstreamId> gone, int entryHosts) {
+        Frame.Builder frame = frame(instances, true, entryHosts).toBuilder();
+        gone.forEach(id -> frame.getInstancesBuilder().addGone(id.toString()));
+        return frame.build();
+    }
+
+    /** Returns a frame in which a control host reports that an incarnation it lacks is gone. */
+    public static Frame goneFrame(UpstreamId id, int entryHosts) {
+        InstancesUpdate.Builder update =
+                InstancesUpdate.newBuilder().setEntryHosts(entryHosts).addGone(id.toString());
+        return Frame.newBuilder().setInstances(update).build();
+    }
+
+    /** Returns the incarnations that an update reports as gone. */
+    public static List<UpstreamId> gone(InstancesUpdate update) {
+        return update.getGoneList().stream().map(UpstreamId::parse).toList();
+    }
+
     /** Encodes an instance. */
     public static InstanceRecord encode(Instance instance) {
         InstanceRecord.Builder record =
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -242,6 +242,8 @@
             return;
         }
         update.getInstancesList().forEach(this::updateInstance);
+        InstanceCodec.gone(update)
+                .forEach(id -> instanceTable.recordGone(id).forEach(gateway::instanceChanged));
         gateway.setEntryHostCount(update.getEntryHosts());
         if (update.getWhole()) {
             knowsInstances = true;
