An answer that ends with its connection is whole only if its upstream is still there

A caller got a part of an answer without a length, or a stream without its last events, as a whole one when the upstream's process was killed: the kernel ends its connections in good order, which looks like the end of the answer.

After such an end the host opens a connection to the upstream and sees whether it stays open for 10 ms, as the sockets of a process that dies are closed one after the other. If it is refused, the answer is broken off: tried elsewhere where the route allows it, 502 or a broken stream else. One that is reset may be one too many for its upstream, which then accepts another. A draining upstream, which may close its listener before it ends its last answers, is believed as before. It costs such an answer a round trip and 10 ms, and the upstream one connection.

BrokenOffAnswersTest: two cases failed on the code before, the third shows that an upstream that goes on is believed.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import io.stackhall.core.dispatch.InFlightRequest;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.fleet.Instance;
+import io.stackhall.core.fleet.InstanceState;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.core.path.UpstreamPaths;
@@ -34,11 +35,13 @@
     private final Optional<HostId> tunnel;
     private final InFlightRequest inFlight;
     private final LimitRevision limitRevision;
+    private UpstreamRoute route;
     private UpstreamCall call;
     private AnswerBody body;
     private long heardAt;
     private boolean firstEventSeen;
     private boolean left;
+    private boolean abandoned;
 
     /**
      * Creates an attempt, which the dispatcher counts as load of the instance from now on.
@@ -65,7 +68,7 @@
 
     void start(FullHttpRequest request, String requestId) {
         tunnel.ifPresent(gateway.paths()::tunnelOpened);
-        UpstreamRoute route =
+        route =
                 new UpstreamRoute(
                         Address.parse(instance.address()),
                         tunnel.map(host -> new TunnelRoute(host, instance.id())));
@@ -74,6 +77,7 @@
 
     /** Ends the attempt and cancels its call if that is still in progress. */
     void abandon() {
+        abandoned = true;
         leavePath();
         abandonBody();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
@@ -206,8 +210,37 @@
         AnswerEnd end = body.end(framing);
         if (!end.isWhole()) {
             breakOff(end.reason());
+        } else if (framing == BodyFraming.CONNECTION && !isDraining()) {
+            gateway.upstreams().checkListens(route, listens -> endConfirmed(listens, end));
+        } else {
+            complete(end);
+        }
+    }
+
+    /**
+     * Completes an answer that ended with its connection if its upstream is still there. The kernel
+     * ends the connections of a process that is killed in good order as well.
+     */
+    private void endConfirmed(boolean listens, AnswerEnd end) {
+        if (abandoned) {
             return;
         }
+        if (listens) {
+            complete(end);
+        } else {
+            breakOff("its upstream ended with it");
+        }
+    }
+
+    /** A draining upstream may close its listener before it ends its last answers. */
+    private boolean isDraining() {
+        return gateway.dispatcher()
+                .find(instance.id())
+                .filter(known -> known.state() == InstanceState.DRAINING)
+                .isPresent();
+    }
+
+    private void complete(AnswerEnd end) {
         leavePath();
         gateway.dispatcher().requestEnded(inFlight, BootClock.nanos());
         body.complete(end);
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -43,6 +43,9 @@
     /** Connections that rest for longer may have been forgotten by the upstream. */
     private static final long LONGEST_REST_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** Time within which the sockets of a process that dies are closed. */
+    private static final long PROCESS_END_MILLIS = 10;
+
     /** More resting connections to one upstream than this are closed. */
     private static final int MOST_RESTING = 24;
 
@@ -147,6 +150,42 @@
                         });
     }
 
+    /**
+     * Finds out whether the process at the end of a route still listens, after it has ended a
+     * connection. The kernel closes the sockets of a process that dies one after the other, so that
+     * a connection that comes up has to stay open for a while. One that is closed may also be one
+     * too many for its upstream, which then still accepts others.
+     *
+     * @param result told whether it listens; not if no connection comes up, for whatever reason
+     */
+    public void checkListens(UpstreamRoute route, Consumer<Boolean> result) {
+        connect(route)
+                .addListener(
+                        done -> {
+                            if (done.isSuccess()) {
+                                awaitClose((Channel) done.getNow(), route, result);
+                            } else {
+                                result.accept(false);
+                            }
+                        });
+    }
+
+    private void awaitClose(Channel channel, UpstreamRoute route, Consumer<Boolean> result) {
+        channel.pipeline().addLast(new ClosedWithPeer());
+        channel.config().setAutoRead(true);
+        loop.schedule(
+                () -> {
+                    if (channel.isActive()) {
+                        channel.close();
+                        result.accept(true);
+                    } else {
+                        probe(route, failure -> result.accept(failure.isEmpty()));
+                    }
+                },
+                PROCESS_END_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Opens a connection of this host to an upstream.
      *
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -107,6 +108,64 @@
         }
     }
 
+    // A caller took the half of an answer, whose upstream was killed, for all of it.
+    @Test
+    void answerWithoutALengthWhoseUpstreamDiesDoesNotLookComplete() throws Exception {
+        AtomicReference<ScriptedUpstream> dying = new AtomicReference<>();
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    to.write(unframedHead(request, "text/plain") + "the first ha");
+                    dying.get().close();
+                };
+        try (ScriptedUpstream upstream = upstream(script)) {
+            dying.set(upstream);
+            assertThat(fleet.call(1, get("/once/x", "r1")).status()).isEqualTo(502);
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    // A stream looked complete though its upstream was killed between two events.
+    @Test
+    void streamWithoutALengthWhoseUpstreamDiesDoesNotLookComplete() throws Exception {
+        AtomicReference<ScriptedUpstream> dying = new AtomicReference<>();
+        String events = "id: 1\ndata: b\n\n";
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    to.write(unframedHead(request, "text/event-stream") + events);
+                    dying.get().close();
+                };
+        try (ScriptedUpstream upstream = upstream(script);
+                Socket caller = fleet.callerOf(1)) {
+            dying.set(upstream);
+            caller.getOutputStream().write(ascii(get("/stream/x", "r1")));
+            assertThat(RawHttp.readHead(caller.getInputStream()).status()).isEqualTo(200);
+            assertThat(chunksUntilBroken(caller.getInputStream())).isEqualTo(events);
+        }
+    }
+
+    @Test
+    void answerWithoutALengthIsWholeWhereItsUpstreamGoesOn() throws Exception {
+        ScriptedUpstream.Script script =
+                (request, to) -> {
+                    to.write(unframedHead(request, "text/plain") + "all of it");
+                    to.socket().close();
+                };
+        try (ScriptedUpstream upstream = upstream(script)) {
+            RawHttp.Message answer = fleet.call(1, get("/once/x", "r1"));
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.text()).isEqualTo("all of it");
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
+    private static String unframedHead(RawHttp.Message request, String type) {
+        return "HTTP/1.1 200 OK\r\nContent-Type: "
+                + type
+                + "\r\nConnection: close\r\nX-Request-Id: "
+                + request.header("x-request-id")
+                + "\r\n\r\n";
+    }
+
     // A caller got an empty answer with status 200 for a stream that had not begun.
     @Test
     void streamWhoseConnectionEndsBeforeAnEventDoesNotLookComplete() throws Exception {
