What an upstream sends without end in place of an answer ends its connection

An upstream in trouble may send bytes without end that are no answer. Line ends and interim answers kept a request waiting for its whole deadline; the answer to an order was gathered without a bound for 0.9 s, more than a control host's memory at the speed of its link; a probe's answer was read for ever.

A connection ends after 32 KiB of bytes that make no head, 200 interim or foreign messages, or 1 MiB of a foreign answer; an order's answer may have 1 MiB; a probe that has not ended after its timeout is closed. The request goes on as after any broken connection, and its instance backs off.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
@@ -40,6 +40,9 @@
     /** Far more than the few milliseconds within which engines answer orders. */
     private static final long TIMEOUT_MILLIS = 900;
 
+    /** Far more than an engine's account of what it holds. */
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+
     private final EventLoop loop;
     private final UpstreamClient upstreams;
     private final BooleanSupplier sendAllowed;
@@ -151,7 +154,13 @@
 
         @Override
         public void received(ByteBuf part) {
-            body.writeBytes(part);
+            if (body.readableBytes() + part.readableBytes() <= MAX_ANSWER_BYTES) {
+                body.writeBytes(part);
+                return;
+            }
+            logger.warn("order.answer-too-long address={} bytes={}", address, MAX_ANSWER_BYTES);
+            call.reset();
+            finish(Optional.empty());
         }
 
         @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
@@ -84,6 +84,7 @@
         private UpstreamCall call;
         private Stage reached = Stage.NO_CONNECTION;
         private boolean ended;
+        private boolean completed;
 
         Probe(Consumer<Optional<Stage>> result) {
             this.result = result;
@@ -108,6 +109,7 @@
         @Override
         public void completed(BodyFraming framing) {
             // The connection may be used for requests now.
+            completed = true;
         }
 
         @Override
@@ -116,11 +118,12 @@
             end(inGoodOrder ? Optional.empty() : Optional.of(failure.stage()));
         }
 
+        /** Also ends an answer that has begun and does not end. */
         private void timeOut() {
-            if (!ended) {
+            if (!completed) {
                 call.cancel();
-                end(Optional.of(reached));
             }
+            end(Optional.of(reached));
         }
 
         private void end(Optional<Stage> failure) {
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
@@ -1,10 +1,13 @@
 package io.stackhall.server.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.List;
 
 /**
  * Decodes answers, with bounds on their heads, and tells the orderly end of the peer's bytes from
@@ -16,6 +19,7 @@
     private static final int MAX_HEAD_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    private int undecodedBytes;
     private boolean inputEnded;
     private boolean headRequested;
 
@@ -27,6 +31,19 @@
                         .setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
+    /** Bounds what may come in place of an answer, such as line ends that never stop. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        int start = in.readerIndex();
+        int decoded = out.size();
+        super.decode(context, in, out);
+        undecodedBytes = out.size() > decoded ? 0 : undecodedBytes + in.readerIndex() - start;
+        if (undecodedBytes > MAX_HEAD_BYTES) {
+            throw new TooLongHttpHeaderException("no answer within " + MAX_HEAD_BYTES + " bytes");
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
         inputEnded |= event instanceof ChannelInputShutdownEvent;
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -26,6 +26,11 @@
  */
 final class UpstreamHandler extends ChannelInboundHandlerAdapter {
 
+    /** Interim answers, and pieces of answers to earlier requests, that are passed over at most. */
+    private static final int MAX_SKIPPED_MESSAGES = 200;
+
+    private static final int MAX_SKIPPED_BYTES = 1 << 20;
+    private static final String NO_ANSWER = "too much that belongs to no request";
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     /** An upstream may close a resting connection this much before its time. */
@@ -40,6 +45,8 @@
     private UpstreamCall call;
     private boolean written;
     private boolean skipping;
+    private int skippedMessages;
+    private int skippedBytes;
     private boolean answering;
     private boolean reusable;
     private boolean broken;
@@ -58,6 +65,8 @@
         decoder.setHeadRequested(next.request().method().equals(HttpMethod.HEAD));
         written = false;
         skipping = false;
+        skippedMessages = 0;
+        skippedBytes = 0;
         answering = false;
         reusable = true;
     }
@@ -113,6 +122,7 @@
         boolean foreign = echo != null && !echo.equals(call.requestId());
         skipping = interim || (foreign && !call.requestId().isEmpty());
         if (skipping) {
+            recordSkipped(context, 0);
             return;
         }
         if (echo == null && !call.requestId().isEmpty()) {
@@ -134,6 +144,7 @@
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
             skipping = !last;
+            recordSkipped(context, content.content().readableBytes());
             return;
         }
         if (content.content().isReadable()) {
@@ -148,6 +159,15 @@
         }
     }
 
+    /** Ends a connection whose upstream goes on sending what belongs to no request. */
+    private void recordSkipped(ChannelHandlerContext context, int bytes) {
+        skippedMessages += bytes == 0 ? 1 : 0;
+        skippedBytes += bytes;
+        if (skippedMessages > MAX_SKIPPED_MESSAGES || skippedBytes > MAX_SKIPPED_BYTES) {
+            end(context, NO_ANSWER);
+        }
+    }
+
     private void finish(ChannelHandlerContext context) {
         UpstreamCall done = call;
         call = null;
