The names of the folders above a replica last before anything in it counts

Read in the code, not seen: the folders between the data folder and a replica's were never synced, so that a loss of power soon after the first start could take a replica with all that it had acknowledged. They are synced at each start, as an earlier process may have ended in between. No test: neither a file system nor a signal here shows which names would last.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -65,7 +65,7 @@
         this.transport = transport;
         this.hosts = hosts;
         this.folder = DataFolder.open(control.dataFolder());
-        Path replicaFolder = folder.resolve("groups").resolve(GROUP);
+        Path replicaFolder = folder.openFolder("groups", GROUP);
         int voters = 2 * settings.limits().hostLossesBorne() + 1;
         ReplicaSettings replicaSettings =
                 new ReplicaSettings(
--- a/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/node/NodeGroups.java
@@ -132,7 +132,7 @@
             return new MemoryStorage(random.nextLong(1, Long.MAX_VALUE));
         }
         return DiskStorage.open(
-                dataFolder.get().resolve("groups").resolve(group),
+                dataFolder.get().openFolder("groups", group),
                 random,
                 settings.limits().leastFreeBytes());
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/storage/DataFolder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/storage/DataFolder.java
@@ -67,6 +67,22 @@
         return path.resolve(name);
     }
 
+    /**
+     * Opens a folder below this one, creating it where it is missing. The names of all folders on
+     * the way last from now on: a loss of power would take what is synced in a folder along with
+     * its name. They are synced also if they exist, as an earlier process may have ended before.
+     */
+    public Path openFolder(String... names) throws IOException {
+        Path folder = path;
+        for (String name : names) {
+            Path parent = folder;
+            folder = parent.resolve(name);
+            Files.createDirectories(folder);
+            syncFolder(parent);
+        }
+        return folder;
+    }
+
     /** Replaces a file so that after a crash either the old or the new one is there, whole. */
     public static void replace(Path file, byte[] bytes) throws IOException {
         Path temporary = file.resolveSibling(file.getFileName() + ".tmp");
