--- a/stackhall-core/src/main/java/io/stackhall/core/route/DenialPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/DenialPolicy.java
@@ -84,6 +84,11 @@
         }
     }
 
+    /** Returns the time since the host asked for the last confirmation that it received. */
+    public Duration confirmationAge(long now) {
+        return Duration.ofNanos(now - confirmedAt);
+    }
+
     /** Decides on a request that the active configuration does not allow. */
     public Verdict decide(long now) {
         if (everConfirmed && now - confirmedAt < validity.toNanos()) {
--- a/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/RouteTable.java
@@ -65,6 +65,14 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /** Returns the engines of the services that run on some. */
+    public Map<ServiceName, EngineSpec> engines() {
+        Map<ServiceName, EngineSpec> engines = new HashMap<>();
+        services.forEach(
+                (name, service) -> service.engine().ifPresent(one -> engines.put(name, one)));
+        return engines;
+    }
+
     /** Returns the shortest latency objective of the routes to each service. */
     public Map<ServiceName, Duration> shortestLatencyObjectives() {
         Map<ServiceName, Duration> shortest = new HashMap<>();
--- a/stackhall-core/src/test/java/io/stackhall/core/route/DenialPolicyTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/DenialPolicyTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
+/** When a host may deny a request that its configuration does not allow. */
 class DenialPolicyTest {
 
     private static final Duration STALENESS = Duration.ofSeconds(2);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -128,12 +128,10 @@
         List<Instance> changed = table.remove(id);
         logger.info("upstream.left id={} known={}", id, !changed.isEmpty());
         if (changed.isEmpty()) {
-            Frame gone = InstanceCodec.goneFrame(id, followers.count());
-            sendToControlHosts(gone);
-            followers.send(gone);
-        } else {
-            publish(changed);
+            sendToControlHosts(InstanceCodec.goneFrame(id, followers.count()));
+            followers.send(InstanceCodec.goneFrame(id, followers.count()));
         }
+        publish(changed);
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -88,6 +88,14 @@
         return response;
     }
 
+    /** Tells the caller whether its connection stays open after an answer. */
+    static void setConnection(HttpResponse response, boolean staysOpen) {
+        response.headers()
+                .set(
+                        HttpHeaderNames.CONNECTION,
+                        staysOpen ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
+    }
+
     /** Returns whether an upstream reports that it has not run the request. */
     static boolean reportsNotRun(HttpResponse head) {
         return head.headers().contains(Headers.NOT_RUN)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -11,8 +11,6 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,7 +20,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.stackhall.core.route.CallerLimits;
 import io.stackhall.server.clock.BootClock;
 import java.io.ByteArrayOutputStream;
@@ -32,8 +29,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -72,7 +67,7 @@
     private boolean reading;
     private boolean startPending;
     private boolean moreBytesReceived;
-    private ScheduledFuture<?> timeout;
+    private CallerTimeout timeout;
 
     CallerConnection(Gateway gateway, ResponseEncoder encoder) {
         this.gateway = gateway;
@@ -82,15 +77,16 @@
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        timeout = new CallerTimeout(added.executor(), gateway::callerLimits);
         gateway.connections().opened(this);
-        startTimeout(CallerLimits::idleTimeout, this::closeIdle);
+        timeout.start(CallerLimits::idleTimeout, this::closeIdle);
     }
 
     /** Called when bytes have arrived: restarts the header timeout while a head is incomplete. */
     void bytesReceived() {
         moreBytesReceived = true;
         if (relayed == null && head == null && !closing) {
-            startTimeout(CallerLimits::headerTimeout, this::headTimedOut);
+            timeout.start(CallerLimits::headerTimeout, this::headTimedOut);
         }
     }
 
@@ -123,7 +119,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closing = true;
-        cancelTimeout();
+        timeout.cancel();
         backlog.forEach(ReferenceCountUtil::release);
         backlog.clear();
         gateway.connections().closed(this);
@@ -175,7 +171,7 @@
         if (!HttpUtil.isContentLengthSet(response)) {
             HttpUtil.setContentLength(response, response.content().readableBytes());
         }
-        setConnectionHeader(response, staysOpen);
+        Answers.setConnection(response, staysOpen);
         relayed = null;
         if (staysOpen) {
             context.writeAndFlush(response);
@@ -189,7 +185,7 @@
     @Override
     public void writeHead(HttpResponse response) {
         keepAlive = keepAlive && chunksAllowed && !gateway.connections().isDraining();
-        setConnectionHeader(response, keepAlive);
+        Answers.setConnection(response, keepAlive);
         HttpUtil.setTransferEncodingChunked(response, chunksAllowed);
         context.write(response);
     }
@@ -237,7 +233,7 @@
     }
 
     private void begin(HttpRequest request) {
-        cancelTimeout();
+        timeout.cancel();
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             if (cause instanceof TooLongHttpHeaderException) {
@@ -262,7 +258,7 @@
                             HttpResponseStatus.CONTINUE,
                             Unpooled.EMPTY_BUFFER));
         }
-        startTimeout(CallerLimits::idleTimeout, this::bodyTimedOut);
+        timeout.start(CallerLimits::idleTimeout, this::bodyTimedOut);
     }
 
     private void addContent(HttpContent content) {
@@ -285,7 +281,7 @@
     }
 
     private void relay() {
-        cancelTimeout();
+        timeout.cancel();
         CallerRequest request =
                 new CallerRequest(
                         head.method(),
@@ -316,7 +312,7 @@
     private void processBacklog() {
         context.channel().config().setAutoRead(true);
         if (backlog.isEmpty()) {
-            startTimeout(CallerLimits::idleTimeout, this::closeIdle);
+            timeout.start(CallerLimits::idleTimeout, this::closeIdle);
         }
         while (!backlog.isEmpty() && relayed == null && !closing) {
             process(backlog.pollFirst());
@@ -328,8 +324,8 @@
         head = null;
         body = null;
         closing = true;
-        cancelTimeout();
-        long version = gateway.routesStanding().version();
+        timeout.cancel();
+        long version = gateway.routesVersion();
         gateway.denials()
                 .decide(
                         new Denials.Outcome() {
@@ -350,7 +346,7 @@
 
                             @Override
                             public void reconsider() {
-                                if (gateway.routesStanding().version() == version) {
+                                if (gateway.routesVersion() == version) {
                                     rejectTooLarge(status, reason);
                                 } else {
                                     refuse(FinalAnswer.SHORT_RETRY_DELAY);
@@ -360,7 +356,7 @@
     }
 
     private void rejectMalformed(HttpResponseStatus status, String reason) {
-        RoutesStanding standing = gateway.routesStanding();
+        RoutesStanding standing = gateway.denials().standing();
         gateway.metrics().requestDenied(status.code(), "malformed");
         logger.info(
                 "request.malformed status={} reason={} routesVersion={} reportedVersion={}"
@@ -376,8 +372,8 @@
     private void reject(FullHttpResponse response) {
         head = null;
         closing = true;
-        cancelTimeout();
-        setConnectionHeader(response, false);
+        timeout.cancel();
+        Answers.setConnection(response, false);
         HttpUtil.setContentLength(response, response.content().readableBytes());
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
@@ -394,44 +390,4 @@
         closing = true;
         context.close();
     }
-
-    private void startTimeout(Function<CallerLimits, Duration> limit, Runnable then) {
-        cancelTimeout();
-        scheduleTimeout(limit, then, BootClock.nanos(), limit.apply(gateway.callerLimits()));
-    }
-
-    private void scheduleTimeout(
-            Function<CallerLimits, Duration> limit, Runnable then, long startedAt, Duration left) {
-        timeout =
-                context.executor()
-                        .schedule(
-                                () -> timedOut(limit, then, startedAt),
-                                left.toNanos(),
-                                TimeUnit.NANOSECONDS);
-    }
-
-    /** Acts on a timeout, or goes on waiting if its limit has been raised since it began. */
-    private void timedOut(Function<CallerLimits, Duration> limit, Runnable then, long startedAt) {
-        Duration elapsed = Duration.ofNanos(BootClock.nanos() - startedAt);
-        Duration left = limit.apply(gateway.callerLimits()).minus(elapsed);
-        if (left.isPositive()) {
-            scheduleTimeout(limit, then, startedAt, left);
-        } else {
-            then.run();
-        }
-    }
-
-    private void cancelTimeout() {
-        if (timeout != null) {
-            timeout.cancel(false);
-            timeout = null;
-        }
-    }
-
-    private static void setConnectionHeader(HttpResponse response, boolean staysOpen) {
-        response.headers()
-                .set(
-                        HttpHeaderNames.CONNECTION,
-                        staysOpen ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Holds requests that the active configuration does not allow until a quorum has told whether it is
@@ -17,6 +18,8 @@
 
     private final EventLoop loop;
     private final DenialPolicy policy;
+    private final LongSupplier routesVersion;
+    private long reported = -1;
     private Runnable askPrimary = () -> {};
     private Runnable askAll = () -> {};
     private List<Runnable> held = new ArrayList<>();
@@ -34,9 +37,26 @@
         void reconsider();
     }
 
-    Denials(EventLoop loop, DenialPolicy policy) {
+    /**
+     * Creates the denials of a host that has no routes yet.
+     *
+     * @param routesVersion returns the active version of the routes, negative if there is none
+     */
+    Denials(EventLoop loop, DenialPolicy policy, LongSupplier routesVersion) {
         this.loop = loop;
         this.policy = policy;
+        this.routesVersion = routesVersion;
+    }
+
+    /** Records the newest version of the routes that a control host has reported. */
+    void setReported(long version) {
+        reported = version;
+    }
+
+    /** Returns how old the active routes may be. */
+    RoutesStanding standing() {
+        return new RoutesStanding(
+                routesVersion.getAsLong(), reported, policy.confirmationAge(BootClock.nanos()));
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/FinalAnswer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/FinalAnswer.java
@@ -75,9 +75,54 @@
         }
     }
 
+    /**
+     * Ends a request that its caller has no right to run, or not at this time, unless the
+     * configuration that does not allow it may be outdated.
+     *
+     * @param reconsider has the request considered again, once a quorum has answered
+     */
+    void denyIfConfirmed(Decision.Refused refused, Runnable reconsider) {
+        if (refused.retryAfter().isPresent()) {
+            deny(refused);
+        } else {
+            denyIfConfirmed(refused.status(), refused.reason(), reconsider);
+        }
+    }
+
+    /**
+     * Denies a request, unless the configuration that does not allow it may be outdated.
+     *
+     * @param reconsider has the request considered again, once a quorum has answered
+     */
+    void denyIfConfirmed(HttpResponseStatus status, String reason, Runnable reconsider) {
+        if (gateway.isClosing()) {
+            refuse("this host is about to stop", Duration.ZERO);
+            return;
+        }
+        gateway.denials()
+                .decide(
+                        new Denials.Outcome() {
+                            @Override
+                            public void deny() {
+                                FinalAnswer.this.deny(status, reason);
+                            }
+
+                            @Override
+                            public void refuse(Duration retryAfter) {
+                                FinalAnswer.this.refuse(
+                                        "no quorum has confirmed the configuration", retryAfter);
+                            }
+
+                            @Override
+                            public void reconsider() {
+                                reconsider.run();
+                            }
+                        });
+    }
+
     /** Answers that the active configuration does not allow the request. */
-    void deny(HttpResponseStatus status, String reason) {
-        log.denied(status.code(), reason, request, gateway.routesStanding());
+    private void deny(HttpResponseStatus status, String reason) {
+        log.denied(status.code(), reason, request, gateway.denials().standing());
         close.run();
         answers.writeAnswer(Answers.failure(status, reason, request.id()));
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -15,9 +15,7 @@
 import io.stackhall.core.quarantine.Standing;
 import io.stackhall.core.route.CallerLimits;
 import io.stackhall.core.route.DenialPolicy;
-import io.stackhall.core.route.EngineSpec;
 import io.stackhall.core.route.RouteTable;
-import io.stackhall.core.route.ServiceEntry;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
@@ -25,9 +23,7 @@
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.settings.Address;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -64,7 +60,6 @@
     private Optional<LoadShedding> loadShedding = Optional.empty();
     private final Denials denials;
     private RouteTable routes;
-    private long reportedRoutes = -1;
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
     private boolean closing;
     private int entryHostCount;
@@ -94,7 +89,7 @@
         this.retryLimiter = retries;
         this.notices = notices;
         this.customers = customers;
-        this.denials = new Denials(loop, denialPolicy);
+        this.denials = new Denials(loop, denialPolicy, this::routesVersion);
         this.upstreamLimits = limits;
         this.upstreamSlots = slots;
         this.streamOrigins = streamOrigins;
@@ -125,14 +120,10 @@
         logger.info(
                 "routes.in-force version={} was={} routes={}",
                 next.version(),
-                routes == null ? -1 : routes.version(),
+                routesVersion(),
                 next.routes().size());
         routes = next;
-        Map<ServiceName, EngineSpec> engines = new HashMap<>();
-        for (ServiceEntry service : next.services()) {
-            service.engine().ifPresent(engine -> engines.put(service.name(), engine));
-        }
-        dispatcher.setEngines(engines);
+        dispatcher.setEngines(next.engines());
         dispatcher.setObjectives(next.shortestLatencyObjectives());
         dispatcher.setColdRequestsPerSecond(next.coldRequestRates());
         customers.setCustomers(next.customers());
@@ -232,7 +223,7 @@
 
     /** Updates the gauges of the current state. */
     void updateMetrics() {
-        metrics.state("routes_version", routes == null ? -1.0 : (double) routes.version());
+        metrics.state("routes_version", (double) routesVersion());
         metrics.state("instances", dispatcher.instances().size());
         metrics.state("waiting", waiting.size());
         metrics.state("resends_left", retryLimiter.remaining());
@@ -275,15 +266,9 @@
         return routes;
     }
 
-    /** Records the newest version of the routes that a control host has reported. */
-    void setReportedRoutes(long version) {
-        reportedRoutes = version;
-    }
-
-    /** Returns how old the active routes may be. */
-    RoutesStanding routesStanding() {
-        return new RoutesStanding(
-                hasRoutes() ? routes.version() : -1, reportedRoutes, customers.confirmationAge());
+    /** Returns the version of the active routes, negative if there are none. */
+    long routesVersion() {
+        return routes == null ? -1 : routes.version();
     }
 
     CallerLimits callerLimits() {
@@ -338,16 +323,6 @@
         return denials;
     }
 
-    /**
-     * Records that a quorum has confirmed the active configuration as the newest.
-     *
-     * @param askedAt when this host asked for it, in nanoseconds of {@code BootClock}
-     */
-    void routesConfirmed(long askedAt) {
-        customers.recordConfirmation(askedAt);
-        denials.confirmed(askedAt);
-    }
-
     CustomerAccess customers() {
         return customers;
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -93,7 +93,7 @@
                         random);
         gateway.setEntryHostCount(1);
         gateway.setRoutes(routes);
-        gateway.routesConfirmed(BootClock.nanos());
+        gateway.denials().confirmed(BootClock.nanos());
         instances.forEach(gateway::instanceChanged);
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -75,7 +75,8 @@
         String host = request.authority();
         Optional<Route> found = gateway.routes().find(host, request.target());
         if (found.isEmpty()) {
-            denyIfConfirmed(HttpResponseStatus.NOT_FOUND, "no route leads here");
+            finalAnswer.denyIfConfirmed(
+                    HttpResponseStatus.NOT_FOUND, "no route leads here", this::start);
             return;
         }
         route = found.get();
@@ -85,11 +86,7 @@
         timer.scheduleAt(times.deadlineAt());
         rights = new RequestAuthorization(gateway.customers(), request, route, this::reconsider);
         if (rights.evaluate() instanceof Decision.Refused refused) {
-            if (refused.retryAfter().isPresent()) {
-                finalAnswer.deny(refused);
-            } else {
-                denyIfConfirmed(refused.status(), refused.reason());
-            }
+            finalAnswer.denyIfConfirmed(refused, this::start);
             return;
         }
         log.setCustomer(rights.customer());
@@ -101,33 +98,6 @@
         }
     }
 
-    /** Denies the request, unless the configuration that does not allow it may be outdated. */
-    private void denyIfConfirmed(HttpResponseStatus status, String reason) {
-        if (gateway.isClosing()) {
-            finalAnswer.refuse("this host is about to stop", Duration.ZERO);
-            return;
-        }
-        gateway.denials()
-                .decide(
-                        new Denials.Outcome() {
-                            @Override
-                            public void deny() {
-                                finalAnswer.deny(status, reason);
-                            }
-
-                            @Override
-                            public void refuse(Duration retryAfter) {
-                                finalAnswer.refuse(
-                                        "no quorum has confirmed the configuration", retryAfter);
-                            }
-
-                            @Override
-                            public void reconsider() {
-                                start();
-                            }
-                        });
-    }
-
     /** Goes on with the stream that the caller takes up, at the software that began it. */
     private void takeUp(TakeUp decision) {
         if (ended) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RoutesUpdater.java
@@ -69,7 +69,7 @@
     void receive(RoutesUpdate update) {
         long now = BootClock.nanos();
         confirmation.reported(update.getVersion(), now);
-        gateway.setReportedRoutes(confirmation.reported());
+        gateway.denials().setReported(confirmation.reported());
         if (update.getVersion() > confirmation.held()) {
             store(update, now);
         }
@@ -123,7 +123,8 @@
 
     private void reportConfirmation() {
         if (confirmation.isConfirmed() && activeVersion() >= confirmation.confirmed()) {
-            gateway.routesConfirmed(confirmationAskedAt);
+            gateway.customers().recordConfirmation(confirmationAskedAt);
+            gateway.denials().confirmed(confirmationAskedAt);
         }
     }
 
@@ -140,7 +141,7 @@
     }
 
     private long activeVersion() {
-        return gateway.hasRoutes() ? gateway.routes().version() : -1;
+        return gateway.routesVersion();
     }
 
     private void store(RoutesUpdate update, long now) {
