--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
@@ -11,8 +11,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Holds requests that the active configuration does not allow until a quorum has told whether it is
- * the newest. Used on one event loop.
+ * Holds requests that the active configuration does not allow until a quorum has confirmed whether
+ * it is the newest. Used on one event loop.
  */
 final class Denials {
 
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -156,7 +156,8 @@
      * a connection that comes up has to stay open for a while. One that is closed may also be one
      * too many for its upstream, which then still accepts others.
      *
-     * @param result told whether it listens; not if no connection comes up, for whatever reason
+     * @param result receives whether it listens; false if no connection comes up, for whatever
+     *     reason
      */
     public void checkListens(UpstreamRoute route, Consumer<Boolean> result) {
         connect(route)
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -81,7 +81,7 @@
             if (message instanceof HttpResponse head) {
                 head(context, head);
             }
-            if (message instanceof HttpContent content && !call.ended()) {
+            if (message instanceof HttpContent content && call != null && !call.ended()) {
                 content(context, content);
             }
         } finally {
