A first line and its headers may each take the limit of a head

Callers with a long target and long headers, each within the limit, got 431: the decoder held both to the limit together. Each is now held to it alone, and a head that is not finished to three times as much.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -23,6 +24,13 @@
 final class RequestDecoder extends HttpRequestDecoder {
 
     private static final int MAX_CHUNK_BYTES = 64 << 10;
+    private static final int LINE_END_BYTES = 2;
+
+    /**
+     * An unfinished head may take this many times its limit: one for the first line, one for the
+     * headers, and one for line ends.
+     */
+    private static final int MAX_UNFINISHED_HEADS = 3;
 
     private final IntSupplier maxHeaderBytes;
     private boolean inHead = true;
@@ -65,8 +73,12 @@
 
     private void checkHead(ByteBuf in, List<Object> out, int decoded) {
         boolean complete = out.size() > decoded;
-        int size = complete ? headBytes : headBytes + in.readableBytes();
-        if (size <= maxHeaderBytes.getAsInt()) {
+        long limit = maxHeaderBytes.getAsInt();
+        boolean fits =
+                complete
+                        ? fits((HttpRequest) out.get(decoded), limit)
+                        : headBytes + (long) in.readableBytes() <= limit * MAX_UNFINISHED_HEADS;
+        if (fits) {
             return;
         }
         rejected = true;
@@ -79,6 +91,17 @@
         ((HttpMessage) out.get(decoded)).setDecoderResult(failure);
     }
 
+    /** Returns whether the first line and the headers, without line ends, each keep to a limit. */
+    private boolean fits(HttpRequest request, long limit) {
+        int line =
+                request.method().name().length()
+                        + request.uri().length()
+                        + request.protocolVersion().text().length()
+                        + 2;
+        int lineEnds = LINE_END_BYTES * (request.headers().size() + 2);
+        return line <= limit && headBytes - line - lineEnds <= limit;
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         message.setDecoderResult(
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/DeniedRequestsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/DeniedRequestsTest.java
@@ -170,6 +170,22 @@
         }
     }
 
+    @Test
+    void firstLineAndHeadersMayEachTakeTheLimit() throws Exception {
+        headLimit = SMALL_HEAD;
+        try (FakePeer control = control()) {
+            fleet.startEntry(1);
+            LocalFleet.await("ready", () -> fleet.ready(1));
+            String target = "/v1/" + "p".repeat(900);
+            assertThat(call(target, "X-Trace: " + "t".repeat(800)).status())
+                    .isNotEqualTo(HEAD_TOO_LARGE);
+            assertThat(call(target, "X-Trace: " + "t".repeat(1100)).status())
+                    .isEqualTo(HEAD_TOO_LARGE);
+            assertThat(call("/v1/" + "p".repeat(1100)).status()).isEqualTo(HEAD_TOO_LARGE);
+            assertThat(control.received()).isNotEmpty();
+        }
+    }
+
     @Test
     void headIsNotTooLargeForALimitThatMayHaveBeenRaised() throws Exception {
         headLimit = SMALL_HEAD;
