--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerTimeout.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerTimeout.java
@@ -10,8 +10,8 @@
 import java.util.function.Supplier;
 
 /**
- * The timeout of one caller's connection. It runs out by the limit that is in force by then, as a
- * connection may rest while the limit is raised.
+ * The timeout of one caller's connection. A limit that is raised while it runs extends it, as
+ * connections may rest for longer from then on.
  */
 final class CallerTimeout {
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/DeniedRequestsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/DeniedRequestsTest.java
@@ -39,6 +39,7 @@
     /** The version that the control host sends whole, unless it is silent. */
     private volatile int version = 1;
 
+    private volatile int idleMillis = 15_000;
     private volatile int headLimit = LARGE_HEAD;
 
     /** The only key that is known; none is needed where it is empty. */
@@ -186,6 +187,26 @@
         }
     }
 
+    @Test
+    void raisedIdleTimeoutHoldsForConnectionsThatRest() throws Exception {
+        announces = true;
+        idleMillis = 1000;
+        try (FakePeer control = control()) {
+            fleet.startEntry(1);
+            LocalFleet.await("ready", () -> fleet.ready(1));
+            try (Socket kept = fleet.callerOf(1)) {
+                assertThat(LocalFleet.exchange(kept, request("/unknown/x")).status())
+                        .isEqualTo(NOT_FOUND);
+                idleMillis = 15_000;
+                version = 2;
+                Thread.sleep(2500);
+                assertThat(LocalFleet.exchange(kept, request("/unknown/x")).status())
+                        .isEqualTo(NOT_FOUND);
+            }
+            assertThat(control.received()).isNotEmpty();
+        }
+    }
+
     @Test
     void headIsNotTooLargeForALimitThatMayHaveBeenRaised() throws Exception {
         headLimit = SMALL_HEAD;
@@ -261,9 +282,9 @@
           "max-attempts":2}],
          "services":[{"name":"plain","health-path":"/health","max-connections":50}],
          "limits":{"max-header-bytes":%d,"max-body-bytes":100000,
-          "header-timeout-ms":1000,"idle-timeout-ms":15000}%s}
+          "header-timeout-ms":1000,"idle-timeout-ms":%d}%s}
         """
-                .formatted(version, version, headLimit, tenants);
+                .formatted(version, version, headLimit, idleMillis, tenants);
     }
 
     private int status(String target) {
