A stop answers requests whose rejection awaits a confirmation

Callers whose request was held until a quorum had confirmed a limit saw their connection closed without an answer when the host stopped: closeIfIdle took a connection without a head for an idle one. It is kept while a rejection is due.

The answers to what has no whole head or body have a type of their own, which logs and counts them; the age of a confirmation that never came is empty instead of the age of the machine.

--- a/stackhall-core/src/main/java/io/stackhall/core/route/DenialPolicy.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/DenialPolicy.java
@@ -1,6 +1,7 @@
 package io.stackhall.core.route;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Decides whether an entry host may deny a request because its active configuration does not allow
@@ -22,10 +23,13 @@
  */
 public final class DenialPolicy {
 
-    /** A quorum answers within some milliseconds, after an election within a second. */
+    /**
+     * A quorum answers within some milliseconds. If it takes longer, a leader is being elected, and
+     * the caller is better off with a retry delay.
+     */
     public static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
-    /** Delay after which a refused request is tried again: by then a leader may be elected. */
+    /** By then a leader is usually elected. */
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
     /** The rest of the staleness covers the way of the denial to its caller. */
@@ -84,9 +88,12 @@
         }
     }
 
-    /** Returns the time since the host asked for the last confirmation that it received. */
-    public Duration confirmationAge(long now) {
-        return Duration.ofNanos(now - confirmedAt);
+    /**
+     * Returns the time since the host asked for the last confirmation that it received; empty if it
+     * has received none.
+     */
+    public Optional<Duration> confirmationAge(long now) {
+        return everConfirmed ? Optional.of(Duration.ofNanos(now - confirmedAt)) : Optional.empty();
     }
 
     /** Decides on a request that the active configuration does not allow. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -55,6 +55,7 @@
 
     private final Gateway gateway;
     private final ResponseEncoder encoder;
+    private final RejectionAnswers rejections;
     private final Deque<Object> backlog = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
@@ -72,6 +73,7 @@
     CallerConnection(Gateway gateway, ResponseEncoder encoder) {
         this.gateway = gateway;
         this.encoder = encoder;
+        this.rejections = new RejectionAnswers(gateway);
     }
 
     @Override
@@ -147,9 +149,9 @@
         context.close();
     }
 
-    /** Closes the connection if no request is in progress on it. */
+    /** Closes the connection if no request is in progress on it, and none awaits a rejection. */
     void closeIfIdle() {
-        if (relayed == null && head == null) {
+        if (relayed == null && head == null && !closing) {
             context.close();
         }
     }
@@ -240,7 +242,7 @@
                 rejectTooLarge(
                         HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long");
             } else {
-                rejectMalformed(HttpResponseStatus.BAD_REQUEST, String.valueOf(cause.getMessage()));
+                reject(rejections.malformed(String.valueOf(cause.getMessage())));
             }
             return;
         }
@@ -263,7 +265,7 @@
 
     private void addContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            rejectMalformed(HttpResponseStatus.BAD_REQUEST, "the body is broken");
+            reject(rejections.malformed("the body is broken"));
             return;
         }
         try {
@@ -331,17 +333,12 @@
                         new Denials.Outcome() {
                             @Override
                             public void deny() {
-                                rejectMalformed(status, reason);
+                                reject(rejections.tooLarge(status, reason));
                             }
 
                             @Override
                             public void refuse(Duration retryAfter) {
-                                reject(
-                                        Answers.refusal(
-                                                HttpResponseStatus.SERVICE_UNAVAILABLE,
-                                                reason + ", unless the limit has been raised",
-                                                "",
-                                                retryAfter));
+                                reject(rejections.unconfirmed(reason, retryAfter));
                             }
 
                             @Override
@@ -355,20 +352,6 @@
                         });
     }
 
-    private void rejectMalformed(HttpResponseStatus status, String reason) {
-        RoutesStanding standing = gateway.denials().standing();
-        gateway.metrics().requestDenied(status.code(), "malformed");
-        logger.info(
-                "request.malformed status={} reason={} routesVersion={} reportedVersion={}"
-                        + " confirmationAgeMs={}",
-                status.code(),
-                reason,
-                standing.version(),
-                standing.reported(),
-                standing.confirmationAge().toMillis());
-        reject(Answers.failure(status, reason, ""));
-    }
-
     private void reject(FullHttpResponse response) {
         head = null;
         closing = true;
@@ -379,11 +362,11 @@
     }
 
     private void headTimedOut() {
-        rejectMalformed(HttpResponseStatus.REQUEST_TIMEOUT, "the head did not arrive in time");
+        reject(rejections.timedOut("the head did not arrive in time"));
     }
 
     private void bodyTimedOut() {
-        rejectMalformed(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not arrive in time");
+        reject(rejections.timedOut("the body did not arrive in time"));
     }
 
     private void closeIdle() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -82,7 +82,8 @@
         this.primarySelector = new PrimarySelector(settings.peerName(), settings.zone());
         this.routesUpdater = new RoutesUpdater(loop, gateway, this::requestRoutes);
         gateway.denials()
-                .setQuestions(this::requestConfirmationOfPrimary, this::requestConfirmationOfAll);
+                .setConfirmationRequests(
+                        this::requestConfirmationOfPrimary, this::requestConfirmationOfAll);
         gateway.upstreamAnnouncements()
                 .setLeavingListener(
                         id -> instanceTable.drain(id).forEach(gateway::instanceChanged));
@@ -133,9 +134,11 @@
     void requestConfirmation() {
         boolean timedOut =
                 gateway.customers().confirmationAge().compareTo(CONFIRMATION_TIMEOUT) > 0;
-        connectedHosts().stream()
-                .filter(host -> timedOut || primary.filter(host::equals).isPresent())
-                .forEach(host -> subscribe(host, true));
+        if (timedOut) {
+            requestConfirmationOfAll();
+        } else {
+            requestConfirmationOfPrimary();
+        }
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Denials.java
@@ -16,6 +16,9 @@
  */
 final class Denials {
 
+    /** Time after which a confirmation is requested through all control hosts. */
+    private static final long PRIMARY_TIMEOUT_MILLIS = 130;
+
     private final EventLoop loop;
     private final DenialPolicy policy;
     private final LongSupplier routesVersion;
@@ -60,10 +63,10 @@
     }
 
     /**
-     * Sets what asks a quorum for a confirmation of the active configuration, through one control
+     * Sets what requests a quorum's confirmation of the active configuration, through one control
      * host and through all of them.
      */
-    void setQuestions(Runnable throughPrimary, Runnable throughAll) {
+    void setConfirmationRequests(Runnable throughPrimary, Runnable throughAll) {
         askPrimary = throughPrimary;
         askAll = throughAll;
     }
@@ -105,9 +108,9 @@
             return;
         }
         askPrimary.run();
-        long timeout = DenialPolicy.ANSWER_TIMEOUT.toMillis();
-        loop.schedule(this::askAllIfHeld, timeout / 3, TimeUnit.MILLISECONDS);
-        loop.schedule(this::resumeAll, timeout, TimeUnit.MILLISECONDS);
+        loop.schedule(this::askAllIfHeld, PRIMARY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                this::resumeAll, DenialPolicy.ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void askAllIfHeld() {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -349,6 +349,11 @@
         return loop;
     }
 
+    /** Returns the state that all requests share, for tests. */
+    Gateway gateway() {
+        return gateway;
+    }
+
     private Channel listen(Address address, ChannelHandler channels) {
         return new ServerBootstrap()
                 .group(eventLoops)
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -88,7 +88,7 @@
                     request.target(),
                     standing.version(),
                     standing.reported(),
-                    standing.confirmationAge().toMillis(),
+                    standing.confirmationAgeMillis(),
                     ageMillis(),
                     leftOut);
         }
