--- a/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EntryFollowers.java
@@ -172,7 +172,7 @@
 
     private Frame updateOf(Collection<Instance> instances) {
         instances.forEach(instance -> pendingUpdates.remove(instance.id()));
-        return InstanceCodec.frame(instances, false, followers.size());
+        return InstanceCodec.frame(instances, followers.size());
     }
 
     /**
@@ -191,8 +191,7 @@
         flushScheduled = false;
         if (!pendingUpdates.isEmpty()) {
             sendToPrimaries(
-                    InstanceCodec.frame(
-                            List.copyOf(pendingUpdates.values()), false, followers.size()));
+                    InstanceCodec.frame(List.copyOf(pendingUpdates.values()), followers.size()));
             pendingUpdates.clear();
         }
     }
@@ -273,7 +272,7 @@
         }
         if (followers.size() != reportedCount && !followers.isEmpty()) {
             reportedCount = followers.size();
-            send(InstanceCodec.frame(List.of(), false, reportedCount));
+            send(InstanceCodec.frame(List.of(), reportedCount));
         }
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -8,7 +8,6 @@
 import io.stackhall.core.fleet.UpdateUrgency;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
-import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.route.RouteTable;
 import io.stackhall.core.route.ServiceEntry;
@@ -157,15 +156,12 @@
 
     /** Removes an upstream whose end this host has missed, and notifies the entry hosts. */
     private void receiveGone(UpstreamId id) {
-        boolean news = !table.isGone(id);
+        boolean isNew = !table.isGone(id);
         List<Instance> changed = table.recordGone(id);
-        changed.forEach(instance -> versions.update(instance, BootClock.nanos()));
-        changed.forEach(FleetRegistry::log);
-        if (!changed.isEmpty()) {
-            followers.notifyAllFollowers(changed);
-        } else if (news) {
+        if (changed.isEmpty() && isNew) {
             followers.send(InstanceCodec.goneFrame(id, followers.count()));
         }
+        notifyEntryHosts(changed);
     }
 
     /** Marks upstreams that have been silent for too long. Called on the leader only. */
@@ -177,8 +173,13 @@
     /** Notifies all control hosts and all entry hosts of instances that are no longer usable. */
     private void publish(List<Instance> changed) {
         sendToControlHosts(changed);
+        notifyEntryHosts(changed);
+    }
+
+    /** Notifies all entry hosts of instances that are no longer usable. */
+    private void notifyEntryHosts(List<Instance> changed) {
         changed.forEach(instance -> versions.update(instance, BootClock.nanos()));
-        changed.forEach(FleetRegistry::log);
+        changed.forEach(UpstreamLog::logChange);
         followers.notifyAllFollowers(changed);
     }
 
@@ -336,14 +337,14 @@
         followers.notifyAllFollowers(critical);
         followers.notifyOwnFollowers(urgent);
         followers.sendBatched(batched);
-        critical.forEach(FleetRegistry::log);
-        urgent.forEach(FleetRegistry::log);
-        batched.forEach(FleetRegistry::log);
+        critical.forEach(UpstreamLog::logChange);
+        urgent.forEach(UpstreamLog::logChange);
+        batched.forEach(UpstreamLog::logChange);
     }
 
     private void sendToControlHosts(List<Instance> merged) {
         if (!merged.isEmpty()) {
-            sendToControlHosts(InstanceCodec.frame(merged, false, followers.count()));
+            sendToControlHosts(InstanceCodec.frame(merged, followers.count()));
         }
     }
 
@@ -352,20 +353,6 @@
         hosts.knownHosts().forEach(host -> transport.send(host, frame));
     }
 
-    private static void log(Instance instance) {
-        logger.info(
-                "upstream.changed id={} address={} service={} zone={} state={} sequence={}"
-                        + " software={} models={}",
-                instance.id(),
-                instance.address(),
-                instance.service(),
-                instance.zone(),
-                instance.state(),
-                instance.sequence(),
-                instance.software().map(SoftwareVersion::value).orElse(""),
-                instance.models());
-    }
-
     private void decodeRoutes() {
         ConfigurationDecoder.decode(routes.getBody().toByteArray())
                 .peek(this::setRouteTable)
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -30,27 +30,29 @@
     /**
      * Returns a frame in which a control host reports instances.
      *
-     * @param whole whether these are all the instances that it knows
      * @param entryHosts number of entry hosts that follow it
      */
-    public static Frame frame(Collection<Instance> instances, boolean whole, int entryHosts) {
-        InstancesUpdate.Builder update =
-                InstancesUpdate.newBuilder().setWhole(whole).setEntryHosts(entryHosts);
+    public static Frame frame(Collection<Instance> instances, int entryHosts) {
+        return Frame.newBuilder().setInstances(update(instances, entryHosts)).build();
+    }
+
+    private static InstancesUpdate.Builder update(Collection<Instance> instances, int entryHosts) {
+        InstancesUpdate.Builder update = InstancesUpdate.newBuilder().setEntryHosts(entryHosts);
         instances.forEach(instance -> update.addInstances(encode(instance)));
-        return Frame.newBuilder().setInstances(update).build();
+        return update;
     }
 
     /**
      * Returns a frame in which a control host reports all the instances that it knows, and those
-     * that it knows to be gone: a receiver that missed their end would use them on.
+     * that it knows to be gone: a receiver that missed their end would go on using them.
      *
      * @param entryHosts number of entry hosts that follow it
      */
     public static Frame fullFrame(
             Collection<Instance> instances, Collection<UpstreamId> gone, int entryHosts) {
-        Frame.Builder frame = frame(instances, true, entryHosts).toBuilder();
-        gone.forEach(id -> frame.getInstancesBuilder().addGone(id.toString()));
-        return frame.build();
+        InstancesUpdate.Builder update = update(instances, entryHosts).setWhole(true);
+        gone.forEach(id -> update.addGone(id.toString()));
+        return Frame.newBuilder().setInstances(update).build();
     }
 
     /** Returns a frame in which a control host reports that an incarnation it lacks is gone. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -43,6 +43,10 @@
     private static final HostId SELF = new HostId("loopback-entry");
     private static final HostId LEADER = new HostId("loopback-leader");
     private static final long RETRY_AFTER_MILLIS = 100;
+
+    /** Without control hosts, the routes that are set first stay confirmed. */
+    private static final Duration ROUTES_STALENESS = Duration.ofDays(1);
+
     private static final Duration WINDOW = Duration.ofSeconds(10);
 
     private final EventLoop loop;
@@ -83,7 +87,7 @@
                                 new KeyLease(Optional.empty()),
                                 outage,
                                 new AllowanceClient(SELF, loop, leader, outage, () -> 1)),
-                        new DenialPolicy(Duration.ofDays(1)),
+                        new DenialPolicy(ROUTES_STALENESS),
                         LoopbackGateway::drop,
                         new UpstreamLimitClient(SELF, loop, limited, leader, metrics),
                         new UpstreamSlotClient(
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
@@ -19,6 +19,9 @@
     private static final int MAX_HEAD_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    /** More than any head that keeps to the bounds above takes, line ends included. */
+    private static final int MAX_UNDECODED_BYTES = 2 * (MAX_LINE_BYTES + MAX_HEAD_BYTES);
+
     private int undecodedBytes;
     private boolean inputEnded;
     private boolean headRequested;
@@ -31,7 +34,7 @@
                         .setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
-    /** Bounds what may come in place of an answer, such as line ends that never stop. */
+    /** Bounds what may come in place of an answer, such as line ends in small pieces. */
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
@@ -39,8 +42,9 @@
         int decoded = out.size();
         super.decode(context, in, out);
         undecodedBytes = out.size() > decoded ? 0 : undecodedBytes + in.readerIndex() - start;
-        if (undecodedBytes > MAX_HEAD_BYTES) {
-            throw new TooLongHttpHeaderException("no answer within " + MAX_HEAD_BYTES + " bytes");
+        if (undecodedBytes > MAX_UNDECODED_BYTES) {
+            throw new TooLongHttpHeaderException(
+                    "no answer within " + MAX_UNDECODED_BYTES + " bytes");
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/TrainingRun.java
@@ -38,6 +38,7 @@
     private static final Duration PATIENCE = Duration.ofSeconds(30);
 
     private static final Duration PAUSE = Duration.ofMillis(50);
+    private static final Duration ROUTES_STALENESS = Duration.ofSeconds(2);
     private static final Duration KEY_REVOCATION = Duration.ofSeconds(5);
     private static final Duration HEARTBEAT = Duration.ofMillis(300);
 
@@ -142,7 +143,7 @@
                         Duration.ofSeconds(5),
                         0,
                         Optional.of(KEY_REVOCATION),
-                        Duration.ofSeconds(2),
+                        ROUTES_STALENESS,
                         new LimitTolerance(Duration.ofSeconds(8), 0, 0),
                         1),
                 Optional.empty());
