The end of an upstream is acknowledged once a quorum has it on disk

Callers of a host that had stood still lost what an upstream ran as it ended: the host went on sending requests to an upstream that had deregistered, been acknowledged and served on, for as long as it served.

Cause: one control host acknowledged an end when it had it in memory. The upstream never announces it again, so that a restart of all, or the loss of the one host that had passed it on to nobody, forgot it for good, while hosts that had missed it kept the upstream as ready for a year.

It is heeded at once in either case. Every control host takes committed ends into its table and tells its entry hosts; 2,000 are kept. Answers to confirmations leave them out.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -50,16 +50,19 @@
     private final FleetRegistry fleet;
     private final OperatorApi operators;
     private final EvacuationService evacuations;
+    private final EndRecorder ends;
 
     ControlApi(
             ControlGroup group,
             FleetRegistry fleet,
             OperatorApi operators,
-            EvacuationService evacuations) {
+            EvacuationService evacuations,
+            EndRecorder ends) {
         this.group = group;
         this.fleet = fleet;
         this.operators = operators;
         this.evacuations = evacuations;
+        this.ends = ends;
     }
 
     @Override
@@ -131,8 +134,9 @@
             refuse(context, decoded.getLeft(), keepAlive);
             return;
         }
-        fleet.remove(decoded.get());
-        answer(context, HttpResponseStatus.OK, ACKNOWLEDGED, keepAlive);
+        ends.record(
+                fleet.remove(decoded.get()),
+                outcome -> answer(context, statusOf(outcome), ACKNOWLEDGED, keepAlive));
     }
 
     private void refuse(ChannelHandlerContext context, Finding finding, boolean keepAlive) {
@@ -160,7 +164,7 @@
         Thread.startVirtualThread(
                 () -> {
                     CommandOutcome outcome = group.command(command, COMMIT_TIMEOUT);
-                    logger.info("routes.put version={} outcome={}", version, describe(outcome));
+                    logger.info("routes.put version={} outcome={}", version, outcome.description());
                     if (outcome instanceof CommandOutcome.Done) {
                         answer(context, HttpResponseStatus.OK, ACKNOWLEDGED, keepAlive);
                     } else {
@@ -183,14 +187,13 @@
         evacuations.order(
                 zoneId.get(),
                 ends,
-                outcome ->
-                        answer(
-                                context,
-                                outcome instanceof CommandOutcome.Done
-                                        ? HttpResponseStatus.OK
-                                        : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                                ACKNOWLEDGED,
-                                keepAlive));
+                outcome -> answer(context, statusOf(outcome), ACKNOWLEDGED, keepAlive));
+    }
+
+    private static HttpResponseStatus statusOf(CommandOutcome outcome) {
+        return outcome instanceof CommandOutcome.Done
+                ? HttpResponseStatus.OK
+                : HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
 
     private void read(ChannelHandlerContext context, boolean keepAlive) {
@@ -247,14 +250,6 @@
         return ("{\"message\":\"" + escaped + "\"}").getBytes(StandardCharsets.UTF_8);
     }
 
-    private static String describe(CommandOutcome outcome) {
-        return switch (outcome) {
-            case CommandOutcome.Done ignored -> "committed";
-            case CommandOutcome.Refused(String reason) -> "refused: " + reason;
-            case CommandOutcome.Unknown(String reason) -> "unknown: " + reason;
-        };
-    }
-
     private static String path(String uri) {
         int query = uri.indexOf('?');
         return query < 0 ? uri : uri.substring(0, query);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -84,6 +84,7 @@
     private final RoutesConfirmationService confirmations;
     private final AllowanceService allowances;
     private final EvacuationService evacuations;
+    private final EndRecorder ends;
     private final LimitService limits;
     private final SlotService slots;
     private final StreamOriginService streamOrigins;
@@ -133,6 +134,7 @@
                         fleet,
                         limits,
                         new UpstreamClient(loop, Headers.REQUEST_ID));
+        this.ends = new EndRecorder(group, stateMachine);
         this.evacuations =
                 new EvacuationService(group, fleet::sendToEntryHosts, orders::setEvacuatedZones);
     }
@@ -252,6 +254,7 @@
         updateScheduled.set(false);
         ControlSnapshot state = stateMachine.state();
         evacuations.applyCommitted(EvacuationCodec.decode(state.getEvacuated()));
+        fleet.applyEnds(state.getEndedList());
         applyRoutes(state);
         crashes.applyCommitted(state);
     }
@@ -330,7 +333,11 @@
                                                 new HttpServerCodec(),
                                                 new HttpObjectAggregator(MAX_REQUEST_BYTES),
                                                 new ControlApi(
-                                                        group, fleet, operators, evacuations));
+                                                        group,
+                                                        fleet,
+                                                        operators,
+                                                        evacuations,
+                                                        ends));
                             }
                         })
                 .bind(control.api().socket())
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlStateMachine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlStateMachine.java
@@ -3,10 +3,12 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.stackhall.core.fleet.EvacuatedZones;
+import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.id.ZoneId;
 import io.stackhall.core.quarantine.CrashCause;
 import io.stackhall.rpc.generated.fleet.ControlCommand;
 import io.stackhall.rpc.generated.fleet.ControlSnapshot;
+import io.stackhall.rpc.generated.fleet.InstanceEnd;
 import io.stackhall.rpc.generated.fleet.PutRoutes;
 import io.stackhall.rpc.generated.fleet.Sentence;
 import io.stackhall.rpc.generated.fleet.TakeOver;
@@ -14,6 +16,7 @@
 import io.stackhall.server.fleet.CrashCodec;
 import io.stackhall.server.fleet.EvacuationCodec;
 import io.stackhall.server.group.GroupState;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,13 +26,17 @@
 
 /**
  * The replicated state of the control group: the configuration of the highest version, the host
- * that last took over as order issuer, the evacuated zones, and the requests and parts of prompts
- * that are refused because they crash instances (sentences).
+ * that last took over as order issuer, the evacuated zones, the requests and parts of prompts that
+ * are refused because they crash instances (sentences), and the instances that have announced their
+ * end.
  */
 final class ControlStateMachine implements GroupState {
 
     private static final Logger logger = LogManager.getLogger(ControlStateMachine.class);
 
+    /** As many as a host remembers of the instances that are gone. */
+    private static final int MAX_ENDED = 2_000;
+
     private volatile ControlSnapshot state = initial();
 
     /** Returns the state applied on this host, which may lag behind the leader's. */
@@ -45,17 +52,21 @@
             case TAKE_OVER -> takeOver(decoded.getTakeOver());
             case SENTENCE -> sentence(decoded.getSentence());
             case EVACUATION -> evacuate(decoded.getEvacuation());
+            case END -> end(decoded.getEnd());
             case COMMAND_NOT_SET -> logger.error("control.command-unknown");
         }
         return new byte[0];
     }
 
-    /** Returns the state, without the configuration's body if the caller holds that version. */
+    /**
+     * Returns the state without the instances that have ended, and without the configuration's body
+     * if the caller holds that version.
+     */
     @Override
     public byte[] query(byte[] query) {
-        ControlSnapshot now = state;
+        ControlSnapshot.Builder now = state.toBuilder().clearEnded();
         boolean held = query.length > 0 && decodeState(query).getVersion() == now.getVersion();
-        return held ? now.toBuilder().clearBody().build().toByteArray() : now.toByteArray();
+        return (held ? now.clearBody() : now).build().toByteArray();
     }
 
     /**
@@ -120,6 +131,13 @@
                 .toByteArray();
     }
 
+    static byte[] endCommand(UpstreamId id) {
+        return ControlCommand.newBuilder()
+                .setEnd(InstanceEnd.newBuilder().setInstance(id.toString()))
+                .build()
+                .toByteArray();
+    }
+
     static ControlSnapshot decodeState(byte[] bytes) {
         try {
             return ControlSnapshot.parseFrom(bytes);
@@ -155,6 +173,20 @@
         state = state.toBuilder().setEvacuated(EvacuationCodec.encode(after)).build();
     }
 
+    private void end(InstanceEnd end) {
+        if (state.getEndedList().contains(end.getInstance())) {
+            return;
+        }
+        List<String> ended = new ArrayList<>(state.getEndedList());
+        ended.add(end.getInstance());
+        int surplus = Math.max(0, ended.size() - MAX_ENDED);
+        state =
+                state.toBuilder()
+                        .clearEnded()
+                        .addAllEnded(ended.subList(surplus, ended.size()))
+                        .build();
+    }
+
     private void sentence(Sentence sentence) {
         Set<CrashCause> all = new LinkedHashSet<>(CrashCodec.sentenced(state));
         List<CrashCause> added = CrashCodec.added(sentence);
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -31,6 +31,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -66,6 +67,7 @@
 
     private Optional<RouteTable> routeTable = Optional.empty();
     private Set<ServiceName> services = Set.of();
+    private List<String> committedEnds = List.of();
     private long refusedRecords;
     private long refusalLoggedAt;
 
@@ -122,15 +124,21 @@
         return refusedRecords;
     }
 
-    /** Removes an upstream that has deregistered. */
-    void remove(UpstreamId id) {
+    /**
+     * Removes an upstream that has deregistered.
+     *
+     * @return the incarnation that has ended: the one that is known by the name, if the given id
+     *     has no start time
+     */
+    UpstreamId remove(UpstreamId id) {
         List<Instance> changed = table.remove(id);
         logger.info("upstream.left id={} known={}", id, !changed.isEmpty());
         if (changed.isEmpty()) {
-            sendToControlHosts(InstanceCodec.goneFrame(id, followers.count()));
-            followers.send(InstanceCodec.goneFrame(id, followers.count()));
+            sendToControlHosts(InstanceCodec.goneFrame(List.of(id), followers.count()));
+            followers.send(InstanceCodec.goneFrame(List.of(id), followers.count()));
         }
         publish(changed);
+        return changed.stream().map(Instance::id).findFirst().orElse(id);
     }
 
     /**
@@ -151,15 +159,37 @@
             InstanceCodec.decode(item).peek(instances::add).peekLeft(this::recordRefusal);
         }
         merge(instances, false);
-        InstanceCodec.gone(update).forEach(this::receiveGone);
+        receiveGone(InstanceCodec.gone(update));
     }
 
-    /** Removes an upstream whose end this host has missed, and notifies the entry hosts. */
-    private void receiveGone(UpstreamId id) {
-        boolean isNew = !table.isGone(id);
-        List<Instance> changed = table.recordGone(id);
-        if (changed.isEmpty() && isNew) {
-            followers.send(InstanceCodec.goneFrame(id, followers.count()));
+    /** Removes the upstreams whose ends the control group has committed. */
+    void applyEnds(List<String> committed) {
+        if (committed.equals(committedEnds)) {
+            return;
+        }
+        Set<String> applied = new HashSet<>(committedEnds);
+        committedEnds = committed;
+        receiveGone(
+                committed.stream()
+                        .filter(id -> !applied.contains(id))
+                        .map(UpstreamId::parse)
+                        .toList());
+    }
+
+    /** Removes upstreams whose end this host may have missed, and notifies the entry hosts. */
+    private void receiveGone(List<UpstreamId> ids) {
+        List<Instance> changed = new ArrayList<>();
+        List<UpstreamId> unknown = new ArrayList<>();
+        for (UpstreamId id : ids) {
+            boolean isNew = !table.isGone(id);
+            List<Instance> removed = table.recordGone(id);
+            changed.addAll(removed);
+            if (isNew && removed.isEmpty()) {
+                unknown.add(id);
+            }
+        }
+        if (!unknown.isEmpty()) {
+            followers.send(InstanceCodec.goneFrame(unknown, followers.count()));
         }
         notifyEntryHosts(changed);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -55,10 +55,10 @@
         return Frame.newBuilder().setInstances(update).build();
     }
 
-    /** Returns a frame in which a control host reports that an incarnation it lacks is gone. */
-    public static Frame goneFrame(UpstreamId id, int entryHosts) {
-        InstancesUpdate.Builder update =
-                InstancesUpdate.newBuilder().setEntryHosts(entryHosts).addGone(id.toString());
+    /** Returns a frame in which a control host reports that incarnations it lacks are gone. */
+    public static Frame goneFrame(Collection<UpstreamId> gone, int entryHosts) {
+        InstancesUpdate.Builder update = update(List.of(), entryHosts);
+        gone.forEach(id -> update.addGone(id.toString()));
         return Frame.newBuilder().setInstances(update).build();
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/group/CommandOutcome.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/group/CommandOutcome.java
@@ -11,4 +11,13 @@
 
     /** It may or may not have been applied, now or later. */
     record Unknown(String reason) implements CommandOutcome {}
+
+    /** Returns the outcome in words, for the log. */
+    default String description() {
+        return switch (this) {
+            case Done ignored -> "committed";
+            case Refused(String reason) -> "refused: " + reason;
+            case Unknown(String reason) -> "unknown: " + reason;
+        };
+    }
 }
