Nobody vouches for a single version that cannot see all control hosts

What a caller would see: a stream that began at one version of the software, taken up at another host after its own and a control host were lost, goes on with events of another version.

Cause: without a record, a majority of the control group proved that there had been a single version, as far as it had seen. A control host that it could not reach counted for nothing, though upstreams of a new version may have told that one alone, and begun streams on its side. A host that had been cut off itself went on counting as one that had watched all the time, and an entry host, which hears of versions through control hosts, as one more.

A control host now begins to watch anew whenever another one is out of its reach, connects, or it has stood still. Entry hosts have streams remembered while a control host is out of theirs, and for the life of a stream after, so that streams of a single version go on all the same.

TakenUpStreamsProperties.versionThatLivedOnACutOffSideOnly... failed without the change and passes; its property over orders of cuts, kills, restarts and versions (300 tries) found nothing in either. MixedVersionsTest passes.

Refused now: streams without a record whose host is killed within the second in which a control host is lost.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
@@ -15,9 +15,9 @@
  *
  * <p>A record decides at once. Without one the stream goes on only if its service has had a single
  * version for as long as the stream can have lived. One version in this host's sight proves
- * nothing: more than half of the voters of the control group must have seen no other, and someone
- * must have watched for that long. While that is not so, a control host whose connection has just
- * been reset may still know the stream, so it is waited for.
+ * nothing: more than half of the voters of the control group must have seen no other, and a control
+ * host must have watched for that long with all others in reach. While that is not so, a control
+ * host whose connection has just been reset may still know the stream, so it is waited for.
  */
 public final class OriginInquiry {
 
@@ -38,7 +38,8 @@
     public OriginInquiry(Optional<ServiceName> service, Duration life, VersionsSeen own) {
         this.service = service;
         this.life = life;
-        this.seen = own;
+        // An entry host hears of versions through control hosts, of which some may be cut off.
+        this.seen = own.unwatched();
     }
 
     /** Records that the question was sent to a control host, perhaps once more. */
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/StreamLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/StreamLedger.java
@@ -5,29 +5,41 @@
 import io.stackhall.core.stream.StreamOrigins.Memory;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What one entry host knows of the streams that began there, and which of them it has control hosts
- * remember: none while a service runs a single version, all of them otherwise.
+ * remember: none while a service runs a single version and all control hosts are in reach, all of
+ * them otherwise.
  *
  * <p>Answers the load of a rollout on many hosts of which some are killed: their callers come to
- * other hosts, with streams of several versions. Until then nothing is sent.
+ * other hosts, with streams of several versions. Until then nothing is sent. While a control host
+ * is out of reach, and for the life of a stream after, nobody can vouch for a single version.
  *
  * <p>Times are on the monotonic clock, in nanoseconds. Not thread-safe.
  */
 public final class StreamLedger {
 
-    /** What may have been lost is told again if versions have mixed within this time. */
+    /**
+     * What may have been lost is told again if versions have mixed, or a control host was out of
+     * reach, within this time.
+     */
     private static final Duration MIX_MEMORY = Duration.ofDays(1);
 
     private final StreamOrigins origins = new StreamOrigins();
     private final VersionHistory versions = VersionHistory.notWatching();
+    private Optional<Long> missingAt = Optional.empty();
 
     /** Records that all instances of the moment are known. */
     public void startWatching(long now) {
         versions.startWatching(now);
     }
 
+    /** Records that some control host is out of reach. */
+    public void controlHostMissing(long now) {
+        missingAt = Optional.of(now);
+    }
+
     /**
      * Applies a change of an instance.
      *
@@ -35,7 +47,7 @@
      */
     public List<Memory> instanceChanged(Instance instance, long now) {
         boolean first = versions.update(instance, now);
-        if (!first || !mayMix(instance.service(), MIX_MEMORY, now)) {
+        if (!first || !isToBeRemembered(instance.service(), MIX_MEMORY, now)) {
             return List.of();
         }
         return origins.all(now).stream()
@@ -46,7 +58,7 @@
     /** Returns the streams that a control host may have lost or missed. */
     public List<Memory> toRemember(long now) {
         return origins.all(now).stream()
-                .filter(memory -> mayMix(memory.origin().service(), MIX_MEMORY, now))
+                .filter(memory -> isToBeRemembered(memory.origin().service(), MIX_MEMORY, now))
                 .toList();
     }
 
@@ -58,7 +70,7 @@
      */
     public List<Memory> begun(StreamKey key, StreamOrigin origin, Duration keep, long now) {
         origins.remember(key, origin, keep, now);
-        return mayMix(origin.service(), keep, now)
+        return isToBeRemembered(origin.service(), keep, now)
                 ? List.of(new Memory(key, origin, keep))
                 : List.of();
     }
@@ -78,7 +90,8 @@
         return origins.size();
     }
 
-    private boolean mayMix(ServiceName service, Duration period, long now) {
-        return seen(service, period, now).mayMix();
+    private boolean isToBeRemembered(ServiceName service, Duration period, long now) {
+        boolean missing = missingAt.filter(at -> now - at <= period.toNanos()).isPresent();
+        return missing || seen(service, period, now).mayMix();
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
@@ -29,7 +29,7 @@
     private final Map<UpstreamId, Software> present = new HashMap<>();
     private final Map<Software, Integer> presentCounts = new HashMap<>();
     private final Map<Software, Long> goneAt = new LinkedHashMap<>();
-    private final boolean fromTheBeginning;
+    private boolean fromTheBeginning;
     private Optional<Long> watchingSince;
 
     /** The software of an instance; the version is empty if it is not known. */
@@ -62,6 +62,17 @@
         }
     }
 
+    /**
+     * Records that changes may have been missed until now, as some control host was out of reach:
+     * versions may have come and gone there unseen.
+     */
+    public void restartWatching(long now) {
+        if (fromTheBeginning || watchingSince.isPresent()) {
+            fromTheBeginning = false;
+            watchingSince = Optional.of(now);
+        }
+    }
+
     /**
      * Applies a change of an instance.
      *
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionsSeen.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionsSeen.java
@@ -28,6 +28,11 @@
         return new VersionsSeen(Set.of(), false, Duration.ZERO);
     }
 
+    /** Returns the same of a host that cannot say for how long it has been watching. */
+    public VersionsSeen unwatched() {
+        return new VersionsSeen(versions, othersPossible, Duration.ZERO);
+    }
+
     /** Returns whether streams may have begun at different versions. */
     public boolean mayMix() {
         return othersPossible || versions.size() > 1;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -105,7 +105,7 @@
         this.settings = settings;
         this.control = control;
         this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
-        this.hosts = new ControlHosts(settings, transport, host -> {});
+        this.hosts = new ControlHosts(settings, transport, this::controlHostConnected);
         this.fleet = new FleetRegistry(settings, loop, transport, hosts);
         this.workRelay = new WorkRelay(hosts.self(), fleet.followers(), fleet::sendToControlHosts);
         this.stateMachine = new ControlStateMachine();
@@ -250,6 +250,10 @@
         return List.of(crashes.fullNotice(), limits.fullUpdate());
     }
 
+    private void controlHostConnected(HostId host) {
+        loop.execute(fleet::restartVersionWatch);
+    }
+
     private void applyCommittedState() {
         updateScheduled.set(false);
         ControlSnapshot state = stateMachine.state();
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -56,6 +56,9 @@
     /** Limits the log rate, since a foreign program may send many invalid records a second. */
     private static final long REFUSAL_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** A host that stood still for longer may have missed what other control hosts reported. */
+    private static final long MAX_SWEEP_GAP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final EventLoop loop;
     private final PeerTransport transport;
     private final ControlHosts hosts;
@@ -68,6 +71,7 @@
     private Optional<RouteTable> routeTable = Optional.empty();
     private Set<ServiceName> services = Set.of();
     private List<String> committedEnds = List.of();
+    private long sweptAt = BootClock.nanos();
     private long refusedRecords;
     private long refusalLoggedAt;
 
@@ -306,9 +310,24 @@
                         .build());
     }
 
-    /** Removes entry hosts that have stopped following. */
+    /** Removes entry hosts that have stopped following, and checks the other control hosts. */
     void sweep() {
         followers.sweep();
+        boolean paused = BootClock.nanos() - sweptAt > MAX_SWEEP_GAP_NANOS;
+        sweptAt = BootClock.nanos();
+        if (paused || !hosts.knownHosts().stream().allMatch(transport::connected)) {
+            restartVersionWatch();
+        }
+    }
+
+    /**
+     * Records that another control host was out of reach until now: versions of software may have
+     * come and gone there unseen. Before there are routes, no stream can have begun.
+     */
+    void restartVersionWatch() {
+        if (routes.getVersion() >= 0) {
+            versions.restartWatching(BootClock.nanos());
+        }
     }
 
     /** Sends all instances to another control host. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -125,6 +125,7 @@
     void subscribeToAll() {
         selectPrimary();
         connectedHosts().forEach(this::subscribe);
+        gateway.streamOrigins().checkControlHosts(controlHosts.knownHosts());
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -22,10 +22,12 @@
 import io.stackhall.server.metrics.FleetMetrics;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -48,6 +50,7 @@
     private final FleetMetrics metrics;
     private final StreamLedger ledger = new StreamLedger();
     private final Map<Long, Question> questions = new HashMap<>();
+    private Set<HostId> lastConnected = Set.of();
     private long lastNumber;
 
     /** A question that control hosts have not answered yet, and who waits for its decision. */
@@ -86,6 +89,23 @@
         }
     }
 
+    /**
+     * Checks the control hosts. While one is out of reach, streams are remembered by the others,
+     * which are told all of them as it is lost.
+     *
+     * @param known the control hosts that should be connected
+     */
+    void checkControlHosts(Collection<HostId> known) {
+        Set<HostId> connected = Set.copyOf(controlHosts.connected());
+        if (!connected.containsAll(known)) {
+            ledger.controlHostMissing(BootClock.nanos());
+        }
+        if (!connected.containsAll(lastConnected)) {
+            tellHolders(ledger.toRemember(BootClock.nanos()));
+        }
+        lastConnected = connected;
+    }
+
     /**
      * Records the first event of a stream, or of its continuation.
      *
