The control group forms without a founder that is lost

Operators of a system of which one control machine was lost within the first second, before the group had formed, got no order acknowledged any more, and no entry host became ready: the others waited for its answer for ever, or left forming the group to it after it had been started again.

Founders that have waited for four election timeouts now form the group among themselves if a quorum of those that take part is more than half of all, all prefer the same one, and nobody that answers holds an entry. Any two groups would share a founder, which holds an entry of one and joins no other. Who may found is recorded on the disk at the first start: a founder that starts again may, one whose disk is lost may not. Design: docs/design/replication.md.

The simulated hosts keep what founders record on disk, as real ones do now.

--- a/stackhall-core/src/main/java/io/stackhall/core/replication/GroupFormation.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/GroupFormation.java
@@ -1,10 +1,12 @@
 package io.stackhall.core.replication;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Forms a group, and forms it again when fewer voters than a quorum still hold its state.
@@ -12,11 +14,16 @@
  * <p>Each time a group is formed it gets a new random formation number. Replicas ignore messages of
  * other formations.
  *
- * <p>A group is formed only after every host of it has answered. If no replica holds any state, the
- * host that sorts first forms the group. If some do, but too few of its voters are left for a
+ * <p>A group is formed after every host of it has answered. If no replica holds any state, the
+ * founder that sorts first forms the group. If some do, but too few of its voters are left for a
  * quorum, the replica with the most complete log forms it again: since every host runs one process,
  * a voter is known to have lost its state once its host reports another replica id. A replica with
  * an empty log never starts an election, so the log of the replica that formed the group is kept.
+ *
+ * <p>With dynamic membership, founders that have waited long enough form the group without those
+ * that do not answer, which join later. Two groups never come about: what forms one has a quorum
+ * that is more than half of all founders, so that any two quorums share a founder; and a founder
+ * with an entry of a group, or without the storage that it had from the beginning, forms no other.
  */
 final class GroupFormation {
 
@@ -25,6 +32,12 @@
 
     private static final long TERM_INCREMENT = 1;
 
+    /**
+     * For this many election timeouts founders wait for each other. Processes that start together
+     * answer within a second; whoever comes later has to copy the log first.
+     */
+    private static final int FOUNDER_TIMEOUTS = 4;
+
     private final ReplicaState state;
     private final Map<String, Hello> latestHellos = new HashMap<>();
     private final Map<String, Hello> latestAnswers = new HashMap<>();
@@ -32,16 +45,20 @@
     private long lastRequest;
     private long firstValidRequest = 1;
     private long electionWaitEnd;
+    private final long waitForFoundersUntil;
 
     GroupFormation(ReplicaState state, long now) {
         this.state = state;
         this.electionWaitEnd = now;
         this.nextHello = now;
+        this.waitForFoundersUntil =
+                now + FOUNDER_TIMEOUTS * state.settings().electionTimeout().toNanos();
     }
 
     /**
      * Records the replica of another host, and answers if an answer is requested. A leader also
-     * sends the formation to a member that reports a different one.
+     * sends the formation to a member that reports a different one, as does the replica that formed
+     * the group until it is sure of a leader: the first message may have been lost.
      */
     void receiveHello(Hello hello, long now) {
         latestHellos.put(hello.replica().host(), hello);
@@ -53,7 +70,7 @@
             state.emit(new ReplicaEffect.SendHello(hello.replica().host(), answer));
         }
         boolean differs = hello.formation() != state.formation();
-        if (differs && isLeaderOf(hello.replica())) {
+        if (differs && (isLeaderOf(hello.replica()) || hasFormedWith(hello.replica()))) {
             sendForm(hello.replica());
         }
     }
@@ -91,7 +108,7 @@
     void handleForm(Message message, Message.Form form, long now) {
         if (!form.membership().contains(state.self())
                 || message.formation() == state.formation()
-                || !accepts(form)) {
+                || !accepts(form, now)) {
             return;
         }
         long term = Math.max(message.term(), state.term());
@@ -101,9 +118,10 @@
         awaitElection(now);
     }
 
-    private boolean accepts(Message.Form form) {
+    private boolean accepts(Message.Form form, long now) {
         if (state.emptyLog()) {
-            return true;
+            boolean promised = state.formation() != 0 && now - electionWaitEnd < 0;
+            return !(state.settings().dynamicMembership() && promised);
         }
         boolean senderLogIsNewer =
                 compareLogs(form.lastTerm(), form.lastIndex(), lastTerm(), lastIndex()) >= 0;
@@ -114,19 +132,55 @@
         if (state.leader().isPresent()
                 || !mayForm()
                 || now - electionWaitEnd < 0
-                || !everyHostAnswered()
+                || !(everyHostAnswered() || enoughFoundersAgree(now))
                 || !preferredFounder()
                 || (!state.emptyLog() && !quorumLost())) {
             return;
         }
         List<ReplicaId> all = new ArrayList<>(List.of(state.self()));
-        latestAnswers.values().stream()
-                .map(Hello::replica)
-                .filter(replica -> state.hosts().contains(replica.host()))
-                .forEach(all::add);
+        recentAnswers().map(Hello::replica).forEach(all::add);
         form(new Membership(all, List.of()), now);
     }
 
+    /**
+     * Returns whether founders without any entry, which prefer this one, are so many that a quorum
+     * of theirs is more than half of all founders, and no replica that answers holds an entry.
+     */
+    private boolean enoughFoundersAgree(long now) {
+        boolean waited = now - waitForFoundersUntil >= 0;
+        if (!state.settings().dynamicMembership() || !waited || !state.emptyLog()) {
+            return false;
+        }
+        if (latestHellos.values().stream().anyMatch(hello -> !hello.emptyLog())) {
+            return false;
+        }
+        List<Hello> founders = recentAnswers().filter(Hello::canForm).toList();
+        boolean agreed =
+                founders.stream().allMatch(hello -> hello.preferredFounder().equals(ownHost()));
+        int members = founders.size() + 1;
+        int quorum = members / 2 + 1;
+        return agreed && 2 * quorum > state.hosts().size();
+    }
+
+    /** Returns the founder of the lowest id among those without an entry, empty for none. */
+    private String lowestFounder() {
+        Stream<ReplicaId> others = recentAnswers().filter(Hello::canForm).map(Hello::replica);
+        Stream<ReplicaId> self =
+                mayForm() && state.emptyLog() ? Stream.of(state.self()) : Stream.of();
+        return Stream.concat(others, self)
+                .min(Comparator.naturalOrder())
+                .map(ReplicaId::host)
+                .orElse("");
+    }
+
+    /** Returns the recent answers of the hosts that the group is to be formed of. */
+    private Stream<Hello> recentAnswers() {
+        long oldest = oldestValidRequest();
+        return latestAnswers.values().stream()
+                .filter(hello -> state.hosts().contains(hello.replica().host()))
+                .filter(hello -> answeredSince(hello.replica().host(), oldest));
+    }
+
     private void form(Membership membership, long now) {
         long formation = state.random().nextLong(1, Long.MAX_VALUE);
         boolean lossPossible = mayHaveLostCommands();
@@ -155,6 +209,14 @@
         return state.role() == Role.LEADER && state.membership().contains(replica);
     }
 
+    private boolean hasFormedWith(ReplicaId replica) {
+        return state.settings().dynamicMembership()
+                && !state.emptyLog()
+                && state.commit() == 0
+                && state.leader().isEmpty()
+                && state.membership().contains(replica);
+    }
+
     private void sendForm(ReplicaId to) {
         Message.Form form = new Message.Form(state.membership(), lastTerm(), lastIndex());
         state.send(to, state.term(), form);
@@ -177,12 +239,20 @@
      * replica lost its leader.
      */
     private boolean everyHostAnswered() {
-        long oldest = Math.max(firstValidRequest, lastRequest - RETAINED_REQUESTS);
+        long oldest = oldestValidRequest();
         return state.hosts().stream()
-                .filter(host -> !host.equals(state.self().host()))
+                .filter(host -> !host.equals(ownHost()))
                 .allMatch(host -> answeredSince(host, oldest));
     }
 
+    private long oldestValidRequest() {
+        return Math.max(firstValidRequest, lastRequest - RETAINED_REQUESTS);
+    }
+
+    private String ownHost() {
+        return state.self().host();
+    }
+
     private boolean answeredSince(String host, long oldestRequest) {
         Hello answer = latestAnswers.get(host);
         return answer != null
@@ -192,7 +262,7 @@
 
     /** Returns whether the host of this replica is one of those that may form the group. */
     private boolean mayForm() {
-        return state.hosts().contains(state.self().host());
+        return state.hosts().contains(ownHost());
     }
 
     /**
@@ -218,12 +288,11 @@
     }
 
     /**
-     * Returns whether this replica has the most complete log, or the lowest id among equal logs.
+     * Returns whether this replica has the most complete log, or the lowest id among equal logs of
+     * those that may form the group.
      */
     private boolean preferredFounder() {
-        return latestAnswers.values().stream()
-                .filter(hello -> state.hosts().contains(hello.replica().host()))
-                .allMatch(this::precedes);
+        return recentAnswers().allMatch(this::precedes);
     }
 
     private boolean precedes(Hello other) {
@@ -231,7 +300,7 @@
         if (order != 0) {
             return order < 0;
         }
-        return state.self().compareTo(other.replica()) < 0;
+        return !other.founder() || state.self().compareTo(other.replica()) < 0;
     }
 
     private Hello ownHello(long ask, long answers) {
@@ -242,7 +311,9 @@
                 lastTerm(),
                 lastIndex(),
                 ask,
-                answers);
+                answers,
+                mayForm(),
+                lowestFounder());
     }
 
     private long lastTerm() {
--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Hello.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Hello.java
@@ -11,6 +11,9 @@
  * @param lastIndex index of the sender's last entry, or 0 if its log is empty
  * @param ask request number to be returned in an answer, or 0 if no answer is requested
  * @param answers number of the receiver's request that this hello answers, or 0
+ * @param founder whether the sender is one of the hosts that may form the group, and its storage is
+ *     the one that it had from the beginning
+ * @param preferredFounder the host that the sender would have form the group, empty for none
  */
 public record Hello(
         ReplicaId replica,
@@ -19,10 +22,17 @@
         long lastTerm,
         long lastIndex,
         long ask,
-        long answers) {
+        long answers,
+        boolean founder,
+        String preferredFounder) {
 
     /** Returns whether the replica holds no entry of the group. */
     public boolean emptyLog() {
         return lastIndex == 0;
     }
+
+    /** Returns whether the replica may form the group and has acknowledged no entry of any. */
+    boolean canForm() {
+        return founder && emptyLog();
+    }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/replication/SimulatedGroup.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/SimulatedGroup.java
@@ -36,7 +36,7 @@
          */
         final Set<String> missingWhenCaughtUp = new TreeSet<>();
 
-        boolean startedBefore;
+        boolean storageLost;
 
         Host(String name, boolean durable) {
             this.name = name;
@@ -130,13 +130,12 @@
         restore(host, host.saved.snapshot());
     }
 
-    /** With dynamic membership, a founder may form the group only when it starts the first time. */
+    /** With dynamic membership, a founder may form the group only with its first storage. */
     private Set<String> configuredHosts(Host host) {
         if (!settings.dynamicMembership()) {
             return hosts.keySet();
         }
-        boolean isFounder = founders.contains(host.name) && !host.startedBefore;
-        host.startedBefore = true;
+        boolean isFounder = founders.contains(host.name) && !host.storageLost;
         return isFounder ? Set.copyOf(founders) : Set.of();
     }
 
@@ -155,6 +154,7 @@
         kill(name);
         hosts.get(name).saved = SavedState.empty();
         hosts.get(name).incarnation = 0;
+        hosts.get(name).storageLost = true;
     }
 
     void run(long millis) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlGroup.java
@@ -23,11 +23,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 
@@ -44,7 +42,6 @@
     private static final Duration DRIFT_MARGIN = Duration.ofMillis(40);
     private static final int MAX_ENTRIES_PER_MESSAGE = 64;
 
-    private final FleetSettings settings;
     private final PeerTransport transport;
     private final ControlHosts hosts;
     private final DataFolder folder;
@@ -61,7 +58,6 @@
             RandomGenerator random,
             long aliveSince)
             throws IOException {
-        this.settings = settings;
         this.transport = transport;
         this.hosts = hosts;
         this.folder = DataFolder.open(control.dataFolder());
@@ -74,7 +70,7 @@
                 new GroupHost(
                         GROUP,
                         settings.peerName().value(),
-                        founders(),
+                        FounderRecord.foundersOf(folder, settings),
                         replicaSettings,
                         () -> DiskStorage.open(replicaFolder, random, MIN_FREE_BYTES),
                         log,
@@ -150,19 +146,6 @@
         folder.close();
     }
 
-    /**
-     * Returns the seeds, which form the group at the very first start; other hosts join it later.
-     */
-    private Set<String> founders() {
-        List<HostId> seeds = settings.seedPeers();
-        if (!settings.firstStart() || !seeds.contains(settings.peerName())) {
-            return Set.of();
-        }
-        Set<String> names = new HashSet<>();
-        seeds.forEach(seed -> names.add(seed.value()));
-        return names;
-    }
-
     /** Sends the group's messages to other hosts. */
     private final class Wire implements GroupWire {
         @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/ReplicationCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/ReplicationCodec.java
@@ -92,6 +92,8 @@
                 .setLastIndex(hello.lastIndex())
                 .setAsk(hello.ask())
                 .setAnswers(hello.answers())
+                .setFounder(hello.founder())
+                .setPreferredFounder(hello.preferredFounder())
                 .build();
     }
 
@@ -104,7 +106,9 @@
                 hello.getLastTerm(),
                 hello.getLastIndex(),
                 hello.getAsk(),
-                hello.getAnswers());
+                hello.getAnswers(),
+                hello.getFounder(),
+                hello.getPreferredFounder());
     }
 
     private static Message.Body body(Raft raft) {
--- a/stackhall-server/src/test/java/io/stackhall/server/peer/DecoderProperties.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/peer/DecoderProperties.java
@@ -88,7 +88,7 @@
                 Frame.newBuilder()
                         .setHello(
                                 ReplicationCodec.encode(
-                                        GROUP, new Hello(THERE, true, 1, 2, 3, 4, 5)))
+                                        GROUP, new Hello(THERE, true, 1, 2, 3, 4, 5, true, "a")))
                         .build());
     }
 
