A transfer of leadership of an earlier term starts no election

Found by reading, in a review, not seen: a leader's message that asks a voter to stand for election overrides leases, and its term was not looked at. One that arrives after the next leader was elected would have deposed that leader while it relied on its lease: two hosts that answer reads and give orders.

ReplicaTest.transferOfAnEarlierTermStartsNoElection failed before and passes; the properties of the replica pass.

--- a/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/Replica.java
@@ -184,12 +184,23 @@
             case Message.AppendReply reply -> leaderRole.handleAppendReply(message, reply, now);
             case Message.SnapshotRequest request ->
                     followerRole.handleSnapshotRequest(message, request, now);
-            case Message.TimeoutNow ignored -> elections.startElection(true, now);
+            case Message.TimeoutNow ignored -> handleTransfer(message, now);
             case Message.Form ignored ->
                     throw new IllegalStateException("Form messages are handled before");
         }
     }
 
+    /**
+     * Starts the election that a leader has asked for as it stepped down. It overrides the lease of
+     * the leader, so that a message of an earlier term would depose a leader that relies on its
+     * own.
+     */
+    private void handleTransfer(Message message, long now) {
+        if (message.term() >= state.term()) {
+            elections.startElection(true, now);
+        }
+    }
+
     private void compact(long index, byte[] bytes) {
         if (index <= state.log().snapshot().lastIndex() || index > state.commit()) {
             return;
--- a/stackhall-core/src/test/java/io/stackhall/core/replication/ReplicaTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/replication/ReplicaTest.java
@@ -47,6 +47,32 @@
         assertThat(led).containsExactlyInAnyOrder("a", "b", "c");
     }
 
+    // It would have deposed a leader whose lease holds.
+    @Test
+    void transferOfAnEarlierTermStartsNoElection() {
+        SimulatedGroup group = new SimulatedGroup(SEED, true, "a", "b", "c");
+        group.transfer(group.awaitLeader().name, false);
+        group.run(2000);
+        Replica leader = group.awaitLeader().replica;
+        Replica follower =
+                group.hosts.values().stream()
+                        .map(host -> host.replica)
+                        .filter(replica -> !replica.equals(leader))
+                        .findFirst()
+                        .orElseThrow();
+        long term = follower.term();
+        Message late =
+                new Message(
+                        leader.id(),
+                        follower.id(),
+                        follower.formation(),
+                        term - 1,
+                        new Message.TimeoutNow());
+        follower.step(new ReplicaEvent.Received(late), group.now());
+        assertThat(follower.term()).isEqualTo(term);
+        assertThat(follower.role()).isEqualTo(Role.FOLLOWER);
+    }
+
     @Test
     void leaderWithoutSuccessorAcceptsCommandsUnlessStopping() {
         SimulatedGroup group = new SimulatedGroup(SEED, true, "a");
