--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -280,16 +280,16 @@
         if (request.follow().getRoutesVersion() < 0) {
             request.replier().send(CrashTracker.sentencesFrame(state));
         }
-        fleet.sendConfirmation(request);
+        fleet.routes().sendConfirmation(request);
     }
 
     private long heldVersion() {
-        return fleet.routes().getVersion();
+        return fleet.routes().version();
     }
 
     private void applyRoutes(ControlSnapshot state) {
-        if (fleet.applyRoutes(state)) {
-            fleet.routeTable().ifPresent(table -> allowances.setCustomers(table.customers()));
+        if (fleet.routes().apply(state)) {
+            fleet.routes().table().ifPresent(table -> allowances.setCustomers(table.customers()));
         }
     }
 
@@ -297,7 +297,7 @@
         metrics.state("term", (double) group.view().term());
         metrics.state("leads", group.leads() ? 1 : 0);
         metrics.state("commit_index", (double) group.view().commitIndex());
-        metrics.state("routes_version", (double) fleet.routes().getVersion());
+        metrics.state("routes_version", (double) fleet.routes().version());
         metrics.state("instances", fleet.instances().size());
         metrics.state("limited_upstreams", limits.limitedUpstreams().size());
         metrics.state("stream_origins", streamOrigins.size());
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -1,6 +1,5 @@
 package io.stackhall.server.control;
 
-import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.fleet.Instance;
@@ -9,22 +8,16 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
-import io.stackhall.core.route.RouteTable;
-import io.stackhall.core.route.ServiceEntry;
 import io.stackhall.core.stream.VersionHistory;
 import io.stackhall.core.stream.VersionsSeen;
-import io.stackhall.platform.ConfigurationDecoder;
-import io.stackhall.rpc.generated.fleet.ControlSnapshot;
 import io.stackhall.rpc.generated.fleet.FleetFollow;
 import io.stackhall.rpc.generated.fleet.InstanceRecord;
 import io.stackhall.rpc.generated.fleet.InstancesUpdate;
 import io.stackhall.rpc.generated.fleet.ResidencyChange;
-import io.stackhall.rpc.generated.fleet.RoutesUpdate;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.fleet.ControlHosts;
 import io.stackhall.server.fleet.InstanceCodec;
-import io.stackhall.server.fleet.RoutesCodec;
 import io.stackhall.server.peer.PeerTransport;
 import io.stackhall.server.peer.Replier;
 import io.stackhall.server.settings.FleetSettings;
@@ -37,14 +30,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * The registry of upstreams on a control host. Forwards what it receives to the other control
- * hosts, and pushes every change, as well as new routes, to the entry hosts that follow this host.
- * Confined to one event loop.
+ * hosts, and pushes every change to the entry hosts that follow this host. Confined to one event
+ * loop.
  */
 final class FleetRegistry {
 
@@ -65,11 +57,7 @@
     private final InstanceTable table;
     private final EntryFollowers followers;
     private final VersionHistory versions;
-    private ByteString packedRoutes = ByteString.EMPTY;
-    private ControlSnapshot routes = ControlSnapshot.newBuilder().setVersion(-1).build();
-
-    private Optional<RouteTable> routeTable = Optional.empty();
-    private Set<ServiceName> services = Set.of();
+    private final PublishedRoutes routes;
     private List<String> committedEnds = List.of();
     private long sweptAt = BootClock.nanos();
     private long refusedRecords;
@@ -81,6 +69,7 @@
         this.transport = transport;
         this.hosts = hosts;
         this.followers = new EntryFollowers(loop, hosts.self());
+        this.routes = new PublishedRoutes(followers);
         this.table =
                 new InstanceTable(settings.limits().heartbeat().multipliedBy(SILENT_HEARTBEATS));
         this.versions =
@@ -106,8 +95,7 @@
      * service is removed from the configuration.
      */
     private boolean isServed(Instance instance) {
-        return services.isEmpty()
-                || services.contains(instance.service())
+        return routes.mayServe(instance.service())
                 || table.find(instance.id())
                         .filter(known -> known.service().equals(instance.service()))
                         .isPresent();
@@ -233,50 +221,7 @@
             initialFrames.get().forEach(replier::send);
             replier.send(fullUpdate());
         }
-        if (follow.getRoutesVersion() < routes.getVersion()) {
-            replier.send(routesFor(follow));
-        }
-    }
-
-    /**
-     * Only the primary sends an entry host the full configuration; other control hosts send its
-     * version. Sent by each of six control hosts, a configuration of 30 KB would take 16 MB to
-     * reach 89 entry hosts (calculated).
-     */
-    private Frame routesFor(FleetFollow follow) {
-        boolean full = follow.getPrimary() || follow.getWantsRoutes();
-        return frame(full ? fullRoutes() : routesVersion());
-    }
-
-    /** Sends an entry host the routes that a quorum has just confirmed. */
-    void sendConfirmation(RoutesConfirmationService.ConfirmationRequest request) {
-        FleetFollow follow = request.follow();
-        boolean outdated = follow.getRoutesVersion() < routes.getVersion();
-        boolean full = outdated && (follow.getPrimary() || follow.getWantsRoutes());
-        RoutesUpdate.Builder update = full ? fullRoutes() : routesVersion();
-        request.replier().send(frame(update.setConfirmed(true).setAskedAt(follow.getAskedAt())));
-    }
-
-    /**
-     * Applies a committed configuration, and pushes it to entry hosts, if it is newer.
-     *
-     * @return whether it was newer
-     */
-    boolean applyRoutes(ControlSnapshot next) {
-        if (next.getVersion() <= routes.getVersion()) {
-            return false;
-        }
-        logger.info(
-                "routes.told version={} was={} followers={}",
-                next.getVersion(),
-                routes.getVersion(),
-                followers.count());
-        routes = next;
-        decodeRoutes();
-        packedRoutes = RoutesCodec.compress(routes.getBody());
-        followers.sendToPrimaries(frame(fullRoutes()));
-        followers.sendToOthers(frame(routesVersion()));
-        return true;
+        routes.handleFollow(follow, replier);
     }
 
     /** Notifies all entry hosts of what an instance now holds, or is about to unload. */
@@ -325,7 +270,7 @@
      * come and gone there unseen. Before there are routes, no stream can have begun.
      */
     void restartVersionWatch() {
-        if (routes.getVersion() >= 0) {
+        if (routes.version() >= 0) {
             versions.restartWatching(BootClock.nanos());
         }
     }
@@ -344,15 +289,11 @@
         return versions.seen(service, period, BootClock.nanos());
     }
 
-    ControlSnapshot routes() {
+    /** Returns the routes that entry hosts are sent. */
+    PublishedRoutes routes() {
         return routes;
     }
 
-    /** Returns the newest configuration that could be decoded. */
-    Optional<RouteTable> routeTable() {
-        return routeTable;
-    }
-
     /** Returns the entry hosts that follow this host. */
     EntryFollowers followers() {
         return followers;
@@ -402,35 +343,7 @@
         hosts.knownHosts().forEach(host -> transport.send(host, frame));
     }
 
-    private void decodeRoutes() {
-        ConfigurationDecoder.decode(routes.getBody().toByteArray())
-                .peek(this::setRouteTable)
-                .peekLeft(
-                        finding ->
-                                logger.error(
-                                        "routes.unreadable version={} {}",
-                                        routes.getVersion(),
-                                        finding));
-    }
-
-    private void setRouteTable(RouteTable next) {
-        routeTable = Optional.of(next);
-        services = next.services().stream().map(ServiceEntry::name).collect(Collectors.toSet());
-    }
-
     private Frame fullUpdate() {
         return InstanceCodec.fullFrame(table.all(), table.gone(), followers.count());
     }
-
-    private RoutesUpdate.Builder fullRoutes() {
-        return routesVersion().setPackedBody(packedRoutes);
-    }
-
-    private RoutesUpdate.Builder routesVersion() {
-        return RoutesUpdate.newBuilder().setVersion(routes.getVersion());
-    }
-
-    private static Frame frame(RoutesUpdate.Builder update) {
-        return Frame.newBuilder().setRoutes(update).build();
-    }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderIssuer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderIssuer.java
@@ -256,7 +256,7 @@
 
     private void updateEngineSpecs() {
         Optional<RouteTable> newer =
-                fleet.routeTable().filter(table -> table.version() > routesVersion);
+                fleet.routes().table().filter(table -> table.version() > routesVersion);
         if (newer.isEmpty()) {
             return;
         }
