--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -135,6 +135,17 @@
         return started;
     }
 
+    /** Starts an upstream whose streams last for some time. */
+    public StreamingUpstream startStreaming(String name, String software) throws IOException {
+        StreamingUpstream started = new StreamingUpstream(software);
+        heartbeats.scheduleAtFixedRate(
+                () -> started.heartbeat().ifPresent(body -> heartbeat(name, body)),
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return started;
+    }
+
     /** Starts an upstream that ends under one request, and comes back. */
     public void startCrashing(String name) {
         CrashingUpstream started = new CrashingUpstream(name);
