A take-over that is repeated late does not name its host again

Found by reading, in a review, not seen: a host that repeats its take-over of giving orders, after it has lost its leadership, had it committed behind the next host's and was named as the last to have taken over, so that the host after that would not have waited for the orders of the right one. A take-over of an earlier term changes nothing.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlStateMachine.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlStateMachine.java
@@ -153,7 +153,11 @@
         }
     }
 
+    /** A host may repeat its command after it has lost its leadership to another one. */
     private void takeOver(TakeOver takeOver) {
+        if (takeOver.getTerm() < state.getTerm()) {
+            return;
+        }
         state =
                 state.toBuilder()
                         .setHolder(takeOver.getHolder())
