Streams of a single version are remembered while control hosts cannot vouch for it

Callers of a host that was killed while control hosts watched anew, after one of them had been lost or cut off from the others, would have been refused: an entry host noticed only what it lost itself. Control hosts now say each half second that they cannot vouch, and to a host that takes them as its primary within a minute after; entry hosts have their streams remembered then and for the life of one after.

KilledEntryHostsTest has a single version, a control host that is killed, and all entry hosts 1.2 s later: nine in ten have to go on.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/StreamLedger.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/StreamLedger.java
@@ -9,8 +9,8 @@
 
 /**
  * What one entry host knows of the streams that began there, and which of them it has control hosts
- * remember: none while a service runs a single version and all control hosts are in reach, all of
- * them otherwise.
+ * remember: none while control hosts can vouch for a single version of a service, all of them
+ * otherwise.
  *
  * <p>Answers the load of a rollout on many hosts of which some are killed: their callers come to
  * other hosts, with streams of several versions. Until then nothing is sent. While a control host
@@ -26,18 +26,28 @@
      */
     private static final Duration MIX_MEMORY = Duration.ofDays(1);
 
+    /** Control hosts say so each half second; after a gap this long it has begun anew. */
+    private static final Duration UNWATCHED_GAP = Duration.ofSeconds(3);
+
     private final StreamOrigins origins = new StreamOrigins();
     private final VersionHistory versions = VersionHistory.notWatching();
-    private Optional<Long> missingAt = Optional.empty();
+    private Optional<Long> unwatchedAt = Optional.empty();
 
     /** Records that all instances of the moment are known. */
     public void startWatching(long now) {
         versions.startWatching(now);
     }
 
-    /** Records that some control host is out of reach. */
-    public void controlHostMissing(long now) {
-        missingAt = Optional.of(now);
+    /**
+     * Records that control hosts cannot vouch for a single version now, as some control host is out
+     * of reach.
+     *
+     * @return the streams to be remembered elsewhere from now on
+     */
+    public List<Memory> versionsUnwatched(long now) {
+        boolean begins = !isUnwatched(UNWATCHED_GAP, now);
+        unwatchedAt = Optional.of(now);
+        return begins ? origins.all(now) : List.of();
     }
 
     /**
@@ -91,7 +101,10 @@
     }
 
     private boolean isToBeRemembered(ServiceName service, Duration period, long now) {
-        boolean missing = missingAt.filter(at -> now - at <= period.toNanos()).isPresent();
-        return missing || seen(service, period, now).mayMix();
+        return isUnwatched(period, now) || seen(service, period, now).mayMix();
+    }
+
+    private boolean isUnwatched(Duration period, long now) {
+        return unwatchedAt.filter(at -> now - at <= period.toNanos()).isPresent();
     }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
@@ -110,7 +110,8 @@
         return new VersionsSeen(versions, unknown, watched(now));
     }
 
-    private Duration watched(long now) {
+    /** Returns for how long the host has been watching without a gap. */
+    public Duration watched(long now) {
         return fromTheBeginning
                 ? VersionsSeen.FROM_THE_BEGINNING
                 : watchingSince.map(since -> Duration.ofNanos(now - since)).orElse(Duration.ZERO);
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
@@ -202,7 +202,7 @@
         for (int entry = 0; entry < ZONES; entry++) {
             if (reaches(entry, zone)) {
                 controls.get(zone).versions.restartWatching(now);
-                entries.get(entry).controlHostMissing(now);
+                tell(entry, entries.get(entry).versionsUnwatched(now));
                 tell(entry, entries.get(entry).toRemember(now));
             }
         }
@@ -228,7 +228,7 @@
         for (int zone = 0; zone < ZONES; zone++) {
             if (!cutOff.isEmpty() && (cutOff.contains(zone) || cutOff.size() < ZONES)) {
                 controls.get(zone).versions.restartWatching(now);
-                entries.get(zone).controlHostMissing(now);
+                tell(zone, entries.get(zone).versionsUnwatched(now));
                 tell(zone, entries.get(zone).toRemember(now));
             }
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -48,6 +48,9 @@
     /** Limits the log rate, since a foreign program may send many invalid records a second. */
     private static final long REFUSAL_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** Exceeds the life of most streams: a host that has watched for less cannot vouch for all. */
+    private static final Duration VOUCHING_DELAY = Duration.ofSeconds(60);
+
     /** A host that stood still for longer may have missed what other control hosts reported. */
     private static final long MAX_SWEEP_GAP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -220,6 +223,9 @@
         if (followers.recordFollow(follow, replier)) {
             initialFrames.get().forEach(replier::send);
             replier.send(fullUpdate());
+            if (versions.watched(BootClock.nanos()).compareTo(VOUCHING_DELAY) < 0) {
+                replier.send(InstanceCodec.unwatchedFrame(followers.count()));
+            }
         }
         routes.handleFollow(follow, replier);
     }
@@ -267,11 +273,13 @@
 
     /**
      * Records that another control host was out of reach until now: versions of software may have
-     * come and gone there unseen. Before there are routes, no stream can have begun.
+     * come and gone there unseen. Entry hosts have their streams remembered meanwhile. Before there
+     * are routes, no stream can have begun.
      */
     void restartVersionWatch() {
         if (routes.version() >= 0) {
             versions.restartWatching(BootClock.nanos());
+            followers.sendToPrimaries(InstanceCodec.unwatchedFrame(followers.count()));
         }
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/fleet/InstanceCodec.java
@@ -62,6 +62,17 @@
         return Frame.newBuilder().setInstances(update).build();
     }
 
+    /**
+     * Returns a frame in which a control host reports that it cannot vouch for versions.
+     *
+     * @param entryHosts number of entry hosts that follow it
+     */
+    public static Frame unwatchedFrame(int entryHosts) {
+        return Frame.newBuilder()
+                .setInstances(update(List.of(), entryHosts).setUnwatched(true))
+                .build();
+    }
+
     /** Returns the incarnations that an update reports as gone. */
     public static List<UpstreamId> gone(InstancesUpdate update) {
         return update.getGoneList().stream().map(UpstreamId::parse).toList();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlSubscriber.java
@@ -245,6 +245,9 @@
             selectPrimary();
             return;
         }
+        if (update.getUnwatched()) {
+            gateway.streamOrigins().versionsUnwatched();
+        }
         update.getInstancesList().forEach(this::updateInstance);
         InstanceCodec.gone(update)
                 .forEach(id -> instanceTable.recordGone(id).forEach(gateway::instanceChanged));
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -98,7 +98,7 @@
     void checkControlHosts(Collection<HostId> known) {
         Set<HostId> connected = Set.copyOf(controlHosts.connected());
         if (!connected.containsAll(known)) {
-            ledger.controlHostMissing(BootClock.nanos());
+            versionsUnwatched();
         }
         if (!connected.containsAll(lastConnected)) {
             tellHolders(ledger.toRemember(BootClock.nanos()));
@@ -106,6 +106,14 @@
         lastConnected = connected;
     }
 
+    /**
+     * Records that control hosts cannot vouch for a single version now, and has them remember all
+     * streams.
+     */
+    void versionsUnwatched() {
+        tellHolders(ledger.versionsUnwatched(BootClock.nanos()));
+    }
+
     /**
      * Records the first event of a stream, or of its continuation.
      *
--- a/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
@@ -111,6 +111,20 @@
         assertNoneIsJoined(streams);
     }
 
+    // The others cannot vouch for a single version any more, and somebody has to know the streams.
+    @Test
+    void streamsOfASingleVersionGoOnThoughAControlHostWasKilledBefore() throws Exception {
+        List<Future<Received>> streams = begin();
+        Eventually.pause(200);
+        controls.getLast().kill();
+        Eventually.pause(1200);
+        killEntries();
+        startEntries();
+        List<Received> received = assertNoneIsJoined(streams);
+        assertThat(received.stream().filter(Received::whole).count())
+                .isGreaterThanOrEqualTo(STREAMS * 9 / 10);
+    }
+
     // What control hosts remember of streams and versions is in their memory alone.
     @Test
     void streamsAreNotJoinedThoughControlHostsAreKilledToo() throws Exception {
