--- a/stackhall-core/src/main/java/io/stackhall/core/replication/GroupFormation.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/replication/GroupFormation.java
@@ -33,10 +33,10 @@
     private static final long TERM_INCREMENT = 1;
 
     /**
-     * For this many election timeouts founders wait for each other. Processes that start together
-     * answer within a second; whoever comes later has to copy the log first.
+     * For this many election timeouts founders wait for each other. A group of two of three bears
+     * no loss until the third has joined, which may only have been slow to start.
      */
-    private static final int FOUNDER_TIMEOUTS = 4;
+    private static final int FOUNDER_TIMEOUTS = 10;
 
     private final ReplicaState state;
     private final Map<String, Hello> latestHellos = new HashMap<>();
