The test of killed entry hosts waits until its streams have begun

It failed once more, beside a build: 3 of 30 streams had brought an event after the 0.6 s that it waited.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -50,6 +51,9 @@
     private final List<StreamingUpstream> upstreams = new ArrayList<>();
     private final ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
 
+    /** The ids of attempts that have brought anything. */
+    private final Set<String> begun = ConcurrentHashMap.newKeySet();
+
     /** What a caller got of one stream. */
     private record Received(boolean first, boolean whole, Set<String> software) {}
 
@@ -79,7 +83,7 @@
         announce("v2");
         Eventually.pause(1000);
         List<Future<Received>> streams = begin();
-        Eventually.pause(600);
+        awaitBegun();
         killEntries();
         startEntries();
         List<Received> received = assertNoneIsJoined(streams);
@@ -92,7 +96,7 @@
     void streamsAreNotJoinedWithAVersionThatIsSeenForTheFirstTimeAsTheHostsAreKilled()
             throws Exception {
         List<Future<Received>> streams = begin();
-        Eventually.pause(600);
+        awaitBegun();
         announce("v2");
         announce("v2");
         Eventually.pause(30);
@@ -107,7 +111,7 @@
         announce("v2");
         Eventually.pause(1000);
         List<Future<Received>> streams = begin();
-        Eventually.pause(600);
+        awaitBegun();
         upstreams.stream().limit(2).forEach(StreamingUpstream::close);
         killEntries();
         startEntries();
@@ -118,7 +122,7 @@
     @Test
     void streamsOfASingleVersionGoOnThoughAControlHostWasKilledBefore() throws Exception {
         List<Future<Received>> streams = begin();
-        Eventually.pause(200);
+        awaitBegun();
         controls.getLast().kill();
         Eventually.pause(1200);
         killEntries();
@@ -135,7 +139,7 @@
         announce("v2");
         Eventually.pause(1000);
         List<Future<Received>> streams = begin();
-        Eventually.pause(600);
+        awaitBegun();
         upstreams.stream().limit(2).forEach(StreamingUpstream::close);
         killEntries();
         controls.forEach(RunningProcess::kill);
@@ -168,7 +172,12 @@
         entries.forEach(RunningProcess::kill);
     }
 
+    private void awaitBegun() {
+        Eventually.holds("streams begun", () -> begun.size() >= STREAMS);
+    }
+
     private List<Future<Received>> begin() {
+        begun.clear();
         List<Future<Received>> streams = new ArrayList<>();
         for (int number = 0; number < STREAMS; number++) {
             int host = 1 + number % ENTRY_HOSTS;
@@ -203,7 +212,16 @@
             throws InterruptedException {
         List<String> events = new ArrayList<>();
         try {
-            int status = hosts.stream(host, "/s/x", id, events::add, headers);
+            int status =
+                    hosts.stream(
+                            host,
+                            "/s/x",
+                            id,
+                            line -> {
+                                begun.add(id);
+                                events.add(line);
+                            },
+                            headers);
             return status == OK;
         } catch (IOException e) {
             return false;
