--- a/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
@@ -49,7 +49,7 @@
     /** A stream that a caller may take up. */
     private record Open(StreamKey key, StreamOrigin origin, long takeUpUntil) {}
 
-    /** A control host; hosts that are gone are remembered, as full updates name them. */
+    /** A control host; instances that are gone are remembered, as full updates name them. */
     private static final class Control {
         private final VersionHistory versions;
         private final StreamOrigins origins = new StreamOrigins();
