Streams that end before the kill no longer pass for streams that go on

KilledEntryHostsTest asked that nine in ten of all streams come whole, which those that ended before the hosts were killed did by themselves. Besides, most now have to be broken off, and nine in ten of these to go on. Compiled and checked by formatter and linter, not run; the class is in the list of known failures and not run with the others.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/KilledEntryHostsTest.java
@@ -55,7 +55,7 @@
     private final Set<String> begun = ConcurrentHashMap.newKeySet();
 
     /** What a caller got of one stream. */
-    private record Received(boolean first, boolean whole, Set<String> software) {}
+    private record Received(boolean first, boolean takenUp, boolean whole, Set<String> software) {}
 
     @BeforeEach
     void start() throws Exception {
@@ -87,8 +87,7 @@
         killEntries();
         startEntries();
         List<Received> received = assertNoneIsJoined(streams);
-        assertThat(received.stream().filter(Received::whole).count())
-                .isGreaterThanOrEqualTo(STREAMS * 9 / 10);
+        assertThatTheyGoOn(received);
     }
 
     // The hosts that passed its streams on may not have told anyone yet.
@@ -128,8 +127,7 @@
         killEntries();
         startEntries();
         List<Received> received = assertNoneIsJoined(streams);
-        assertThat(received.stream().filter(Received::whole).count())
-                .isGreaterThanOrEqualTo(STREAMS * 9 / 10);
+        assertThatTheyGoOn(received);
     }
 
     // What control hosts remember of streams and versions is in their memory alone.
@@ -191,6 +189,7 @@
     private Received receive(int host, String id) throws InterruptedException {
         List<String> lines = new ArrayList<>();
         boolean whole = read(host, id, lines);
+        boolean atOnce = whole;
         for (int attempt = 1; attempt <= TRIES && !whole && !lines.isEmpty(); attempt++) {
             Eventually.pause(200);
             whole =
@@ -204,7 +203,7 @@
                             id);
         }
         boolean all = whole && lines.size() == StreamingUpstream.EVENTS;
-        return new Received(!lines.isEmpty(), all, new TreeSet<>(lines));
+        return new Received(!lines.isEmpty(), !atOnce, all, new TreeSet<>(lines));
     }
 
     /** Adds the versions of the events that come, and returns whether the answer came whole. */
@@ -233,6 +232,16 @@
         }
     }
 
+    /** Asserts that most were broken off, and that nine in ten of all and of these go on. */
+    private static void assertThatTheyGoOn(List<Received> received) {
+        List<Received> takenUp = received.stream().filter(Received::takenUp).toList();
+        assertThat(takenUp).hasSizeGreaterThan(STREAMS / 2);
+        assertThat(takenUp.stream().filter(Received::whole).count())
+                .isGreaterThanOrEqualTo(takenUp.size() * 9 / 10);
+        assertThat(received.stream().filter(Received::whole).count())
+                .isGreaterThanOrEqualTo(STREAMS * 9 / 10);
+    }
+
     private static List<Received> assertNoneIsJoined(List<Future<Received>> streams)
             throws Exception {
         List<Received> received = new ArrayList<>();
