Logs name the connection of an answer, and answers that are passed over

What an upstream had answered could not be told from an answer to an earlier request on its connection: no line named the connection, and an answer with another id left no trace. request.answered and attempt.not-run name the connection and the exchange on it; attempt.passed-over and stackhall_answers_passed_over_total tell of answers to other requests. No logic changes.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptListener.java
@@ -5,6 +5,8 @@
 import io.stackhall.core.answer.AnswerEnd;
 import io.stackhall.core.id.HostId;
 import io.stackhall.server.relay.CallFailure;
+import io.stackhall.server.relay.ConnectionUse;
+import io.stackhall.server.relay.ForeignAnswer;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -18,6 +20,12 @@
      */
     boolean onSending();
 
+    /** Called when an answer to another request has come in place of the one that is due. */
+    void onPassedOver(ForeignAnswer answer);
+
+    /** Called when the answer begins, with the place of the request on its connection. */
+    void onBegin(ConnectionUse use);
+
     /** Called with each complete event of a stream; takes ownership of the event's buffer. */
     void onEvent(HttpResponse head, EventAssembler.Event event);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -9,6 +9,8 @@
 import io.stackhall.core.id.HostId;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
+import io.stackhall.server.relay.ConnectionUse;
+import io.stackhall.server.relay.ForeignAnswer;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -53,6 +55,16 @@
         return connected;
     }
 
+    @Override
+    public void onPassedOver(ForeignAnswer answer) {
+        log.passedOver(request.attemptedInstance(), answer);
+    }
+
+    @Override
+    public void onBegin(ConnectionUse use) {
+        log.setConnectionUse(use);
+    }
+
     @Override
     public void onEvent(HttpResponse head, EventAssembler.Event event) {
         gateway.quarantine().answerReceived(request);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -18,6 +18,8 @@
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
 import io.stackhall.server.relay.CallFailure;
+import io.stackhall.server.relay.ConnectionUse;
+import io.stackhall.server.relay.ForeignAnswer;
 import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Optional;
@@ -46,6 +48,7 @@
     private String route = "none";
     private String customer = "";
     private long firstByteMillis = -1;
+    private ConnectionUse use = ConnectionUse.NONE;
     private final Set<WaitReason> heldBackFor = EnumSet.noneOf(WaitReason.class);
 
     RequestLog(Gateway gateway, CallerRequest request, RequestFingerprint fingerprint) {
@@ -66,6 +69,11 @@
         route = name;
     }
 
+    /** Sets which connection has brought the answer that is logged next. */
+    void setConnectionUse(ConnectionUse place) {
+        use = place;
+    }
+
     /** Sets the customer that the request belongs to, if any. */
     void setCustomer(Optional<Customer> holder) {
         customer = holder.map(one -> one.id().value()).orElse("");
@@ -218,7 +226,8 @@
         if (leftOut >= 0) {
             logger.info(
                     "request.answered id={} status={} framing={} lastEvent={}"
-                            + " firstMs={} ageMs={} sends={} leftOut={}",
+                            + " firstMs={} ageMs={} sends={} connection={} exchange={}"
+                            + " leftOut={}",
                     id,
                     status,
                     end.framing(),
@@ -226,6 +235,27 @@
                     firstByteMillis,
                     ageMillis(),
                     sends,
+                    use.connection(),
+                    use.exchange(),
+                    leftOut);
+        }
+    }
+
+    /** Logs an answer to another request, which came in place of the one that is due. */
+    void passedOver(Instance instance, ForeignAnswer answer) {
+        metrics.answerPassedOver();
+        long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
+        if (leftOut >= 0) {
+            logger.info(
+                    "attempt.passed-over id={} instance={} status={} echo={} connection={}"
+                            + " exchange={} ageMs={} leftOut={}",
+                    id,
+                    instance.id(),
+                    answer.status(),
+                    answer.echo(),
+                    answer.use().connection(),
+                    answer.use().exchange(),
+                    ageMillis(),
                     leftOut);
         }
     }
@@ -235,10 +265,13 @@
         long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
         if (leftOut >= 0) {
             logger.info(
-                    "attempt.not-run id={} instance={} status={} ageMs={} leftOut={}",
+                    "attempt.not-run id={} instance={} status={} connection={} exchange={} ageMs={}"
+                            + " leftOut={}",
                     id,
                     instance.id(),
                     status,
+                    use.connection(),
+                    use.exchange(),
                     ageMillis(),
                     leftOut);
         }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -18,6 +18,7 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.relay.CallFailure;
 import io.stackhall.server.relay.CallListener;
+import io.stackhall.server.relay.ForeignAnswer;
 import io.stackhall.server.relay.UpstreamCall;
 import io.stackhall.server.relay.UpstreamRoute;
 import io.stackhall.server.settings.Address;
@@ -153,10 +154,16 @@
         }
     }
 
+    @Override
+    public void passedOver(ForeignAnswer answer) {
+        listener.onPassedOver(answer);
+    }
+
     @Override
     public void answered(HttpResponse answer) {
         long now = BootClock.nanos();
         heard();
+        listener.onBegin(call.use());
         gateway.upstreamAnnouncements().receive(instance.id(), answer, limitRevision);
         AnswerHeaders.load(answer.headers()::get)
                 .ifPresent(
--- a/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/metrics/FleetMetrics.java
@@ -47,6 +47,11 @@
                     .help("Whole answers of upstreams, by what their end was recognized by.")
                     .labelNames("framing")
                     .register(registry);
+    private final Counter answersPassedOver =
+            Counter.builder()
+                    .name("stackhall_answers_passed_over_total")
+                    .help("Answers that came in place of another one, to an earlier request.")
+                    .register(registry);
     private final Counter customerRequests =
             Counter.builder()
                     .name("stackhall_customer_requests_total")
@@ -141,6 +146,11 @@
         answers.labelValues(framing).inc();
     }
 
+    /** Notes an answer to another request, which came in place of the one that was due. */
+    public void answerPassedOver() {
+        answersPassedOver.inc();
+    }
+
     /** Notes what became of a request for which an upstream with a limit came into question. */
     public void limitedRequest(String outcome) {
         limitedRequests.labelValues(outcome).inc();
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallListener.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallListener.java
@@ -14,6 +14,13 @@
      */
     boolean sending();
 
+    /**
+     * An answer to another request has come instead, and is passed over.
+     *
+     * @param answer what is known of it
+     */
+    default void passedOver(ForeignAnswer answer) {}
+
     /** The head of the answer has come. */
     void answered(HttpResponse head);
 
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -14,6 +14,7 @@
     private final CallListener listener;
     private Channel channel;
     private long connectedAt;
+    private ConnectionUse use = ConnectionUse.NONE;
     private boolean sent;
     private boolean ended;
 
@@ -64,6 +65,11 @@
         return connectedAt;
     }
 
+    /** Returns which connection carries this call. */
+    public ConnectionUse use() {
+        return use;
+    }
+
     UpstreamRoute route() {
         return route;
     }
@@ -88,8 +94,9 @@
         channel = bound;
     }
 
-    void recordConnectedAt(long openedAt) {
+    void recordConnection(long openedAt, ConnectionUse place) {
         connectedAt = openedAt;
+        use = place;
     }
 
     /** Returns whether the request may be written now. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -54,6 +54,7 @@
     private final Bootstrap bootstrap;
     private final TunnelConnector tunnels;
     private final Map<UpstreamRoute, Deque<Resting>> resting = new HashMap<>();
+    private long connections;
 
     private record Resting(Channel channel, long until) {}
 
@@ -284,7 +285,7 @@
                 .addLast(
                         new HttpRequestEncoder(),
                         decoder,
-                        new UpstreamHandler(this, decoder, echoHeader));
+                        new UpstreamHandler(this, decoder, echoHeader, ++connections));
         channel.config().setAutoRead(true);
         write(call, channel);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -41,7 +41,9 @@
     private final UpstreamClient client;
     private final AnswerDecoder decoder;
     private final String echoHeader;
+    private final long number;
     private final long openedAt = BootClock.nanos();
+    private int exchanges;
     private UpstreamCall call;
     private boolean written;
     private boolean skipping;
@@ -53,15 +55,22 @@
     private BodyFraming framing;
     private long keptNanos;
 
-    UpstreamHandler(UpstreamClient client, AnswerDecoder decoder, String echoHeader) {
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param number the number of the connection
+     */
+    UpstreamHandler(UpstreamClient client, AnswerDecoder decoder, String echoHeader, long number) {
         this.client = client;
         this.decoder = decoder;
         this.echoHeader = echoHeader;
+        this.number = number;
     }
 
     void begin(UpstreamCall next) {
         call = next;
-        next.recordConnectedAt(openedAt);
+        exchanges++;
+        next.recordConnection(openedAt, new ConnectionUse(number, exchanges));
         decoder.setHeadRequested(next.request().method().equals(HttpMethod.HEAD));
         written = false;
         skipping = false;
@@ -122,6 +131,10 @@
         boolean foreign = echo != null && !echo.equals(call.requestId());
         skipping = interim || (foreign && !call.requestId().isEmpty());
         if (skipping) {
+            if (!interim) {
+                call.listener()
+                        .passedOver(new ForeignAnswer(head.status().code(), echo, call.use()));
+            }
             recordSkipped(context, 0);
             return;
         }
--- a/stackhall-server/src/test/java/io/stackhall/server/relay/UpstreamHandlerTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/relay/UpstreamHandlerTest.java
@@ -35,7 +35,7 @@
 
     private EmbeddedChannel channelWithHalfAnAnswer() {
         AnswerDecoder decoder = new AnswerDecoder();
-        UpstreamHandler handler = new UpstreamHandler(null, decoder, "X-Id");
+        UpstreamHandler handler = new UpstreamHandler(null, decoder, "X-Id", 1);
         EmbeddedChannel created = new EmbeddedChannel(decoder, handler);
         UpstreamCall call =
                 new UpstreamCall(
