An id stands for an attempt only on a connection that has not carried it

What callers saw: the answer, or the 500, of an earlier run of their request; 503 for a request that ran in that very try, so that it was sent again and ran twice; another caller's answer where a request named no id. Orders and reports got the answers of earlier ones.

Cause: an answer was matched by the id that it echoes, and the id is the caller's. The same id comes again on a connection when a caller tries again, when the host sends a request once more and when a stream goes on; an upstream that repeats an answer, late by any number of answers, then answers the new attempt with the old one. A request without an id took any answer, orders and reports too, on connections that are kept. A body was decoded by the method of the request that followed.

Why it works: ConnectionHistory, in the core, decides what a connection may carry and whose an answer is. No id goes on a connection twice, so that on it an id is an attempt, however late a copy is. HEAD and requests without an id have a connection of their own. Orders and reports carry ids of the host; engines that do not echo them get a connection for each call. A connection on which bytes follow an answer is not used again, and an answer that switches protocols ends it.

--- a/stackhall-core/src/main/java/io/stackhall/core/answer/package-info.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/answer/package-info.java
@@ -1,2 +1,2 @@
-/** When the answer of an upstream is whole. */
+/** Which request an answer of an upstream belongs to, and when the answer is whole. */
 package io.stackhall.core.answer;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.platform.AnswerHeaders;
@@ -24,11 +25,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -48,6 +52,7 @@
     private final BooleanSupplier sendAllowed;
     private final EngineListener engineListener;
     private final Set<Call> inFlight = new HashSet<>();
+    private final RandomGenerator random = new Random();
 
     /** Receives the result of one call. */
     interface AnswerListener {
@@ -130,9 +135,12 @@
         }
 
         void start(FullHttpRequest request) {
+            String callId = HexFormat.of().toHexDigits(random.nextLong());
+            request.headers().set(Headers.REQUEST_ID, callId);
             timeout = loop.schedule(this::timeOut, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             inFlight.add(this);
-            call = upstreams.send(address, request, "", this);
+            AnswerIdentity identity = new AnswerIdentity.EchoedIfAtAll(callId);
+            call = upstreams.send(address, request, identity, this);
         }
 
         @Override
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.stackhall.core.answer.AnswerEnd;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.dispatch.InFlightRequest;
 import io.stackhall.core.dispatch.Need;
@@ -73,7 +74,7 @@
                 new UpstreamRoute(
                         Address.parse(instance.address()),
                         tunnel.map(host -> new TunnelRoute(host, instance.id())));
-        call = gateway.upstreams().send(route, request, requestId, this);
+        call = gateway.upstreams().send(route, request, AnswerIdentity.ofRequest(requestId), this);
     }
 
     /** Ends the attempt and cancels its call if that is still in progress. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/AnswerDecoder.java
@@ -69,6 +69,11 @@
         return headRequested;
     }
 
+    /** Returns whether nothing has come behind the last answer. */
+    boolean isBetweenAnswers() {
+        return undecodedBytes == 0 && actualReadableBytes() == 0;
+    }
+
     /** Returns whether the peer has ended its bytes in good order. */
     boolean inputEnded() {
         return inputEnded;
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -3,6 +3,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.core.answer.BodyFraming;
 
 /** One request on its way to an upstream. */
@@ -10,7 +12,7 @@
 
     private final UpstreamRoute route;
     private final FullHttpRequest request;
-    private final String requestId;
+    private final AnswerIdentity identity;
     private final CallListener listener;
     private Channel channel;
     private long connectedAt;
@@ -19,10 +21,13 @@
     private boolean ended;
 
     UpstreamCall(
-            UpstreamRoute route, FullHttpRequest request, String requestId, CallListener listener) {
+            UpstreamRoute route,
+            FullHttpRequest request,
+            AnswerIdentity identity,
+            CallListener listener) {
         this.route = route;
         this.request = request;
-        this.requestId = requestId;
+        this.identity = identity;
         this.listener = listener;
     }
 
@@ -78,8 +83,13 @@
         return request;
     }
 
-    String requestId() {
-        return requestId;
+    AnswerIdentity identity() {
+        return identity;
+    }
+
+    /** Returns whether the answer has no body, whatever its head says. */
+    boolean isHead() {
+        return request.method().equals(HttpMethod.HEAD);
     }
 
     CallListener listener() {
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamClient.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.settings.Address;
 import io.stackhall.server.tunnel.ConnectFailures;
@@ -32,8 +33,9 @@
  * Sends requests to upstreams over kept connections, one request at a time on each.
  *
  * <p>To be used on its event loop alone. A connection is used again only if its last answer was
- * whole, nothing came behind it, the request before it was written whole, and it has not rested for
- * longer than the upstream keeps it or than {@link #LONGEST_REST_NANOS}.
+ * whole, nothing came behind it, the request before it was written whole, it has not rested for
+ * longer than the upstream keeps it or than {@link #LONGEST_REST_NANOS}, and the next answer can be
+ * told apart from any that may still come on it.
  */
 public final class UpstreamClient {
 
@@ -99,36 +101,37 @@
     /**
      * Sends a request.
      *
-     * @param requestId what the answer must echo, or an empty text where any answer will do
+     * @param identity by what its answer is told apart from others
      * @param listener hears what becomes of it
      */
     public UpstreamCall send(
-            Address address, FullHttpRequest request, String requestId, CallListener listener) {
-        return send(UpstreamRoute.direct(address), request, requestId, listener);
+            Address address,
+            FullHttpRequest request,
+            AnswerIdentity identity,
+            CallListener listener) {
+        return send(UpstreamRoute.direct(address), request, identity, listener);
     }
 
     /**
      * Sends a request on a route.
      *
-     * @param requestId what the answer must echo, or an empty text where any answer will do
+     * @param identity by what its answer is told apart from others
      * @param listener hears what becomes of it
      */
     public UpstreamCall send(
-            UpstreamRoute route, FullHttpRequest request, String requestId, CallListener listener) {
-        UpstreamCall call = new UpstreamCall(route, request, requestId, listener);
-        Channel kept = takeResting(route);
-        if (kept == null) {
-            open(call);
-        } else {
-            write(call, kept);
-        }
+            UpstreamRoute route,
+            FullHttpRequest request,
+            AnswerIdentity identity,
+            CallListener listener) {
+        UpstreamCall call = new UpstreamCall(route, request, identity, listener);
+        takeResting(call).ifPresentOrElse(kept -> write(call, kept), () -> open(call));
         return call;
     }
 
     /** Sends a request on a new connection, which shows whether one comes up. */
     public UpstreamCall sendOnNewConnection(
             UpstreamRoute route, FullHttpRequest request, CallListener listener) {
-        UpstreamCall call = new UpstreamCall(route, request, "", listener);
+        UpstreamCall call = new UpstreamCall(route, request, new AnswerIdentity.Place(), listener);
         open(call);
         return call;
     }
@@ -256,17 +259,26 @@
         kept.addLast(new Resting(channel, BootClock.nanos() + rest));
     }
 
-    private Channel takeResting(UpstreamRoute route) {
-        Deque<Resting> kept = resting.get(route);
+    /** Takes the connection that was used last of those that may carry a call. */
+    private Optional<Channel> takeResting(UpstreamCall call) {
+        Deque<Resting> kept = resting.getOrDefault(call.route(), new ArrayDeque<>());
         long now = BootClock.nanos();
-        while (kept != null && !kept.isEmpty()) {
-            Resting latest = kept.pollLast();
-            if (latest.channel().isActive() && latest.until() - now > 0) {
-                return latest.channel();
+        for (Iterator<Resting> latestFirst = kept.descendingIterator(); latestFirst.hasNext(); ) {
+            Resting one = latestFirst.next();
+            UpstreamHandler handler = handler(one.channel());
+            if (!one.channel().isActive() || !handler.isAtRest() || one.until() - now <= 0) {
+                latestFirst.remove();
+                one.channel().close();
+            } else if (handler.mayCarry(call)) {
+                latestFirst.remove();
+                return Optional.of(one.channel());
             }
-            latest.channel().close();
         }
-        return null;
+        return Optional.empty();
+    }
+
+    private static UpstreamHandler handler(Channel channel) {
+        return channel.pipeline().get(UpstreamHandler.class);
     }
 
     private void connected(UpstreamCall call, Future<? super Channel> done) {
@@ -311,7 +323,7 @@
             return;
         }
         call.boundTo(channel);
-        channel.pipeline().get(UpstreamHandler.class).begin(call);
+        handler(channel).begin(call);
         channel.writeAndFlush(call.request())
                 .addListener(
                         written ->
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -13,16 +12,18 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.stackhall.core.answer.BodyFraming;
+import io.stackhall.core.answer.ConnectionHistory;
 import io.stackhall.server.clock.BootClock;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * Matches what comes on one connection to the request that was sent on it.
+ * Matches what comes on one connection to the request that was sent on it, as its {@link
+ * ConnectionHistory} decides.
  *
- * <p>An answer that echoes another request's id belongs to an earlier request and is passed over. A
- * body without a length is whole only if the upstream ended the connection in good order, and not
- * if this host did, for whatever reason. After anything odd the connection is closed.
+ * <p>A body without a length is whole only if the upstream ended the connection in good order, and
+ * not if this host did, for whatever reason. After anything odd the connection is closed.
  */
 final class UpstreamHandler extends ChannelInboundHandlerAdapter {
 
@@ -43,7 +44,7 @@
     private final String echoHeader;
     private final long number;
     private final long openedAt = BootClock.nanos();
-    private int exchanges;
+    private final ConnectionHistory history = new ConnectionHistory();
     private UpstreamCall call;
     private boolean written;
     private boolean skipping;
@@ -67,11 +68,21 @@
         this.number = number;
     }
 
+    /** Returns whether a call may be the next one on this connection. */
+    boolean mayCarry(UpstreamCall next) {
+        return history.mayCarry(next.identity(), next.isHead());
+    }
+
+    /** Returns whether the connection rests, and nothing has come since its last answer. */
+    boolean isAtRest() {
+        return call == null && !broken && decoder.isBetweenAnswers();
+    }
+
     void begin(UpstreamCall next) {
         call = next;
-        exchanges++;
-        next.recordConnection(openedAt, new ConnectionUse(number, exchanges));
-        decoder.setHeadRequested(next.request().method().equals(HttpMethod.HEAD));
+        history.begin(next.identity(), next.isHead());
+        next.recordConnection(openedAt, new ConnectionUse(number, history.requests()));
+        decoder.setHeadRequested(next.isHead());
         written = false;
         skipping = false;
         skippedMessages = 0;
@@ -126,22 +137,35 @@
             end(context, "the answer is not HTTP: " + head.decoderResult().cause().getMessage());
             return;
         }
-        String echo = head.headers().get(echoHeader);
-        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean foreign = echo != null && !echo.equals(call.requestId());
-        skipping = interim || (foreign && !call.requestId().isEmpty());
-        if (skipping) {
-            if (!interim) {
-                call.listener()
-                        .passedOver(new ForeignAnswer(head.status().code(), echo, call.use()));
-            }
-            recordSkipped(context, 0);
+        if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            end(context, "the upstream switches to another protocol");
             return;
         }
-        if (echo == null && !call.requestId().isEmpty()) {
-            end(context, "the answer does not say which request it belongs to");
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            passOver(context);
             return;
         }
+        List<String> echoes = head.headers().getAll(echoHeader);
+        switch (history.ownerOf(echoes)) {
+            case CURRENT_REQUEST -> beginAnswer(head);
+            case OTHER_REQUEST -> {
+                call.listener().passedOver(foreign(head, echoes.getFirst()));
+                passOver(context);
+            }
+            case UNKNOWN -> end(context, "it cannot be told which request the answer belongs to");
+        }
+    }
+
+    private ForeignAnswer foreign(HttpResponse head, String echo) {
+        return new ForeignAnswer(head.status().code(), echo, call.use());
+    }
+
+    private void passOver(ChannelHandlerContext context) {
+        skipping = true;
+        recordSkipped(context, 0);
+    }
+
+    private void beginAnswer(HttpResponse head) {
         answering = true;
         framing = framing(head);
         reusable = HttpUtil.isKeepAlive(head) && framing != BodyFraming.CONNECTION && written;
@@ -185,7 +209,7 @@
         UpstreamCall done = call;
         call = null;
         context.channel().config().setAutoRead(true);
-        if (reusable) {
+        if (reusable && history.mayBeReused() && decoder.isBetweenAnswers()) {
             client.rest(done.route(), context.channel(), keptNanos);
         } else {
             context.close();
--- a/stackhall-server/src/test/java/io/stackhall/server/relay/CancelledCallTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/relay/CancelledCallTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.server.settings.Address;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -53,7 +54,7 @@
                                             .send(
                                                     address,
                                                     longRequest(),
-                                                    "",
+                                                    new AnswerIdentity.Place(),
                                                     new RecordingListener())));
             try (Socket engine = server.accept()) {
                 engine.setSoTimeout(10_000);
--- a/stackhall-server/src/test/java/io/stackhall/server/relay/UpstreamHandlerTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/relay/UpstreamHandlerTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.server.settings.Address;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -41,7 +42,7 @@
                 new UpstreamCall(
                         UpstreamRoute.direct(new Address("127.0.0.1", 1)),
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"),
-                        "r1",
+                        new AnswerIdentity.Echoed("r1"),
                         answer);
         call.sending();
         call.boundTo(created);
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.TunnelReply;
@@ -137,7 +138,10 @@
                         Optional.of(new TunnelRoute(host, UpstreamId.parse("i-1"))));
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
-        loop.execute(() -> new UpstreamClient(loop, "X-Id").send(route, request, "r1", answer));
+        loop.execute(
+                () ->
+                        new UpstreamClient(loop, "X-Id")
+                                .send(route, request, new AnswerIdentity.Echoed("r1"), answer));
     }
 
     /** Starts the other host; returns its peer address. */
