--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/AttemptOutcomes.java
@@ -57,12 +57,12 @@
 
     @Override
     public void onPassedOver(ForeignAnswer answer) {
-        log.passedOver(request.attemptedInstance(), answer);
+        log.attempts().passedOver(request.attemptedInstance(), answer);
     }
 
     @Override
     public void onBegin(ConnectionUse use) {
-        log.setConnectionUse(use);
+        log.attempts().answerBegun(use);
     }
 
     @Override
@@ -150,7 +150,7 @@
             request.callerDisconnected();
             return;
         }
-        log.attemptFailed(instance, failure, tunnel, stream.lastEventId());
+        log.attempts().failed(instance, failure, tunnel, stream.lastEventId());
         if (failure.stage() == CallFailure.Stage.WITHDRAWN) {
             request.requeue("the instance wants nothing any more");
         } else if (failure.sent()) {
@@ -220,7 +220,7 @@
     }
 
     private void handleNotRun(Instance instance, HttpResponse head) {
-        log.notRun(instance, head.status().code());
+        log.attempts().notRun(instance, head.status().code());
         history.recordNotRun(instance.id());
         boolean resting = gateway.dispatcher().isResting(instance.id(), BootClock.nanos());
         if (!resting) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
@@ -108,7 +108,7 @@
 
         @Override
         public void completed(BodyFraming framing) {
-            // The connection may be used for requests now.
+            // Nothing more is expected of it.
             completed = true;
         }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RelayedRequest.java
@@ -277,15 +277,16 @@
         boolean resuming = stream.hasBegun();
         attempt = new UpstreamAttempt(gateway, instance, need, route.kind(), resuming, outcomes);
         double load = gateway.dispatcher().occupancy(instance.id(), now);
-        log.sent(
-                need,
-                instance,
-                history.sendCount() + 1,
-                why,
-                now - waitingSince,
-                waitReason,
-                load,
-                lastEvent());
+        log.attempts()
+                .sent(
+                        need,
+                        instance,
+                        history.sendCount() + 1,
+                        why,
+                        now - waitingSince,
+                        waitReason,
+                        load,
+                        lastEvent());
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineAt() - now);
         exposure = gateway.quarantine().attemptStarted(fingerprint, instance, this);
         attempt.start(
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestLog.java
@@ -5,10 +5,6 @@
 import io.stackhall.core.dispatch.Choice;
 import io.stackhall.core.dispatch.Need;
 import io.stackhall.core.dispatch.WaitReason;
-import io.stackhall.core.fleet.Instance;
-import io.stackhall.core.id.HostId;
-import io.stackhall.core.id.SoftwareVersion;
-import io.stackhall.core.quarantine.PromptPartDigest;
 import io.stackhall.core.quarantine.RequestDigest;
 import io.stackhall.core.quarantine.RequestFingerprint;
 import io.stackhall.core.quarantine.Standing;
@@ -17,16 +13,12 @@
 import io.stackhall.server.clock.BootClock;
 import io.stackhall.server.log.LineBudget;
 import io.stackhall.server.metrics.FleetMetrics;
-import io.stackhall.server.relay.CallFailure;
-import io.stackhall.server.relay.ConnectionUse;
-import io.stackhall.server.relay.ForeignAnswer;
 import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -42,13 +34,12 @@
     private final FleetMetrics metrics;
     private final String id;
     private final RequestDigest digest;
-    private final String parts;
+    private final AttemptLog attempts;
     private final long arrivedAt;
     private final String resumes;
     private String route = "none";
     private String customer = "";
     private long firstByteMillis = -1;
-    private ConnectionUse use = ConnectionUse.NONE;
     private final Set<WaitReason> heldBackFor = EnumSet.noneOf(WaitReason.class);
 
     RequestLog(Gateway gateway, CallerRequest request, RequestFingerprint fingerprint) {
@@ -56,12 +47,14 @@
         this.metrics = gateway.metrics();
         this.id = request.id();
         this.digest = fingerprint.request();
-        this.parts =
-                fingerprint.parts().stream()
-                        .map(PromptPartDigest::value)
-                        .collect(Collectors.joining(","));
         this.arrivedAt = request.arrivedAt();
         this.resumes = request.resumedId().orElse("");
+        this.attempts = new AttemptLog(gateway, request, fingerprint);
+    }
+
+    /** Returns the log of the request's attempts. */
+    AttemptLog attempts() {
+        return attempts;
     }
 
     /** Sets the name of the request's route. */
@@ -69,14 +62,10 @@
         route = name;
     }
 
-    /** Sets which connection has brought the answer that is logged next. */
-    void setConnectionUse(ConnectionUse place) {
-        use = place;
-    }
-
     /** Sets the customer that the request belongs to, if any. */
     void setCustomer(Optional<Customer> holder) {
         customer = holder.map(one -> one.id().value()).orElse("");
+        attempts.setCustomer(customer);
     }
 
     /** Logs that the active configuration does not allow the request, and how old it may be. */
@@ -102,53 +91,6 @@
         }
     }
 
-    /**
-     * Logs that the request is sent to an instance.
-     *
-     * @param send the number of this send, from 1
-     * @param why the reason for which the dispatcher has chosen the instance
-     * @param load the estimated number of requests that the instance runs or queues; the line also
-     *     names the sequence number of the announcement that it is based on
-     * @param lastEvent the last event that the caller has of the stream, if it has one
-     */
-    void sent(
-            Need need,
-            Instance instance,
-            int send,
-            String why,
-            long waitedNanos,
-            WaitReason waitedFor,
-            double load,
-            OptionalLong lastEvent) {
-        metrics.reached("send", waitedNanos);
-        long leftOut = lineBudget.take(LineBudget.Kind.SENT, BootClock.nanos());
-        if (leftOut >= 0) {
-            logger.info(
-                    "request.sent id={} digest={} parts={} instance={} service={} model={}"
-                            + " adapter={} send={} why={} waitedMs={} waitedFor={} occupancy={}"
-                            + " instanceSequence={} software={} resumes={} afterEvent={}"
-                            + " customer={} leftOut={}",
-                    id,
-                    digest,
-                    parts,
-                    instance.id(),
-                    need.service(),
-                    need.model().map(Object::toString).orElse(""),
-                    need.adapter().orElse(""),
-                    send,
-                    why,
-                    TimeUnit.NANOSECONDS.toMillis(waitedNanos),
-                    waitedFor,
-                    (long) load,
-                    instance.sequence(),
-                    instance.software().map(SoftwareVersion::value).orElse(""),
-                    resumes,
-                    lastEvent.isPresent() ? lastEvent.getAsLong() : "",
-                    customer,
-                    leftOut);
-        }
-    }
-
     /**
      * Logs, once for each reason, that the request waits because an instance that could run it is
      * at its limit or at rest.
@@ -235,70 +177,8 @@
                     firstByteMillis,
                     ageMillis(),
                     sends,
-                    use.connection(),
-                    use.exchange(),
-                    leftOut);
-        }
-    }
-
-    /** Logs an answer to another request, which came in place of the one that is due. */
-    void passedOver(Instance instance, ForeignAnswer answer) {
-        metrics.answerPassedOver();
-        long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
-        if (leftOut >= 0) {
-            logger.info(
-                    "attempt.passed-over id={} instance={} status={} echo={} connection={}"
-                            + " exchange={} ageMs={} leftOut={}",
-                    id,
-                    instance.id(),
-                    answer.status(),
-                    answer.echo(),
-                    answer.use().connection(),
-                    answer.use().exchange(),
-                    ageMillis(),
-                    leftOut);
-        }
-    }
-
-    void notRun(Instance instance, int status) {
-        metrics.attemptEnded(instance.service().value(), "not-run");
-        long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
-        if (leftOut >= 0) {
-            logger.info(
-                    "attempt.not-run id={} instance={} status={} connection={} exchange={} ageMs={}"
-                            + " leftOut={}",
-                    id,
-                    instance.id(),
-                    status,
-                    use.connection(),
-                    use.exchange(),
-                    ageMillis(),
-                    leftOut);
-        }
-    }
-
-    void attemptFailed(
-            Instance instance,
-            CallFailure failure,
-            Optional<HostId> tunnel,
-            OptionalLong lastEvent) {
-        String outcome = failure.sent() ? "broke-off" : "unreached";
-        metrics.attemptEnded(instance.service().value(), outcome);
-        long leftOut = lineBudget.take(LineBudget.Kind.ATTEMPT, BootClock.nanos());
-        if (leftOut >= 0) {
-            logger.info(
-                    "attempt.failed id={} digest={} parts={} instance={} sent={} stage={}"
-                            + " through={} reason={} lastEvent={} ageMs={} leftOut={}",
-                    id,
-                    digest,
-                    parts,
-                    instance.id(),
-                    failure.sent(),
-                    failure.stage(),
-                    tunnel.map(HostId::value).orElse(""),
-                    failure.reason(),
-                    lastEvent,
-                    ageMillis(),
+                    attempts.use().connection(),
+                    attempts.use().exchange(),
                     leftOut);
         }
     }
