Tests can cut hosts off from control hosts

Tests of hosts on loopback could fail the links to upstreams only. The factory of sockets that entry hosts already take for upstreams now makes those to control hosts too, and control hosts take one as well. A cut drops what is sent and received while connections seem to stand, leaves new ones unanswered, and closes those that have lost something once the links carry again.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -2,12 +2,14 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -102,9 +104,20 @@
      */
     public ControlDaemon(FleetSettings settings, FleetSettings.Control control, long aliveSince)
             throws IOException {
+        this(settings, control, aliveSince, NioSocketChannel::new);
+    }
+
+    /** Creates one whose sockets to other hosts are made by a factory. */
+    public ControlDaemon(
+            FleetSettings settings,
+            FleetSettings.Control control,
+            long aliveSince,
+            ChannelFactory<NioSocketChannel> channels)
+            throws IOException {
         this.settings = settings;
         this.control = control;
-        this.transport = new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING);
+        this.transport =
+                new PeerTransport(settings.peers(), threads, FleetDaemon.PEER_TIMING, channels);
         this.hosts = new ControlHosts(settings, transport, this::controlHostConnected);
         this.fleet = new FleetRegistry(settings, loop, transport, hosts);
         this.workRelay = new WorkRelay(hosts.self(), fleet.followers(), fleet::sendToControlHosts);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -123,19 +123,20 @@
     /**
      * Creates a process that is not started yet.
      *
-     * @param upstreamChannels creates the sockets of its connections to upstreams
+     * @param channels creates the sockets that connect to upstreams and to control hosts
      */
     public EntryDaemon(
             FleetSettings settings,
             FleetSettings.Entry entry,
-            ChannelFactory<NioSocketChannel> upstreamChannels) {
+            ChannelFactory<NioSocketChannel> channels) {
         this.settings = settings;
         this.entry = entry;
         Random random = new Random();
         FleetSettings.Limits limits = settings.limits();
-        this.transport = new PeerTransport(settings.peers(), eventLoops, FleetDaemon.PEER_TIMING);
+        this.transport =
+                new PeerTransport(settings.peers(), eventLoops, FleetDaemon.PEER_TIMING, channels);
         this.controlHosts = new ControlHosts(settings, transport, this::controlHostConnected);
-        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID, upstreamChannels);
+        this.upstreams = new UpstreamClient(loop, Headers.REQUEST_ID, channels);
         HostId self = settings.peerName();
         LinkedControlHosts leaders = new LinkedControlHosts(transport, controlHosts);
         LimitedUpstreams limited = new LimitedUpstreams(self, random);
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerLink.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerLink.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -26,6 +27,7 @@
     PeerLink(
             Address address,
             EventLoopGroup group,
+            ChannelFactory<NioSocketChannel> channels,
             PeerTiming timing,
             FrameHandler handler,
             Runnable onConnected) {
@@ -35,7 +37,7 @@
         this.bootstrap =
                 new Bootstrap()
                         .group(group)
-                        .channel(NioSocketChannel.class)
+                        .channelFactory(channels)
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                                 Math.toIntExact(timing.connect().toMillis()))
--- a/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/peer/PeerTransport.java
@@ -2,9 +2,11 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.stackhall.core.id.HostId;
 import io.stackhall.rpc.generated.peer.Frame;
 import io.stackhall.server.settings.Address;
@@ -26,6 +28,7 @@
     private final Address address;
     private final EventLoopGroup group;
     private final PeerTiming timing;
+    private final ChannelFactory<NioSocketChannel> channels;
     private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<Long, CompletableFuture<Frame>> calls = new ConcurrentHashMap<>();
     private final AtomicLong nextCall = new AtomicLong(1);
@@ -41,9 +44,23 @@
      * @param timing when a connection counts as lost
      */
     public PeerTransport(Address address, EventLoopGroup group, PeerTiming timing) {
+        this(address, group, timing, NioSocketChannel::new);
+    }
+
+    /**
+     * Creates a transport that is not open yet.
+     *
+     * @param channels creates the sockets that connect to other hosts
+     */
+    public PeerTransport(
+            Address address,
+            EventLoopGroup group,
+            PeerTiming timing,
+            ChannelFactory<NioSocketChannel> channels) {
         this.address = address;
         this.group = group;
         this.timing = timing;
+        this.channels = channels;
     }
 
     /** Sets the listener for requests to open tunnels; without one, they are declined. */
@@ -84,7 +101,7 @@
      * @param connected called on a network thread each time the connection has come up
      */
     public void link(HostId host, Address peers, Runnable connected) {
-        PeerLink link = new PeerLink(peers, group, timing, this::received, connected);
+        PeerLink link = new PeerLink(peers, group, channels, timing, this::received, connected);
         PeerLink former = links.put(host, link);
         if (former != null) {
             former.close();
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -62,7 +62,7 @@
         this.keyRevocation = keyRevocation;
     }
 
-    /** Returns the links of entry hosts to upstreams. */
+    /** Returns the links of hosts to upstreams and to control hosts. */
     public UpstreamLinks links() {
         return links;
     }
@@ -85,7 +85,8 @@
                 new ControlDaemon(
                         settings("control-" + number, ip, control, firstStart, 1),
                         control,
-                        BootClock.nanos());
+                        BootClock.nanos(),
+                        () -> links.openChannel(0, ip));
         daemon.start();
         daemons.add(daemon);
         return daemon;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLinks.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/UpstreamLinks.java
@@ -1,6 +1,11 @@
 package io.stackhall.server.fleet;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ConnectException;
@@ -13,14 +18,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** The links of entry hosts to upstreams, on which a test has new connections fail. */
+/**
+ * The links of entry hosts to upstreams, on which a test has new connections fail, and of hosts to
+ * control hosts, which a test cuts: what is sent is dropped while connections seem to stand.
+ */
 public final class UpstreamLinks implements AutoCloseable {
 
     private static final int PROBE_MILLIS = 100;
 
     private final Map<Link, Failure> failures = new ConcurrentHashMap<>();
+    private final Set<Set<String>> cuts = ConcurrentHashMap.newKeySet();
+    private final Set<Channel> lossy = ConcurrentHashMap.newKeySet();
     private final List<Socket> queued = new ArrayList<>();
     private volatile ServerSocket blackHole;
 
@@ -44,9 +55,20 @@
         failures.put(new Link(host, upstream.port()), failure);
     }
 
-    /** Has all links work again. */
+    /** Has everything between two addresses be lost from now on, in both directions. */
+    public void cut(String one, String other) {
+        if (blackHole == null) {
+            openBlackHole();
+        }
+        cuts.add(Set.of(one, other));
+    }
+
+    /** Has all links work again. Connections that have lost something are closed. */
     public void heal() {
         failures.clear();
+        cuts.clear();
+        lossy.forEach(Channel::close);
+        lossy.clear();
     }
 
     /** Returns whether new connections from a host to an upstream fail. */
@@ -93,13 +115,54 @@
         }
     }
 
+    private boolean isCut(String source, SocketAddress remote) {
+        String reached = remote instanceof InetSocketAddress at ? at.getHostString() : "";
+        return !source.equals(reached) && cuts.contains(Set.of(source, reached));
+    }
+
+    /** Drops what is sent and received on links that are cut. */
+    private final class Loss extends ChannelDuplexHandler {
+        private final String source;
+
+        Loss(String source) {
+            this.source = source;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!drops(context, message)) {
+                context.fireChannelRead(message);
+            }
+        }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            if (drops(context, message)) {
+                promise.trySuccess();
+            } else {
+                context.write(message, promise);
+            }
+        }
+
+        private boolean drops(ChannelHandlerContext context, Object message) {
+            SocketAddress remote = context.channel().remoteAddress();
+            if (remote == null || !isCut(source, remote)) {
+                return false;
+            }
+            lossy.add(context.channel());
+            ReferenceCountUtil.release(message);
+            return true;
+        }
+    }
+
     private final class LinkChannel extends NioSocketChannel {
         private final int host;
-        private final SocketAddress source;
+        private final InetSocketAddress source;
 
-        LinkChannel(int host, SocketAddress source) {
+        LinkChannel(int host, InetSocketAddress source) {
             this.host = host;
             this.source = source;
+            pipeline().addFirst(new Loss(source.getHostString()));
         }
 
         @Override
@@ -108,8 +171,8 @@
             if (failure == Failure.REFUSED) {
                 throw new ConnectException("Connection refused");
             }
-            SocketAddress reached =
-                    failure == Failure.SILENT ? blackHole.getLocalSocketAddress() : remote;
+            boolean silent = failure == Failure.SILENT || isCut(source.getHostString(), remote);
+            SocketAddress reached = silent ? blackHole.getLocalSocketAddress() : remote;
             return super.doConnect(reached, source);
         }
     }
