Every control host vouches for itself that one version serves

Callers that took a stream up at another entry host got its rest from another software version, while a control host was cut off together with the new upstreams and the entry host that had begun the stream there.

Without a record, a stream went on if more than half of the control group's voters had seen a single version and one of them had watched for the life of a stream with the others in reach. A connection that is cut looks up for 0.9 s, and is checked each half second: until then the others vouched for what only the one that was cut off had been told.

Now every control host that the entry host knows, all voters among them, has to answer for itself, and the shortest watch counts. An entry host uses only what some control host has told it, and that host has recorded it before: so the answers together, which come after the question, hold every version that the stream can have begun at, however late a cut is noticed. An entry host that does not reach one of them refuses streams without a record.

OriginInquiryTest held that two of three voters suffice, which is the fault: it now wants a refusal there, and that all of two voters suffice.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/OriginInquiry.java
@@ -5,6 +5,7 @@
 import io.stackhall.core.stream.TakeUp.Evidence;
 import io.stackhall.core.stream.TakeUp.Reason;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -14,14 +15,16 @@
  * is connected or becomes so while the question is open.
  *
  * <p>A record decides at once. Without one the stream goes on only if its service has had a single
- * version for as long as the stream can have lived. One version in this host's sight proves
- * nothing: more than half of the voters of the control group must have seen no other, and a control
- * host must have watched for that long with all others in reach. While that is not so, a control
- * host whose connection has just been reset may still know the stream, so it is waited for.
+ * version for as long as the stream can have lived. An entry host uses what some control host has
+ * told it, and a control host that is cut off looks connected to others for some time. So every
+ * control host must answer for itself that it has told of no other version, and has watched for
+ * that long. While that is not so, one whose connection has just been reset may still know the
+ * stream, so it is waited for.
  */
 public final class OriginInquiry {
 
     private final Set<HostId> outstanding = new HashSet<>();
+    private final Set<HostId> unheard;
     private final Optional<ServiceName> service;
     private final Duration life;
     private VersionsSeen seen;
@@ -34,12 +37,18 @@
      * @param service the service that the stream began at, if its route leads to one only
      * @param life the longest time since the stream can have begun
      * @param own what this host has seen of the service
+     * @param controlHosts the control hosts that this host knows, whether connected or not
      */
-    public OriginInquiry(Optional<ServiceName> service, Duration life, VersionsSeen own) {
+    public OriginInquiry(
+            Optional<ServiceName> service,
+            Duration life,
+            VersionsSeen own,
+            Collection<HostId> controlHosts) {
         this.service = service;
         this.life = life;
         // An entry host hears of versions through control hosts, of which some may be cut off.
-        this.seen = own.unwatched();
+        this.seen = own.withoutOwnWatch();
+        this.unheard = new HashSet<>(controlHosts);
     }
 
     /** Records that the question was sent to a control host, perhaps once more. */
@@ -56,6 +65,7 @@
         if (!outstanding.remove(host)) {
             return Optional.empty();
         }
+        unheard.remove(host);
         if (answer.voters() > 0) {
             answeredVoters.add(host);
             voters = Math.max(voters, answer.voters());
@@ -71,8 +81,7 @@
     }
 
     private Optional<TakeUp> decideWithoutRecord() {
-        boolean complete =
-                outstanding.isEmpty() && (isSoleVersionProved() || allVotersHaveAnswered());
+        boolean complete = outstanding.isEmpty() && allVotersHaveAnswered();
         return complete ? Optional.of(conclude()) : Optional.empty();
     }
 
@@ -90,8 +99,9 @@
     }
 
     private boolean isSoleVersionProved() {
-        boolean majority = answeredVoters.size() * 2 > voters;
-        return majority
+        return outstanding.isEmpty()
+                && unheard.isEmpty()
+                && allVotersHaveAnswered()
                 && service.isPresent()
                 && !seen.mayMix()
                 && !seen.versions().isEmpty()
--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionsSeen.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionsSeen.java
@@ -28,9 +28,9 @@
         return new VersionsSeen(Set.of(), false, Duration.ZERO);
     }
 
-    /** Returns the same of a host that cannot say for how long it has been watching. */
-    public VersionsSeen unwatched() {
-        return new VersionsSeen(versions, othersPossible, Duration.ZERO);
+    /** Returns the same of a host that adds what it has seen to what others vouch for. */
+    public VersionsSeen withoutOwnWatch() {
+        return new VersionsSeen(versions, othersPossible, FROM_THE_BEGINNING);
     }
 
     /** Returns whether streams may have begun at different versions. */
@@ -38,13 +38,13 @@
         return othersPossible || versions.size() > 1;
     }
 
-    /** Returns what this host and another one have seen together. */
+    /** Returns what this host and another one have seen together, since both have watched. */
     public VersionsSeen and(VersionsSeen other) {
         Set<SoftwareVersion> all = new HashSet<>(versions);
         all.addAll(other.versions);
         return new VersionsSeen(
                 all,
                 othersPossible || other.othersPossible,
-                watched.compareTo(other.watched) > 0 ? watched : other.watched);
+                watched.compareTo(other.watched) < 0 ? watched : other.watched);
     }
 }
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/OriginInquiryTest.java
@@ -37,7 +37,7 @@
     }
 
     private static OriginInquiry inquiry(VersionsSeen own) {
-        OriginInquiry inquiry = new OriginInquiry(Optional.of(SERVICE), LIFE, own);
+        OriginInquiry inquiry = new OriginInquiry(Optional.of(SERVICE), LIFE, own, List.of(A, B));
         inquiry.sent(A);
         inquiry.sent(B);
         return inquiry;
@@ -63,19 +63,20 @@
     }
 
     @Test
-    void soleVersionNeedsAMajorityThatHasSeenNoOther() {
+    void soleVersionNeedsEveryControlHostToHaveSeenNoOther() {
         TakeUp goesOn =
                 new TakeUp.GoOn(
                         new StreamOrigin(SERVICE, new SoftwareVersion("v1")),
                         TakeUp.Evidence.SOLE_VERSION);
-        assertThat(decide(3, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(goesOn);
+        assertThat(decide(2, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(goesOn);
+        assertThat(decide(3, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(REFUSED);
         assertThat(decide(4, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(REFUSED);
         assertThat(decide(0, seen(LONG, "v1"), seen(LONG, "v1"))).isEqualTo(REFUSED);
-        assertThat(decide(3, seen(LONG, "v1"), seen(LONG, "v1", "v2"))).isEqualTo(REFUSED);
-        assertThat(decide(3, seen(LIFE.minusMillis(1), "v1"), seen(Duration.ZERO, "v1")))
+        assertThat(decide(2, seen(LONG, "v1"), seen(LONG, "v1", "v2"))).isEqualTo(REFUSED);
+        assertThat(decide(2, seen(LIFE.minusMillis(1), "v1"), seen(Duration.ZERO, "v1")))
                 .isEqualTo(REFUSED);
         VersionsSeen untold = new VersionsSeen(seen(LONG, "v1").versions(), true, LONG);
-        assertThat(decide(3, seen(LONG, "v1"), untold)).isEqualTo(REFUSED);
+        assertThat(decide(2, seen(LONG, "v1"), untold)).isEqualTo(REFUSED);
     }
 
     private static OriginAnswer unknown(VersionsSeen seen) {
@@ -89,6 +90,24 @@
         return inquiry.answer(B, answer).orElseGet(inquiry::conclude);
     }
 
+    // What a control host told before it started again is known to nobody else for certain.
+    @Test
+    void versionsThatARestartedControlHostHasForgottenAreNotRuledOut() {
+        OriginInquiry inquiry = inquiry(seen(LONG, "v1"));
+        inquiry.answer(A, new OriginAnswer(UNKNOWN, seen(LONG, "v1"), 2));
+        assertThat(inquiry.answer(B, new OriginAnswer(UNKNOWN, seen(Duration.ZERO, "v1"), 2)))
+                .contains(REFUSED);
+    }
+
+    @Test
+    void controlHostThatIsNotConnectedIsNotTakenForAgreement() {
+        OriginInquiry inquiry =
+                new OriginInquiry(Optional.of(SERVICE), LIFE, seen(LONG, "v1"), List.of(A, B));
+        inquiry.sent(A);
+        assertThat(inquiry.answer(A, new OriginAnswer(UNKNOWN, seen(LONG, "v1"), 1)))
+                .contains(REFUSED);
+    }
+
     @Test
     void hostThatAnswersAgainAfterAResetCountsOnce() {
         OriginInquiry inquiry = inquiry(seen(LONG, "v1"));
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/RolloutReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/RolloutReplayTest.java
@@ -172,7 +172,8 @@
                 new OriginInquiry(
                         Optional.of(Instances.SERVICE),
                         LIFE,
-                        entry.seen(Instances.SERVICE, LIFE, now));
+                        entry.seen(Instances.SERVICE, LIFE, now),
+                        zones.keySet());
         for (HostId control : zones.keySet()) {
             inquiry.sent(control);
             OriginAnswer answer =
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/StreamOriginsProperties.java
@@ -63,7 +63,7 @@
         List<HostId> hosts = List.of(new HostId("a"), new HostId("b"), new HostId("c"));
         VersionsSeen mixed = OriginInquiryTest.seen(Duration.ofDays(1), "v0", "v1", "v2");
         OriginInquiry inquiry =
-                new OriginInquiry(Optional.of(OriginInquiryTest.SERVICE), KEEP, mixed);
+                new OriginInquiry(Optional.of(OriginInquiryTest.SERVICE), KEEP, mixed, List.of());
         hosts.forEach(inquiry::sent);
         int first = random.nextInt(HOLDERS);
         for (int turn = 0; turn < HOLDERS; turn++) {
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/TakenUpStreamsProperties.java
@@ -35,6 +35,9 @@
     private static final Duration STEP = Duration.ofMillis(500);
     private static final Duration LIFE = Duration.ofSeconds(8);
 
+    private static final List<HostId> ALL =
+            List.of(new HostId("control-0"), new HostId("control-1"), new HostId("control-2"));
+
     private Random random;
     private long now;
     private List<Control> controls;
@@ -301,7 +304,7 @@
             return new TakeUp.GoOn(known.origin(), TakeUp.Evidence.OWN_RECORD);
         }
         VersionsSeen own = entries.get(entry).seen(Instances.SERVICE, LIFE, now);
-        OriginInquiry inquiry = new OriginInquiry(Optional.of(Instances.SERVICE), LIFE, own);
+        OriginInquiry inquiry = new OriginInquiry(Optional.of(Instances.SERVICE), LIFE, own, ALL);
         Optional<TakeUp> decided = Optional.empty();
         for (int zone = 0; zone < ZONES && decided.isEmpty(); zone++) {
             if (reaches(entry, zone)) {
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ControlHostConnections.java
@@ -16,6 +16,9 @@
      */
     boolean send(HostId host, Frame frame);
 
+    /** Returns the control hosts that should be connected. */
+    List<HostId> known();
+
     /** Returns the connected control hosts. */
     List<HostId> connected();
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LinkedControlHosts.java
@@ -17,6 +17,11 @@
         return transport.send(host, frame);
     }
 
+    @Override
+    public List<HostId> known() {
+        return controlHosts.knownHosts();
+    }
+
     @Override
     public List<HostId> connected() {
         return controlHosts.knownHosts().stream().filter(transport::connected).toList();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/LoopbackGateway.java
@@ -128,6 +128,11 @@
             }
         }
 
+        @Override
+        public List<HostId> known() {
+            return List.of(LEADER);
+        }
+
         @Override
         public List<HostId> connected() {
             return List.of(LEADER);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -148,7 +148,7 @@
         Duration life = route.maxStreamLife();
         VersionsSeen seen =
                 service.map(name -> ledger.seen(name, life, now)).orElseGet(VersionsSeen::nothing);
-        OriginInquiry inquiry = new OriginInquiry(service, life, seen);
+        OriginInquiry inquiry = new OriginInquiry(service, life, seen, controlHosts.known());
         long number = ++lastNumber;
         Frame frame = StreamOriginCodec.question(number, key, service, life);
         Question question = new Question(frame, inquiry, decided);
--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/RequestAuthorizationTest.java
@@ -69,6 +69,11 @@
             return true;
         }
 
+        @Override
+        public List<HostId> known() {
+            return List.of(LEADER);
+        }
+
         @Override
         public List<HostId> connected() {
             return List.of(LEADER);
