--- a/stackhall-tests/src/test/java/io/stackhall/tests/AcceptedWorkTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/AcceptedWorkTest.java
@@ -14,14 +14,12 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Work that was accepted is neither lost nor doubled. */
 class AcceptedWorkTest {
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void workSurvivesTheKillOfEachHostInTurn() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/AtMostOnceTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/AtMostOnceTest.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A request that is not repeatable runs at most once, whatever is resent where. */
@@ -23,8 +22,7 @@
 
     private static final int KEYS = 200;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void keyResentThroughAnotherHostAndZoneAfterItsEntryHostDiedRunsOnce() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/CompareTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/CompareTest.java
@@ -17,7 +17,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Policies are changed without a restart and compared on the same live traffic. */
@@ -25,8 +24,7 @@
 
     private static final int REQUESTS = 25;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void policiesInForceAndInShadowAreComparedAcrossAChange() throws IOException {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationAfterRestartTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationAfterRestartTest.java
@@ -48,8 +48,7 @@
     private static final int NOT_FOUND = 404;
     private static final int SERVED = 200;
 
-    @TempDir(cleanup = org.junit.jupiter.api.io.CleanupMode.NEVER)
-    private Path folder;
+    @TempDir private Path folder;
 
     private SeededHosts hosts;
     private final List<RunningProcess> processes = new ArrayList<>();
--- a/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationFailureTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/ConfigurationFailureTest.java
@@ -18,7 +18,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The configuration under races, resends, kills, freezes, cuts and lost disks. */
@@ -26,8 +25,7 @@
 
     private static final int RACES = 100;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void ofTwoOperatorsWithEqualRevisionsExactlyOneIsAccepted() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/DrainTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/DrainTest.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** What leaves gets no new work, and what runs is not cut. */
@@ -26,8 +25,7 @@
 
     private static final long DRAIN_BOUND_MILLIS = 2000;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void drainedUpstreamGetsNothingNewFromAnyEntryHost() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/FaultSoakTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/FaultSoakTest.java
@@ -9,7 +9,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -24,9 +23,7 @@
     private static final Duration LASTS =
             Duration.ofSeconds(Integer.getInteger("soak.seconds", 25));
 
-    /** Its logs are kept where a promise is broken. */
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    private Path folder;
+    @TempDir private Path folder;
 
     static LongStream seeds() {
         return Arrays.stream(SEEDS.split(",")).mapToLong(Long::parseLong);
--- a/stackhall-tests/src/test/java/io/stackhall/tests/FullDiskTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/FullDiskTest.java
@@ -13,7 +13,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Disks without room: changes go to a host that has some, or are refused; serving goes on. */
@@ -22,8 +21,7 @@
     private static final String LEAST_FREE = "leastFreeMiB";
     private static final int MORE_THAN_ANY_DISK = 1_000_000_000;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void changesAreRefusedWhileEveryDiskIsFullAndTakenOnceThereIsRoom() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/HostileInputTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/HostileInputTest.java
@@ -24,7 +24,6 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -36,8 +35,7 @@
     private static final int LARGE = 2 << 20;
     private static final String CHAT = "/v1/chat/completions";
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void callersAndUpstreamsWithBadInputGetAClearError() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/KeysStaySecretTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/KeysStaySecretTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Customers' keys in what real processes write and answer. */
@@ -22,8 +21,7 @@
     private static final List<String> PROCESSES =
             List.of("control-1", "control-2", "control-3", "entry-1");
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    private Path folder;
+    @TempDir private Path folder;
 
     private SeededHosts hosts;
     private final List<String> answers = new ArrayList<>();
--- a/stackhall-tests/src/test/java/io/stackhall/tests/OverloadTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/OverloadTest.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Many more requests than can be served: urgent callers are kept, and the process stays. */
@@ -21,8 +20,7 @@
 
     private static final int CROWD = 1500;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void crowdIsRefusedTruthfullyWhileUrgentCallersAreServed() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/PlacementFailureTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/PlacementFailureTest.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Accelerator memory is never overcommitted, and every model stays reachable. */
@@ -26,8 +25,7 @@
 
     private static final String POLICY = "least-recently-used";
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void ordersLostLateAndDoubledOvercommitNothingWhereFencingIsIgnored() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/ThinPathTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/ThinPathTest.java
@@ -13,14 +13,12 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A request from one end to the other through real processes. */
 class ThinPathTest {
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void servesThroughEachEntryHostAndKeepsTheDeploymentOverRestarts() throws IOException {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/TogetherTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/TogetherTest.java
@@ -24,7 +24,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Several failures at the same moment, again and again, under traffic and changes. */
@@ -35,8 +34,7 @@
     private static final long CALM_MILLIS = 1500;
     private static final List<String> ZONES = List.of("plateau", "yoff", "rufisque");
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     private final Random random = new Random(20261202);
     private final Map<String, Integer> statusByKey = new ConcurrentHashMap<>();
--- a/stackhall-tests/src/test/java/io/stackhall/tests/WholeAnswerTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/WholeAnswerTest.java
@@ -11,7 +11,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** An answer is whole, or it says that it is not. */
@@ -19,8 +18,7 @@
 
     private static final int TOKENS = 40;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void streamWhoseConnectionBreaksIsResumedAtItsOffset() {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/ZoneFallbackTest.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/ZoneFallbackTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /** A zone that cannot serve a request has another zone serve it, while they can talk. */
@@ -20,8 +19,7 @@
 
     private static final int REQUESTS = 20;
 
-    @TempDir(cleanup = CleanupMode.ON_SUCCESS)
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void zoneWithoutEnginesIsServedByAnotherUntilItIsCutOffAndAgainAfterwards() {
