Answers with a transfer coding other than chunked are refused

Callers got a success with a body that is not the upstream's. An answer with "Transfer-Encoding: gzip" and "Content-Length: 5" ended after five bytes, framed as whole; without a length the coded bytes went on as if they were the body; of "gzip, chunked" only the chunks were taken off.

Cause: the codec knows chunked only, looks for it anywhere in the header, and falls back to the length or to the end of the connection for anything else. A length beside a transfer coding is not that of the body.

BodyFraming says which codings leave the end of a body known, none or chunked alone; UpstreamHandler ends the connection of any other answer as of one that is no HTTP, so that the attempt counts as one that may have run.

--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -137,6 +137,10 @@
             end(context, "the answer is not HTTP: " + head.decoderResult().cause().getMessage());
             return;
         }
+        if (!BodyFraming.isReadable(head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
+            end(context, "the answer's transfer coding is not supported");
+            return;
+        }
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             end(context, "the upstream switches to another protocol");
             return;
--- a/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/tunnel/TunneledAnswersTest.java
@@ -21,7 +21,10 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.rpc.generated.fleet.TunnelReply;
 import io.stackhall.rpc.generated.peer.Frame;
+import io.stackhall.server.fleet.RawHttp;
 import io.stackhall.server.peer.PeerCodec;
+import io.stackhall.server.relay.AnswerTable;
+import io.stackhall.server.relay.AnswerTable.Answer;
 import io.stackhall.server.relay.RecordingListener;
 import io.stackhall.server.relay.UpstreamClient;
 import io.stackhall.server.relay.UpstreamRoute;
@@ -32,6 +35,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
@@ -40,13 +45,19 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Answers that end with their connection, by way of another host. */
 class TunneledAnswersTest {
 
+    /** Every byte would take a minute. */
+    private static final int CUT_STEP = 7;
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n";
 
     private final MultiThreadIoEventLoopGroup threads =
@@ -118,6 +129,38 @@
         }
     }
 
+    static Stream<Answer> answers() {
+        return AnswerTable.answersOfTheirOwn();
+    }
+
+    // A head, a length or a chunk that was cut passed for a whole answer.
+    @ParameterizedTest
+    @MethodSource("answers")
+    void cutAnswerIsNotWhole(Answer sent) throws Exception {
+        UpstreamRoute route = startRoute();
+        List<String> wrong = new ArrayList<>();
+        int length = sent.bytes().length();
+        for (int cut = length; cut >= 0; cut -= CUT_STEP) {
+            for (boolean inOrder : new boolean[] {true, false}) {
+                RecordingListener heard = new RecordingListener();
+                sendRequest(route, heard);
+                try (Socket engine = upstream.accept()) {
+                    RawHttp.readHead(engine.getInputStream());
+                    String bytes = sent.bytes().substring(0, cut);
+                    engine.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+                    engine.setSoLinger(!inOrder, 0);
+                }
+                String outcome = heard.ended().replaceFirst("^[A-Z]+: ", "");
+                String due = sent.isWhole(cut, inOrder) ? sent.body(cut) : "failed";
+                // A reset may overtake what was sent before it.
+                if (!outcome.equals(due) && (inOrder || !outcome.equals("failed"))) {
+                    wrong.add(cut + " bytes, in order " + inOrder + ": " + outcome);
+                }
+            }
+        }
+        assertThat(wrong).isEmpty();
+    }
+
     /** Sends a request through a tunnel; returns once half of its answer has come. */
     private Socket send() throws Exception {
         sendRequest();
@@ -130,18 +173,23 @@
     }
 
     private void sendRequest() throws Exception {
+        sendRequest(startRoute(), answer);
+    }
+
+    private UpstreamRoute startRoute() throws Exception {
         Address upstreamAddress = new Address("127.0.0.1", upstream.getLocalPort());
         HostId host = new HostId(startHost(upstreamAddress));
-        UpstreamRoute route =
-                new UpstreamRoute(
-                        upstreamAddress,
-                        Optional.of(new TunnelRoute(host, UpstreamId.parse("i-1"))));
+        return new UpstreamRoute(
+                upstreamAddress, Optional.of(new TunnelRoute(host, UpstreamId.parse("i-1"))));
+    }
+
+    private void sendRequest(UpstreamRoute route, RecordingListener heard) {
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
         loop.execute(
                 () ->
                         new UpstreamClient(loop, "X-Id")
-                                .send(route, request, new AnswerIdentity.Echoed("r1"), answer));
+                                .send(route, request, new AnswerIdentity.Echoed("r1"), heard));
     }
 
     /** Starts the other host; returns its peer address. */
