A copy cut within its head lends no status to the answer that is due

Callers saw a success as the status of a request that its upstream had answered with an error, or the other way round, where an upstream sent a copy of an earlier answer, cut it off within its reason phrase or the value of a header, and went on with the answer that was due.

Cause: the bytes of both read as one head. The status line of the answer that is due became the end of the reason phrase or of a header's value, its own headers followed, its id among them, and so the head counted as the current request's, with the status of the copy.

A head that holds a status line in its reason phrase or in a header's value may hold parts of two answers. On a connection that has carried other requests it ends the connection, as an attempt that may have run. On a new one there is nothing to copy: the upstream itself quotes a status line, and is believed; the connection is not used again.

--- a/stackhall-core/src/main/java/io/stackhall/core/answer/ConnectionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/answer/ConnectionHistory.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The requests that one connection to an upstream has carried. Decides which further requests it
@@ -89,6 +90,22 @@
         };
     }
 
+    /**
+     * Returns whether a head that has come may hold parts of two answers: a copy that is cut within
+     * its reason phrase or the value of a header runs on into the status line of the answer that is
+     * due, and lends it its status. On a new connection there is nothing to copy, and the upstream
+     * itself quotes a status line; the connection is not used again then.
+     *
+     * @param texts the reason phrase, and the values of the headers
+     */
+    public boolean mayJoinAnswers(Stream<String> texts) {
+        if (texts.noneMatch(StatusLine::isWithin)) {
+            return false;
+        }
+        reusable = false;
+        return requests > 1;
+    }
+
     /** Returns whether the connection may carry further requests at all. */
     public boolean mayBeReused() {
         return reusable && requests < MAX_REQUESTS;
--- /dev/null
+++ b/stackhall-core/src/main/java/io/stackhall/core/answer/StatusLine.java
@@ -0,0 +1,19 @@
+package io.stackhall.core.answer;
+
+import java.util.regex.Pattern;
+
+/** The first line of an answer's head. */
+final class StatusLine {
+
+    /** A cheap test that nearly all texts fail. */
+    private static final String VERSION = "HTTP/1.";
+
+    private static final Pattern BEGINNING = Pattern.compile("HTTP/1\\.\\d \\d{3}(?!\\S)");
+
+    private StatusLine() {}
+
+    /** Returns whether a text holds the beginning of a status line anywhere. */
+    static boolean isWithin(String text) {
+        return text.contains(VERSION) && BEGINNING.matcher(text).find();
+    }
+}
--- a/stackhall-core/src/test/java/io/stackhall/core/answer/ConnectionHistoryTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/answer/ConnectionHistoryTest.java
@@ -5,6 +5,7 @@
 
 import io.stackhall.core.answer.ConnectionHistory.Owner;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Which requests a connection may carry, and to whom its answers belong. */
@@ -48,6 +49,20 @@
         assertThat(history.ownerOf(List.of())).isEqualTo(Owner.UNKNOWN);
     }
 
+    // An upstream that quotes status lines was not to lose each answer.
+    @Test
+    void statusLineWithinAHeadIsBelievedOnANewConnectionAlone() {
+        history.begin(named("a"), false);
+        assertThat(history.mayJoinAnswers(Stream.of("OK", "HTTP/1.1 proxy"))).isFalse();
+        assertThat(history.mayBeReused()).isTrue();
+        history.begin(named("b"), false);
+        assertThat(history.mayJoinAnswers(Stream.of("OK", "cutHTTP/1.1 500 Error"))).isTrue();
+        ConnectionHistory fresh = new ConnectionHistory();
+        fresh.begin(named("a"), false);
+        assertThat(fresh.mayJoinAnswers(Stream.of("OHTTP/1.0 200"))).isFalse();
+        assertThat(fresh.mayBeReused()).isFalse();
+    }
+
     @Test
     void answerThatNamesNoRequestIsBelievedOnANewConnectionAlone() {
         history.begin(new AnswerIdentity.EchoedIfAtAll("a"), false);
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -15,8 +15,10 @@
 import io.stackhall.core.answer.ConnectionHistory;
 import io.stackhall.server.clock.BootClock;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * Matches what comes on one connection to the request that was sent on it, as its {@link
@@ -141,6 +143,10 @@
             end(context, "the answer's transfer coding is not supported");
             return;
         }
+        if (history.mayJoinAnswers(texts(head))) {
+            end(context, "the head holds the status line of another answer");
+            return;
+        }
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             end(context, "the upstream switches to another protocol");
             return;
@@ -160,6 +166,12 @@
         }
     }
 
+    private static Stream<String> texts(HttpResponse head) {
+        return Stream.concat(
+                Stream.of(head.status().reasonPhrase()),
+                head.headers().entries().stream().map(Map.Entry::getValue));
+    }
+
     private ForeignAnswer foreign(HttpResponse head, String echo) {
         return new ForeignAnswer(head.status().code(), echo, call.use());
     }
