Soak: upstreams send answers a second time, callers come again

The stand-ins of the soak answered once, and each call had an id of its own, so that an answer of an earlier run could not pass for that of a later try. The plain upstream, the one with a limit and those that ask for rest or leave now send one answer in four after a copy of one of the six before it on its connection, and one in sixteen twice at once, drawn by the seed. Requests that may not be repeated are answered with errors and refusals too. Callers come again with the same id, up to three tries, where the try before was answered.

An answer that a caller gets has to be that of a run that began within its try, with its status and body. What is refused must not have run in that try, and what may not be repeated runs once for each try, also after a try that was cut.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/AskingUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/AskingUpstream.java
@@ -1,16 +1,10 @@
 package io.stackhall.tests.harness;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 
 /**
  * An upstream that serves for a while and then, for as long, turns each host away for a rest, or
@@ -32,12 +26,11 @@
     /** Requests of one host in a rest that are forgiven. */
     private static final int FORGIVEN = 2;
 
-    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final ConcurrentLinkedQueue<Came> came = new ConcurrentLinkedQueue<>();
     private final Heartbeats heartbeats = new Heartbeats(SERVICE);
     private final Kind kind;
     private final long begun = System.nanoTime();
-    private final HttpServer server;
+    private final RepeatingServer server;
     private long lastLife;
 
     /** What it asks of hosts. */
@@ -58,13 +51,9 @@
     /** A request, and whether its answer asked for something. */
     private record Came(String host, long at, long life, boolean told) {}
 
-    AskingUpstream(Kind kind) throws IOException {
+    AskingUpstream(Kind kind, long seed, RunLog runs) throws IOException {
         this.kind = kind;
-        server =
-                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
-        server.setExecutor(threads);
-        server.createContext("/", this::answer);
-        server.start();
+        server = new RepeatingServer(seed, runs, this::answer);
     }
 
     /** Returns its name, which outlives its lives. */
@@ -79,7 +68,7 @@
             heartbeats.restart();
             lastLife = life;
         }
-        int port = server.getAddress().getPort();
+        int port = server.port();
         return kind == Kind.REST ? heartbeats.next(port) : heartbeats.next(port, born(life));
     }
 
@@ -117,8 +106,7 @@
 
     @Override
     public void close() {
-        server.stop(0);
-        threads.shutdownNow();
+        server.close();
     }
 
     private long life(long now) {
@@ -133,23 +121,16 @@
         return (now - begun) / TURN_NANOS % 2 == 1;
     }
 
-    private void answer(HttpExchange exchange) throws IOException {
+    private RepeatingServer.Answer answer(String path) {
         long now = System.nanoTime();
         boolean asks = asks(now);
-        String path = exchange.getRequestURI().getPath();
         came.add(new Came(path.substring(path.lastIndexOf('/') + 1), now, life(now), asks));
-        String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
-        exchange.getResponseHeaders().set("X-Request-Id", id);
-        if (asks && kind == Kind.REST) {
-            exchange.getResponseHeaders().set("X-Not-Run", "1");
-            exchange.getResponseHeaders().set("Retry-After", Long.toString(REST.toSeconds()));
-            exchange.sendResponseHeaders(503, -1);
-        } else {
-            if (asks) {
-                exchange.getResponseHeaders().set("Server-Leaving", "1");
-            }
-            exchange.sendResponseHeaders(200, -1);
+        if (!asks) {
+            return new RepeatingServer.Answer(200);
         }
-        exchange.close();
+        return kind == Kind.REST
+                ? new RepeatingServer.Answer(
+                        503, RunLog.NOT_RUN, "Retry-After: " + REST.toSeconds())
+                : new RepeatingServer.Answer(200, "Server-Leaving: 1");
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -1,11 +1,8 @@
 package io.stackhall.tests.harness;
 
 import java.io.IOException;
-import java.net.ConnectException;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +27,6 @@
 
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
-    private static final int UNAVAILABLE = 503;
 
     /** A host that was disturbed, or whose group was, is held to times only after this. */
     private static final Duration CONTACT = Duration.ofSeconds(4);
@@ -38,8 +34,10 @@
     /** The time within which an acknowledged change has to be in force. */
     private static final Duration APPLIED = Duration.ofSeconds(2);
 
-    /** What is cut by a kill or a stop may be seen this much later. */
-    private static final Duration SEEN_LATER = Duration.ofSeconds(2);
+    /** One in so many requests that may not be repeated is refused, and so many others fail. */
+    private static final int REFUSED_SHARE = 16;
+
+    private static final int FAILED_SHARE = 4;
 
     private static final long CALL_PAUSE_MILLIS = 30;
 
@@ -49,11 +47,13 @@
     private final TroubledHosts trouble;
     private final Map<Long, Long> acknowledgedAt = new ConcurrentHashMap<>();
     private final AtomicLong acknowledged = new AtomicLong();
-    private final AtomicLong calls = new AtomicLong();
-    private final AtomicLong served = new AtomicLong();
     private final AtomicBoolean over = new AtomicBoolean();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final RunLog runs = new RunLog();
+    private final SoakCalls calls;
+    private final Random answers;
+    private RepeatingServer plain;
     private LimitedUpstream limited;
     private final List<AskingUpstream> asking = new ArrayList<>();
     private BrokenStreams streams;
@@ -65,6 +65,8 @@
         this.random = new Random(seed);
         this.hosts = new SeededHosts(folder);
         this.trouble = new TroubledHosts(hosts, folder);
+        this.calls = new SoakCalls(hosts, trouble, runs, broken);
+        this.answers = new Random(seed);
     }
 
     /**
@@ -75,14 +77,15 @@
     public List<String> run(Duration lasts) throws Exception {
         startAll(true);
         Eventually.holds("first change", this::change);
-        hosts.startUpstream();
+        plain = new RepeatingServer(seed, runs, this::answer);
+        hosts.announcePlain(plain.port());
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             Eventually.holds("served", () -> status(host, "/base/x") == OK);
         }
-        limited = hosts.startLimited();
+        limited = hosts.startLimited(seed, runs);
         for (AskingUpstream.Kind kind : AskingUpstream.Kind.values()) {
-            asking.add(hosts.startAsking(kind));
+            asking.add(hosts.startAsking(kind, seed, runs));
         }
         streams = new BrokenStreams(hosts, seed);
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
@@ -100,7 +103,7 @@
         }
         recover();
         over.set(true);
-        checkRuns();
+        calls.checkRuns();
         broken.addAll(limited.broken());
         asking.forEach(one -> broken.addAll(one.broken(trouble::wasDisturbed)));
         broken.addAll(streams.broken());
@@ -109,10 +112,9 @@
 
     /** Returns how many calls were made, and how many were served. */
     public String account() {
-        return "calls=%d served=%d changes=%d limited=%d asking=%s %s"
+        return "%s changes=%d limited=%d asking=%s %s"
                 .formatted(
-                        calls.get(),
-                        served.get(),
+                        calls.account(),
                         version,
                         limited.arrivals(),
                         asking.stream().map(AskingUpstream::arrivals).toList(),
@@ -125,6 +127,9 @@
         trouble.end();
         threads.shutdownNow();
         hosts.close();
+        if (plain != null) {
+            plain.close();
+        }
         if (limited != null) {
             limited.close();
         }
@@ -225,9 +230,9 @@
             life = lifeNow;
             long asked = acknowledged.get();
             long sentAt = System.nanoTime();
-            int base = statusOrCut(host, "/base/x", name, sentAt);
-            int newest = statusOrCut(host, SoakConfiguration.added(asked), name, sentAt);
-            statusOrCut(host, "/once/x", name, sentAt);
+            int base = calls.statusOrCut(host, "/base/x", name, sentAt);
+            int newest = calls.statusOrCut(host, SoakConfiguration.added(asked), name, sentAt);
+            calls.statusOrCut(host, SoakConfiguration.ONCE, name, sentAt);
             boolean sameLife = trouble.life(name) == life;
             if (base == NOT_FOUND) {
                 broken.add(name + " knows no route that every configuration has");
@@ -248,7 +253,7 @@
     /** Asks for what only an upstream with a limit can serve, several times as often. */
     private void callLimited(int host) {
         while (!over.get()) {
-            statusOrCut(host, "/limited/x", "entry-" + host, System.nanoTime());
+            calls.statusOrCut(host, "/limited/x", "entry-" + host, System.nanoTime());
             Eventually.pause(CALL_PAUSE_MILLIS);
         }
     }
@@ -257,14 +262,14 @@
     private void callAsking(int host) {
         String name = "entry-" + host;
         while (!over.get()) {
-            statusOrCut(host, "/asking/" + name, name, System.nanoTime());
+            calls.statusOrCut(host, "/asking/" + name, name, System.nanoTime());
             Eventually.pause(CALL_PAUSE_MILLIS);
         }
     }
 
     private void callStreams(int host) {
         while (!over.get()) {
-            streams.call(host, "s" + calls.incrementAndGet());
+            streams.call(host, calls.newId());
             Eventually.pause(CALL_PAUSE_MILLIS);
         }
     }
@@ -306,55 +311,19 @@
         }
     }
 
-    /** Returns the answer's status, or 0 where a disturbed host cut the connection. */
-    private int statusOrCut(int host, String path, String name, long sentAt) {
-        String id = "s" + calls.incrementAndGet();
-        long life = trouble.life(name);
-        try {
-            HttpResponse<String> answer = hosts.callRoute(host, path, id);
-            trouble.answered(name, life);
-            if (answer.statusCode() == OK) {
-                served.incrementAndGet();
-                if (!answer.body().equals(path) && echoes(path)) {
-                    broken.add(id + " was answered " + answer.body() + " for " + path);
-                }
-            }
-            if (answer.statusCode() == UNAVAILABLE && hosts.runs(path, id) > 0) {
-                broken.add(id + " ran though it was refused");
-            }
-            return answer.statusCode();
-        } catch (ConnectException e) {
-            if (!trouble.isAway(name)) {
-                broken.add(id + " was refused by " + name + " at " + Instant.now() + ": " + e);
-            }
-            return 0;
-        } catch (IOException e) {
-            long since = Math.min(sentAt, System.nanoTime() - SEEN_LATER.toNanos());
-            if (trouble.quietFor(SEEN_LATER, name, since)) {
-                broken.add(id + " was cut by " + name + ", which nobody had disturbed: " + e);
-            }
-            return 0;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return 0;
-        }
-    }
-
-    /** Returns whether the upstream of a path answers with the path. */
-    private static boolean echoes(String path) {
-        return !path.startsWith("/limited/") && !path.startsWith("/asking/");
-    }
-
     private int status(int host, String path) throws IOException, InterruptedException {
-        return hosts.callRoute(host, path, "s" + calls.incrementAndGet()).statusCode();
+        return hosts.callRoute(host, path, calls.newId()).statusCode();
     }
 
-    private void checkRuns() {
-        for (long call = 1; call <= calls.get(); call++) {
-            if (hosts.runs("/once/x", "s" + call) > 1) {
-                broken.add("s" + call + " ran more than once");
-            }
+    /** Answers of requests that may not be repeated differ, so that each is told by its status. */
+    private synchronized RepeatingServer.Answer answer(String path) {
+        if (!path.equals(SoakConfiguration.ONCE)) {
+            return new RepeatingServer.Answer(200);
+        }
+        if (answers.nextInt(REFUSED_SHARE) == 0) {
+            return new RepeatingServer.Answer(503, RunLog.NOT_RUN);
         }
+        return new RepeatingServer.Answer(answers.nextInt(FAILED_SHARE) == 0 ? 500 : 200);
     }
 
     private void later(int millis, Runnable task) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
@@ -1,16 +1,10 @@
 package io.stackhall.tests.harness;
 
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 
 /** An upstream that names in each answer how many requests a second it takes from all hosts. */
 final class LimitedUpstream implements AutoCloseable {
@@ -24,22 +18,17 @@
     /** What it forgives in a window: half as much again, and a few. */
     private static final int MOST_IN_WINDOW = PER_SECOND * 4 * 3 / 2 + 5;
 
-    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final List<Long> arrivals = new CopyOnWriteArrayList<>();
     private final Heartbeats heartbeats = new Heartbeats(SERVICE);
-    private final HttpServer server;
+    private final RepeatingServer server;
 
-    LimitedUpstream() throws IOException {
-        server =
-                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
-        server.setExecutor(threads);
-        server.createContext("/", this::answer);
-        server.start();
+    LimitedUpstream(long seed, RunLog runs) throws IOException {
+        server = new RepeatingServer(seed, runs, this::answer);
     }
 
     /** Returns what it says of itself. */
     String heartbeat() {
-        return heartbeats.next(server.getAddress().getPort());
+        return heartbeats.next(server.port());
     }
 
     /** Returns what was sent beyond its limit, empty where nothing was. */
@@ -67,16 +56,11 @@
 
     @Override
     public void close() {
-        server.stop(0);
-        threads.shutdownNow();
+        server.close();
     }
 
-    private void answer(HttpExchange exchange) throws IOException {
+    private RepeatingServer.Answer answer(String path) {
         arrivals.add(System.nanoTime());
-        String id = exchange.getRequestHeaders().getFirst("X-Request-Id");
-        exchange.getResponseHeaders().set("X-Request-Id", id);
-        exchange.getResponseHeaders().set("Server-Limit", Integer.toString(PER_SECOND));
-        exchange.sendResponseHeaders(200, -1);
-        exchange.close();
+        return new RepeatingServer.Answer(200, "Server-Limit: " + PER_SECOND);
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -102,9 +102,18 @@
         return count == null ? 0 : count.get();
     }
 
+    /** Announces an upstream of the plain service that a test has started itself. */
+    void announcePlain(int port) {
+        heartbeats.scheduleAtFixedRate(
+                () -> heartbeat("i-1", plain.next(port)),
+                0,
+                HEARTBEAT_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Starts an upstream that names a limit. */
-    LimitedUpstream startLimited() throws IOException {
-        LimitedUpstream started = new LimitedUpstream();
+    LimitedUpstream startLimited(long seed, RunLog log) throws IOException {
+        LimitedUpstream started = new LimitedUpstream(seed, log);
         heartbeats.scheduleAtFixedRate(
                 () -> heartbeat(LimitedUpstream.NAME, started.heartbeat()),
                 0,
@@ -114,8 +123,8 @@
     }
 
     /** Starts an upstream that asks hosts for rest, or that leaves and comes back, by turns. */
-    AskingUpstream startAsking(AskingUpstream.Kind kind) throws IOException {
-        AskingUpstream started = new AskingUpstream(kind);
+    AskingUpstream startAsking(AskingUpstream.Kind kind, long seed, RunLog log) throws IOException {
+        AskingUpstream started = new AskingUpstream(kind, seed, log);
         heartbeats.scheduleAtFixedRate(
                 () -> heartbeat(started.name(), started.heartbeat()),
                 0,
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
@@ -6,6 +6,9 @@
 /** The configurations of a soak: each adds a route that all later ones keep. */
 final class SoakConfiguration {
 
+    /** A path on the route whose requests may not be repeated. */
+    static final String ONCE = "/once/x";
+
     private SoakConfiguration() {}
 
     /** Returns a path on the route that a version has added. */
