Answers of upstreams of settings are matched by attempt

What callers saw: none was reported. A host whose settings name its upstreams could tell a caller that its request had not run, and send it once more, while an upstream ran it; a request could get the answer to another one where an upstream does not echo ids; and an order or a request that may not be repeated could go on a connection that its upstream was just closing, which leaves its outcome unknown.

Cause: the id in the answer was that of the request, the same for each attempt. An attempt that ends at the head of an answer without a body leaves its connection at rest, so that the same id may go there again, and a copy of the first answer is then taken for the second. An answer without an id was taken as it came, on kept connections too. "Connection: close" closes a connection after its answer, but the client takes a resting one for such a request: what was meant to be a new connection was not.

Each attempt now has an id of its own: that of the request and a number of the process. An answer without an id is believed only on a connection that carries nothing else. Requests that may not be repeated, resumed streams and orders are tagged, and the client keeps connections of different tags apart, so that theirs are new. The cost is a connection for each of them.

--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/OrderClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/OrderClient.java
@@ -19,8 +19,9 @@
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
- * Sends orders. Each goes on a connection of its own, which is closed afterwards, so that no late
- * byte of an order can follow on a connection that is used again.
+ * Sends orders. Each goes on a new connection, which is closed afterwards: no answer of an earlier
+ * request can come there, and no late byte of an order can follow on a connection that is used
+ * again.
  */
 public final class OrderClient {
 
@@ -53,6 +54,7 @@
         Request request =
                 client.POST("http://" + address + "/orders")
                         .timeout(patience.toMillis(), TimeUnit.MILLISECONDS)
+                        .tag(UpstreamCall.OWN_CONNECTION)
                         .headers(headers -> headers.put(HttpHeader.CONNECTION, "close"))
                         .body(
                                 new BytesRequestContent(
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
@@ -18,7 +18,7 @@
 /** One attempt of a request on an upstream. */
 public final class UpstreamCall {
 
-    /** The header by which requests are matched with their answers. */
+    /** The header by which attempts are matched with their answers. */
     public static final String REQUEST_ID = "X-Request-Id";
 
     /** The header by which an upstream says that it has not run a request. */
@@ -30,13 +30,31 @@
     private static final String NOT_RUN = "not-run";
     private static final String UNKNOWN = "unknown";
 
+    /**
+     * The client keeps the connections of requests with different tags apart, so that one which is
+     * closed after its answer is a new one as well.
+     */
+    static final String OWN_CONNECTION = "own-connection";
+
     private final UpstreamRequest message;
+    private final String attemptId;
     private final Request request;
     private final InputStreamResponseListener listener = new InputStreamResponseListener();
     private final AtomicBoolean begun = new AtomicBoolean();
 
-    UpstreamCall(HttpClient client, String address, UpstreamRequest message, long idleMillis) {
+    /**
+     * Creates a call that is not sent yet.
+     *
+     * @param attempt a number that no other call of the client has
+     */
+    UpstreamCall(
+            HttpClient client,
+            String address,
+            UpstreamRequest message,
+            long attempt,
+            long idleMillis) {
         this.message = message;
+        this.attemptId = message.id().value() + "." + attempt;
         this.request =
                 client.newRequest("http://" + address + message.path())
                         .method(message.method())
@@ -44,12 +62,15 @@
                         .onRequestBegin(ignored -> begun.set(true));
         request.headers(
                 headers -> {
-                    headers.put(REQUEST_ID, message.id().value());
+                    headers.put(REQUEST_ID, attemptId);
                     message.headers().forEach(headers::put);
                     if (!message.shared()) {
                         headers.put(HttpHeader.CONNECTION, "close");
                     }
                 });
+        if (!message.shared()) {
+            request.tag(OWN_CONNECTION);
+        }
         if (message.body().length > 0) {
             String type = message.headers().getOrDefault("Content-Type", "application/json");
             request.body(new BytesRequestContent(type, message.body()));
@@ -103,10 +124,10 @@
     }
 
     private Opening opening(Response response) {
-        List<String> echoed = response.getHeaders().getValuesList(REQUEST_ID);
-        if (echoed.stream().anyMatch(id -> !id.equals(message.id().value()))) {
+        List<String> echoes = response.getHeaders().getValuesList(REQUEST_ID);
+        if (!belongsHere(echoes)) {
             abort("crossed answer");
-            return new Opening.Unanswered("an answer to request " + echoed + " came instead");
+            return new Opening.Unanswered("an answer to " + echoes + " came instead");
         }
         if (!isReadable(response)) {
             abort("unreadable answer");
@@ -135,6 +156,11 @@
                         response.getHeaders().getValuesList(HttpHeader.TRANSFER_ENCODING));
     }
 
+    /** An answer that names no attempt may follow any request that its connection has carried. */
+    private boolean belongsHere(List<String> echoes) {
+        return echoes.isEmpty() ? !message.shared() : echoes.stream().allMatch(attemptId::equals);
+    }
+
     private Opening failure(String reason) {
         return begun.get() ? new Opening.Unanswered(reason) : new Opening.NotSent(reason);
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
@@ -1,6 +1,7 @@
 package io.stackhall.server.upstreams;
 
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
@@ -22,6 +23,7 @@
 
     private final HttpClient client;
     private final Duration idle;
+    private final AtomicLong attempts = new AtomicLong();
 
     private UpstreamClient(HttpClient client, Duration idle) {
         this.client = client;
@@ -63,7 +65,8 @@
 
     /** Returns a call that is not sent yet. */
     public UpstreamCall call(String address, UpstreamRequest request) {
-        return new UpstreamCall(client, address, request, idle.toMillis());
+        return new UpstreamCall(
+                client, address, request, attempts.incrementAndGet(), idle.toMillis());
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamRequest.java
@@ -6,7 +6,7 @@
 /**
  * A request as it goes to an upstream.
  *
- * @param id its id, which the upstream returns in its answer
+ * @param id its id, the same for all attempts
  * @param method the HTTP method
  * @param path the path and query
  * @param headers further headers
