A late lease does not give back slots that a host has given up

What callers saw: none was reported. An upstream that falls over when it has to refuse requests could get more of them than it has slots, from a host whose wish went down and up again while the leader's answer was on its way.

Cause: a lease that answers an earlier message was cut to what the host had told last, not to the least that it had told since. The leader takes back what a message does not want and leases it to others; the late lease then gave it to the first host as well. An older lease also replaced a newer one.

The host keeps the least that it has told after each time (ToldDemand), and cuts a lease to what was told after its own message. This is what the leader leaves it at least, so that late leases can be used still, which a slow leader needs. A lease older than the last one is ignored.

Evidence: LateSlotLeaseTest, two of its three cases failed before; the third shows that late leases are used. BrittleUpstreamsReplayTest passes with its bounds unchanged.

--- a/stackhall-core/src/main/java/io/stackhall/core/slot/BrittleUpstreams.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/slot/BrittleUpstreams.java
@@ -61,7 +61,9 @@
         private int waiting;
         private int quota;
         private long leasedUntil;
+        private final ToldDemand told = new ToldDemand();
         private long requestedAt;
+        private long answeredRequest;
         private int toldInFlight;
         private int toldWaiting;
         private long demandSince;
@@ -237,18 +239,21 @@
         upstream.toldWaiting = upstream.waiting;
         upstream.quota = Math.min(upstream.quota, upstream.wanted());
         upstream.requestedAt = now;
+        upstream.told.record(upstream.wanted(), now);
         return new SlotRequest(self, id, upstream.slots, upstream.inFlight, upstream.waiting, now);
     }
 
-    /** Applies a lease of the leader, and returns whether it allows a request to be sent. */
+    /**
+     * Applies a lease of the leader, unless a later message has been answered already, and returns
+     * whether it allows a request to be sent.
+     */
     public boolean receive(SlotLease lease, long now) {
         Upstream upstream = upstreams.get(lease.upstream());
-        if (upstream == null) {
+        if (upstream == null || lease.requestedAt() - upstream.answeredRequest < 0) {
             return false;
         }
-        boolean latest = lease.requestedAt() == upstream.requestedAt;
-        int told = upstream.toldInFlight + upstream.toldWaiting;
-        upstream.quota = latest ? lease.quota() : Math.min(lease.quota(), told);
+        upstream.answeredRequest = lease.requestedAt();
+        upstream.quota = Math.min(lease.quota(), upstream.told.leastSince(lease.requestedAt()));
         upstream.leasedUntil = lease.requestedAt() + SlotManager.LEASE.toNanos();
         upstream.answeredAt = now;
         return allows(lease.upstream(), now);
