Control hosts answer the calls of one connection in their order

What callers saw: none was reported. An operator or upstream that sends a call before the answer to its last one could take the answer to the later call for that to the earlier: a change that was refused looked committed, or the reverse.

Cause: an answer has nothing but its place on the connection, and calls that wait for a commit or a quorum are answered by another thread, later than calls behind them that are answered at once.

CallSequencer hands the calls of a connection on one at a time, and stops reading beyond eight that wait. Calls on other connections are not held up. A body beyond the bound is refused by the codec before, still out of turn, and ends the connection.

Evidence: AnswersOfOneConnectionTest, a change and an unknown call in one packet: 404 came before 200.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -349,6 +349,7 @@
                                                 new IdleStateHandler(0, 0, 60),
                                                 new HttpServerCodec(),
                                                 new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                                                new CallSequencer(),
                                                 new ControlApi(
                                                         group,
                                                         fleet,
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/LocalFleet.java
@@ -187,12 +187,18 @@
         }
     }
 
+    /** Opens the connection of an operator or upstream to a control host. */
+    public Socket controlCaller(int number) throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout((int) PATIENCE.toMillis());
+        socket.connect(new InetSocketAddress("127.0.3." + number, port + API_OFFSET));
+        return socket;
+    }
+
     /** Sends a call to a control host and reads the answer. */
     public RawHttp.Message control(int number, String method, String path, String body)
             throws IOException {
-        try (Socket socket = new Socket()) {
-            socket.setSoTimeout((int) PATIENCE.toMillis());
-            socket.connect(new InetSocketAddress("127.0.3." + number, port + API_OFFSET));
+        try (Socket socket = controlCaller(number)) {
             return exchange(
                     socket,
                     method
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RelayFixture.java
@@ -17,7 +17,7 @@
 /** An entry host with its control hosts, and upstreams that a test scripts. */
 abstract class RelayFixture {
 
-    private static final String ROUTES =
+    static final String ROUTES =
             """
             {"version":3,"routes":[
              {"name":"once","host":"a.example","path-prefix":"/once/","kind":"unsafe",
