The method of an earlier request does not frame a refusal

What callers saw: after a HEAD request on the same connection, the refusal of a malformed request, or of one whose head is late, named a length and had no body. A HEAD request refused for its size got a body, which its caller takes for the next answer.

Cause: whether an answer has a body was decided by the request that was last read whole, while refusals belong to requests that are not.

The method is set as a head arrives, and forgotten where none does in time.

Evidence: the three other cases of AnswersOfOneConnectionTest, which all failed before.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -236,6 +236,7 @@
 
     private void begin(HttpRequest request) {
         timeout.cancel();
+        encoder.setHeadRequested(request.method().equals(HttpMethod.HEAD));
         if (request.decoderResult().isFailure()) {
             Throwable cause = request.decoderResult().cause();
             if (cause instanceof TooLongHttpHeaderException) {
@@ -291,7 +292,6 @@
                         head.headers(),
                         body.toByteArray(),
                         headReceivedAt);
-        encoder.setHeadRequested(head.method().equals(HttpMethod.HEAD));
         keepAlive = HttpUtil.isKeepAlive(head);
         chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         head = null;
@@ -362,6 +362,7 @@
     }
 
     private void headTimedOut() {
+        encoder.setHeadRequested(false);
         reject(rejections.timedOut("the head did not arrive in time"));
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
@@ -11,6 +11,9 @@
 /** Answers to several requests on one connection of an upstream, an operator or a caller. */
 class AnswersOfOneConnectionTest extends RelayFixture {
 
+    private static final String HEAD_WITHOUT_ROUTE =
+            "HEAD /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n\r\n";
+
     /** Whoever sent the change would take the refusal of another call for its own. */
     @Test
     void quickAnswerOvertakesThatToAnEarlierCall() throws Exception {
@@ -27,6 +30,49 @@
         }
     }
 
+    /** Its caller would wait for a body that never comes, and take the next answer for it. */
+    @Test
+    void refusalOfAMalformedRequestIsWithoutItsBodyAfterHead() throws Exception {
+        try (Socket socket = fleet.callerOf(1)) {
+            send(socket, HEAD_WITHOUT_ROUTE);
+            assertThat(RawHttp.readHead(socket.getInputStream()).status()).isEqualTo(404);
+            send(socket, "GET no version\r\n\r\n");
+            assertRefusedWithItsBody(socket, 400);
+        }
+    }
+
+    /** The same for one whose head does not arrive. */
+    @Test
+    void refusalOfALateHeadIsWithoutItsBodyAfterHead() throws Exception {
+        try (Socket socket = fleet.callerOf(1)) {
+            send(socket, HEAD_WITHOUT_ROUTE);
+            assertThat(RawHttp.readHead(socket.getInputStream()).status()).isEqualTo(404);
+            send(socket, "GET /safe/x HTTP/1.1\r\n");
+            assertRefusedWithItsBody(socket, 408);
+        }
+    }
+
+    /** Bytes behind the head would be taken for the next answer. */
+    @Test
+    void refusalOfATooLongHeadRequestHasABody() throws Exception {
+        try (Socket socket = fleet.callerOf(1)) {
+            send(
+                    socket,
+                    "HEAD /safe/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100001\r\n\r\n");
+            InputStream in = socket.getInputStream();
+            assertThat(RawHttp.readHead(in).status()).isEqualTo(413);
+            assertThat(in.readAllBytes()).isEmpty();
+        }
+    }
+
+    private static void assertRefusedWithItsBody(Socket socket, int status) throws IOException {
+        RawHttp.Message answer = RawHttp.read(socket.getInputStream(), true);
+        assertThat(answer.status()).isEqualTo(status);
+        assertThat(answer.header("content-length"))
+                .isNotEqualTo("0")
+                .isEqualTo(Integer.toString(answer.body().length));
+    }
+
     private static void send(Socket socket, String bytes) throws IOException {
         socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
     }
