An order of which nothing is heard is sent again

What callers saw: none was reported. An engine could get no further order until the leader changed, however long callers waited for a model or an adapter there.

Cause: an answer to an order is not used, and an order is withdrawn, if the leader's lease has lapsed at that moment. Where the lease is renewed before the group's next check, no change of leadership follows that would begin anew, and the order stays unanswered for good: it was sent again only after its answer was known to be lost.

An answer that has not been used within 2 s counts as lost. Orders may be sent again at any time, as each names the number of orders that its engine must have taken before.

Evidence: orderWhoseAnswerIsNotUsedIsNeverSentAgain failed before. That a lease lapses so is by reading; no run shows it.

--- a/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/EngineTracker.java
@@ -32,6 +32,9 @@
     /** An order whose answer was lost is sent again after this time. */
     private static final long RESEND_NANOS = Duration.ofMillis(300).toNanos();
 
+    /** An answer that is not used by then counts as lost; calls end within 900 ms. */
+    private static final long ANSWER_NANOS = Duration.ofSeconds(2).toNanos();
+
     private Instance instance;
     private long ordersTaken = -1;
 
@@ -45,7 +48,6 @@
     private EngineOrder uncertain;
 
     private long uncertainSince;
-
     private final PendingLoad pendingLoad = new PendingLoad();
     private final ReportedModels reportedModels = new ReportedModels();
     private long takenAt;
@@ -225,10 +227,7 @@
 
     /** Returns whether the outstanding order got no answer and is due to be sent again. */
     boolean isResendDue(long now) {
-        return unansweredOrder != null
-                && answerLostAt != 0
-                && !resting
-                && now - answerLostAt >= RESEND_NANOS;
+        return unansweredOrder != null && !resting && now - answerLostAt >= RESEND_NANOS;
     }
 
     EngineOrder unansweredOrder() {
@@ -270,15 +269,15 @@
 
     void beginOrder(EngineOrder order, long now) {
         unansweredOrder = order;
-        answerLostAt = 0;
+        answerLostAt = now + ANSWER_NANOS;
         resent = false;
         if (order.load()) {
             slots.applyOrder(order, now);
         }
     }
 
-    void markResent() {
-        answerLostAt = 0;
+    void markResent(long now) {
+        answerLostAt = now + ANSWER_NANOS;
         resent = true;
     }
 
--- a/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyManager.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/residency/ResidencyManager.java
@@ -266,7 +266,7 @@
                 effects.add(new ResidencyEffect.ReadReport(instance.id(), instance.address()));
             }
             if (engine.isResendDue(now)) {
-                engine.markResent();
+                engine.markResent(now);
                 effects.add(new ResidencyEffect.Send(engine.unansweredOrder()));
             } else if (engine.isReadyForOrder()) {
                 nextOrder(engine, now).ifPresent(order -> sendOrder(engine, order, effects, now));
--- a/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/residency/ResidencyManagerTest.java
@@ -45,6 +45,22 @@
         assertThat(onlyOrder()).isEqualTo(order);
     }
 
+    /** Its answer is not used if it finds the leader's lease lapsed for a moment. */
+    @Test
+    void orderWhoseAnswerIsNotUsedIsNeverSentAgain() {
+        reportOrdersTaken(7, false);
+        requestsWaitFor("b");
+        EngineOrder order = onlyOrder();
+        advanceMillis(900);
+        assertThat(orders()).isEmpty();
+        advanceMillis(1500);
+        assertThat(onlyOrder()).isEqualTo(order);
+        advanceMillis(900);
+        assertThat(orders()).isEmpty();
+        advanceMillis(1500);
+        assertThat(onlyOrder()).isEqualTo(order);
+    }
+
     @Test
     void modelsOfAnEvacuatedZoneAreLoadedInAnotherOne() {
         manager.updateInstances(
