--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlDaemon.java
@@ -3,17 +3,12 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.stackhall.core.fleet.EvacuatedZones;
 import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.UpstreamId;
@@ -48,9 +43,6 @@
 
     private static final Logger logger = LogManager.getLogger(ControlDaemon.class);
 
-    /** Several times the size of a configuration with 10,000 routes of 300 bytes each. */
-    private static final int MAX_REQUEST_BYTES = 16 << 20;
-
     private static final long SWEEP_INTERVAL_MILLIS = 500;
     private static final long ORDER_INTERVAL_MILLIS = 50;
 
@@ -340,24 +332,8 @@
                 .group(threads)
                 .channel(NioServerSocketChannel.class)
                 .childHandler(
-                        new ChannelInitializer<SocketChannel>() {
-                            @Override
-                            protected void initChannel(SocketChannel channel) {
-                                channel.config().setTcpNoDelay(true);
-                                channel.pipeline()
-                                        .addLast(
-                                                new IdleStateHandler(0, 0, 60),
-                                                new HttpServerCodec(),
-                                                new HttpObjectAggregator(MAX_REQUEST_BYTES),
-                                                new CallSequencer(),
-                                                new ControlApi(
-                                                        group,
-                                                        fleet,
-                                                        operators,
-                                                        evacuations,
-                                                        ends));
-                            }
-                        })
+                        new ControlChannelInitializer(
+                                () -> new ControlApi(group, fleet, operators, evacuations, ends)))
                 .bind(control.api().socket())
                 .syncUninterruptibly()
                 .channel();
