--- a/stackhall-core/src/main/java/io/stackhall/core/answer/StatusLine.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/answer/StatusLine.java
@@ -3,7 +3,7 @@
 import java.util.regex.Pattern;
 
 /** The first line of an answer's head. */
-final class StatusLine {
+public final class StatusLine {
 
     /** A cheap test that nearly all texts fail. */
     private static final String VERSION = "HTTP/1.";
@@ -13,7 +13,7 @@
     private StatusLine() {}
 
     /** Returns whether a text holds the beginning of a status line anywhere. */
-    static boolean isWithin(String text) {
+    public static boolean isWithin(String text) {
         return text.contains(VERSION) && BEGINNING.matcher(text).find();
     }
 }
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
@@ -1,17 +1,21 @@
 package io.stackhall.server.upstreams;
 
 import io.stackhall.core.answer.BodyFraming;
+import io.stackhall.core.answer.StatusLine;
 import java.io.InputStream;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.InputStreamResponseListener;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 
@@ -129,6 +133,10 @@
             abort("crossed answer");
             return new Opening.Unanswered("an answer to " + echoes + " came instead");
         }
+        if (mayJoinAnswers(response)) {
+            abort("joined answers");
+            return new Opening.Unanswered("the head holds the status line of another answer");
+        }
         if (!isReadable(response)) {
             abort("unreadable answer");
             return new Opening.Unanswered("the answer is in another protocol or coding");
@@ -156,6 +164,16 @@
                         response.getHeaders().getValuesList(HttpHeader.TRANSFER_ENCODING));
     }
 
+    /** The copy of an earlier answer may be cut within its head, before the answer that is due. */
+    private boolean mayJoinAnswers(Response response) {
+        return message.shared()
+                && Stream.concat(
+                                Stream.ofNullable(response.getReason()),
+                                response.getHeaders().stream().map(HttpField::getValue))
+                        .filter(Objects::nonNull)
+                        .anyMatch(StatusLine::isWithin);
+    }
+
     /** An answer that names no attempt may follow any request that its connection has carried. */
     private boolean belongsHere(List<String> echoes) {
         return echoes.isEmpty() ? !message.shared() : echoes.stream().allMatch(attemptId::equals);
--- a/stackhall-server/src/test/java/io/stackhall/server/upstreams/RepeatedAttemptAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/upstreams/RepeatedAttemptAnswersTest.java
@@ -85,6 +85,14 @@
         assertThat(call(true)).isInstanceOf(UpstreamCall.Opening.Unanswered.class);
     }
 
+    /** The attempt would get the status of an earlier answer. */
+    @Test
+    void copyThatIsCutWithinItsHeadLendsItsStatusToTheAnswerThatIsDue() {
+        serve(count -> count == 1 ? SERVED : "HTTP/1.1 201 Cre" + SERVED);
+        assertThat(call(true)).isInstanceOf(UpstreamCall.Opening.Begun.class);
+        assertThat(call(true)).isInstanceOf(UpstreamCall.Opening.Unanswered.class);
+    }
+
     /** Its outcome would be unknown if the upstream closed the resting connection just then. */
     @Test
     void requestThatMayNotBeRepeatedGoesOnAConnectionThatHasServed() {
