Copies of repeated answers are counted, and passed over on one connection

The new cases, copies one, two and five answers late between requests with ids of their own, ask that all copies were sent, and that one connection carried them.

--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RepeatedAnswers.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RepeatedAnswers.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /**
@@ -17,6 +18,7 @@
     private final int distance;
     private final Function<RawHttp.Message, String> answers;
     private final Map<Socket, List<String>> sent = new ConcurrentHashMap<>();
+    private final AtomicInteger copies = new AtomicInteger();
 
     /**
      * Creates a script.
@@ -33,11 +35,19 @@
     public void answer(RawHttp.Message request, ScriptedUpstream.Connection to) throws IOException {
         List<String> before = sent.computeIfAbsent(to.socket(), key -> new ArrayList<>());
         String copy = before.size() < distance ? "" : before.get(before.size() - distance);
+        if (!copy.isEmpty()) {
+            copies.incrementAndGet();
+        }
         String answer = answers.apply(request);
         before.add(answer);
         to.write(copy + answer);
     }
 
+    /** Returns how many copies were sent. */
+    public int copies() {
+        return copies.get();
+    }
+
     /** Returns the bytes of a whole answer, which echoes the request's id if it has one. */
     public static String bytes(RawHttp.Message request, int status, String body, String... more) {
         String id = request.header("x-request-id");
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/RepeatedAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/RepeatedAnswersTest.java
@@ -36,6 +36,22 @@
         }
     }
 
+    // A host that closes each connection instead of passing copies over would pass the other cases.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5})
+    void copiesOfAnswersToOtherRequestsArePassedOverOnOneConnection(int distance) throws Exception {
+        RepeatedAnswers answers = new RepeatedAnswers(distance, this::successOrError);
+        try (ScriptedUpstream upstream = upstream(answers)) {
+            for (int call = 1; call <= CALLS; call++) {
+                RawHttp.Message got = fleet.call(1, get("/once/x", "other" + call));
+                assertThat(got.text()).isEqualTo("run " + call);
+                assertThat(got.status()).isEqualTo(status(call));
+            }
+            assertThat(answers.copies()).isEqualTo(CALLS - distance);
+            assertThat(upstream.connections()).isEqualTo(1);
+        }
+    }
+
     // A stale refusal made a request that ran in this very try count as not run.
     @ParameterizedTest
     @ValueSource(ints = {1, 2})
