A version that a host out of contact may still use is remembered

Callers saw: a stream that had begun at one version of the upstreams' software went on at another, as one answer. The entry host it began at was cut off from all control hosts; the version had deregistered since, and served on.

Cause: control hosts remember a version for the life of a stream after its last instance has left, as no stream begins at it any more. That holds for entry hosts that have been told. One that is cut off goes on with what it knows, for as long as the cut lasts.

Each control host now records when it last heard from each entry host. Meanwhile control hosts say that they cannot vouch for a single version, so that streams are recorded and go on by their records. Where no version leaves, nothing is sent or refused.

Still open: all control hosts that start again while the host is out of contact.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
@@ -2,6 +2,7 @@
 
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.fleet.InstanceState;
+import io.stackhall.core.id.HostId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.SoftwareVersion;
 import io.stackhall.core.id.UpstreamId;
@@ -17,7 +18,8 @@
  * Which versions of each service's software one host sees, and has seen until recently.
  *
  * <p>Answers the load of a rollout: versions serve side by side for seconds or for days, and one
- * that has gone may have begun streams that are taken up still.
+ * that has gone may have begun streams that are taken up still. An entry host that is out of
+ * contact as a version goes may use it on; what it has begun counts from its return.
  *
  * <p>Times are on the monotonic clock, in nanoseconds. Not thread-safe.
  */
@@ -29,6 +31,7 @@
     private final Map<UpstreamId, Software> present = new HashMap<>();
     private final Map<Software, Integer> presentCounts = new HashMap<>();
     private final Map<Software, Long> goneAt = new LinkedHashMap<>();
+    private final EntryHostContacts contacts = new EntryHostContacts();
     private boolean fromTheBeginning;
     private Optional<Long> watchingSince;
 
@@ -73,6 +76,19 @@
         }
     }
 
+    /** Records that an entry host is told of changes now. */
+    public void inContact(HostId entryHost, long now) {
+        contacts.heard(entryHost, now);
+    }
+
+    /**
+     * Returns whether some version that is gone may still be used by an entry host that is out of
+     * contact.
+     */
+    public boolean mayBeUsedUnseen(long now) {
+        return goneAt.values().stream().anyMatch(at -> contacts.lastUse(at, now) - now >= 0);
+    }
+
     /**
      * Applies a change of an instance.
      *
@@ -121,7 +137,7 @@
         Set<Software> all = new HashSet<>(presentCounts.keySet());
         goneAt.forEach(
                 (software, at) -> {
-                    if (now - at <= period.toNanos()) {
+                    if (now - contacts.lastUse(at, now) <= period.toNanos()) {
                         all.add(software);
                     }
                 });
--- a/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/FleetRegistry.java
@@ -220,6 +220,7 @@
      *     can serve
      */
     void handleFollow(FleetFollow follow, Replier replier, Supplier<List<Frame>> initialFrames) {
+        versions.inContact(new HostId(follow.getHost()), BootClock.nanos());
         if (followers.recordFollow(follow, replier)) {
             initialFrames.get().forEach(replier::send);
             replier.send(fullUpdate());
@@ -268,6 +269,8 @@
         sweptAt = BootClock.nanos();
         if (paused || !hosts.knownHosts().stream().allMatch(transport::connected)) {
             restartVersionWatch();
+        } else if (versions.mayBeUsedUnseen(BootClock.nanos())) {
+            reportUnwatched();
         }
     }
 
@@ -279,10 +282,15 @@
     void restartVersionWatch() {
         if (routes.version() >= 0) {
             versions.restartWatching(BootClock.nanos());
-            followers.sendToPrimaries(InstanceCodec.unwatchedFrame(followers.count()));
+            reportUnwatched();
         }
     }
 
+    /** Notifies entry hosts that this host cannot vouch for a single version now. */
+    private void reportUnwatched() {
+        followers.sendToPrimaries(InstanceCodec.unwatchedFrame(followers.count()));
+    }
+
     /** Sends all instances to another control host. */
     void sendAll(Replier replier) {
         replier.send(fullUpdate());
