A late limit of an engine no longer counts as newer than what overtook it

An engine tells its limit in answers to orders. A control host took each for one that knew the newest word on the limit, whenever the order had been sent, so that an old answer could loosen a limit that had been tightened meanwhile, and callers were refused with 429. Found by reading.

The call keeps the revision that was known when it was sent, as entry hosts do for requests; a limit based on an older one may only tighten.

The tests of orders share a fixture now, with their checks as they were.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/EngineClient.java
@@ -15,6 +15,7 @@
 import io.stackhall.core.answer.AnswerIdentity;
 import io.stackhall.core.answer.BodyFraming;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.platform.AnswerHeaders;
 import io.stackhall.platform.Headers;
 import io.stackhall.server.relay.CallFailure;
@@ -62,8 +63,15 @@
 
     /** Receives what all calls reveal about engines. */
     interface EngineListener {
-        /** An engine announces its limit in requests per second. */
-        void onLimit(UpstreamId id, double perSecond);
+        /** Returns the revision of an engine's limit that this host knows. */
+        LimitRevision limitRevision(UpstreamId id);
+
+        /**
+         * An engine announces its limit in requests per second.
+         *
+         * @param basis the revision that this host knew when it sent the call
+         */
+        void onLimit(UpstreamId id, double perSecond, LimitRevision basis);
 
         /** An engine requests that this host send nothing for some time. */
         void onRest(UpstreamId id, Duration time);
@@ -126,6 +134,7 @@
         private final ByteBuf body = Unpooled.buffer();
         private UpstreamCall call;
         private ScheduledFuture<?> timeout;
+        private LimitRevision limitBasis = LimitRevision.none();
         private int status;
 
         Call(UpstreamId id, String address, AnswerListener listener) {
@@ -145,6 +154,7 @@
 
         @Override
         public boolean sending() {
+            limitBasis = engineListener.limitRevision(id);
             return sendAllowed.getAsBoolean();
         }
 
@@ -152,7 +162,10 @@
         public void answered(HttpResponse head) {
             status = head.status().code();
             AnswerHeaders.limit(head.headers()::get)
-                    .forEach(limit -> limit.ifPresent(one -> engineListener.onLimit(id, one)));
+                    .forEach(
+                            limit ->
+                                    limit.ifPresent(
+                                            one -> engineListener.onLimit(id, one, limitBasis)));
             AnswerHeaders.rest(status, head.headers()::get, Instant.now())
                     .forEach(rest -> rest.ifPresent(time -> engineListener.onRest(id, time)));
             if (AnswerHeaders.leaving(head.headers()::get)) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/LimitService.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/LimitService.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.id.UpstreamId;
 import io.stackhall.core.limit.LimitManager;
 import io.stackhall.core.limit.LimitObservation;
+import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.core.limit.LimitUpdate;
 import io.stackhall.core.limit.PermitAnswer;
 import io.stackhall.core.limit.PermitRequest;
@@ -108,18 +109,22 @@
     /**
      * Processes a limit that an upstream has announced to this host itself. A limit stays in force
      * even if answers to a control host's calls do not name it.
+     *
+     * @param basis the revision of the limit when the call was sent
      */
-    void observeLocally(UpstreamId upstream, double perSecond) {
+    void observeLocally(UpstreamId upstream, double perSecond, LimitRevision basis) {
         if (leads()) {
             LimitObservation observation =
-                    new LimitObservation(
-                            upstream,
-                            OptionalDouble.of(perSecond),
-                            manager.table().find(upstream).revision());
+                    new LimitObservation(upstream, OptionalDouble.of(perSecond), basis);
             publish(manager.observe(observation, BootClock.nanos()), self.value());
         }
     }
 
+    /** Returns the revision of an upstream's limit that this host knows. */
+    LimitRevision revision(UpstreamId upstream) {
+        return manager.table().find(upstream).revision();
+    }
+
     /** Processes the permit request of an entry host, if this host leads. */
     void handlePermitRequest(PermitAsk message, Replier replier) {
         if (!leads()) {
--- a/stackhall-server/src/main/java/io/stackhall/server/control/OrderIssuer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/OrderIssuer.java
@@ -8,6 +8,7 @@
 import io.stackhall.core.id.ModelId;
 import io.stackhall.core.id.ServiceName;
 import io.stackhall.core.id.UpstreamId;
+import io.stackhall.core.limit.LimitRevision;
 import io.stackhall.core.policy.PlacementPolicy;
 import io.stackhall.core.residency.EngineAnswer;
 import io.stackhall.core.residency.EngineOrder;
@@ -167,8 +168,13 @@
     /** Receives what calls reveal about engines. */
     private final class EngineEvents implements EngineClient.EngineListener {
         @Override
-        public void onLimit(UpstreamId id, double perSecond) {
-            limits.observeLocally(id, perSecond);
+        public LimitRevision limitRevision(UpstreamId id) {
+            return limits.revision(id);
+        }
+
+        @Override
+        public void onLimit(UpstreamId id, double perSecond, LimitRevision basis) {
+            limits.observeLocally(id, perSecond, basis);
         }
 
         @Override
--- a/stackhall-server/src/test/java/io/stackhall/server/control/RepeatedOrderAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/control/RepeatedOrderAnswersTest.java
@@ -2,18 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.stackhall.core.id.UpstreamId;
 import io.stackhall.server.fleet.RawHttp;
 import io.stackhall.server.fleet.RepeatedAnswers;
 import io.stackhall.server.fleet.ScriptedUpstream;
-import io.stackhall.server.relay.UpstreamClient;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
@@ -22,7 +14,6 @@
 class RepeatedOrderAnswersTest {
 
     private static final int CALLS = 6;
-    private static final UpstreamId ENGINE = new UpstreamId("i-1", UpstreamId.START_UNKNOWN);
 
     private final AtomicInteger answered = new AtomicInteger();
 
@@ -48,30 +39,13 @@
 
     private static void assertOwnAnswers(Function<RawHttp.Message, String> answers)
             throws Exception {
-        MultiThreadIoEventLoopGroup loops =
-                new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        EventLoop loop = loops.next();
-        try (ScriptedUpstream engine =
-                new ScriptedUpstream(ENGINE.value(), new RepeatedAnswers(1, answers))) {
-            EngineClient client =
-                    new EngineClient(
-                            loop, new UpstreamClient(loop, "X-Request-Id"), () -> true, null);
+        try (EngineCalls calls = new EngineCalls();
+                ScriptedUpstream engine =
+                        new ScriptedUpstream("i-1", new RepeatedAnswers(1, answers))) {
             for (int call = 1; call <= CALLS; call++) {
-                CompletableFuture<String> got = new CompletableFuture<>();
-                loop.execute(
-                        () ->
-                                client.get(
-                                        ENGINE,
-                                        engine.address(),
-                                        "/report",
-                                        (status, body) ->
-                                                got.complete(
-                                                        new String(body, StandardCharsets.UTF_8))));
-                assertThat(got.get(5, TimeUnit.SECONDS)).isEqualTo("answer " + call);
+                String got = new String(calls.get(engine).body(), StandardCharsets.UTF_8);
+                assertThat(got).isEqualTo("answer " + call);
             }
-        } finally {
-            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS)
-                    .await(Duration.ofSeconds(5).toMillis());
         }
     }
 }
