A call to a control host that is too long is refused in its turn

An operator or an upstream that sends several calls on one connection tells their answers by their order. The refusal of a body beyond the bound was written as soon as its head had been read, before the answers to calls in front of it: whoever had put a configuration got 413 for it, while it was committed.

The collector of bodies hands such a call on as one that cannot be read, so that it waits for its turn like all others and is refused by the API.

AnswersOfOneConnectionTest.refusalOfATooLongCallOvertakesTheAnswerToAnEarlierCall failed before (413 came first) and passes.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlApi.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.stackhall.core.config.Finding;
 import io.stackhall.core.fleet.Instance;
 import io.stackhall.core.id.UpstreamId;
@@ -68,6 +69,14 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
         boolean keepAlive = HttpUtil.isKeepAlive(request);
+        if (request.decoderResult().cause() instanceof TooLongHttpContentException tooLong) {
+            answer(
+                    context,
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                    message(tooLong.getMessage()),
+                    keepAlive);
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             answer(context, HttpResponseStatus.BAD_REQUEST, message("not HTTP"), false);
             return;
--- a/stackhall-server/src/main/java/io/stackhall/server/control/ControlChannelInitializer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/ControlChannelInitializer.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.function.Supplier;
@@ -34,7 +33,7 @@
                 .addLast(
                         new IdleStateHandler(0, 0, IDLE_SECONDS),
                         new HttpServerCodec(),
-                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                        new CallAggregator(MAX_REQUEST_BYTES),
                         new CallSequencer(),
                         api.get());
     }
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
@@ -30,6 +30,23 @@
         }
     }
 
+    /** The same for the refusal of a body beyond the bound, behind which further calls come. */
+    @Test
+    void refusalOfATooLongCallOvertakesTheAnswerToAnEarlierCall() throws Exception {
+        String change = ROUTES.replace("\"version\":3", "\"version\":4");
+        String tooLong = "x".repeat(17 << 20);
+        String put = "POST /-/config/put HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n";
+        try (Socket socket = fleet.controlCaller(1)) {
+            String accepted = put.formatted(change.length()) + change;
+            String refused = put.formatted(tooLong.length()) + tooLong;
+            send(socket, accepted + refused + "GET /-/unknown HTTP/1.1\r\nHost: c\r\n\r\n");
+            InputStream in = socket.getInputStream();
+            assertThat(RawHttp.read(in, true).status()).isEqualTo(200);
+            assertThat(RawHttp.read(in, true).status()).isEqualTo(413);
+            assertThat(RawHttp.read(in, true).status()).isEqualTo(404);
+        }
+    }
+
     /** Its caller would wait for a body that never comes, and take the next answer for it. */
     @Test
     void refusalOfAMalformedRequestIsWithoutItsBodyAfterHead() throws Exception {
