A broken answer of a named upstream no longer ends its caller's request

The client of upstreams with a name throws unchecked exceptions where an answer breaks the protocol while its body is read (HttpResponseException), and where a connection ends while a request is written on it (IllegalArgumentException, a buffer that was given back meanwhile). Requests expect an IOException: the thread that served the caller ended with an error, and neither the outcome nor the room at the upstream was recorded.

A body's failure is an IOException now, and a failed send an attempt without an answer. Buffers are not pooled, so that one that is given back too early cannot hold another request's bytes.

AnswerInputTest fails without the wrapper; the races are not in a test.

--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
@@ -106,10 +106,14 @@
 
     /** Sends the request and waits for the head of the answer. */
     public Opening open(long timeoutMillis) {
-        request.send(listener);
         try {
+            request.send(listener);
             Response response = listener.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return opening(response);
+        } catch (RuntimeException e) {
+            // The client throws so where the connection ends while it writes on it.
+            abort(e.toString());
+            return failure(e.toString());
         } catch (TimeoutException e) {
             abort("no answer in time");
             return failure("no answer within " + timeoutMillis + " ms");
@@ -155,7 +159,7 @@
                 response.getStatus(),
                 type == null ? "application/octet-stream" : type,
                 stream == null ? "" : stream,
-                listener.getInputStream());
+                new AnswerInput(listener.getInputStream()));
     }
 
     private static boolean isReadable(Response response) {
--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -54,6 +55,8 @@
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
+        // A request that is broken off gives its buffer back while it may still be written.
+        client.setByteBufferPool(new ByteBufferPool.NonPooling());
         client.getContentDecoderFactories().clear();
         try {
             client.start();
