--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Answers to several requests on one connection of an upstream, an operator or a caller. */
 class AnswersOfOneConnectionTest extends RelayFixture {
@@ -47,6 +49,25 @@
         }
     }
 
+    /** The same for one whose caller asks before it sends the body, or expects something else. */
+    @ParameterizedTest
+    @CsvSource({"100-continue,17825792,413,close", "something,0,404,''"})
+    void refusalOfAnExpectationOvertakesTheAnswerToAnEarlierCall(
+            String expectation, long length, int status, String connection) throws Exception {
+        String change = ROUTES.replace("\"version\":3", "\"version\":4");
+        String post = "POST /-/%s HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n%s\r\n";
+        try (Socket socket = fleet.controlCaller(1)) {
+            String accepted = post.formatted("config/put", change.length(), "") + change;
+            String expecting = "Expect: " + expectation + "\r\n";
+            send(socket, accepted + post.formatted("unknown", length, expecting));
+            InputStream in = socket.getInputStream();
+            assertThat(RawHttp.read(in, true).status()).isEqualTo(200);
+            RawHttp.Message refusal = RawHttp.read(in, true);
+            assertThat(refusal.status()).isEqualTo(status);
+            assertThat(refusal.header("connection")).isEqualTo(connection);
+        }
+    }
+
     /** Its caller would wait for a body that never comes, and take the next answer for it. */
     @Test
     void refusalOfAMalformedRequestIsWithoutItsBodyAfterHead() throws Exception {
