A version is remembered before a host that uses it is missed

Callers could see: a stream of a route with a timeout of a few seconds, begun at a version that has just gone, goes on at another version.

Cause: an entry host counts as out of contact after 4 s. Until then a control host took it for one that knows that the version has gone, and forgot that version after the life of a stream, twice the route's timeout; once the host was missed, the same version counted as used again. Where a host missed the word just before it was lost, the gap is there for lives of less than 8 s.

A version that has gone now counts as used for those 4 s in any case, where there are entry hosts.

ForgottenVersionReplayTest.versionIsForgottenWhileAHostIsNotMissedYet failed before (a life of 4 s, from the 15th second on) and passes. By the replay alone: not brought about with processes.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/EntryHostContacts.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/EntryHostContacts.java
@@ -63,7 +63,8 @@
      * @param goneAt when this host saw the last instance of the version leave
      */
     long lastUse(long goneAt, long now) {
-        long last = goneAt;
+        // A host may be out of contact for this long before it is missed.
+        long last = heardAt.isEmpty() ? goneAt : goneAt + MAX_GAP.toNanos();
         for (Absence absence : ended) {
             last = later(last, absence.lastUse(goneAt));
         }
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
@@ -51,6 +51,18 @@
         assertThat(mayMix()).isTrue();
     }
 
+    /** Short streams were taken up before it was noticed that the host is out of contact. */
+    @Test
+    void versionIsForgottenWhileAHostIsNotMissedYet() {
+        begin();
+        playUntil(10, true);
+        leave();
+        playUntil(12, true);
+        for (; time < 20; playUntil(time + 1, false)) {
+            assertThat(mayMix(Duration.ofSeconds(4))).isTrue();
+        }
+    }
+
     @Test
     void versionThatAHostKnewToBeGoneIsHeldForIt() {
         begin();
@@ -93,7 +105,11 @@
     }
 
     private boolean mayMix() {
-        return versions.seen(Instances.SERVICE, LIFE, nanos()).mayMix();
+        return mayMix(LIFE);
+    }
+
+    private boolean mayMix(Duration life) {
+        return versions.seen(Instances.SERVICE, life, nanos()).mayMix();
     }
 
     private long nanos() {
