An instance that leaves a version behind does not count as its end

No caller was refused for it.

A version counts as gone only while no instance of it is there.

ForgottenVersionReplayTest.versionThatOtherInstancesServeCountsAsGone failed before and passes.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/VersionHistory.java
@@ -86,7 +86,9 @@
      * contact.
      */
     public boolean mayBeUsedUnseen(long now) {
-        return goneAt.values().stream().anyMatch(at -> contacts.lastUse(at, now) - now >= 0);
+        return goneAt.entrySet().stream()
+                .filter(gone -> !presentCounts.containsKey(gone.getKey()))
+                .anyMatch(gone -> contacts.lastUse(gone.getValue(), now) - now >= 0);
     }
 
     /**
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
@@ -63,6 +63,17 @@
         }
     }
 
+    /** Entry hosts would record all streams, for a day, after each restart of an instance. */
+    @Test
+    void versionThatOtherInstancesServeCountsAsGone() {
+        begin();
+        versions.update(Instances.atVersion("i-3", "v1"), nanos());
+        playUntil(10, true);
+        leave();
+        playUntil(MINUTE, false);
+        assertThat(versions.mayBeUsedUnseen(nanos())).isFalse();
+    }
+
     @Test
     void versionThatAHostKnewToBeGoneIsHeldForIt() {
         begin();
