Absences of many entry hosts do not hide that of one

A control host remembers the last 1,000 times in which an entry host was out of contact, and forgot the earlier ones: where the links of a fleet of several hundred hosts fail for some seconds and once more, the absence of a host that had begun streams at a version that was gone was forgotten within the life of these streams, and they could be joined.

Beyond 1,000 the two that ended first are taken for one that holds both, which can only refuse more.

ForgottenVersionReplayTest.absencesOfManyHostsHideThatOfTheHostThatUsedTheVersion failed before (1,001 further absences) and passes.

--- a/stackhall-core/src/main/java/io/stackhall/core/stream/EntryHostContacts.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/stream/EntryHostContacts.java
@@ -28,7 +28,7 @@
     /** A host that is silent for longer is not expected back. */
     private static final Duration MAX_ABSENCE = Duration.ofDays(1);
 
-    /** Bounds the memory; the absences that ended first are forgotten first. */
+    /** Bounds the memory; beyond it, the absences that ended first are taken for one. */
     private static final int MAX_ABSENCES = 1_000;
 
     private final Map<HostId, Long> heardAt = new HashMap<>();
@@ -42,6 +42,12 @@
             boolean missed = goneAt - from >= -MAX_GAP.toNanos();
             return missed ? later(goneAt, until) : goneAt;
         }
+
+        /** Returns a time that holds both. */
+        Absence and(Absence other) {
+            return new Absence(
+                    from - other.from <= 0 ? from : other.from, later(until, other.until));
+        }
     }
 
     /** Records that an entry host is in contact. */
@@ -51,7 +57,7 @@
         if (before != null && now - before > MAX_GAP.toNanos()) {
             ended.addLast(new Absence(before, now + MAX_GAP.toNanos()));
             if (ended.size() > MAX_ABSENCES) {
-                ended.removeFirst();
+                ended.addFirst(ended.removeFirst().and(ended.removeFirst()));
             }
         }
     }
--- a/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/stream/ForgottenVersionReplayTest.java
@@ -74,6 +74,23 @@
         assertThat(versions.mayBeUsedUnseen(nanos())).isFalse();
     }
 
+    /** The links of all hosts of a large fleet may fail for some seconds, and once more. */
+    @Test
+    void absencesOfManyHostsHideThatOfTheHostThatUsedTheVersion() {
+        begin();
+        playUntil(10, true);
+        leave();
+        playUntil(MINUTE, false);
+        versions.inContact(CUT_OFF, nanos());
+        for (int host = 0; host < 1_001; host++) {
+            versions.inContact(new HostId("further-" + host), nanos());
+            versions.inContact(
+                    new HostId("further-" + host), nanos() + Duration.ofSeconds(5).toNanos());
+        }
+        time += 10;
+        assertThat(mayMix()).isTrue();
+    }
+
     @Test
     void versionThatAHostKnewToBeGoneIsHeldForIt() {
         begin();
