Refusals of upstreams are passed on whether they name a challenge or not

Callers of hosts whose settings name their upstreams got an unknown outcome where an upstream had answered 401 or 407 without asking for authentication: the HTTP client wants to authenticate, and fails the answer where it is not told how. It also holds the body of one that does, up to a bound of its own.

The client has nothing to authenticate with; these handlers are off.

UpstreamCallTest.refusalWithoutAChallengeIsNoWholeAnswer failed before for both (reading the body threw) and passes.

--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamClient.java
@@ -4,8 +4,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.client.ProtocolHandlers;
+import org.eclipse.jetty.client.ProxyAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.WWWAuthenticationProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ByteBufferPool;
@@ -67,7 +70,11 @@
         } catch (Exception e) {
             throw new IllegalStateException("cannot start the HTTP client", e);
         }
-        client.getProtocolHandlers().put(new InterimAnswers());
+        ProtocolHandlers handlers = client.getProtocolHandlers();
+        handlers.put(new InterimAnswers());
+        // A refusal is passed on as it came, whether it asks for authentication or not.
+        handlers.remove(WWWAuthenticationProtocolHandler.NAME);
+        handlers.remove(ProxyAuthenticationProtocolHandler.NAME);
         return new UpstreamClient(client, idle);
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/upstreams/UpstreamCallTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/upstreams/UpstreamCallTest.java
@@ -82,6 +82,17 @@
         }
     }
 
+    // Whether it names a challenge is between the upstream and the caller.
+    @ParameterizedTest
+    @CsvSource({"401", "407"})
+    void refusalWithoutAChallengeIsNoWholeAnswer(int status) throws IOException {
+        UpstreamCall.Opening opening =
+                call(exchange -> answer(exchange, attempt(exchange), status, "whole", 5));
+        assertThat(opening).isInstanceOf(UpstreamCall.Opening.Begun.class);
+        InputStream body = ((UpstreamCall.Opening.Begun) opening).body();
+        assertThat(body.readAllBytes()).isEqualTo("whole".getBytes(StandardCharsets.UTF_8));
+    }
+
     @Test
     void upstreamsOwnWordThatItHasNotRunIsTaken() throws IOException {
         UpstreamCall.Opening opening =
