Tests with three hosts wait until these listen

DrainTest failed once in a run of all checks, at a load of 25 on 8 cores: a call to host a was not answered within 20 s. By the kept logs, host a came up 12 s after the first one and stood still for 6 s; a client of operators that is refused tries again only after seconds, so that its tries had not met the host by then. The start now waits until all hosts listen, with the patience of any other condition. Nothing that the test asks of a drained upstream changes.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/Cluster.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/Cluster.java
@@ -11,6 +11,8 @@
 import io.stackhall.server.json.Json;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -126,7 +128,10 @@
         limits.computeIfAbsent(host, name -> new LinkedHashMap<>()).put(key, value);
     }
 
-    /** Writes the settings and starts every host. */
+    /**
+     * Writes the settings, starts every host, and waits until all listen: a client of operators
+     * that is refused comes again only after seconds.
+     */
     public Cluster start() {
         for (Member from : members.values()) {
             for (Member to : members.values()) {
@@ -136,9 +141,18 @@
             }
         }
         members.keySet().forEach(this::startHost);
+        for (Member member : members.values()) {
+            Eventually.holds(member.name + " listens", () -> listens(member.operators));
+        }
         return this;
     }
 
+    private static boolean listens(int port) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            return socket.isConnected();
+        }
+    }
+
     /** Starts a host, again or for the first time. */
     public void startHost(String name) {
         Member member = members.get(name);
