An answer without a body is given no length that its upstream did not name

Callers were told a length of 0 with the answer to HEAD where the upstream named none, and with each 304, also where the upstream named the length of the body that the caller has. Of HEAD that says that the body is empty, and of 304 that what the caller holds is not what is meant.

The writer of answers put in the length of the bytes that follow. Where none follow by the kind of answer, the length is now the upstream's or missing.

BrokenOffAnswersTest.answerWithoutABodyIsGivenALength failed before in its three cases (0 each time) and passes.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Answers.java
@@ -116,15 +116,23 @@
     }
 
     /**
-     * Returns an upstream's answer with its full body, without hop-by-hop headers. The answer to a
-     * HEAD request has no body, and keeps the length that another method would get.
+     * Returns whether an answer has no body, though its length may say something of one that the
+     * caller has already or would get with another method.
+     */
+    static boolean hasNoBody(boolean toHead, HttpResponseStatus status) {
+        return toHead || status.equals(HttpResponseStatus.NOT_MODIFIED);
+    }
+
+    /**
+     * Returns an upstream's answer with its full body, without hop-by-hop headers. One that has no
+     * body keeps the length that it names.
      */
     static FullHttpResponse full(HttpMethod method, HttpResponse head, ByteBuf body) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), body);
         copyHeaders(head.headers(), response.headers());
         String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-        if (method.equals(HttpMethod.HEAD) && length != null) {
+        if (hasNoBody(method.equals(HttpMethod.HEAD), head.status()) && length != null) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         return response;
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -170,7 +170,9 @@
     @Override
     public void writeAnswer(FullHttpResponse response) {
         boolean staysOpen = keepAlive && !gateway.connections().isDraining();
-        if (!HttpUtil.isContentLengthSet(response)) {
+        boolean mayBeUnknown = Answers.hasNoBody(encoder.headRequested(), response.status());
+        boolean lengthKnown = response.content().isReadable() || !mayBeUnknown;
+        if (lengthKnown && !HttpUtil.isContentLengthSet(response)) {
             HttpUtil.setContentLength(response, response.content().readableBytes());
         }
         Answers.setConnection(response, staysOpen);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ResponseEncoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ResponseEncoder.java
@@ -13,6 +13,11 @@
         headRequested = requested;
     }
 
+    /** Returns whether the next answer is that to a HEAD request. */
+    boolean headRequested() {
+        return headRequested;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpResponse answer) {
         return headRequested || super.isContentAlwaysEmpty(answer);
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/BrokenOffAnswersTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -227,6 +228,28 @@
         }
     }
 
+    // A length of 0 took the place of that of the body which the caller has, or asks about.
+    @ParameterizedTest
+    @CsvSource({"HEAD,200,''", "GET,304,''", "GET,304,700"})
+    void answerWithoutABodyIsGivenALength(String method, int status, String length)
+            throws Exception {
+        String told = length.isEmpty() ? "" : "Content-Length: " + length + "\r\n";
+        ScriptedUpstream.Script script =
+                (request, to) ->
+                        to.write(
+                                ("HTTP/1.1 " + status + " X\r\n" + told + "X-Request-Id: ")
+                                        + (request.header("x-request-id") + "\r\n\r\n"));
+        try (ScriptedUpstream upstream = upstream(script);
+                Socket caller = fleet.callerOf(1)) {
+            String request = get("/once/x", "r1").replace("GET", method);
+            caller.getOutputStream().write(ascii(request));
+            RawHttp.Message head = RawHttp.readHead(caller.getInputStream());
+            assertThat(head.status()).isEqualTo(status);
+            assertThat(head.header("content-length")).isEqualTo(length);
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
     // A body or last chunk behind the answer to HEAD was read as the next answer.
     @ParameterizedTest
     @ValueSource(strings = {"/nowhere/x", "/stream/x"})
