Waiting requests of a connection are processed one after the other

A caller that sends some hundred requests behind a slow one on its connection got the first hundred answers, and then nothing more.

Cause: an answer that is written at once goes on with the next waiting request, from within the processing of the one before. The stack of the event loop was full after some hundred, and what was thrown left the connection with its backlog and nobody to go on with it; the same loop serves all other callers.

The answer now leaves the next request to the loop that it was written from.

AnswersOfOneConnectionTest.requestsThatWaitForASlowOneAreLeftUnanswered, with the stacks of the hosts' processes (256 KiB): before, the answers stopped and the read timed out; it passes now.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -68,6 +68,7 @@
     private boolean reading;
     private boolean startPending;
     private boolean moreBytesReceived;
+    private boolean processingBacklog;
     private CallerTimeout timeout;
 
     CallerConnection(Gateway gateway, ResponseEncoder encoder) {
@@ -318,8 +319,17 @@
         if (backlog.isEmpty()) {
             timeout.start(CallerLimits::idleTimeout, this::closeIdle);
         }
-        while (!backlog.isEmpty() && relayed == null && !closing) {
-            process(backlog.pollFirst());
+        if (processingBacklog) {
+            // What calls this has answered a message at once, and goes on with the next.
+            return;
+        }
+        processingBacklog = true;
+        try {
+            while (!backlog.isEmpty() && relayed == null && !closing) {
+                process(backlog.pollFirst());
+            }
+        } finally {
+            processingBacklog = false;
         }
     }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/AnswersOfOneConnectionTest.java
@@ -68,6 +68,34 @@
         }
     }
 
+    /** Each answer was written within the writing of the one before, until the stack was full. */
+    @Test
+    void requestsThatWaitForASlowOneAreLeftUnanswered() throws Exception {
+        String body = "x".repeat(90_000);
+        String post = "POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 90000\r\n\r\n" + body;
+        String waiting = "GET /x HTTP/1.1\r\nHost: c\r\n\r\n".repeat(1_500);
+        ScriptedUpstream.Script slow =
+                (request, to) -> {
+                    pause(1_000);
+                    to.plain(request, 200, "late");
+                };
+        try (ScriptedUpstream upstream = upstream(slow);
+                Socket socket = fleet.callerOf(1)) {
+            socket.setSoTimeout(10_000);
+            InputStream in = socket.getInputStream();
+            for (int times = 0; times < 6; times++) {
+                // The host reads in larger pieces from here on.
+                send(socket, post);
+                assertThat(RawHttp.read(in, true).status()).isEqualTo(404);
+            }
+            send(socket, get("/safe/x", "r1") + waiting);
+            for (int answer = 0; answer <= 1_500; answer++) {
+                assertThat(RawHttp.read(in, true).startLine()).startsWith("HTTP/1.1 ");
+            }
+            assertThat(upstream.requests()).hasSize(1);
+        }
+    }
+
     /** Its caller would wait for a body that never comes, and take the next answer for it. */
     @Test
     void refusalOfAMalformedRequestIsWithoutItsBodyAfterHead() throws Exception {
