A request whose target is a whole URI is routed by its authority

What callers saw: a proper request with a target in absolute form was answered 404.

Cause: the target was matched with the path prefixes of the routes as it had come, and the host was taken from the Host header alone. RFC 9112, section 3.2.2, has servers accept the form, ignore the Host header and go by the target.

Why the fix works: the decoder replaces the target by its path and query, and the Host header by its authority, before anything else sees the request. So routes, keys, fingerprints, logs and the upstream all go by the same name. An empty path is "/", or "*" to OPTIONS. A target that the method does not allow, or that has user information, a fragment, no host or a broken port, is 400. Another scheme is 421, as RFC 9110, section 7.4, has it. Both rest on the request alone, so no quorum is asked. CONNECT takes an authority with a port and no path, which was relayed before; like "OPTIONS *" it leads nowhere, and is still denied with 404.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -245,6 +245,8 @@
             if (cause instanceof TooLongHttpHeaderException) {
                 rejectTooLarge(
                         HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too long");
+            } else if (cause instanceof RequestDecoder.MisdirectedException) {
+                reject(rejections.misdirected(cause.getMessage()));
             } else {
                 reject(rejections.malformed(String.valueOf(cause.getMessage())));
             }
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerRequest.java
@@ -17,11 +17,12 @@
 import java.util.OptionalLong;
 
 /**
- * A caller's request as received.
+ * A caller's request as received; of a target that is a whole URI, the path is left, and the
+ * authority has become the Host header.
  *
  * @param method its HTTP method
- * @param target its path and query, unchanged
- * @param headers its headers, unchanged
+ * @param target its path and query
+ * @param headers its headers
  * @param body its complete body
  * @param arrivedAt when its head had been received, in nanoseconds of {@code BootClock}
  */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RejectionAnswers.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RejectionAnswers.java
@@ -24,6 +24,11 @@
         return denied(HttpResponseStatus.BAD_REQUEST, "malformed", reason);
     }
 
+    /** Returns the answer to a request for what is served elsewhere, if at all. */
+    FullHttpResponse misdirected(String reason) {
+        return denied(HttpResponseStatus.MISDIRECTED_REQUEST, "misdirected", reason);
+    }
+
     /** Returns the answer to a request that is larger than a limit allows. */
     FullHttpResponse tooLarge(HttpResponseStatus status, String reason) {
         return denied(status, "too-large", reason);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/RequestDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -13,13 +14,16 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.stackhall.core.route.RequestTarget;
+import io.stackhall.core.route.RequestTargetParser;
 import java.util.List;
 import java.util.function.IntSupplier;
 
 /**
  * Decodes callers' requests. A head is held to the limit that is in force when it arrives, as a
  * connection outlives configurations. Rejects a request with both a length and a chunked encoding,
- * whose end is ambiguous.
+ * whose end is ambiguous. A whole URI as the target is replaced by its path, and its authority
+ * takes the place of the Host header (RFC 9112, section 3.2.2).
  */
 final class RequestDecoder extends HttpRequestDecoder {
 
@@ -64,6 +68,9 @@
         if (inHead) {
             headBytes += in.readerIndex() - start;
             checkHead(in, out, decoded);
+            if (out.size() > decoded) {
+                resolveTarget((HttpRequest) out.get(decoded));
+            }
         }
         if (out.size() > decoded) {
             inHead = out.getLast() instanceof LastHttpContent;
@@ -102,10 +109,39 @@
         return line <= limit && headBytes - line - lineEnds <= limit;
     }
 
+    private static void resolveTarget(HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            return;
+        }
+        switch (RequestTargetParser.parse(request.method().name(), request.uri())) {
+            case RequestTarget.Plain() -> {
+                // Names its host in the Host header, if at all.
+            }
+            case RequestTarget.Absolute(String authority, String path) -> {
+                request.setUri(path);
+                request.headers().set(HttpHeaderNames.HOST, authority);
+            }
+            case RequestTarget.OtherScheme() ->
+                    request.setDecoderResult(DecoderResult.failure(new MisdirectedException()));
+            case RequestTarget.Malformed() ->
+                    request.setDecoderResult(
+                            DecoderResult.failure(new DecoderException("the target is malformed")));
+        }
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         message.setDecoderResult(
                 DecoderResult.failure(
                         new DecoderException("both a length and a chunked encoding")));
     }
+
+    /** A request for a URI that is not served on a connection of this kind. */
+    static final class MisdirectedException extends DecoderException {
+        private static final long serialVersionUID = 1L;
+
+        MisdirectedException() {
+            super("the scheme of the target is not served here");
+        }
+    }
 }
