A stream is remembered for as long as its caller says that it waits

What callers saw: a caller that waits for longer than twice its route's timeout, and comes late since all hosts were away meanwhile, was refused its stream though upstreams of its version served.

Cause: origins were kept for twice the route's timeout from the last first event, whatever the caller had said in its deadline; the timeout bounds one answer, not all of a caller's tries. A single version was proved for that time only as well, so that by reading a late caller's stream could pass for one of the next version; that was not brought about with processes.

The life of a stream is now the caller's deadline where that is longer, two minutes at most, for the record and for the proof alike.

--- a/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/route/Route.java
@@ -39,6 +39,9 @@
         Duration callerTimeout,
         boolean open) {
 
+    /** Bounds for how long a caller can have its streams remembered. */
+    private static final Duration MAX_CALLER_WAIT = Duration.ofMinutes(2);
+
     /** Copies the split. */
     public Route {
         split = List.copyOf(split);
@@ -55,10 +58,14 @@
     /**
      * Returns the longest time from the first event of a stream to the moment at which its caller
      * takes it up: one answer lasts as long as the timeout, and so may the one that goes on with
-     * it.
+     * it. A caller that waits for longer may come for as long as it waits.
+     *
+     * @param callerWait how long the caller says that it waits
      */
-    public Duration maxStreamLife() {
-        return timeout.multipliedBy(2);
+    public Duration maxStreamLife(Duration callerWait) {
+        Duration twoAnswers = timeout.multipliedBy(2);
+        Duration wait = callerWait.compareTo(MAX_CALLER_WAIT) < 0 ? callerWait : MAX_CALLER_WAIT;
+        return wait.compareTo(twoAnswers) > 0 ? wait : twoAnswers;
     }
 
     /** Returns whether some of its requests go to a service. */
--- a/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
+++ b/stackhall-core/src/test/java/io/stackhall/core/route/RouteTableTest.java
@@ -29,6 +29,15 @@
         assertThat(shared.onlyService()).isEmpty();
     }
 
+    // Streams were forgotten while their callers still waited.
+    @Test
+    void streamMayBeTakenUpForAsLongAsItsCallerWaits() {
+        Route route = route("a", "/a/", 1);
+        assertThat(route.maxStreamLife(Duration.ZERO)).isEqualTo(Duration.ofSeconds(2));
+        assertThat(route.maxStreamLife(Duration.ofSeconds(20))).isEqualTo(Duration.ofSeconds(20));
+        assertThat(route.maxStreamLife(Duration.ofDays(1))).isEqualTo(Duration.ofMinutes(2));
+    }
+
     @Test
     void longestPrefixOfTheHostWins() {
         RouteTable table =
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamBinding.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamBinding.java
@@ -6,6 +6,7 @@
 import io.stackhall.core.stream.StreamKey;
 import io.stackhall.core.stream.StreamOrigin;
 import io.stackhall.core.stream.TakeUp;
+import java.time.Duration;
 import java.util.function.Consumer;
 
 /** Keeps the stream of one request at the software that brought its first event. */
@@ -29,7 +30,7 @@
 
     /** Finds out whether the stream that the request takes up goes on. */
     void inquire(Consumer<TakeUp> decided) {
-        origins.inquire(request.resumedId().map(StreamKey::of), route, decided);
+        origins.inquire(request.resumedId().map(StreamKey::of), route, maxLife(), decided);
     }
 
     /**
@@ -49,11 +50,15 @@
         StreamOrigin origin = new StreamOrigin(instance.service(), instance.software().get());
         String firstAttempt = request.resumedId().orElseGet(request::id);
         if (!firstAttempt.isEmpty()) {
-            origins.begun(StreamKey.of(firstAttempt), origin, route);
+            origins.begun(StreamKey.of(firstAttempt), origin, maxLife());
         }
         return need.atVersion(origin.software());
     }
 
+    private Duration maxLife() {
+        return route.maxStreamLife(Duration.ofMillis(request.deadlineMillis().orElse(0)));
+    }
+
     /** Returns whether another instance may go on with the stream after its first event. */
     boolean mayGoOn(Need need) {
         return !begun || need.software().isPresent();
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/StreamOriginClient.java
@@ -117,10 +117,10 @@
     /**
      * Records the first event of a stream, or of its continuation.
      *
-     * @param route the route of its request
+     * @param keep how long its caller may still take it up
      */
-    void begun(StreamKey key, StreamOrigin origin, Route route) {
-        tellHolders(ledger.begun(key, origin, route.maxStreamLife(), BootClock.nanos()));
+    void begun(StreamKey key, StreamOrigin origin, Duration keep) {
+        tellHolders(ledger.begun(key, origin, keep, BootClock.nanos()));
     }
 
     /**
@@ -128,8 +128,9 @@
      * knows the stream, otherwise once control hosts have answered.
      *
      * @param key the stream, if its caller says which one it is
+     * @param life the longest time since the stream can have begun
      */
-    void inquire(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided) {
+    void inquire(Optional<StreamKey> key, Route route, Duration life, Consumer<TakeUp> decided) {
         long now = BootClock.nanos();
         OriginLookup own =
                 key.map(stream -> ledger.find(stream, now)).orElseGet(OriginLookup.Unknown::new);
@@ -139,13 +140,17 @@
             case OriginLookup.Contradictory() ->
                     decided.accept(new TakeUp.Refused(TakeUp.Reason.CONTRADICTORY));
             case OriginLookup.Unknown() ->
-                    ask(key, route, takeUp -> decided.accept(takeUp.on(route)), now);
+                    ask(key, route, life, takeUp -> decided.accept(takeUp.on(route)), now);
         }
     }
 
-    private void ask(Optional<StreamKey> key, Route route, Consumer<TakeUp> decided, long now) {
+    private void ask(
+            Optional<StreamKey> key,
+            Route route,
+            Duration life,
+            Consumer<TakeUp> decided,
+            long now) {
         Optional<ServiceName> service = route.onlyService();
-        Duration life = route.maxStreamLife();
         VersionsSeen seen =
                 service.map(name -> ledger.seen(name, life, now)).orElseGet(VersionsSeen::nothing);
         OriginInquiry inquiry = new OriginInquiry(service, life, seen, controlHosts.known());
