Streams of the soak are sent a second time, and copies are cut in their heads

A host has to tell answers apart on streams as well, and must not believe a head that joins two answers. The soak's streams answered once, and no copy was cut, so that nothing there would have seen either.

The upstream that breaks off streams has the server of the others now: one in four answers on a used connection comes behind a copy of an earlier one, and one in four of these copies is cut within its head. An upstream that asks for something knows that nobody hears the answer behind such a copy. Events name the stream that they belong to, and what a caller has got of a stream has to be a beginning of one stream of its own, also where it is not complete.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/AskingUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/AskingUpstream.java
@@ -121,16 +121,16 @@
         return (now - begun) / TURN_NANOS % 2 == 1;
     }
 
-    private RepeatingServer.Answer answer(String path) {
+    private RepeatingServer.Answer answer(RepeatingServer.Request request) {
         long now = System.nanoTime();
-        boolean asks = asks(now);
+        boolean asks = asks(now) && !request.spoiled();
+        String path = request.path();
         came.add(new Came(path.substring(path.lastIndexOf('/') + 1), now, life(now), asks));
         if (!asks) {
-            return new RepeatingServer.Answer(200);
+            return new RepeatingServer.Plain(200);
         }
         return kind == Kind.REST
-                ? new RepeatingServer.Answer(
-                        503, RunLog.NOT_RUN, "Retry-After: " + REST.toSeconds())
-                : new RepeatingServer.Answer(200, "Server-Leaving: 1");
+                ? new RepeatingServer.Plain(503, RunLog.NOT_RUN, "Retry-After: " + REST.toSeconds())
+                : new RepeatingServer.Plain(200, "Server-Leaving: 1");
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/BreakingUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/BreakingUpstream.java
@@ -1,57 +1,39 @@
 package io.stackhall.tests.harness;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Random;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * An upstream whose streams it frames in different ways, and of which it breaks off a share within
- * an event. What another one has begun it finishes whole. Each event names its software.
+ * an event. What another one has begun it finishes whole. Each event names its software and its
+ * stream.
  */
 final class BreakingUpstream implements AutoCloseable {
 
     static final String SERVICE = "breaking";
 
-    private static final int EVENTS = 3;
+    /** What ends the id of a request that takes up a stream, behind the id of that stream. */
+    static final String AGAIN = "-again";
 
-    /** Between the two halves of an answer, so that hosts end in the middle of streams. */
-    private static final long PAUSE_MILLIS = 20;
+    private static final int EVENTS = 3;
 
     /** One in so many streams that begin here is broken off. */
     private static final int BROKEN_SHARE = 3;
 
-    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final Heartbeats heartbeats;
     private final AtomicLong brokenOff = new AtomicLong();
     private final String name;
     private final String software;
     private final Random random;
-    private final ServerSocket server;
+    private final RepeatingServer server;
 
-    /** How the end of an answer is told. */
-    private enum Framing {
-        LENGTH,
-        CHUNKS,
-        CONNECTION
-    }
-
-    BreakingUpstream(String name, String software, long seed) throws IOException {
+    BreakingUpstream(String name, String software, long seed, RunLog runs) throws IOException {
         this.name = name;
         this.software = software;
         this.heartbeats = new Heartbeats(SERVICE, software);
         this.random = new Random(seed);
-        this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        threads.submit(this::accept);
+        this.server = new RepeatingServer(seed, runs, this::answer);
     }
 
     String name() {
@@ -60,7 +42,7 @@
 
     /** Returns what it says of itself. */
     String heartbeat() {
-        return heartbeats.next(server.getLocalPort());
+        return heartbeats.next(server.port());
     }
 
     /** Returns how many streams it has broken off. */
@@ -70,96 +52,34 @@
 
     @Override
     public void close() {
-        threads.shutdownNow();
-        try {
-            server.close();
-        } catch (IOException e) {
-            // Nobody listens any more in either case.
-        }
-    }
-
-    private Void accept() throws IOException {
-        while (true) {
-            Socket socket = server.accept();
-            threads.submit(() -> serve(socket));
-        }
-    }
-
-    private Void serve(Socket socket) throws IOException {
-        try (socket) {
-            BufferedReader in =
-                    new BufferedReader(
-                            new InputStreamReader(
-                                    socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            while (in.readLine() != null) {
-                String id = "";
-                int lastEvent = 0;
-                for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
-                    String header = line.toLowerCase(Locale.ROOT);
-                    String value = line.substring(line.indexOf(':') + 1).strip();
-                    if (header.startsWith("x-request-id:")) {
-                        id = value;
-                    } else if (header.startsWith("last-event-id:")) {
-                        lastEvent = Integer.parseInt(value);
-                    }
-                }
-                answer(socket, id, lastEvent);
-            }
-        }
-        return null;
+        server.close();
     }
 
-    private void answer(Socket socket, String id, int lastEvent) throws IOException {
-        Framing framing = Framing.values()[draw(Framing.values().length)];
-        String body = stream(software).substring(lastEvent * event(1, software).length());
-        boolean breaksOff = lastEvent == 0 && draw(BROKEN_SHARE) == 0;
-        if (breaksOff) {
-            brokenOff.incrementAndGet();
-            int within = 1 + draw(event(1, software).length() - 1);
-            body = body.substring(0, draw(EVENTS) * event(1, software).length() + within);
-        }
-        OutputStream out = socket.getOutputStream();
-        byte[] message = message(framing, id, body).getBytes(StandardCharsets.ISO_8859_1);
-        out.write(message, 0, message.length / 2);
-        out.flush();
-        Eventually.pause(PAUSE_MILLIS);
-        out.write(message, message.length / 2, message.length - message.length / 2);
-        out.flush();
-        if (breaksOff && draw(2) == 0) {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        } else if (framing == Framing.CONNECTION) {
-            socket.close();
+    private synchronized RepeatingServer.Answer answer(RepeatingServer.Request request) {
+        RepeatingServer.Framing[] framings = RepeatingServer.Framing.values();
+        RepeatingServer.Framing framing = framings[random.nextInt(framings.length)];
+        String id = request.id().replace(AGAIN, "");
+        int event = event(1, software, id).length();
+        String body = stream(software, id).substring(request.lastEvent() * event);
+        if (request.lastEvent() > 0 || random.nextInt(BROKEN_SHARE) > 0) {
+            return new RepeatingServer.Stream(framing, body, false);
         }
+        brokenOff.incrementAndGet();
+        int within = 1 + random.nextInt(event - 1);
+        String part = body.substring(0, random.nextInt(EVENTS) * event + within);
+        return new RepeatingServer.Stream(framing, part, random.nextBoolean());
     }
 
-    private static String message(Framing framing, String id, String body) {
-        String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id;
-        return switch (framing) {
-            case LENGTH -> head + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-            case CHUNKS -> head + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(body);
-            case CONNECTION -> head + "\r\n\r\n" + body;
-        };
-    }
-
-    private static String chunks(String body) {
-        return Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
-    }
-
-    /** Returns the whole stream that each request asks for, from one version of the software. */
-    static String stream(String software) {
+    /** Returns the whole stream that a request asks for, from one version of the software. */
+    static String stream(String software, String id) {
         StringBuilder stream = new StringBuilder();
         for (int number = 1; number <= EVENTS; number++) {
-            stream.append(event(number, software));
+            stream.append(event(number, software, id));
         }
         return stream.toString();
     }
 
-    private static String event(int number, String software) {
-        return "id: " + number + "\ndata: " + software + "\n\n";
-    }
-
-    private synchronized int draw(int bound) {
-        return random.nextInt(bound);
+    private static String event(int number, String software, String id) {
+        return "id: " + number + "\ndata: " + software + " " + id + "\n\n";
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
@@ -3,22 +3,18 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 
 /**
  * Callers of streams of which upstreams break off a share, and which they take up again at another
- * host: what looks complete must be whole, and no stream may hold events of two versions.
+ * host: what looks complete must be whole, and no stream may hold events of another caller, of two
+ * versions, or out of their order.
  */
 final class BrokenStreams implements AutoCloseable {
 
     private static final int OK = 200;
     private static final String PATH = "/breaking/x";
-    private static final Pattern WHOLE_DATA = Pattern.compile("data: (v\\d)");
 
     /** What one has broken off, another of its version goes on with. */
     private static final List<String> SOFTWARE = List.of("v1", "v1", "v2", "v2");
@@ -30,11 +26,12 @@
     private final AtomicLong wentOn = new AtomicLong();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
 
-    BrokenStreams(SeededHosts hosts, long seed) throws IOException {
+    BrokenStreams(SeededHosts hosts, long seed, RunLog runs) throws IOException {
         this.hosts = hosts;
         for (int number = 1; number <= SOFTWARE.size(); number++) {
             String software = SOFTWARE.get(number - 1);
-            upstreams.add(hosts.startBreaking("i-breaking-" + number, software, seed + number));
+            upstreams.add(
+                    hosts.startBreaking("i-breaking-" + number, software, seed + number, runs));
         }
     }
 
@@ -49,7 +46,7 @@
             complete =
                     read(
                             1 + host % TroubledHosts.ENTRY_HOSTS,
-                            id + "-again",
+                            id + BreakingUpstream.AGAIN,
                             lines,
                             "Last-Event-Id",
                             Long.toString(events),
@@ -85,19 +82,14 @@
     }
 
     private void check(String id, List<String> lines, boolean complete) {
-        Set<String> software =
-                lines.stream()
-                        .map(WHOLE_DATA::matcher)
-                        .filter(Matcher::matches)
-                        .map(data -> data.group(1))
-                        .collect(Collectors.toSet());
-        if (software.size() > 1) {
-            broken.add(id + " holds events of " + software + ": " + lines);
+        String text = lines.isEmpty() ? "" : String.join("\n", lines) + "\n";
+        List<String> own = SOFTWARE.stream().map(one -> BreakingUpstream.stream(one, id)).toList();
+        if (own.stream().noneMatch(stream -> stream.startsWith(text))) {
+            broken.add(id + " holds what is no part of one stream of its own: " + lines);
         }
         if (complete) {
             whole.incrementAndGet();
-            String text = String.join("\n", lines) + "\n";
-            if (SOFTWARE.stream().noneMatch(one -> text.equals(BreakingUpstream.stream(one)))) {
+            if (!own.contains(text)) {
                 broken.add(id + " looks complete, with " + text);
             }
         }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -87,7 +87,7 @@
         for (AskingUpstream.Kind kind : AskingUpstream.Kind.values()) {
             asking.add(hosts.startAsking(kind, seed, runs));
         }
-        streams = new BrokenStreams(hosts, seed);
+        streams = new BrokenStreams(hosts, seed, runs);
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             threads.submit(() -> callStreams(host));
@@ -316,14 +316,14 @@
     }
 
     /** Answers of requests that may not be repeated differ, so that each is told by its status. */
-    private synchronized RepeatingServer.Answer answer(String path) {
-        if (!path.equals(SoakConfiguration.ONCE)) {
-            return new RepeatingServer.Answer(200);
+    private synchronized RepeatingServer.Answer answer(RepeatingServer.Request request) {
+        if (!request.path().equals(SoakConfiguration.ONCE)) {
+            return new RepeatingServer.Plain(200);
         }
         if (answers.nextInt(REFUSED_SHARE) == 0) {
-            return new RepeatingServer.Answer(503, RunLog.NOT_RUN);
+            return new RepeatingServer.Plain(503, RunLog.NOT_RUN);
         }
-        return new RepeatingServer.Answer(answers.nextInt(FAILED_SHARE) == 0 ? 500 : 200);
+        return new RepeatingServer.Plain(answers.nextInt(FAILED_SHARE) == 0 ? 500 : 200);
     }
 
     private void later(int millis, Runnable task) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/LimitedUpstream.java
@@ -59,8 +59,8 @@
         server.close();
     }
 
-    private RepeatingServer.Answer answer(String path) {
+    private RepeatingServer.Answer answer(RepeatingServer.Request request) {
         arrivals.add(System.nanoTime());
-        return new RepeatingServer.Answer(200, "Server-Limit: " + PER_SECOND);
+        return new RepeatingServer.Plain(200, "Server-Limit: " + PER_SECOND);
     }
 }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RepeatingServer.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RepeatingServer.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -17,19 +18,27 @@
 
 /**
  * Serves requests without bodies, and sends a share of its answers a second time on their
- * connection: in the place of a later one, or right behind themselves. Each body names its run.
+ * connection: in the place of a later one, whole or cut in its head, or right behind themselves.
  */
 final class RepeatingServer implements AutoCloseable {
 
     /** One in so many answers is preceded by a copy of an earlier one. */
     private static final int LATE_SHARE = 4;
 
+    /** One in so many of these copies is cut within its head. */
+    private static final int CUT_SHARE = 4;
+
     /** One in so many answers is followed by its copy at once. */
     private static final int AT_ONCE_SHARE = 16;
 
     /** By how many answers a copy is late at most. */
     private static final int MOST_LATE = 6;
 
+    /** Between the two halves of a stream, so that hosts end in the middle of it. */
+    private static final long PAUSE_MILLIS = 20;
+
+    private static final String END_OF_HEAD = "\r\n\r\n";
+
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private final Random random;
     private final RunLog runs;
@@ -39,16 +48,42 @@
     /** Decides what a request is answered. */
     @FunctionalInterface
     interface Handler {
-        /** Returns the answer to a request for a path. */
-        Answer answer(String path);
+        /** Returns the answer to a request. */
+        Answer answer(Request request);
     }
 
     /**
-     * An answer.
+     * A request.
+     *
+     * @param id empty if it has none
+     * @param lastEvent the number of the event after which a stream goes on, 0 if it begins
+     * @param spoiled whether its answer comes behind a copy that is cut, so that no host hears it
+     */
+    record Request(String path, String id, int lastEvent, boolean spoiled) {}
+
+    /** An answer. */
+    sealed interface Answer {}
+
+    /**
+     * An answer whose body names its run.
      *
      * @param headers whole header lines without their ends
      */
-    record Answer(int status, String... headers) {}
+    record Plain(int status, String... headers) implements Answer {}
+
+    /**
+     * A stream, of which the second half is sent somewhat later.
+     *
+     * @param reset whether its connection is reset after it
+     */
+    record Stream(Framing framing, String body, boolean reset) implements Answer {}
+
+    /** How the end of a stream is told. */
+    enum Framing {
+        LENGTH,
+        CHUNKS,
+        CONNECTION
+    }
 
     RepeatingServer(long seed, RunLog runs, Handler handler) throws IOException {
         this.random = new Random(seed);
@@ -88,10 +123,13 @@
                                     socket.getInputStream(), StandardCharsets.ISO_8859_1));
             List<String> sent = new ArrayList<>();
             for (String first = in.readLine(); first != null; first = in.readLine()) {
-                String answer = answer(path(first), readId(in));
-                String bytes = lateCopy(sent) + answer + (draw(AT_ONCE_SHARE) == 0 ? answer : "");
-                sent.add(answer);
-                socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+                String copy = lateCopy(sent);
+                boolean spoils = !copy.isEmpty() && !copy.contains(END_OF_HEAD);
+                Request request = readHeaders(path(first), in, spoils);
+                Answer answer = handler.answer(request);
+                String bytes = bytes(request, answer);
+                sent.add(bytes);
+                send(socket, answer, copy + bytes, bytes);
             }
         }
         return null;
@@ -101,34 +139,92 @@
         return requestLine.substring(requestLine.indexOf(' ') + 1, requestLine.lastIndexOf(' '));
     }
 
-    /** Reads the headers, and returns the id of the request. */
-    private static String readId(BufferedReader in) throws IOException {
+    private static Request readHeaders(String path, BufferedReader in, boolean spoiled)
+            throws IOException {
         String id = "";
+        int lastEvent = 0;
         for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
-            if (line.toLowerCase(Locale.ROOT).startsWith("x-request-id:")) {
-                id = line.substring(line.indexOf(':') + 1).strip();
+            String header = line.toLowerCase(Locale.ROOT);
+            String value = line.substring(line.indexOf(':') + 1).strip();
+            if (header.startsWith("x-request-id:")) {
+                id = value;
+            } else if (header.startsWith("last-event-id:")) {
+                lastEvent = Integer.parseInt(value);
             }
         }
-        return id;
+        return new Request(path, id, lastEvent, spoiled);
+    }
+
+    private String bytes(Request request, Answer answer) {
+        String echo = request.id().isEmpty() ? "" : "X-Request-Id: " + request.id() + "\r\n";
+        return switch (answer) {
+            case Plain plain -> bytes(request, plain, echo);
+            case Stream stream ->
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                            + echo
+                            + framed(stream);
+        };
     }
 
-    private String answer(String path, String id) {
-        Answer answer = handler.answer(path);
+    private String bytes(Request request, Plain answer, String echo) {
         boolean ran = Arrays.stream(answer.headers()).noneMatch(RunLog.NOT_RUN::equals);
-        String body = runs.add(path, id, answer.status(), ran);
-        StringBuilder head = new StringBuilder("HTTP/1.1 " + answer.status() + " Drawn\r\n");
-        if (!id.isEmpty()) {
-            head.append("X-Request-Id: ").append(id).append("\r\n");
-        }
+        String body = runs.add(request.path(), request.id(), answer.status(), ran);
+        StringBuilder head =
+                new StringBuilder("HTTP/1.1 " + answer.status() + " Drawn\r\n").append(echo);
         for (String header : answer.headers()) {
             head.append(header).append("\r\n");
         }
-        return head.append("Content-Length: ").append(body.length()).append("\r\n\r\n") + body;
+        return head.append("Content-Length: ").append(body.length()).append(END_OF_HEAD) + body;
+    }
+
+    private static String framed(Stream stream) {
+        String body = stream.body();
+        return switch (stream.framing()) {
+            case LENGTH -> "Content-Length: " + body.length() + END_OF_HEAD + body;
+            case CHUNKS ->
+                    "Transfer-Encoding: chunked"
+                            + END_OF_HEAD
+                            + Integer.toHexString(body.length())
+                            + "\r\n"
+                            + body
+                            + "\r\n0"
+                            + END_OF_HEAD;
+            case CONNECTION -> "\r\n" + body;
+        };
+    }
+
+    /** Sends an answer with what comes before it, or ends its connection, or repeats it. */
+    private void send(Socket socket, Answer answer, String text, String copy) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        String behind = draw(AT_ONCE_SHARE) == 0 ? copy : "";
+        switch (answer) {
+            case Plain plain -> out.write(latin(text + behind));
+            case Stream stream -> {
+                boolean ends = stream.reset() || stream.framing() == Framing.CONNECTION;
+                out.write(latin(text.substring(0, text.length() / 2)));
+                Eventually.pause(PAUSE_MILLIS);
+                out.write(latin(text.substring(text.length() / 2) + (ends ? "" : behind)));
+                if (stream.reset()) {
+                    socket.setSoLinger(true, 0);
+                }
+                if (ends) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private static byte[] latin(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
     private String lateCopy(List<String> sent) {
-        int late = 1 + draw(MOST_LATE);
-        return late <= sent.size() && draw(LATE_SHARE) == 0 ? sent.get(sent.size() - late) : "";
+        if (sent.isEmpty() || draw(LATE_SHARE) > 0) {
+            return "";
+        }
+        String copy = sent.get(sent.size() - 1 - draw(Math.min(MOST_LATE, sent.size())));
+        int head = copy.indexOf(END_OF_HEAD);
+        return draw(CUT_SHARE) == 0 ? copy.substring(0, 1 + draw(head)) : copy;
     }
 
     private synchronized int draw(int bound) {
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SeededHosts.java
@@ -134,8 +134,9 @@
     }
 
     /** Starts an upstream that breaks off a share of its streams. */
-    BreakingUpstream startBreaking(String name, String software, long seed) throws IOException {
-        BreakingUpstream started = new BreakingUpstream(name, software, seed);
+    BreakingUpstream startBreaking(String name, String software, long seed, RunLog log)
+            throws IOException {
+        BreakingUpstream started = new BreakingUpstream(name, software, seed, log);
         heartbeats.scheduleAtFixedRate(
                 () -> heartbeat(started.name(), started.heartbeat()),
                 0,
