The soak holds each denial against the history of configurations

A caller does not come again after 400, 401, 403, 404, 413, 414 or 431, so that a host may answer these only where every configuration that could be in force says so. The soak looked at 404 on one route of all configurations, and on added ones at hosts in calm times; other statuses and routes passed.

Each answer of such a status is now held against the changes that have been acknowledged: the only one that is right is 404 on an added route whose change was not acknowledged, or less than 2 s before the try. That holds for hosts out of touch as well, which have to refuse with a retry delay. The history is a type of its own; the checks that were there go on as they were.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/BrokenStreams.java
@@ -9,7 +9,7 @@
 /**
  * Callers of streams of which upstreams break off a share, and which they take up again at another
  * host: what looks complete must be whole, and no stream may hold events of another caller, of two
- * versions, or out of their order.
+ * versions, or out of their order. No configuration denies them.
  */
 final class BrokenStreams implements AutoCloseable {
 
@@ -20,14 +20,17 @@
     private static final List<String> SOFTWARE = List.of("v1", "v1", "v2", "v2");
 
     private final SeededHosts hosts;
+    private final ChangeHistory changes;
     private final List<BreakingUpstream> upstreams = new ArrayList<>();
     private final AtomicLong whole = new AtomicLong();
     private final AtomicLong takenUp = new AtomicLong();
     private final AtomicLong wentOn = new AtomicLong();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
 
-    BrokenStreams(SeededHosts hosts, long seed, RunLog runs) throws IOException {
+    BrokenStreams(SeededHosts hosts, long seed, RunLog runs, ChangeHistory changes)
+            throws IOException {
         this.hosts = hosts;
+        this.changes = changes;
         for (int number = 1; number <= SOFTWARE.size(); number++) {
             String software = SOFTWARE.get(number - 1);
             upstreams.add(
@@ -69,6 +72,9 @@
             if (status != OK) {
                 received.clear();
             }
+            if (changes.isWrongDenial(status, PATH, System.nanoTime())) {
+                broken.add(id + " was denied with " + status);
+            }
             return status == OK;
         } catch (IOException e) {
             // It says that it is not complete.
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/FaultSoak.java
@@ -5,14 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Real processes under trouble from outside that a seed draws: kills, freezes, stops and hang-ups
@@ -31,9 +28,6 @@
     /** A host that was disturbed, or whose group was, is held to times only after this. */
     private static final Duration CONTACT = Duration.ofSeconds(4);
 
-    /** The time within which an acknowledged change has to be in force. */
-    private static final Duration APPLIED = Duration.ofSeconds(2);
-
     /** One in so many requests that may not be repeated is refused, and so many others fail. */
     private static final int REFUSED_SHARE = 16;
 
@@ -45,8 +39,7 @@
     private final Random random;
     private final SeededHosts hosts;
     private final TroubledHosts trouble;
-    private final Map<Long, Long> acknowledgedAt = new ConcurrentHashMap<>();
-    private final AtomicLong acknowledged = new AtomicLong();
+    private final ChangeHistory changes = new ChangeHistory();
     private final AtomicBoolean over = new AtomicBoolean();
     private final ConcurrentLinkedQueue<String> broken = new ConcurrentLinkedQueue<>();
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -65,7 +58,7 @@
         this.random = new Random(seed);
         this.hosts = new SeededHosts(folder);
         this.trouble = new TroubledHosts(hosts, folder);
-        this.calls = new SoakCalls(hosts, trouble, runs, broken);
+        this.calls = new SoakCalls(hosts, trouble, runs, changes, broken);
         this.answers = new Random(seed);
     }
 
@@ -87,7 +80,7 @@
         for (AskingUpstream.Kind kind : AskingUpstream.Kind.values()) {
             asking.add(hosts.startAsking(kind, seed, runs));
         }
-        streams = new BrokenStreams(hosts, seed, runs);
+        streams = new BrokenStreams(hosts, seed, runs, changes);
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             threads.submit(() -> callStreams(host));
@@ -184,7 +177,7 @@
             trouble.start(name, false);
         }
         Eventually.holds("change after all", this::change);
-        long newest = acknowledged.get();
+        long newest = changes.newest();
         for (int number = 1; number <= TroubledHosts.ENTRY_HOSTS; number++) {
             int host = number;
             Eventually.holds(
@@ -215,8 +208,7 @@
             Thread.currentThread().interrupt();
             return false;
         }
-        acknowledgedAt.put(next, System.nanoTime());
-        acknowledged.accumulateAndGet(next, Math::max);
+        changes.acknowledged(next);
         return true;
     }
 
@@ -228,7 +220,7 @@
             long lifeNow = trouble.life(name);
             obeyed = lifeNow == life ? obeyed : 0;
             life = lifeNow;
-            long asked = acknowledged.get();
+            long asked = changes.newest();
             long sentAt = System.nanoTime();
             int base = calls.statusOrCut(host, "/base/x", name, sentAt);
             int newest = calls.statusOrCut(host, SoakConfiguration.added(asked), name, sentAt);
@@ -276,20 +268,19 @@
 
     /** Returns whether a host had to obey a change when a request was sent. */
     private boolean isHeldTo(String name, long change, long sentAt) {
-        boolean longAgo = sentAt - acknowledgedAt.get(change) > APPLIED.toNanos();
         boolean calm =
                 trouble.quietFor(CONTACT, name, sentAt)
                         && TroubledHosts.controlNames().stream()
                                 .allMatch(other -> trouble.quietFor(CONTACT, other, sentAt));
-        return longAgo && calm;
+        return changes.hasToBeInForce(change, sentAt) && calm;
     }
 
     private void readAgainAndAgain() {
         while (!over.get()) {
-            long before = acknowledged.get();
+            long before = changes.newest();
             long sentAt = System.nanoTime();
             long read = read(1 + random(TroubledHosts.CONTROL_HOSTS));
-            boolean longAgo = sentAt - acknowledgedAt.get(before) > APPLIED.toNanos();
+            boolean longAgo = changes.hasToBeInForce(before, sentAt);
             if (read >= 0 && read < before && longAgo) {
                 broken.add("read " + read + " though " + before + " had been acknowledged");
             }
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakCalls.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakCalls.java
@@ -31,16 +31,23 @@
     private final SeededHosts hosts;
     private final TroubledHosts trouble;
     private final RunLog runs;
+    private final ChangeHistory changes;
     private final Collection<String> broken;
     private final Map<String, List<Long>> onceTries = new ConcurrentHashMap<>();
     private final AtomicLong calls = new AtomicLong();
     private final AtomicLong tries = new AtomicLong();
     private final AtomicLong served = new AtomicLong();
 
-    SoakCalls(SeededHosts hosts, TroubledHosts trouble, RunLog runs, Collection<String> broken) {
+    SoakCalls(
+            SeededHosts hosts,
+            TroubledHosts trouble,
+            RunLog runs,
+            ChangeHistory changes,
+            Collection<String> broken) {
         this.hosts = hosts;
         this.trouble = trouble;
         this.runs = runs;
+        this.changes = changes;
         this.broken = broken;
     }
 
@@ -106,6 +113,9 @@
     private void check(String path, String id, long triedAt, HttpResponse<String> answer) {
         int status = answer.statusCode();
         served.addAndGet(status == OK ? 1 : 0);
+        if (changes.isWrongDenial(status, path, triedAt)) {
+            broken.add(id + " was denied with " + status + " at " + Instant.now() + " for " + path);
+        }
         boolean ofUpstream = status == OK || status == ERROR || RunLog.isOfUpstream(answer.body());
         if (ofUpstream && !runs.holds(path, id, triedAt, status, answer.body())) {
             broken.add(
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakConfiguration.java
@@ -1,5 +1,8 @@
 package io.stackhall.tests.harness;
 
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -9,6 +12,8 @@
     /** A path on the route whose requests may not be repeated. */
     static final String ONCE = "/once/x";
 
+    private static final Pattern ADDED = Pattern.compile("/v(\\d+)/x");
+
     private SoakConfiguration() {}
 
     /** Returns a path on the route that a version has added. */
@@ -16,6 +21,12 @@
         return "/v" + version + "/x";
     }
 
+    /** Returns the version that has added a path's route, or nothing where every one has it. */
+    static Optional<Long> versionThatAdded(String path) {
+        Matcher added = ADDED.matcher(path);
+        return added.matches() ? Optional.of(Long.valueOf(added.group(1))) : Optional.empty();
+    }
+
     /** Returns the configuration of a version. */
     static String of(long version) {
         String added =
