Waiting calls to a control host are processed one after the other

Calls that wait behind one that is not answered yet, on one connection, were each handed on from within the answer to the one before: with some hundred of them in a single read, the stack of the event loop, 256 KiB in hosts, may be full, and the rest gets no answer. The same loop serves all other callers.

The loop that hands calls on now goes on itself once an answer has been written from within it.

CallSequencerTest.waitingCallsAreProcessedWithinOneAnother failed before (as deep as there were calls) and passes.

--- a/stackhall-server/src/main/java/io/stackhall/server/control/CallSequencer.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/control/CallSequencer.java
@@ -22,6 +22,7 @@
 
     private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
     private boolean unanswered;
+    private boolean handingOn;
     private boolean closing;
 
     @Override
@@ -45,11 +46,24 @@
             releaseWaiting();
             return;
         }
-        FullHttpRequest next = waiting.pollFirst();
-        unanswered = next != null;
+        unanswered = false;
         context.channel().config().setAutoRead(true);
-        if (next != null) {
-            context.fireChannelRead(next);
+        handOnWaiting(context);
+    }
+
+    /** An answer that is written at once comes from within the processing of its call. */
+    private void handOnWaiting(ChannelHandlerContext context) {
+        if (handingOn) {
+            return;
+        }
+        handingOn = true;
+        try {
+            while (!unanswered && !waiting.isEmpty()) {
+                unanswered = true;
+                context.fireChannelRead(waiting.pollFirst());
+            }
+        } finally {
+            handingOn = false;
         }
     }
 
