The soak judges a refused connection by when it was tried

The check looked, after the refusal, whether the host was away at that moment.

A refusal now counts if the connection was tried after the host's first answer in its life, or 15 s after its start; later answers move that moment no more, so that a call that overlaps with an answer is held to it as before.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakCalls.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/SoakCalls.java
@@ -94,7 +94,7 @@
             check(path, id, triedAt, answer);
             return answer.statusCode();
         } catch (ConnectException e) {
-            if (!trouble.isAway(name)) {
+            if (!trouble.mayHaveRefused(name, triedAt)) {
                 broken.add(id + " was refused by " + name + " at " + Instant.now() + ": " + e);
             }
             return 0;
--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/TroubledHosts.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/TroubledHosts.java
@@ -112,13 +112,13 @@
     /** Notes that a host has answered in a life: it takes connections from then on. */
     synchronized void answered(String name, long life) {
         if (life == life(name) && awayUntil.get(name) != Long.MAX_VALUE) {
-            awayUntil.put(name, System.nanoTime());
+            awayUntil.merge(name, System.nanoTime(), Math::min);
         }
     }
 
-    /** Returns whether a host may refuse connections now. */
-    boolean isAway(String name) {
-        return System.nanoTime() - awayUntil.get(name) < 0;
+    /** Returns whether a host might refuse a connection that was tried at a moment. */
+    boolean mayHaveRefused(String name, long triedAt) {
+        return triedAt < awayUntil.get(name);
     }
 
     /** Returns whether nothing was done to a host for a time before a moment. */
