--- a/stackhall-core/src/main/java/io/stackhall/core/id/IdText.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/id/IdText.java
@@ -11,9 +11,7 @@
 
     /** Returns whether a text is a valid id. */
     static boolean valid(String value) {
-        return !value.isBlank()
-                && value.length() <= MAX_LENGTH
-                && value.chars().noneMatch(Character::isISOControl);
+        return !value.isBlank() && value.length() <= MAX_LENGTH && !hasControlCharacter(value);
     }
 
     /**
@@ -29,10 +27,20 @@
             throw new IllegalArgumentException(
                     kind + " must have 1 to " + MAX_LENGTH + " characters: '" + value + "'");
         }
-        if (value.chars().anyMatch(Character::isISOControl)) {
+        if (hasControlCharacter(value)) {
             throw new IllegalArgumentException(
                     kind + " must have no control characters: '" + value.strip() + "'");
         }
         return value;
     }
+
+    /** A loop: ids are made for each message, where a stream would cost more than all the rest. */
+    private static boolean hasControlCharacter(String value) {
+        for (int index = 0; index < value.length(); index++) {
+            if (Character.isISOControl(value.charAt(index))) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/stackhall-core/src/main/java/io/stackhall/core/overload/LoopDelayMeter.java
+++ b/stackhall-core/src/main/java/io/stackhall/core/overload/LoopDelayMeter.java
@@ -1,7 +1,6 @@
 package io.stackhall.core.overload;
 
 import java.time.Duration;
-import java.util.Arrays;
 
 /**
  * Measures how late an event loop runs what is due, by the lateness of a periodic task.
@@ -58,8 +57,12 @@
         if (!ticked || now - tickedAt > ESTIMATE_VALIDITY_NANOS) {
             return Duration.ZERO;
         }
-        long sum = Arrays.stream(delays).sum();
-        long longest = Arrays.stream(delays).max().orElse(0);
+        long sum = 0;
+        long longest = 0;
+        for (long delay : delays) {
+            sum += delay;
+            longest = Math.max(longest, delay);
+        }
         return Duration.ofNanos((sum - longest) / (WINDOW - 1));
     }
 
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -197,7 +196,7 @@
 
     @Override
     public void writePart(ByteBuf bytes) {
-        context.writeAndFlush(new DefaultHttpContent(bytes));
+        encoder.writePart(bytes, chunksAllowed);
     }
 
     @Override
