--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/DemandCounts.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/DemandCounts.java
@@ -13,6 +13,7 @@
 final class DemandCounts {
 
     private final Map<String, Count> counts = new TreeMap<>();
+    private Runnable newlyWaitingListener = () -> {};
     private boolean newlyWaiting;
 
     private static final class Count {
@@ -40,9 +41,16 @@
         }
     }
 
-    /** Returns whether a request has begun to wait since the last report. */
-    boolean hasNewlyWaiting() {
-        return newlyWaiting;
+    /** Sets the listener to call when requests for a model have begun to wait. */
+    void onNewlyWaiting(Runnable listener) {
+        newlyWaitingListener = listener;
+    }
+
+    /** Calls the listener if a request has begun to wait since the last report. */
+    void notifyNewlyWaiting() {
+        if (newlyWaiting) {
+            newlyWaitingListener.run();
+        }
     }
 
     /** Returns a report and resets the arrivals; waiting requests are included in every report. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/EntryDaemon.java
@@ -184,7 +184,7 @@
         this.reports = new EntryReporter(settings, gateway, follower);
         this.tunnels = new TunnelAcceptor(loop, new TunnelsOfOthers(gateway, upstreams, shedding));
         paths.onChange(follower::pathsChanged);
-        gateway.onNewlyWaiting(reports::reportDemand);
+        gateway.demand().onNewlyWaiting(reports::reportDemand);
     }
 
     /**
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/Gateway.java
@@ -63,7 +63,6 @@
     private final RequestsAwaitingRoutes firstRoutes = new RequestsAwaitingRoutes();
     private boolean closing;
     private int entryHostCount;
-    private Runnable newlyWaitingListener = () -> {};
     private final RecheckTimer recheckTimer;
 
     Gateway(
@@ -95,7 +94,8 @@
         this.streamOrigins = streamOrigins;
         this.upstreamAnnouncements = new UpstreamAnnouncements(limits, slots, dispatcher, notices);
         this.waiting = new WaitingRequests(List.of(limits::resetWaiting, slots::resetWaiting));
-        this.recheckTimer = new RecheckTimer(loop, () -> !waiting.isEmpty(), this::recheckWaiting);
+        this.recheckTimer =
+                new RecheckTimer(loop, waiting, this::retryWaiting, demand::notifyNewlyWaiting);
         this.metrics = metrics;
         this.paths = paths;
         this.pathProber = new PathProber(loop, upstreams, paths, dispatcher, notices, random);
@@ -182,18 +182,23 @@
                 : dispatcher.choose(need, allowed, remaining, now);
     }
 
-    /** Reconsiders all waiting requests, in the order of {@link WaitingRequests}. */
+    /** Reconsiders all waiting requests soon, in the order of {@link WaitingRequests}. */
     void dispatchWaiting() {
+        if (waiting.isEmpty()) {
+            checkLeases();
+        } else {
+            recheckTimer.trigger();
+        }
+    }
+
+    private void retryWaiting() {
         waiting.retryAll();
-        upstreamLimits.scheduleCheck();
-        upstreamSlots.scheduleCheck();
+        checkLeases();
     }
 
-    private void recheckWaiting() {
-        dispatchWaiting();
-        if (demand.hasNewlyWaiting()) {
-            newlyWaitingListener.run();
-        }
+    private void checkLeases() {
+        upstreamLimits.scheduleCheck();
+        upstreamSlots.scheduleCheck();
     }
 
     /** Refuses the requests that have not been sent, and every request that arrives later. */
@@ -293,11 +298,6 @@
         return entryHostCount;
     }
 
-    /** Sets the listener to call when requests for a model have begun to wait. */
-    void onNewlyWaiting(Runnable listener) {
-        newlyWaitingListener = listener;
-    }
-
     boolean tryAcquireRetry(ServiceName service, long now) {
         return retryLimiter.tryTake(service, now);
     }
