A warm-up ends after a thousand rounds of requests

The bound of elapsed time stays, with a test of its own now; the one of processor time as well. WarmUpBudgetTest.endsWithoutProcessorTime failed before (30 s where 1 s is allowed).

--- a/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/training/WarmUpBudget.java
@@ -25,10 +25,17 @@
 
     private static final Duration MAX_DURATION = Duration.ofSeconds(30);
 
+    /**
+     * Rounds of requests after which the path of each of them has long been compiled. They bound a
+     * warm-up where no clock tells the processor time that it takes.
+     */
+    private static final int MAX_ROUNDS = 1000;
+
     private final double pace;
     private final long limitNanos;
     private final long processorTimeBefore;
     private final long startedAt;
+    private int rounds;
 
     /** What the warm-up does next. */
     sealed interface Step {
@@ -67,13 +74,15 @@
     Step next(Duration processorTime, long now) {
         long used = used(processorTime).toNanos();
         long elapsed = now - startedAt;
-        if (used >= limitNanos || elapsed >= MAX_DURATION.toNanos()) {
+        if (used >= limitNanos || elapsed >= MAX_DURATION.toNanos() || rounds >= MAX_ROUNDS) {
             return new Step.End();
         }
         long excess = used - BURST.toNanos() - Math.round(elapsed * pace);
-        return excess <= 0
-                ? new Step.Proceed()
-                : new Step.Pause(Duration.ofNanos(Math.round(excess / pace)));
+        if (excess > 0) {
+            return new Step.Pause(Duration.ofNanos(Math.round(excess / pace)));
+        }
+        rounds++;
+        return new Step.Proceed();
     }
 
     /** Returns the processor time that the process has used since the warm-up began. */
--- a/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
@@ -33,11 +33,20 @@
         assertThat(replay.mostOverShareMillis).isLessThanOrEqualTo(40);
     }
 
-    /** A process whose time is not counted must not go on for ever. */
+    /** A process whose time is not counted must not go on for ever, nor take all there is. */
     @Test
     void endsWithoutProcessorTime() {
         Replay replay = new Replay(0.36, Duration.ZERO);
         replay.run();
+        assertThat(replay.elapsed).isLessThanOrEqualTo(Duration.ofSeconds(1));
+    }
+
+    /** A host whose calls are slow is not kept warming up for ever. */
+    @Test
+    void endsAfterSomeTimeWhateverItHasDone() {
+        Replay replay = new Replay(0.36, Duration.ZERO);
+        replay.waitPerCall = Duration.ofMillis(99);
+        replay.run();
         assertThat(replay.elapsed).isBetween(Duration.ofSeconds(30), Duration.ofSeconds(31));
     }
 
@@ -49,6 +58,7 @@
         private final WarmUpBudget budget;
         private Duration used = Duration.ZERO;
         private Duration elapsed = Duration.ZERO;
+        private Duration waitPerCall = Duration.ZERO;
         private double mostOverShareMillis;
 
         Replay(double share, Duration perCall) {
@@ -64,7 +74,7 @@
                     elapsed = elapsed.plus(time);
                 } else {
                     used = used.plus(perCall);
-                    elapsed = elapsed.plus(perCall).plusMillis(1);
+                    elapsed = elapsed.plus(perCall).plus(waitPerCall).plusMillis(1);
                     mostOverShareMillis =
                             Math.max(
                                     mostOverShareMillis,
