A stream without end that its caller does not read stops its upstream on small hosts too

The test sends events without end: the upstream is held up within what the buffers of two connections hold, each event that was held comes once the caller reads, and the stream goes on.

--- a/stackhall-server/src/test/java/io/stackhall/server/gateway/PacedStreamsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/gateway/PacedStreamsTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,8 +27,14 @@
     private static final int STREAMS = 6;
     private static final int EVENTS = 12;
     private static final long EVENT_INTERVAL_MILLIS = 15;
+    private static final long QUIET_MILLIS = 300;
     private static final Duration GAP_OBJECTIVE = Duration.ofMillis(400);
 
+    private static final String LONG_EVENT = "data: " + "x".repeat(8000) + "\n\n";
+
+    /** More than the buffers of two connections on loopback hold. */
+    private static final int MAX_UNREAD_EVENTS = 4000;
+
     private static final String ROUTES =
             """
             {"version":3,"routes":[
@@ -46,12 +53,13 @@
     @TempDir private Path folder;
     private LocalFleet fleet;
     private ScriptedUpstream upstream;
+    private final AtomicInteger endlessEvents = new AtomicInteger();
 
     @BeforeEach
     void start() throws Exception {
         fleet = new LocalFleet(folder);
         fleet.foundControl();
-        upstream = new ScriptedUpstream("i-1", PacedStreamsTest::answer);
+        upstream = new ScriptedUpstream("i-1", this::answer);
         fleet.startEntry(1, 0.3);
         LocalFleet.await("routes taken", () -> fleet.put(ROUTES) == 200);
         LocalFleet.await("ready", () -> fleet.ready(1));
@@ -65,16 +73,20 @@
         fleet.close();
     }
 
-    private static void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
+    private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
             throws IOException {
         if (request.startLine().contains("/safe/")) {
             to.plain(request, 200, "ok");
             return;
         }
         to.streamHead(request);
+        while (request.startLine().contains("endless")) {
+            to.chunk(LONG_EVENT);
+            endlessEvents.incrementAndGet();
+        }
         for (int event = 1; event <= EVENTS; event++) {
             to.chunk("id: " + event + "\ndata: x\n\n");
-            pause();
+            pause(EVENT_INTERVAL_MILLIS);
             if (event == EVENTS / 2 && request.startLine().contains("broken")) {
                 to.reset();
             }
@@ -125,6 +137,27 @@
         }
     }
 
+    /** A failure here keeps a stream without end in the memory of a small host. */
+    @Test
+    void callerThatDoesNotReadStopsItsUpstream() throws Exception {
+        try (Socket caller = send("/stream/endless", "endless")) {
+            LocalFleet.await(
+                    "upstream held up",
+                    () -> {
+                        int before = endlessEvents.get();
+                        pause(QUIET_MILLIS);
+                        return before > 0 && endlessEvents.get() == before;
+                    });
+            int unread = endlessEvents.get();
+            assertThat(unread).isLessThan(MAX_UNREAD_EVENTS);
+            RawHttp.readHead(caller.getInputStream());
+            for (int event = 0; event < unread; event++) {
+                assertThat(RawHttp.chunk(caller.getInputStream())).hasSize(LONG_EVENT.length());
+            }
+            LocalFleet.await("stream goes on", () -> endlessEvents.get() > unread);
+        }
+    }
+
     private RawHttp.Message call(String target, String id) {
         try (Socket caller = send(target, id)) {
             return RawHttp.read(caller.getInputStream(), true);
@@ -139,9 +172,9 @@
         return caller;
     }
 
-    private static void pause() {
+    private static void pause(long millis) {
         try {
-            TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MILLIS);
+            TimeUnit.MILLISECONDS.sleep(millis);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
