--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/ResponseEncoder.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/ResponseEncoder.java
@@ -44,8 +44,8 @@
     /**
      * Writes a part of a body behind its head; takes ownership of the buffer.
      *
-     * <p>What {@code super} makes of a part is three buffers. A chunk in one buffer halves what
-     * each event of a stream takes to write.
+     * <p>{@code super} makes three buffers of a part, which take a gathering write. A chunk in one
+     * buffer takes a plain one, for each event of each stream.
      *
      * @param chunked whether the head announces chunks
      */
