Hosts with named upstreams refuse statuses beyond 599 and other versions of HTTP

Callers got 600 and 999 as answers, and an answer whose head says HTTP/2.0. The client refuses all other malformed heads by itself, status 000 and blanks in names among them, so that nothing is added for those.

A status outside the five classes, and a version above 1.1, now count as an answer that cannot be read: an attempt whose outcome is unknown.

--- a/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/upstreams/UpstreamCall.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
 
 /** One attempt of a request on an upstream. */
 public final class UpstreamCall {
@@ -163,7 +164,9 @@
     }
 
     private static boolean isReadable(Response response) {
-        return response.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101
+        return StatusLine.isStatus(response.getStatus())
+                && response.getVersion().getVersion() <= HttpVersion.HTTP_1_1.getVersion()
+                && response.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101
                 && BodyFraming.isReadable(
                         response.getHeaders().getValuesList(HttpHeader.TRANSFER_ENCODING));
     }
