An answer that cannot be read shows that its path works

Since malformed heads are refused, many more answers would have led there than before.

Cause: a call that failed after its request was sent had one stage, SENT, whether nothing had come or something that cannot be believed. The latter has a stage of its own now, UNUSABLE_ANSWER, which counts as a word from the upstream for paths and probes, and as a failure of the instance as before.

--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
@@ -57,9 +57,9 @@
     }
 
     /**
-     * Sends a probe. Any answer shows that the path works, and so does an upstream that ends the
-     * connection in good order: not all of them serve what probes ask for. Links that are lost
-     * reset connections or carry nothing.
+     * Sends a probe. Any answer shows that the path works, a malformed one too, and so does an
+     * upstream that ends the connection in good order: not all of them serve what probes ask for.
+     * Links that are lost reset connections or carry nothing.
      *
      * @param through the host of a tunnel, or empty for a connection of this host
      * @param result told nothing if the path works, otherwise how far the probe came
@@ -114,8 +114,12 @@
 
         @Override
         public void failed(CallFailure failure) {
-            boolean inGoodOrder = failure.stage() == Stage.ENDED_BY_UPSTREAM;
-            end(inGoodOrder ? Optional.empty() : Optional.of(failure.stage()));
+            boolean heard =
+                    switch (failure.stage()) {
+                        case ENDED_BY_UPSTREAM, UNUSABLE_ANSWER -> true;
+                        default -> false;
+                    };
+            end(heard ? Optional.empty() : Optional.of(failure.stage()));
         }
 
         /** Also ends an answer that has begun and does not end. */
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamAttempt.java
@@ -274,6 +274,10 @@
             case NO_TUNNEL, NOT_REACHED, WITHDRAWN -> {
                 // Says nothing about the instance.
             }
+            case UNUSABLE_ANSWER -> {
+                heard();
+                gateway.dispatcher().connectionFailed(instance.id(), now);
+            }
             default -> recordFailure(failure, now);
         }
         listener.onFailure(failure, tunnel);
--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/UpstreamPathMonitor.java
@@ -170,7 +170,7 @@
         long now = BootClock.nanos();
         boolean connected =
                 switch (stage) {
-                    case SENT, ENDED_BY_UPSTREAM, NOT_SENT -> true;
+                    case SENT, ENDED_BY_UPSTREAM, UNUSABLE_ANSWER, NOT_SENT -> true;
                     case REFUSED, NO_CONNECTION, NO_TUNNEL, NOT_REACHED, WITHDRAWN -> false;
                 };
         boolean wasImpaired = paths.isImpaired(now);
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/CallFailure.java
@@ -25,12 +25,17 @@
         /** Bytes of the request may have reached the upstream. */
         SENT,
         /** As with {@code SENT}; the upstream itself has ended the connection, in good order. */
-        ENDED_BY_UPSTREAM
+        ENDED_BY_UPSTREAM,
+        /** As with {@code SENT}; what the upstream has sent cannot be believed as an answer. */
+        UNUSABLE_ANSWER
     }
 
     /** Returns whether any byte of the request may have reached the upstream. */
     public boolean sent() {
-        return stage == Stage.SENT || stage == Stage.ENDED_BY_UPSTREAM;
+        return switch (stage) {
+            case SENT, ENDED_BY_UPSTREAM, UNUSABLE_ANSWER -> true;
+            case REFUSED, NO_CONNECTION, NO_TUNNEL, NOT_REACHED, NOT_SENT, WITHDRAWN -> false;
+        };
     }
 
     /** Returns whether no connection to the upstream came up. */
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamCall.java
@@ -153,6 +153,11 @@
         fail(sent ? CallFailure.Stage.ENDED_BY_UPSTREAM : CallFailure.Stage.NOT_SENT, reason);
     }
 
+    /** Fails as what the upstream has sent cannot be believed as an answer. */
+    void answerUnusable(String reason) {
+        fail(sent ? CallFailure.Stage.UNUSABLE_ANSWER : CallFailure.Stage.NOT_SENT, reason);
+    }
+
     void withdraw() {
         fail(CallFailure.Stage.WITHDRAWN, "not wanted any more");
     }
--- a/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/relay/UpstreamHandler.java
@@ -136,19 +136,21 @@
 
     private void head(ChannelHandlerContext context, HttpResponse head) {
         if (head.decoderResult().isFailure()) {
-            end(context, "the answer is not HTTP: " + head.decoderResult().cause().getMessage());
+            endUnusable(
+                    context,
+                    "the answer is not HTTP: " + head.decoderResult().cause().getMessage());
             return;
         }
         if (!BodyFraming.isReadable(head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
-            end(context, "the answer's transfer coding is not supported");
+            endUnusable(context, "the answer's transfer coding is not supported");
             return;
         }
         if (history.mayJoinAnswers(texts(head))) {
-            end(context, "the head holds the status line of another answer");
+            endUnusable(context, "the head holds the status line of another answer");
             return;
         }
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            end(context, "the upstream switches to another protocol");
+            endUnusable(context, "the upstream switches to another protocol");
             return;
         }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -162,7 +164,8 @@
                 call.listener().passedOver(foreign(head, echoes.getFirst()));
                 passOver(context);
             }
-            case UNKNOWN -> end(context, "it cannot be told which request the answer belongs to");
+            case UNKNOWN ->
+                    endUnusable(context, "it cannot be told which request the answer belongs to");
         }
     }
 
@@ -237,6 +240,10 @@
         end(context, failed -> failed.fail(reason));
     }
 
+    private void endUnusable(ChannelHandlerContext context, String reason) {
+        end(context, failed -> failed.answerUnusable(reason));
+    }
+
     private void end(ChannelHandlerContext context, Consumer<UpstreamCall> failure) {
         broken = true;
         UpstreamCall failed = call;
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/MalformedHeadsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/MalformedHeadsTest.java
@@ -15,8 +15,12 @@
 /** What callers get where an upstream sends an answer whose head is none of HTTP. */
 class MalformedHeadsTest extends RelayFixture {
 
+    /** Several times the pause between two looks at the probes that are due. */
+    private static final long PROBE_PAUSE_MILLIS = 300;
+
     private final List<Answer> answers = AnswerTable.malformedHeads().toList();
     private final AtomicInteger sent = new AtomicInteger();
+    private final AtomicInteger probes = new AtomicInteger();
 
     // Callers got the status 000, or a body of another length, as the answer of the upstream.
     @ParameterizedTest
@@ -55,6 +59,20 @@
         }
     }
 
+    // Each malformed answer was followed by probes of a path that had just carried it.
+    @Test
+    void malformedHeadIsTakenForABrokenPath() throws Exception {
+        List<ScriptedUpstream> upstreams = startUpstreams();
+        for (int number = 0; number < answers.size(); number++) {
+            assertThat(outcome("/once/x", Integer.toString(number))).isEqualTo("502");
+        }
+        pause(PROBE_PAUSE_MILLIS);
+        assertThat(probes).hasValue(0);
+        for (ScriptedUpstream upstream : upstreams) {
+            upstream.close();
+        }
+    }
+
     /** Starts an upstream for each answer, as one that has failed is passed over for a while. */
     private List<ScriptedUpstream> startUpstreams() throws Exception {
         List<ScriptedUpstream> upstreams = new ArrayList<>();
@@ -71,6 +89,7 @@
             throws IOException {
         String id = request.header("x-request-id");
         if (id.isEmpty()) {
+            probes.incrementAndGet();
             to.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         } else {
             sent.incrementAndGet();
