The soak's upstreams spoil heads, and the postmortem of malformed answers

One in 32 plain answers of the soak has the status 000, a field line that is none, or a name with a blank. It is recorded with a status that no caller can get, so that any of them that reaches a caller counts.

--- a/stackhall-tests/src/test/java/io/stackhall/tests/harness/RepeatingServer.java
+++ b/stackhall-tests/src/test/java/io/stackhall/tests/harness/RepeatingServer.java
@@ -18,7 +18,8 @@
 
 /**
  * Serves requests without bodies, and sends a share of its answers a second time on their
- * connection: in the place of a later one, whole or cut in its head, or right behind themselves.
+ * connection: in the place of a later one, whole or cut in its head, or right behind themselves. It
+ * also sends plain answers with malformed heads, none of which may reach a caller.
  */
 final class RepeatingServer implements AutoCloseable {
 
@@ -31,6 +32,14 @@
     /** One in so many answers is followed by its copy at once. */
     private static final int AT_ONCE_SHARE = 16;
 
+    /** One in so many plain answers has a malformed head. */
+    private static final int MALFORMED_SHARE = 32;
+
+    /** A status that no caller can get. */
+    private static final int NO_STATUS = -1;
+
+    private static final String LENGTH = "Content-Length";
+
     /** By how many answers a copy is late at most. */
     private static final int MOST_LATE = 6;
 
@@ -57,7 +66,8 @@
      *
      * @param id empty if it has none
      * @param lastEvent the number of the event after which a stream goes on, 0 if it begins
-     * @param spoiled whether its answer comes behind a copy that is cut, so that no host hears it
+     * @param spoiled whether no host can hear its answer, as that comes behind a copy that is cut
+     *     or would have a malformed head
      */
     record Request(String path, String id, int lastEvent, boolean spoiled) {}
 
@@ -124,10 +134,11 @@
             List<String> sent = new ArrayList<>();
             for (String first = in.readLine(); first != null; first = in.readLine()) {
                 String copy = lateCopy(sent);
-                boolean spoils = !copy.isEmpty() && !copy.contains(END_OF_HEAD);
-                Request request = readHeaders(path(first), in, spoils);
+                boolean cut = !copy.isEmpty() && !copy.contains(END_OF_HEAD);
+                boolean malformed = draw(MALFORMED_SHARE) == 0;
+                Request request = readHeaders(path(first), in, cut || malformed);
                 Answer answer = handler.answer(request);
-                String bytes = bytes(request, answer);
+                String bytes = bytes(request, answer, malformed);
                 sent.add(bytes);
                 send(socket, answer, copy + bytes, bytes);
             }
@@ -155,10 +166,13 @@
         return new Request(path, id, lastEvent, spoiled);
     }
 
-    private String bytes(Request request, Answer answer) {
+    private String bytes(Request request, Answer answer, boolean malformed) {
         String echo = request.id().isEmpty() ? "" : "X-Request-Id: " + request.id() + "\r\n";
         return switch (answer) {
-            case Plain plain -> bytes(request, plain, echo);
+            case Plain plain ->
+                    malformed
+                            ? malformed(bytes(request, plain, echo, NO_STATUS), plain.status())
+                            : bytes(request, plain, echo, plain.status());
             case Stream stream ->
                     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                             + echo
@@ -166,15 +180,24 @@
         };
     }
 
-    private String bytes(Request request, Plain answer, String echo) {
+    /** Returns a plain answer, which is recorded with a status of its own. */
+    private String bytes(Request request, Plain answer, String echo, int recorded) {
         boolean ran = Arrays.stream(answer.headers()).noneMatch(RunLog.NOT_RUN::equals);
-        String body = runs.add(request.path(), request.id(), answer.status(), ran);
+        String body = runs.add(request.path(), request.id(), recorded, ran);
         StringBuilder head =
                 new StringBuilder("HTTP/1.1 " + answer.status() + " Drawn\r\n").append(echo);
         for (String header : answer.headers()) {
             head.append(header).append("\r\n");
         }
-        return head.append("Content-Length: ").append(body.length()).append(END_OF_HEAD) + body;
+        return head.append(LENGTH).append(": ").append(body.length()).append(END_OF_HEAD) + body;
+    }
+
+    private String malformed(String answer, int status) {
+        return switch (draw(3)) {
+            case 0 -> answer.replaceFirst(" " + status + " ", " 000 ");
+            case 1 -> answer.replaceFirst(LENGTH, "X Note: a\r\n" + LENGTH);
+            default -> answer.replaceFirst(LENGTH, LENGTH + " x");
+        };
     }
 
     private static String framed(Stream stream) {
