--- a/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
+++ b/stackhall-server/src/main/java/io/stackhall/server/gateway/HealthProbes.java
@@ -115,10 +115,8 @@
         @Override
         public void failed(CallFailure failure) {
             boolean heard =
-                    switch (failure.stage()) {
-                        case ENDED_BY_UPSTREAM, UNUSABLE_ANSWER -> true;
-                        default -> false;
-                    };
+                    failure.stage() == Stage.ENDED_BY_UPSTREAM
+                            || failure.stage() == Stage.UNUSABLE_ANSWER;
             end(heard ? Optional.empty() : Optional.of(failure.stage()));
         }
 
--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/MalformedHeadsTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/MalformedHeadsTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,15 +19,26 @@
     /** Several times the pause between two looks at the probes that are due. */
     private static final long PROBE_PAUSE_MILLIS = 300;
 
+    /** An entry host knows its upstreams by then. */
+    private static final long ANNOUNCEMENT_MILLIS = 300;
+
     private final List<Answer> answers = AnswerTable.malformedHeads().toList();
+    private final List<ScriptedUpstream> upstreams = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger probes = new AtomicInteger();
 
+    @AfterEach
+    void closeUpstreams() throws IOException {
+        for (ScriptedUpstream upstream : upstreams) {
+            upstream.close();
+        }
+    }
+
     // Callers got the status 000, or a body of another length, as the answer of the upstream.
     @ParameterizedTest
     @ValueSource(strings = {"/once/x", "/stream/x"})
     void malformedHeadReachesTheCallerAsAnAnswer(String path) throws Exception {
-        List<ScriptedUpstream> upstreams = startUpstreams();
+        startUpstreams();
         List<String> wrong = new ArrayList<>();
         for (int number = 0; number < answers.size(); number++) {
             String got = outcome(path, Integer.toString(number));
@@ -35,9 +47,6 @@
             }
         }
         assertThat(wrong).isEmpty();
-        for (ScriptedUpstream upstream : upstreams) {
-            upstream.close();
-        }
     }
 
     // A request that may be repeated got the broken answer though another instance was well.
@@ -62,27 +71,22 @@
     // Each malformed answer was followed by probes of a path that had just carried it.
     @Test
     void malformedHeadIsTakenForABrokenPath() throws Exception {
-        List<ScriptedUpstream> upstreams = startUpstreams();
+        startUpstreams();
         for (int number = 0; number < answers.size(); number++) {
             assertThat(outcome("/once/x", Integer.toString(number))).isEqualTo("502");
         }
         pause(PROBE_PAUSE_MILLIS);
         assertThat(probes).hasValue(0);
-        for (ScriptedUpstream upstream : upstreams) {
-            upstream.close();
-        }
     }
 
     /** Starts an upstream for each answer, as one that has failed is passed over for a while. */
-    private List<ScriptedUpstream> startUpstreams() throws Exception {
-        List<ScriptedUpstream> upstreams = new ArrayList<>();
+    private void startUpstreams() throws Exception {
         for (int number = 0; number < answers.size(); number++) {
             ScriptedUpstream upstream = new ScriptedUpstream("i-" + number, this::answer);
             upstreams.add(upstream);
             fleet.heartbeat(2, upstream, upstream.heartbeat("plain", "ready", 1, "[]"));
         }
-        pause(300);
-        return upstreams;
+        pause(ANNOUNCEMENT_MILLIS);
     }
 
     private void answer(RawHttp.Message request, ScriptedUpstream.Connection to)
