A closed upstream of the tests takes no more connections

QuarantineTest.crashesCountAtOnceThoughMostUpstreamsAreDown failed once, in a run of all checks at a load of 17 on 8 cores: one request had begun where two are expected. Its log has the request sent to i-3, which the test had closed just before, and reset within a millisecond: it counted as a crash, as it should.

Cause: while a thread waits in accept, a closed listener goes on taking connections until that thread is gone.

--- a/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/fleet/ScriptedUpstream.java
@@ -21,6 +21,7 @@
     private final Script script;
     private final List<RawHttp.Message> requests = new CopyOnWriteArrayList<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Thread acceptor;
 
     /** Writes the answer to one request. */
     @FunctionalInterface
@@ -90,7 +91,7 @@
         this.script = script;
         this.server = new ServerSocket();
         server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
-        Thread.startVirtualThread(this::accept);
+        acceptor = Thread.startVirtualThread(this::accept);
     }
 
     /** Returns its incarnation. */
@@ -133,14 +134,25 @@
                 .formatted(service, address(), software, state, sequence, models);
     }
 
+    /** Ends the upstream. Nobody reaches it any more once this returns. */
     @Override
     public void close() throws IOException {
         server.close();
+        awaitListenerClosed();
         for (Socket socket : connections) {
             socket.close();
         }
     }
 
+    /** A listener that a thread waits on accepts connections until that thread is gone. */
+    private void awaitListenerClosed() {
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
