--- a/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
+++ b/stackhall-server/src/test/java/io/stackhall/server/training/WarmUpBudgetTest.java
@@ -9,6 +9,9 @@
 /** How long a warm-up goes on, and how fast. */
 class WarmUpBudgetTest {
 
+    /** What a small host that takes six seconds to start has left before its callers come. */
+    private static final Duration TIME_BEFORE_TRAFFIC = Duration.ofSeconds(13);
+
     /** A warm-up that takes all the time of a small host leaves none for its start. */
     @Test
     void smallHostKeepsMostOfItsTimeBeforeTraffic() {
@@ -25,6 +28,15 @@
         assertThat(replay.used).isBetween(Duration.ofMillis(1500), Duration.ofMillis(1520));
     }
 
+    // A small host was idle for half of the time before its callers came, and met them cold.
+    @Test
+    void hostWithNothingElseToDoUsesItsTimeBeforeTraffic() {
+        Replay replay = new Replay(0.08, Duration.ofMillis(10));
+        replay.runUntil(TIME_BEFORE_TRAFFIC);
+        long share = Math.round(0.08 * TIME_BEFORE_TRAFFIC.toMillis());
+        assertThat(replay.used.toMillis()).isGreaterThan(share * 4 / 5);
+    }
+
     /** A host that uses up its share is throttled, and reads its configuration late. */
     @Test
     void paceStaysBelowTheShare() {
@@ -68,8 +80,12 @@
         }
 
         void run() {
+            runUntil(Duration.ofDays(1));
+        }
+
+        void runUntil(Duration end) {
             Step step = next();
-            while (!(step instanceof Step.End)) {
+            while (!(step instanceof Step.End) && elapsed.compareTo(end) < 0) {
                 if (step instanceof Step.Pause(Duration time)) {
                     elapsed = elapsed.plus(time);
                 } else {
